--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -86,6 +86,8 @@
 	endedJobs []endedJob
 	// waves holds the operator's waves of upkeep by their number.
 	waves map[int]*waveState
+	// waveRecords holds what earlier owners have noted of waves.
+	waveRecords map[int]WaveRecord
 
 	actions []Action
 	// reconsider is set when a placement may have become possible.
@@ -102,6 +104,7 @@
 		open:      make(map[workload.StepID]*stepState),
 		pending:   make(map[string]int),
 		longLimit: 1, shares: make(map[string]float64), waves: make(map[int]*waveState),
+		waveRecords: make(map[int]WaveRecord),
 	}
 }
 
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -27,7 +27,7 @@
 // TestJobLifeFindsOmissions leaves each guard out once: the oracle has to see
 // it, or it proves nothing.
 func TestJobLifeFindsOmissions(t *testing.T) {
-	for _, omit := range []omission{omitDurable, omitAckDurable, omitFence, omitDoubt} {
+	for _, omit := range []omission{omitDurable, omitAckDurable, omitFence, omitDoubt, omitWaveRecord} {
 		t.Run(strings.ReplaceAll(string(omit), " ", "-"), func(t *testing.T) {
 			if !found(t, omit) {
 				t.Fatalf("no play showed that %s", omit)
@@ -70,6 +70,7 @@
 		"restart":  func(*rapid.T) { w.restart() },
 		"cut":      func(*rapid.T) { w.cut() },
 		"leave":    func(*rapid.T) { w.leave() },
+		"wave":     func(*rapid.T) { w.announce() },
 		"":         func(*rapid.T) { w.check() },
 	}
 	t.Repeat(actions)
@@ -100,17 +101,27 @@
 	id := workload.JobID(fmt.Sprintf("%016x", len(w.jobs)+1))
 	queue := w.manifest.Queues[rapid.IntRange(0, 1).Draw(w.t, "queue")]
 	a := cell.Accepted{Job: workload.Job{ID: id, Queue: queue.Name, Spec: "spec"}, Queue: queue}
+	if rapid.IntRange(0, 3).Draw(w.t, "timed") == 0 {
+		a.Job.Schedule = workload.Schedule{
+			First: w.now.Add(w.span("first", 0, 3000)), Every: w.span("every", 500, 2000),
+			Times: rapid.IntRange(1, 2).Draw(w.t, "times"),
+		}
+	}
 	for i := range rapid.IntRange(1, worldMaxSteps).Draw(w.t, "steps") {
 		step := workload.Step{
 			Tasks:    rapid.IntRange(1, 3).Draw(w.t, "tasks"),
 			Size:     job.Size{MilliCores: int64(rapid.IntRange(1, 3).Draw(w.t, "cores")) * 1000, MemoryMB: 500},
 			Estimate: time.Second, Checkpoints: rapid.Bool().Draw(w.t, "saves"),
 		}
+		w.shape(&step)
 		if i > 0 {
 			step.After = []int{i - 1}
 		} else if len(w.jobs) == 0 && rapid.Bool().Draw(w.t, "lasts") {
 			// Small enough to leave room for everything else.
-			step.LongRunning, step.Tasks, step.Size.MilliCores = true, 1, 1000
+			step.LongRunning, step.Tasks, step.Size.MilliCores = true, rapid.IntRange(1, 2).Draw(w.t, "lasting"), 500
+			step.LimitsAway, step.MaxAway = rapid.Bool().Draw(w.t, "limitsAway"), 1
+			step.Gang, step.MaxPerWorker, step.Label = false, 0, ""
+			a.Job.Schedule = workload.Schedule{}
 		}
 		a.Job.Steps = append(a.Job.Steps, step)
 		if step.LongRunning {
@@ -123,6 +134,19 @@
 	}
 }
 
+// shape gives a step some of the conditions that a caller may set.
+func (w *world) shape(step *workload.Step) {
+	switch rapid.IntRange(0, 7).Draw(w.t, "shape") {
+	case 0, 1:
+		step.Gang = true
+		step.Size.MilliCores = min(step.Size.MilliCores, 2000)
+	case 2:
+		step.MaxPerWorker = 1
+	case 3:
+		step.Label = worldLabels[rapid.IntRange(0, 1).Draw(w.t, "label")]
+	}
+}
+
 func (w *world) cancel() {
 	if len(w.jobs) == 0 {
 		return
@@ -133,7 +157,11 @@
 }
 
 func (w *world) anyWorker() *simWorker {
-	return w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(w.t, "worker")]
+	live := w.live()
+	if len(live) == 0 {
+		return w.workers[len(w.workers)-1]
+	}
+	return live[rapid.IntRange(0, len(live)-1).Draw(w.t, "worker")]
 }
 
 func (w *world) anyOwner() *simOwner {
@@ -146,7 +174,7 @@
 func (w *world) holdAll() {
 	others := w.calls
 	w.calls = nil
-	for _, s := range w.workers {
+	for _, s := range w.live() {
 		w.hold(w.owner(), s)
 	}
 	holds := w.calls
@@ -185,6 +213,10 @@
 }
 
 func (w *world) finish(c *simCall) {
+	if c.upkeep != nil {
+		w.finishUpkeep(c)
+		return
+	}
 	if c.worker.cut {
 		w.unanswered(c)
 		return
@@ -201,6 +233,17 @@
 	w.answer(c, outcome, report)
 }
 
+func (w *world) finishUpkeep(c *simCall) {
+	outcome, fenced := w.upkeep(c.owner, c.upkeep)
+	if c.answered || c.owner.over {
+		return
+	}
+	c.answered = true
+	if c.owner.over = fenced; !fenced {
+		c.owner.cell.Upkept(w.now, *c.upkeep, outcome)
+	}
+}
+
 func (w *world) answer(c *simCall, outcome cell.StartOutcome, report cell.Report) {
 	o := c.owner.cell
 	switch {
@@ -223,6 +266,9 @@
 		return
 	}
 	c.answered = true
+	if c.upkeep != nil {
+		c.owner.cell.Upkept(w.now, *c.upkeep, cell.UpkeepLater)
+	}
 	if c.start != nil {
 		outcome := cell.StartOutcome{Unknown: true}
 		if w.omit == omitDoubt {
@@ -239,10 +285,18 @@
 // loseAnswer carries a call out and loses its answer.
 func (w *world) loseAnswer() {
 	c := w.take()
-	if c == nil || c.worker.cut {
+	switch {
+	case c == nil:
 		return
+	case c.upkeep != nil:
+		w.upkeep(c.owner, c.upkeep)
+	case !c.worker.cut:
+		// Its owner has no answer, so that this order is one that was held up.
+		told := c.answered
+		c.answered = true
+		w.execute(c)
+		c.answered = told
 	}
-	w.execute(c)
 	w.unanswered(c)
 }
 
@@ -269,7 +323,7 @@
 	if o.commit == nil || o.over {
 		return
 	}
-	records := o.commit
+	commit := o.commit
 	o.commit = nil
 	if o.epoch < w.epoch {
 		o.over = true
@@ -277,26 +331,37 @@
 	}
 	switch rapid.IntRange(0, 5).Draw(w.t, "commit") {
 	case 0: // refused
-		o.cell.NotCommitted(records)
+		o.cell.NotCommitted(commit.jobs)
 	case 1: // carried out, and the answer lost
-		w.write(records)
-		o.cell.NotCommitted(records)
+		w.write(commit)
+		o.cell.NotCommitted(commit.jobs)
 	default:
-		w.write(records)
-		o.cell.Committed(w.now, records)
+		w.write(commit)
+		o.committed(w.now, commit)
 	}
 	w.act(o)
 }
 
-func (w *world) write(records []cell.Record) {
-	for _, r := range records {
+func (o *simOwner) committed(now time.Time, commit *simCommit) {
+	o.cell.Committed(now, commit.jobs)
+	o.cell.WavesCommitted(commit.waves)
+}
+
+func (w *world) write(commit *simCommit) {
+	for _, r := range commit.jobs {
 		w.store[r.Job] = r
 	}
+	for _, r := range commit.waves {
+		w.storeWaves[r.Wave] = r
+	}
 }
 
 // restart gives a worker a new life under its ID.
 func (w *world) restart() {
 	s := w.anyWorker()
+	if s.gone {
+		return
+	}
 	s.born++
 	s.since = w.now
 	s.fence, s.deadline, s.ended = 0, 0, 0
@@ -322,28 +387,31 @@
 
 func (w *world) cut() {
 	s := w.anyWorker()
-	s.cut = !s.cut
+	s.cut = s.gone || !s.cut
 }
 
 func (w *world) leave() {
 	s := w.anyWorker()
+	if s.gone {
+		return
+	}
 	s.leaving = !s.leaving
 	w.owner().cell.Sight(w.now, w.sighting(s))
 }
 
 // settle ends all faults: then every job has to reach its end.
 func (w *world) settle() {
-	for _, s := range w.workers {
+	for _, s := range w.live() {
 		s.cut, s.leaving = false, false
 		w.owner().cell.Sight(w.now, w.sighting(s))
 	}
-	for range 600 {
+	for range 900 {
 		w.holdAll()
 		w.deliverAll()
 		o := w.owner()
 		if o.commit != nil {
 			w.write(o.commit)
-			o.cell.Committed(w.now, o.commit)
+			o.committed(w.now, o.commit)
 			o.commit = nil
 		}
 		w.act(o)
@@ -367,5 +435,10 @@
 			open = append(open, fmt.Sprintf("%s %s", id, state))
 		}
 	}
+	for _, wave := range w.waves {
+		if !w.wavesDone[wave.wave.Number] && len(wave.wave.Machines) > 0 {
+			open = append(open, fmt.Sprintf("wave %d", wave.wave.Number))
+		}
+	}
 	return strings.Join(open, ", ")
 }
--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -27,10 +27,11 @@
 	if w.done[a.Task] {
 		w.fail("task %s starts although an end of it was acknowledged as done", a.Task)
 	}
+	w.checkForm(s, step, a)
 	for _, dep := range step.After {
 		w.checkDone(a.Task, dep)
 	}
-	if limit := 2; !step.LongRunning && w.failedRuns[a.Task] >= limit {
+	if limit := 2; !step.LongRunning && w.failedRuns[counted(step, a.Task)] >= limit {
 		w.fail("task %s starts after %d failed runs", a.Task, limit)
 	}
 	var taken job.Size
@@ -38,10 +39,41 @@
 		taken = taken.Add(r.size)
 	}
 	if taken = taken.Add(step.Reserved()); !taken.Fits(workerRoom) {
-		w.fail("task %s takes %s over its room: %+v", a.Task, s.id, taken)
+		w.fail("task %s takes %s over its room: %+v\n%s", a.Task, s.id, taken, w.owner().cell.Describe())
 	}
 }
 
+// checkForm holds a start against what its step asks for.
+func (w *world) checkForm(s *simWorker, step *workload.Step, a *cell.SendStart) {
+	if due := w.job(a.Task.Job).Due(a.Task.Occurrence); w.now.Before(due) {
+		w.fail("task %s starts %s before it is due", a.Task, due.Sub(w.now))
+	}
+	if step.Label != "" && step.Label != s.label {
+		w.fail("task %s needs a worker that is %s and starts at %s", a.Task, step.Label, s.id)
+	}
+	if from := w.saved[a.Checkpoint]; a.Checkpoint != "" && from != a.Task && (!step.Gang || from.StepID != a.Task.StepID) {
+		w.fail("task %s starts from %q, which %s saved", a.Task, a.Checkpoint, from)
+	}
+	alike := 0
+	for id := range s.runs {
+		if id.StepID == a.Task.StepID {
+			alike++
+		}
+	}
+	if step.MaxPerWorker > 0 && alike >= step.MaxPerWorker {
+		w.fail("task %s starts at %s beside %d others of its step", a.Task, s.id, alike)
+	}
+}
+
+// counted returns the task under which the failed runs of a task count: those
+// of a gang count together.
+func counted(step *workload.Step, id workload.TaskID) workload.TaskID {
+	if step.Gang {
+		id.Index = 0
+	}
+	return id
+}
+
 // checkDone demands that all tasks of an earlier step have ended well once,
 // whether that was acknowledged or lost with its worker.
 func (w *world) checkDone(of workload.TaskID, dep int) {
@@ -61,7 +93,7 @@
 	case cell.EndDone:
 		w.done[e.Task] = true
 	case cell.EndFailed:
-		w.failedRuns[e.Task]++
+		w.failedRuns[counted(w.step(e.Task), e.Task)]++
 	case cell.EndStopped, cell.EndLapsed, cell.EndBroken, cell.EndAlone:
 	}
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -50,7 +50,7 @@
 }
 
 // HasRecords reports whether a record waits to be made durable.
-func (c *Cell) HasRecords() bool { return len(c.dirty) > 0 }
+func (c *Cell) HasRecords() bool { return len(c.dirty) > 0 || len(c.WaveRecords()) > 0 }
 
 // Committed notes that records are durable.
 func (c *Cell) Committed(now time.Time, records []Record) {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -53,7 +53,7 @@
 	w.clock, w.deadline = 0, report.Clock+c.config.MaxLease
 	w.endsSeen, w.endsOpen = 0, nil
 	w.health = health{}
-	w.cordoned = false
+	w.cordonedBy = nil
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
 		switch {
@@ -226,7 +226,9 @@
 func (c *Cell) release(now time.Time, r *run, how EndKind) {
 	t := r.task
 	s := t.step
-	r.worker.runs.remove(r)
+	if !r.worker.runs.remove(r) {
+		return // released with another member of its gang
+	}
 	r.worker.taken = r.worker.taken.Sub(s.spec.Reserved())
 	r.worker.settlePreempted(r, s.spec.Reserved())
 	c.reconsider = true
--- a/internal/cell/runset.go
+++ b/internal/cell/runset.go
@@ -25,15 +25,16 @@
 	s.list = append(s.list, r)
 }
 
-// remove takes a run out, if it is the one of its task.
-func (s *runSet) remove(r *run) {
+// remove takes a run out, and reports whether it was there.
+func (s *runSet) remove(r *run) bool {
 	if s.byTask[r.task.id] != r {
-		return
+		return false
 	}
 	delete(s.byTask, r.task.id)
 	if i := slices.Index(s.list, r); i >= 0 {
 		s.list = slices.Delete(s.list, i, i+1)
 	}
+	return true
 }
 
 func (s *runSet) len() int { return len(s.list) }
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -33,6 +33,7 @@
 	manifest *manifest.Manifest
 	// store holds the records as the store would have them.
 	store    map[workload.JobID]cell.Record
+	waves    map[int]cell.WaveRecord
 	accepted []cell.Accepted
 	// waiting holds records taken but neither committed nor failed.
 	waiting []cell.Record
@@ -50,7 +51,7 @@
 func (unobserved) Observe(cell.Stage, string, time.Duration) {}
 
 func newScript(*testing.T) *script {
-	s := &script{now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record)}
+	s := &script{now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), waves: make(map[int]cell.WaveRecord)}
 	s.manifest = &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
 		{Name: "plain", Service: "s", Priority: 1, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "urgent", Service: "s", MaxAttempts: 2, SlackFactor: 1.5, TargetLatency: 500 * time.Millisecond},
@@ -274,6 +275,12 @@
 		fmt.Fprintf(&out, "record %s %s\n", r.Job, r.State)
 	}
 	s.cell.Committed(s.now, records)
+	waves := s.cell.WaveRecords()
+	for _, w := range waves {
+		s.waves[w.Wave] = w
+		fmt.Fprintf(&out, "record wave %d ordered=%v settled=%v\n", w.Wave, w.Ordered, w.Settled)
+	}
+	s.cell.WavesCommitted(waves)
 	return out.String() + s.actions()
 }
 
@@ -291,6 +298,9 @@
 			s.cell.Restore(s.now, r)
 		}
 	}
+	for _, w := range s.waves {
+		s.cell.RestoreWave(w)
+	}
 }
 
 // actions takes what the cell wants done, in a fixed order.
--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -48,13 +48,22 @@
 
 // waveState is a wave and how far it is.
 type waveState struct {
-	wave    Wave
-	since   time.Time
+	wave  Wave
+	since time.Time
+	// settled holds the machines that need no order any more.
 	settled map[string]bool
-	// ordered has when the upkeep of a machine was ordered, until it is back.
+	// ordered has when the upkeep of a machine was last ordered, by this owner
+	// or an earlier one. An order that is not settled may take the machine
+	// down at any time.
 	ordered map[string]time.Time
-	asked   map[string]bool
+	// missing has since when a machine has no worker.
+	missing map[string]time.Time
 	done    bool
+
+	// revision counts the changes of the record; durable is the last one that
+	// the store holds.
+	revision uint64
+	durable  uint64
 }
 
 const (
@@ -75,10 +84,12 @@
 	if _, known := c.waves[wave.Number]; known || len(wave.Machines) == 0 {
 		return
 	}
-	c.waves[wave.Number] = &waveState{
+	w := &waveState{
 		wave: wave, since: now, settled: make(map[string]bool), ordered: make(map[string]time.Time),
-		asked: make(map[string]bool),
+		missing: make(map[string]time.Time),
 	}
+	w.restore(now, c.waveRecords[wave.Number])
+	c.waves[wave.Number] = w
 	c.log.Info("wave of upkeep", zap.Int("Wave", wave.Number), zap.Int("Machines", len(wave.Machines)),
 		zap.Int("AtOnce", wave.AtOnce), zap.Duration("Within", wave.Within))
 	c.act(WaveState{Wave: wave.Number})
@@ -99,6 +110,7 @@
 func (c *Cell) tickWave(now time.Time, w *waveState) {
 	busy := 0
 	for _, machine := range w.wave.Machines {
+		c.openAgain(w, machine)
 		if c.isDown(now, w, machine) {
 			busy++
 		}
@@ -109,19 +121,14 @@
 			continue
 		}
 		open++
-		worker := c.workerOn(machine)
-		_, ordered := w.ordered[machine]
-		if worker == nil || ordered && now.Sub(w.ordered[machine]) < upkeepRepeat {
+		if c.takesPlace(w, machine) {
+			c.moveOn(now, w, machine)
 			continue
 		}
-		if !worker.cordoned {
-			if busy >= w.wave.AtOnce {
-				continue
-			}
-			worker.cordoned = true
+		if busy < w.wave.AtOnce && c.mayBegin(now, w, machine) {
 			busy++
+			c.moveOn(now, w, machine)
 		}
-		c.empty(now, w, worker, machine)
 	}
 	if open == 0 && busy == 0 {
 		w.done = true
@@ -130,36 +137,89 @@
 	}
 }
 
+// openAgain lets a worker have starts again whose machine had been down for the
+// wave before its order was answered, so that this is its next life already.
+func (c *Cell) openAgain(w *waveState, machine string) {
+	worker := c.workerOn(machine)
+	if worker == nil || worker.cordonedBy != w || !w.settled[machine] {
+		return
+	}
+	if worker.lastReport.Sub(w.ordered[machine]) > upkeepRepeat {
+		worker.cordonedBy = nil
+	}
+}
+
 // isDown reports whether a machine takes one of the wave's places: it is being
-// emptied, it is down, or nobody knows.
+// emptied, its order is not settled, or it is not back yet.
 func (c *Cell) isDown(now time.Time, w *waveState, machine string) bool {
+	if !w.settled[machine] {
+		return c.takesPlace(w, machine)
+	}
 	at, ordered := w.ordered[machine]
-	if ordered && now.Sub(at) > upkeepLongest {
+	if !ordered || now.Sub(at) > upkeepLongest {
 		return false
 	}
 	worker := c.workerOn(machine)
-	if worker == nil {
-		return ordered
+	return worker == nil || worker.cordonedBy == w || !worker.reported || now.Sub(worker.lastReport) > c.config.ContactFor
+}
+
+// takesPlace reports whether a machine that is not settled has begun its way
+// through the wave.
+func (c *Cell) takesPlace(w *waveState, machine string) bool {
+	if _, ordered := w.ordered[machine]; ordered {
+		return true
 	}
-	return worker.cordoned || !worker.reported || now.Sub(worker.lastReport) > c.config.ContactFor
+	worker := c.workerOn(machine)
+	return worker != nil && worker.cordonedBy == w
 }
 
-// empty gets the tasks off a machine, and orders its upkeep once it is empty.
-func (c *Cell) empty(now time.Time, w *waveState, worker *worker, machine string) {
-	hurry := now.Sub(w.since) > time.Duration(hurryShare*float64(w.wave.Within))
-	for _, r := range worker.runs.all() {
-		if r.phase == runStarted && (hurry || r.movable()) && c.mayTakeAway(r) {
-			c.stop(now, r)
+// mayBegin reports whether a machine can be taken next. One without a worker is
+// not waited for forever: its order tells whether it is still there.
+func (c *Cell) mayBegin(now time.Time, w *waveState, machine string) bool {
+	if worker := c.workerOn(machine); worker != nil {
+		delete(w.missing, machine)
+		return worker.cordonedBy == nil
+	}
+	since, missing := w.missing[machine]
+	if !missing {
+		w.missing[machine] = now
+	}
+	return missing && now.Sub(since) > upkeepLongest
+}
+
+// moveOn gets the tasks off a machine, and orders its upkeep once it is empty
+// and the order is on record.
+func (c *Cell) moveOn(now time.Time, w *waveState, machine string) {
+	if worker := c.workerOn(machine); worker != nil {
+		worker.cordonedBy = w
+		c.empty(now, w, worker)
+		if worker.runs.len() > 0 {
+			return
 		}
 	}
-	if worker.runs.len() > 0 {
+	at, ordered := w.ordered[machine]
+	if !ordered {
+		w.ordered[machine] = time.Time{}
+		w.revision++
+	}
+	if w.durable < w.revision || now.Sub(at) < upkeepRepeat {
 		return
 	}
 	w.ordered[machine] = now
-	c.log.Info("ordering upkeep", zap.String("Machine", machine), zap.Int("Wave", w.wave.Number), workerField(worker))
+	c.log.Info("ordering upkeep", zap.String("Machine", machine), zap.Int("Wave", w.wave.Number))
 	c.act(Upkeep{Machine: machine, Wave: w.wave.Number})
 }
 
+// empty stops the tasks on a machine that may be taken away.
+func (c *Cell) empty(now time.Time, w *waveState, worker *worker) {
+	hurry := now.Sub(w.since) > time.Duration(hurryShare*float64(w.wave.Within))
+	for _, r := range worker.runs.all() {
+		if r.phase == runStarted && (hurry || r.movable()) && c.mayTakeAway(r) {
+			c.stop(now, r)
+		}
+	}
+}
+
 // movable reports whether a run loses little by a move.
 func (r *run) movable() bool {
 	spec := r.task.step.spec
@@ -190,17 +250,18 @@
 	}
 	c.log.Info("upkeep ordered", zap.String("Machine", order.Machine), zap.Int("Wave", order.Wave),
 		zap.String("Outcome", string(outcome)))
-	switch outcome {
-	case UpkeepBegun:
-		w.settled[order.Machine] = true
+	if outcome == UpkeepLater || w.settled[order.Machine] {
+		return
+	}
+	w.settled[order.Machine] = true
+	w.revision++
+	if outcome == UpkeepBegun {
 		w.ordered[order.Machine] = now
-	case UpkeepNeedless:
-		w.settled[order.Machine] = true
-		delete(w.ordered, order.Machine)
-		if worker := c.workerOn(order.Machine); worker != nil {
-			worker.cordoned = false
-		}
-	case UpkeepLater:
+		return
+	}
+	delete(w.ordered, order.Machine)
+	if worker := c.workerOn(order.Machine); worker != nil {
+		worker.cordonedBy = nil
 	}
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -43,8 +43,9 @@
 	// unsure is set after a call without an answer: the worker may have begun
 	// a new life, whose ends are counted anew.
 	unsure bool
-	// cordoned workers get no starts: their machine goes down for upkeep.
-	cordoned bool
+	// cordonedBy is the wave of upkeep for which the worker's machine goes
+	// down, so that it gets no starts; nil is none.
+	cordonedBy *waveState
 	// pacedAt is when the pace of fillers was last changed.
 	pacedAt time.Time
 
@@ -237,8 +238,10 @@
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedFor
-	return listed && w.reported && !w.sighting.Leaving && !w.cordoned && !w.health.quarantined(now) &&
-		now.Sub(w.lastReport) <= c.config.ContactFor
+	if !listed || !w.reported || w.sighting.Leaving || now.Sub(w.lastReport) > c.config.ContactFor {
+		return false
+	}
+	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.sighting.Machine)
 }
 
 // forgetGone drops the workers that have left the list and run nothing.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,11 +27,12 @@
 	// calls are on their way to workers.
 	calls []*simCall
 	// store holds what is durable.
-	store     map[workload.JobID]cell.Record
-	epoch     uint64
-	jobs      []cell.Accepted
-	cancelled map[workload.JobID]bool
-	manifest  *manifest.Manifest
+	store      map[workload.JobID]cell.Record
+	storeWaves map[int]cell.WaveRecord
+	epoch      uint64
+	jobs       []cell.Accepted
+	cancelled  map[workload.JobID]bool
+	manifest   *manifest.Manifest
 	// omit leaves one of the cell's guards out of the world's owners.
 	omit omission
 
@@ -41,6 +43,17 @@
 	// failedRuns counts acknowledged failures.
 	failedRuns map[workload.TaskID]int
 	completed  map[workload.JobID]bool
+	gangs      map[gangKey]*simGang
+	machines   []*simMachine
+	waves      []*simWave
+	// wavesDone holds the waves that were said to be complete.
+	wavesDone map[int]bool
+	// away holds the tasks that an order has ended and that are not back.
+	away map[workload.TaskID]bool
+	// alone counts the members of gangs that gave up waiting for the others.
+	alone int
+	// saved holds the checkpoints that a step's tasks have written.
+	saved map[string]workload.TaskID
 	// violation is the first promise that was broken.
 	violation string
 }
@@ -53,6 +66,7 @@
 	omitDurable    omission = "starts are sent before their record is durable"
 	omitAckDurable omission = "ends are acknowledged before they are durable"
 	omitFence      omission = "workers check no fence"
+	omitWaveRecord omission = "orders for upkeep are sent before they are on record"
 	omitDoubt      omission = "a start without an answer counts as not sent"
 )
 
@@ -60,22 +74,37 @@
 type simOwner struct {
 	cell  *cell.Cell
 	epoch uint64
-	// commit holds the records of the transaction on its way; nil is none.
-	commit []cell.Record
+	// commit is the transaction on its way; nil is none.
+	commit *simCommit
 	over   bool
 }
 
+type simCommit struct {
+	jobs  []cell.Record
+	waves []cell.WaveRecord
+}
+
 type simRun struct {
 	number int
 	until  time.Time
 	fails  bool
 	size   job.Size
 	lasts  bool
+	gang   bool
+	saves  bool
+	// arrived is when the worker took the start.
+	arrived time.Time
+	// held is set when its owner had no answer to the start.
+	held bool
 }
 
 // simWorker is a worker as the platform describes it.
 type simWorker struct {
-	id    cell.WorkerID
+	id      cell.WorkerID
+	machine *simMachine
+	// gone is set once the machine has begun another life.
+	gone  bool
+	label string
 	born  cell.Incarnation
 	since time.Time
 	// rate is how fast the worker's steady clock runs.
@@ -99,10 +128,17 @@
 	start *cell.SendStart
 	stop  *cell.SendStop
 	plan  *cell.HoldPlan
+	// upkeep is an order for a machine, and worker nil then.
+	upkeep *cell.Upkeep
+	// leaving is set when the worker was leaving as the call was made.
+	leaving bool
 	// answered is set once the owner has been told an outcome.
 	answered bool
 }
 
+// worldLabels are the labels of the workers; the last one is of all others.
+var worldLabels = []string{"big", "small"}
+
 const (
 	worldWorkers  = 3
 	maxOldOwners  = 2
@@ -112,23 +148,30 @@
 func newWorld(t *rapid.T, omit omission) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), omit: omit,
-		cancelled: make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool), everDone: make(map[workload.TaskID]bool),
+		storeWaves: make(map[int]cell.WaveRecord),
+		cancelled:  make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool), everDone: make(map[workload.TaskID]bool),
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
+		wavesDone: make(map[int]bool), away: make(map[workload.TaskID]bool),
+		gangs: make(map[gangKey]*simGang), saved: make(map[string]workload.TaskID),
 		manifest: &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
 			{Name: "urgent", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 			{Name: "plain", Service: "s", Priority: 2, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 		}},
 	}
 	for i := range worldWorkers {
-		w.workers = append(w.workers, &simWorker{
-			id: cell.WorkerID(fmt.Sprintf("w%d", i)), born: 1, since: w.now, rate: 1 - float64(i)*0.01,
-			runs: make(map[workload.TaskID]*simRun), highest: make(map[workload.TaskID]int),
-		})
+		m := &simMachine{name: fmt.Sprintf("w%d", i), label: worldLabels[min(i, len(worldLabels)-1)]}
+		w.machines = append(w.machines, m)
+		w.newLife(m)
 	}
 	w.takeOver()
 	return w
 }
 
+// live returns the workers that are the present lives of their machines.
+func (w *world) live() []*simWorker {
+	return slices.DeleteFunc(slices.Clone(w.workers), func(s *simWorker) bool { return s.gone })
+}
+
 func (s *simWorker) clock(now time.Time) time.Duration {
 	return time.Duration(float64(now.Sub(s.since)) * s.rate)
 }
@@ -151,9 +194,15 @@
 			o.cell.Cancel(w.now, a.Job.ID)
 		}
 	}
-	for _, s := range w.workers {
+	for _, s := range w.live() {
 		o.cell.Sight(w.now, w.sighting(s))
 	}
+	for _, number := range slices.Sorted(maps.Keys(w.storeWaves)) {
+		o.cell.RestoreWave(w.storeWaves[number])
+	}
+	for _, wave := range w.waves {
+		o.cell.SetWave(w.now, wave.wave)
+	}
 	w.owners = append(w.owners, o)
 	if len(w.owners) > maxOldOwners {
 		w.owners = w.owners[1:]
@@ -163,7 +212,9 @@
 var workerRoom = job.Size{MilliCores: 4000, MemoryMB: 4000}
 
 func (w *world) sighting(s *simWorker) cell.Sighting {
-	return cell.Sighting{ID: s.id, Incarnation: s.born, Service: "s", Room: workerRoom, Leaving: s.leaving}
+	return cell.Sighting{
+		ID: s.id, Incarnation: s.born, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Room: workerRoom, Leaving: s.leaving,
+	}
 }
 
 // act carries out what an owner wants done.
@@ -176,16 +227,24 @@
 		case cell.SendStart:
 			w.calls = append(w.calls, &simCall{owner: o, worker: w.worker(a.Worker), start: &a})
 		case cell.SendStop:
-			w.calls = append(w.calls, &simCall{owner: o, worker: w.worker(a.Worker), stop: &a})
+			s := w.worker(a.Worker)
+			w.calls = append(w.calls, &simCall{owner: o, worker: s, stop: &a, leaving: s.leaving})
 		case cell.Look:
 			w.hold(o, w.worker(a.Worker))
+		case cell.Upkeep:
+			w.calls = append(w.calls, &simCall{owner: o, upkeep: &a})
+		case cell.WaveState:
+			w.told(a)
 		}
 	}
 	if w.omit == omitDurable {
 		o.cell.Committed(w.now, o.cell.Records(100))
 	}
+	if w.omit == omitWaveRecord {
+		o.cell.WavesCommitted(o.cell.WaveRecords())
+	}
 	if o.commit == nil && o.cell.HasRecords() {
-		o.commit = o.cell.Records(100)
+		o.commit = &simCommit{jobs: o.cell.Records(100), waves: o.cell.WaveRecords()}
 	}
 }
 
@@ -206,6 +265,7 @@
 func (w *world) execute(c *simCall) (outcome cell.StartOutcome, report cell.Report, fenced bool) {
 	s := c.worker
 	w.expire(s)
+	w.moveGangs()
 	if c.owner.epoch < s.fence && w.omit != omitFence {
 		return cell.StartOutcome{Refused: cell.RefusedFence}, cell.Report{}, true
 	}
@@ -213,8 +273,11 @@
 	switch {
 	case c.start != nil:
 		outcome = w.start(s, c.start)
+		if r, ok := s.runs[c.start.Task]; ok && c.answered {
+			r.held = true
+		}
 	case c.stop != nil:
-		w.stop(s, c.stop)
+		w.stop(s, c)
 		outcome.Clock = s.clock(w.now)
 	default:
 		report = w.report(s, c.plan)
@@ -239,10 +302,18 @@
 	}
 	w.checkStart(s, a)
 	step := w.step(a.Task)
-	took := time.Duration(rapid.IntRange(100, 4000).Draw(w.t, "took")) * time.Millisecond
-	s.runs[a.Task] = &simRun{
-		number: a.Run, until: w.now.Add(took), fails: rapid.IntRange(0, 9).Draw(w.t, "fails") == 0,
-		size: step.Reserved(), lasts: step.LongRunning,
+	r := &simRun{
+		number: a.Run, size: step.Reserved(), lasts: step.LongRunning, gang: step.Gang,
+		saves: step.Checkpoints, arrived: w.now,
+	}
+	s.runs[a.Task] = r
+	delete(w.away, a.Task)
+	if step.Gang {
+		w.joinGang(a)
+		w.moveGangs()
+	} else {
+		r.until = w.now.Add(w.drawnTime())
+		r.fails = w.drawnFailure()
 	}
 	return cell.StartOutcome{Clock: clock}
 }
@@ -251,10 +322,16 @@
 	s.deadline = max(s.deadline, min(deadline, clock+scriptConfig.MaxLease))
 }
 
-func (w *world) stop(s *simWorker, a *cell.SendStop) {
+func (w *world) stop(s *simWorker, c *simCall) {
+	a := c.stop
 	s.highest[a.Task] = max(s.highest[a.Task], a.Run)
 	if r, ok := s.runs[a.Task]; ok && r.number <= a.Run {
+		w.brokenBy(a.Task, r)
+		if !s.leaving && !c.leaving && w.atWork(r) {
+			w.takenAway(a.Task)
+		}
 		s.end(a.Task, r, cell.EndStopped)
+		s.ends[len(s.ends)-1].Checkpoint = w.checkpoint(a.Task, r)
 	}
 }
 
@@ -278,14 +355,26 @@
 	out := cell.Report{Incarnation: s.born, Clock: clock, Ended: slices.Clone(s.ends)}
 	for _, id := range sortedTasks(s.runs) {
 		percent := 50
-		if s.runs[id].lasts {
+		if r := s.runs[id]; r.lasts && w.now.Sub(r.arrived) >= startupFor {
 			percent = 100
 		}
-		out.Running = append(out.Running, cell.Running{Task: id, Run: s.runs[id].number, Percent: percent})
+		out.Running = append(out.Running, cell.Running{
+			Task: id, Run: s.runs[id].number, Percent: percent, Checkpoint: w.checkpoint(id, s.runs[id]),
+		})
 	}
 	return out
 }
 
+// checkpoint returns the progress that a run has saved; empty means none.
+func (w *world) checkpoint(id workload.TaskID, r *simRun) string {
+	if !r.saves {
+		return ""
+	}
+	value := fmt.Sprintf("%s at %d", id, w.now.Sub(r.arrived).Milliseconds())
+	w.saved[value] = id
+	return value
+}
+
 func sortedTasks(runs map[workload.TaskID]*simRun) []workload.TaskID {
 	out := make([]workload.TaskID, 0, len(runs))
 	for id := range runs {
@@ -301,6 +390,10 @@
 	for _, id := range sortedTasks(s.runs) {
 		r := s.runs[id]
 		switch {
+		case r.gang && lapsed:
+			w.brokenBy(id, r)
+			s.end(id, r, cell.EndLapsed)
+		case r.gang:
 		case !r.lasts && !w.now.Before(r.until) && r.fails:
 			s.end(id, r, cell.EndFailed)
 		case !r.lasts && !w.now.Before(r.until):
@@ -322,6 +415,16 @@
 	return &workload.Step{}
 }
 
+func (w *world) job(id workload.JobID) *workload.Job {
+	for i := range w.jobs {
+		if w.jobs[i].Job.ID == id {
+			return &w.jobs[i].Job
+		}
+	}
+	w.fail("a task of job %s, which nobody submitted", id)
+	return &workload.Job{}
+}
+
 // advance lets time pass in small steps.
 func (w *world) advance(d time.Duration) {
 	const tick = 100 * time.Millisecond
@@ -330,6 +433,8 @@
 		for _, s := range w.workers {
 			w.expire(s)
 		}
+		w.moveGangs()
+		w.returnMachines()
 		for _, o := range w.owners {
 			if !o.over {
 				o.cell.Tick(w.now)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -33,10 +33,12 @@
 	TableIntake = "intake"
 	// TableProgress holds the records of progress.
 	TableProgress = "progress"
+	// TableWaves holds how far the waves of upkeep are.
+	TableWaves = "waves"
 	// TableOwner holds the row of the owner.
 	TableOwner = "owner"
 
-	// partCell is the part of the owner's row and of all progress.
+	// partCell is the part of the owner's row and of all that an owner writes.
 	partCell = "cell"
 	// ownerName names the owner's row.
 	ownerName = "owner"
@@ -65,6 +67,14 @@
 	return rowstore.Range{Table: TableProgress, Part: partCell}
 }
 
+// WaveKey names the record of a wave of upkeep.
+func WaveKey(number int) rowstore.Key {
+	return rowstore.Key{Table: TableWaves, Part: partCell, Name: strconv.Itoa(number)}
+}
+
+// WavesRange selects all records of waves.
+func WavesRange() rowstore.Range { return rowstore.Range{Table: TableWaves, Part: partCell} }
+
 // JobKey names the row of an accepted job.
 func JobKey(id workload.JobID) rowstore.Key {
 	return rowstore.Key{Table: TableIntake, Part: intakePart(id), Name: string(id)}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -87,3 +87,18 @@
 		t.Errorf("IsCancel gives %q, %v", got, ok)
 	}
 }
+
+func TestWavesAreReadAsWritten(t *testing.T) {
+	r := cell.WaveRecord{Wave: 3, Revision: 4, Ordered: []string{"m1"}, Settled: []string{"m2", "m3"}}
+	value, err := ledger.EncodeWave(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := ledger.DecodeWave(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(read, r) {
+		t.Errorf("read %+v\nwritten %+v", read, r)
+	}
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -20,6 +20,9 @@
 	// recordsPerCommit keeps a transaction within the store's limit of 100
 	// entries.
 	recordsPerCommit = 90
+	// removesPerCommit and wavesPerCommit leave room for records of jobs.
+	removesPerCommit = 60
+	wavesPerCommit   = 10
 	// commitTimeout bounds a commit of records.
 	commitTimeout = 3 * time.Second
 	// commitPause is the mean wait before a failed commit is repeated.
@@ -34,9 +37,11 @@
 	if o.committing || now.Before(o.retryAt) || !due {
 		return
 	}
-	removes := o.removes[:min(len(o.removes), recordsPerCommit)]
-	records := o.cell.Records(recordsPerCommit - len(removes))
-	t, err := o.transaction(records, removes)
+	b := batch{removes: o.removes[:min(len(o.removes), removesPerCommit)]}
+	b.waves = o.cell.WaveRecords()
+	b.waves = b.waves[:min(len(b.waves), wavesPerCommit)]
+	b.records = o.cell.Records(recordsPerCommit - len(b.removes) - len(b.waves))
+	t, err := o.transaction(b)
 	if err != nil {
 		o.end(fault.New("commit", KindStore, "%w", err))
 		return
@@ -49,14 +54,14 @@
 		begin := o.timers.Now()
 		result, err := o.store.Commit(ctx, t)
 		took := o.timers.Now().Sub(begin)
-		o.put(committed{records: records, removed: len(removes), version: result.Version, released: released, took: took, err: err})
+		o.put(committed{batch: b, version: result.Version, released: released, took: took, err: err})
 	})
 }
 
 // transaction writes records under the condition that the owner's row is as
 // this owner wrote it last. So nothing is written once another host has taken
 // over, and a write whose answer was lost never lands after a later one.
-func (o *Owner) transaction(records []cell.Record, removes []workload.JobID) (rowstore.Transaction, error) {
+func (o *Owner) transaction(b batch) (rowstore.Transaction, error) {
 	me := o.tenure.Me
 	me.Released = o.leaving
 	value, err := ledger.EncodeOwner(me)
@@ -67,23 +72,36 @@
 		Conditions: []rowstore.Condition{{Key: ledger.OwnerKey(), Version: o.version}},
 		Writes:     []rowstore.Write{{Key: ledger.OwnerKey(), Value: value}},
 	}
-	for _, id := range removes {
+	for _, id := range b.removes {
 		t.Removes = append(t.Removes, ledger.ProgressKey(id))
 	}
-	for _, r := range records {
+	for _, r := range b.records {
 		value, err := ledger.EncodeRecord(r)
 		if err != nil {
 			return rowstore.Transaction{}, err
 		}
 		t.Writes = append(t.Writes, rowstore.Write{Key: ledger.ProgressKey(r.Job), Value: value})
 	}
+	for _, r := range b.waves {
+		value, err := ledger.EncodeWave(r)
+		if err != nil {
+			return rowstore.Transaction{}, err
+		}
+		t.Writes = append(t.Writes, rowstore.Write{Key: ledger.WaveKey(r.Wave), Value: value})
+	}
 	return t, nil
 }
 
-type committed struct {
+// batch is what one transaction makes durable.
+type batch struct {
 	records []cell.Record
-	// removed is how many records of forgotten jobs went with it.
-	removed int
+	waves   []cell.WaveRecord
+	// removes holds the forgotten jobs whose records go with it.
+	removes []workload.JobID
+}
+
+type committed struct {
+	batch   batch
 	version uint64
 	// released is set when the commit has given the cell up.
 	released bool
@@ -100,15 +118,16 @@
 		o.mu.Lock()
 		o.renewedAt = now
 		o.mu.Unlock()
-		o.removes = o.removes[e.removed:]
-		o.cell.Committed(now, e.records)
+		o.removes = o.removes[len(e.batch.removes):]
+		o.cell.WavesCommitted(e.batch.waves)
+		o.cell.Committed(now, e.batch.records)
 		if e.released {
 			o.log.Info("released the cell")
 			o.end(fault.New("own", KindClosed, "the host is stopping"))
 		}
 		return
 	}
-	o.cell.NotCommitted(e.records)
+	o.cell.NotCommitted(e.batch.records)
 	var conflict *rowstore.ConflictError
 	if errors.As(e.err, &conflict) {
 		o.resolve(conflict)
@@ -117,7 +136,7 @@
 	if o.ctx.Err() != nil {
 		return
 	}
-	o.log.Warn("commit failed", zap.Int("Records", len(e.records)), zap.Error(e.err))
+	o.log.Warn("commit failed", zap.Int("Records", len(e.batch.records)), zap.Error(e.err))
 	o.retryAt = now.Add(commitPause/2 + rand.N(commitPause))
 }
 
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -21,10 +21,11 @@
 
 // recover reads the store, fills the cell and returns what to follow.
 func (o *Owner) recover(ctx context.Context, now time.Time) ([]*feed, error) {
-	var intake, progress, workers tableRows
+	var intake, progress, waves, workers tableRows
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) { intake, err = o.readAll(ctx, ledger.IntakeRanges()...); return err })
 	group.Go(func() (err error) { progress, err = o.readAll(ctx, ledger.ProgressRange()); return err })
+	group.Go(func() (err error) { waves, err = o.readAll(ctx, ledger.WavesRange()); return err })
 	group.Go(func() (err error) {
 		workers, err = o.readAll(ctx, rowstore.Range{Table: o.listing.Table()})
 		return err
@@ -35,6 +36,7 @@
 	o.takeIntake(now, intake.rows)
 	o.takeProgress(now, progress.rows)
 	o.takeCancels(now, intake.rows)
+	o.takeWaves(waves.rows)
 	o.takeWorkers(now, workers.rows)
 	return []*feed{
 		{table: ledger.TableIntake, version: intake.version, ranges: ledger.IntakeRanges(), changed: intakeChanged},
@@ -127,6 +129,17 @@
 	}
 }
 
+func (o *Owner) takeWaves(rows []rowstore.Row) {
+	for _, row := range rows {
+		r, err := ledger.DecodeWave(row.Value)
+		if err != nil {
+			o.log.Error("a record of a wave cannot be read", zap.String("Wave", row.Name), zap.Error(err))
+			continue
+		}
+		o.cell.RestoreWave(r)
+	}
+}
+
 func (o *Owner) takeWorkers(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
 		if row.Removed {
