--- a/internal/host/advisors.go
+++ b/internal/host/advisors.go
@@ -9,7 +9,6 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/message"
-	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -17,7 +16,7 @@
 // heardFor is how long after its last ping a host counts as there.
 const heardFor = 3 * pingEvery
 
-// remoteAdvisors are the hosts that pinged this one lately.
+// remoteAdvisors are the hosts that were heard of lately.
 type remoteAdvisors struct {
 	peers  Peers
 	timers timer.Service
@@ -30,7 +29,8 @@
 	return &remoteAdvisors{peers: peers, timers: timers, lastHeard: make(map[netip.AddrPort]time.Time)}
 }
 
-func (h *remoteAdvisors) heard(_ peer.Host, at netip.AddrPort) {
+// heard notes that a host is there.
+func (h *remoteAdvisors) heard(at netip.AddrPort) {
 	if !at.IsValid() {
 		return
 	}
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -14,11 +14,11 @@
 )
 
 // Handle answers the calls of peers.
-func (h *Host) Handle(ctx context.Context, from peer.Host, m peer.Message) (peer.Message, error) {
+func (h *Host) Handle(ctx context.Context, _ peer.Host, m peer.Message) (peer.Message, error) {
 	switch m.Kind {
 	case message.KindHostPing:
 		ping, err := message.DecodeHostPing(m)
-		return message.EncodeOwnerPong(h.pong(from, ping)), err
+		return message.EncodeOwnerPong(h.pong(ping)), err
 	case message.KindStepQuestion:
 		q, err := message.DecodeStepQuestion(m)
 		if err != nil {
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 
@@ -36,33 +37,47 @@
 			h.members[at] = true
 		}
 	}
-	if h.own != nil || pong.Epoch <= h.owner.epoch || !pong.OwnerAddr.IsValid() {
+	h.hearOfOwner(ownerRef{addr: pong.OwnerAddr, incarnation: pong.OwnerIncarnation, epoch: pong.Epoch})
+}
+
+// hearOfOwner takes in who owns the cell by the word of a peer. The caller holds
+// the lock.
+func (h *Host) hearOfOwner(heard ownerRef) {
+	if h.own != nil || heard.epoch <= h.owner.epoch || !heard.addr.IsValid() {
 		return
 	}
-	h.log.Info("heard from a peer who owns the cell", zap.Stringer("Addr", pong.OwnerAddr), zap.Uint64("Epoch", pong.Epoch))
-	h.owner = ownerRef{addr: pong.OwnerAddr, incarnation: pong.OwnerIncarnation, epoch: pong.Epoch}
-	h.watch.Reset()
+	h.log.Info("heard from a peer who owns the cell", zap.Stringer("Addr", heard.addr), zap.Uint64("Epoch", heard.epoch))
+	h.owner = heard
 }
 
 // askPeers asks all known hosts who owns the cell, for a host that cannot read
 // the store. The manifest comes the same way.
-func (h *Host) askPeers() {
+func (h *Host) askPeers() { h.pingAll(0) }
+
+// announce tells all known hosts that this one owns the cell. Those that answer
+// can ask the advice service at once.
+func (h *Host) announce(epoch uint64) {
+	h.duties.Go(func() { h.pingAll(epoch) })
+}
+
+// pingAll pings all known hosts, in the name of the epoch that this host owns.
+func (h *Host) pingAll(epoch uint64) {
 	h.mu.Lock()
-	peers := make([]netip.AddrPort, 0, len(h.members)+len(h.config.Seeds))
-	for at := range h.members {
-		peers = append(peers, at)
-	}
+	peers := make(map[netip.AddrPort]bool, len(h.members)+len(h.config.Seeds))
+	maps.Copy(peers, h.members)
 	h.mu.Unlock()
-	peers = append(peers, h.config.Seeds...)
+	for _, at := range h.config.Seeds {
+		peers[at] = true
+	}
+	delete(peers, h.config.Addr)
 	var asked sync.WaitGroup
-	for _, at := range peers {
-		if at == h.config.Addr {
-			continue
-		}
+	for at := range peers {
 		asked.Go(func() {
-			if _, _, err := h.ping(at); err != nil {
+			if _, _, err := h.ping(at, epoch); err != nil {
 				h.log.Debug("a peer does not answer", zap.Stringer("Addr", at), zap.Error(err))
+				return
 			}
+			h.advisors.heard(at)
 		})
 	}
 	asked.Wait()
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -79,7 +79,7 @@
 	if !known.addr.IsValid() {
 		return false
 	}
-	from, pong, err := h.ping(known.addr)
+	from, pong, err := h.ping(known.addr, 0)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			h.ownerGone(known.incarnation)
@@ -101,11 +101,14 @@
 	return true
 }
 
-// ping asks a host for its view, and takes in what it tells.
-func (h *Host) ping(to netip.AddrPort) (peer.Host, message.OwnerPong, error) {
+// ping asks a host for its view, and takes in what it tells. The epoch is the
+// one that this host owns, or 0.
+func (h *Host) ping(to netip.AddrPort, epoch uint64) (peer.Host, message.OwnerPong, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, pingTimeout)
 	defer cancel()
-	ping := message.EncodeHostPing(message.HostPing{Addr: h.config.Addr, Manifest: h.manifestVersion()})
+	ping := message.EncodeHostPing(message.HostPing{
+		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
+	})
 	from, reply, err := h.peers.Ask(ctx, to, ping)
 	if err != nil {
 		return from, message.OwnerPong{}, err
@@ -169,6 +172,9 @@
 func (h *Host) takeState(state election.State) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if state.Owner.Epoch < h.owner.epoch {
+		return // a later owner has announced itself since the read
+	}
 	if state.Owner.Incarnation != h.owner.incarnation {
 		h.log.Info("another host owns the cell", zap.String("Host", state.Owner.Host), zap.Uint64("Epoch", state.Owner.Epoch))
 		h.watch.Reset()
@@ -228,6 +234,7 @@
 func (h *Host) become(t owner.Tenure) {
 	ctx, cancel := context.WithTimeout(h.ctx, recoverTimeout)
 	defer cancel()
+	h.announce(t.Me.Epoch)
 	own, err := owner.New(ctx, h.config.Owner, t, h.manifests.Current(),
 		h.platform.Ports, h.advisors, h.timers, h.scope, h.log)
 	if err != nil {
@@ -260,8 +267,13 @@
 }
 
 // pong answers the ping of a host.
-func (h *Host) pong(from peer.Host, ping message.HostPing) message.OwnerPong {
-	h.advisors.heard(from, ping.Addr)
+func (h *Host) pong(ping message.HostPing) message.OwnerPong {
+	h.advisors.heard(ping.Addr)
+	if ping.OwnEpoch > 0 {
+		h.mu.Lock()
+		h.hearOfOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
+		h.mu.Unlock()
+	}
 	known := h.knownOwner()
 	pong := message.OwnerPong{
 		Manifest: h.manifestVersion(), Hosts: h.advisors.List(),
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -7,10 +7,15 @@
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
 
-// HostPing tells the owner of the cell that a host is there.
+// HostPing tells the owner of the cell that a host is there, and the hosts who
+// the new owner is.
 type HostPing struct {
 	// Addr is where the host takes calls of its peers.
 	Addr netip.AddrPort
+	// OwnEpoch is the epoch that the host owns, and Incarnation its process; 0
+	// when it is not the owner.
+	OwnEpoch    uint64
+	Incarnation string
 	// Manifest is the version that the host has in force.
 	Manifest uint64
 }
@@ -36,15 +41,21 @@
 }
 
 type hostPingWire struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Addr     string
-	Manifest uint64
+	_msgpack    struct{} `msgpack:",as_array"`
+	Addr        string
+	OwnEpoch    uint64
+	Incarnation string
+	Manifest    uint64
 }
 
 var hostPingCodec = codec[HostPing, hostPingWire]{
 	kind: KindHostPing,
-	to:   func(m HostPing) hostPingWire { return hostPingWire{Addr: m.Addr.String(), Manifest: m.Manifest} },
-	from: func(w hostPingWire) HostPing { return HostPing{Addr: parseAddr(w.Addr), Manifest: w.Manifest} },
+	to: func(m HostPing) hostPingWire {
+		return hostPingWire{Addr: m.Addr.String(), OwnEpoch: m.OwnEpoch, Incarnation: m.Incarnation, Manifest: m.Manifest}
+	},
+	from: func(w hostPingWire) HostPing {
+		return HostPing{Addr: parseAddr(w.Addr), OwnEpoch: w.OwnEpoch, Incarnation: w.Incarnation, Manifest: w.Manifest}
+	},
 }
 
 // EncodeHostPing returns the message as it is sent.
@@ -55,7 +66,6 @@
 
 // parseAddr reads an address. A malformed one gives the zero value, which no
 // host calls.
-
 func parseAddr(text string) netip.AddrPort {
 	addr, err := netip.ParseAddrPort(text)
 	if err != nil {
