--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -59,7 +59,7 @@
 	contactFor  = 1500 * time.Millisecond
 	stopRepeat  = 800 * time.Millisecond
 	renewEvery  = 400 * time.Millisecond
-	patience    = 1 * time.Second
+	patience    = 600 * time.Millisecond
 
 	// balancerDelay is how long new connections come after the readiness has
 	// turned, and finishFor how long requests in progress may then take.
--- a/internal/host/advisors.go
+++ b/internal/host/advisors.go
@@ -39,6 +39,9 @@
 	h.lastHeard[at] = h.timers.Now()
 }
 
+// rememberedFor is how long a host that is silent is remembered.
+const rememberedFor = 30 * time.Second
+
 // List returns the hosts that were heard of lately.
 func (h *remoteAdvisors) List() []netip.AddrPort {
 	now := h.timers.Now()
@@ -46,15 +49,30 @@
 	defer h.mu.Unlock()
 	var out []netip.AddrPort
 	for at, last := range h.lastHeard {
-		if now.Sub(last) > heardFor {
+		switch silent := now.Sub(last); {
+		case silent > rememberedFor:
 			delete(h.lastHeard, at)
-			continue
+		case silent <= heardFor:
+			out = append(out, at)
 		}
-		out = append(out, at)
 	}
 	return out
 }
 
+// Heard counts the hosts that were heard of within a time.
+func (h *remoteAdvisors) Heard(within time.Duration) int {
+	now := h.timers.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, last := range h.lastHeard {
+		if now.Sub(last) <= within {
+			n++
+		}
+	}
+	return n
+}
+
 // Advise asks the advice service through another host.
 func (h *remoteAdvisors) Advise(
 	ctx context.Context, to netip.AddrPort, step workload.StepID, workers []cell.WorkerID,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -113,6 +113,8 @@
 	owner ownerRef
 	// members are the hosts that the owners have told of.
 	members map[netip.AddrPort]bool
+	// others counts the hosts beside the owner, by the owner's last answer.
+	others int
 	// goneIncarnation is an owner whose process has surely ended.
 	goneIncarnation string
 	// waves are the operator's waves of upkeep by their number.
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -32,20 +32,26 @@
 func (h *Host) learn(pong message.OwnerPong) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, at := range pong.Hosts {
-		if at != h.config.Addr && len(h.members) < maxMembers {
+	for _, at := range append(pong.Hosts, pong.OwnerAddr) {
+		if at.IsValid() && at != h.config.Addr && len(h.members) < maxMembers {
 			h.members[at] = true
 		}
 	}
+	if pong.Owning {
+		h.others = len(pong.Hosts)
+	}
 	h.hearOfOwner(ownerRef{addr: pong.OwnerAddr, incarnation: pong.OwnerIncarnation, epoch: pong.Epoch})
 }
 
 // hearOfOwner takes in who owns the cell by the word of a peer. The caller holds
 // the lock.
 func (h *Host) hearOfOwner(heard ownerRef) {
-	if h.own != nil || heard.epoch <= h.owner.epoch || !heard.addr.IsValid() {
+	if heard.epoch <= h.owner.epoch || !heard.addr.IsValid() || heard.addr == h.config.Addr {
 		return
 	}
+	if h.own != nil {
+		h.own.Replaced(heard.epoch)
+	}
 	h.log.Info("heard from a peer who owns the cell", zap.Stringer("Addr", heard.addr), zap.Uint64("Epoch", heard.epoch))
 	h.owner = heard
 }
@@ -65,6 +71,9 @@
 	h.mu.Lock()
 	peers := make(map[netip.AddrPort]bool, len(h.members)+len(h.config.Seeds))
 	maps.Copy(peers, h.members)
+	if h.owner.addr.IsValid() {
+		peers[h.owner.addr] = true
+	}
 	h.mu.Unlock()
 	for _, at := range h.config.Seeds {
 		peers[at] = true
@@ -73,7 +82,7 @@
 	var asked sync.WaitGroup
 	for at := range peers {
 		asked.Go(func() {
-			if _, _, err := h.ping(at, epoch); err != nil {
+			if _, _, err := h.ping(at, epoch, pingTimeout); err != nil {
 				h.log.Debug("a peer does not answer", zap.Stringer("Addr", at), zap.Error(err))
 				return
 			}
--- /dev/null
+++ b/internal/host/ownership_test.go
@@ -0,0 +1,151 @@
+package host
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the number of plays, so that CI gives the same
+// verdict each time. Flags that are given go before them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed": "11", "rapid.checks": "60", "rapid.steps": "20", "rapid.nofailfile": "true",
+	} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestOwnership plays hosts that are killed, started and cut from the store, from
+// each other and from workers, one or more at a time. An owner that was replaced
+// must leave each worker alone before its successor takes the lease there to be
+// over, and once all is well again there is one owner that holds all workers.
+func TestOwnership(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		violation := ""
+		synctest.Test(t, func(*testing.T) { violation = playOwnership(rt) })
+		if violation != "" {
+			rt.Fatal(violation)
+		}
+	})
+}
+
+func playOwnership(t *rapid.T) string {
+	w := newFakeWorld(5, 3)
+	defer w.stopAll()
+	for _, h := range w.order[:3] {
+		w.seeds = append(w.seeds, h.addr)
+	}
+	for _, h := range w.order {
+		w.start(h)
+	}
+	anyHost := func() *fakeHost { return w.order[rapid.IntRange(0, len(w.order)-1).Draw(t, "host")] }
+	cut := rapid.Bool()
+	t.Repeat(map[string]func(*rapid.T){
+		"wait":  func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(10, 2000).Draw(t, "ms")) * time.Millisecond) },
+		"long":  func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(2, 12).Draw(t, "s")) * time.Second) },
+		"kill":  func(*rapid.T) { w.stop(anyHost()) },
+		"start": func(*rapid.T) { w.startIfDown(anyHost()) },
+		"store": func(t *rapid.T) {
+			h := anyHost()
+			if cut.Draw(t, "cut") {
+				w.cutFromStore(h)
+			} else {
+				w.setCut(h, false, storeName)
+			}
+		},
+		"peers": func(t *rapid.T) {
+			h := anyHost()
+			w.setCut(h, cut.Draw(t, "cut"), w.otherHosts(h)...)
+		},
+		"worker": func(t *rapid.T) {
+			id := rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")
+			w.setCut(anyHost(), cut.Draw(t, "cut"), fmt.Sprintf("w%d", id))
+		},
+		"alone": func(t *rapid.T) {
+			if h := anyHost(); w.cutFromStore(h) {
+				w.setCut(h, true, w.otherHosts(h)...)
+				w.leaveOneWorker(h)
+			}
+		},
+		"heal": func(*rapid.T) { w.healAll() },
+		"":     func(*rapid.T) {},
+	})
+	w.healAll()
+	for _, h := range w.order {
+		w.startIfDown(h)
+	}
+	time.Sleep(5 * time.Second)
+	if owners := w.owners(); len(owners) != 1 {
+		return fmt.Sprintf("%d owners once all is well", len(owners))
+	}
+	return w.lateHolds()
+}
+
+// cutFromStore cuts a host from the store, unless then most hosts were: an owner
+// with most hosts on its side takes the store to be away for all.
+func (w *fakeWorld) cutFromStore(h *fakeHost) bool {
+	cut := 0
+	for _, other := range w.order {
+		if other != h && w.isCut(other.name, storeName) {
+			cut++
+		}
+	}
+	if 2*(cut+1) >= len(w.order) {
+		return false
+	}
+	w.setCut(h, true, storeName)
+	return true
+}
+
+func (w *fakeWorld) startIfDown(h *fakeHost) {
+	if h.host == nil {
+		w.start(h)
+	}
+}
+
+func (w *fakeWorld) healAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.cut)
+	w.note("healed")
+}
+
+// lateHolds finds a hold of a replaced owner after which the lease that it granted
+// ran on when its successor, which never reached the worker, took it to be over.
+func (w *fakeWorld) lateHolds() string {
+	const lease, waited = 3300 * time.Millisecond, 8100 * time.Millisecond
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	began := make(map[uint64]time.Time)
+	for _, worker := range w.workers {
+		for _, h := range worker.held {
+			if at, known := began[h.epoch]; !known || h.at.Before(at) {
+				began[h.epoch] = h.at
+			}
+		}
+	}
+	for id, worker := range w.workers {
+		for _, h := range worker.held {
+			for epoch, at := range began {
+				if late := h.at.Sub(at); epoch > h.epoch && late+lease > waited {
+					return fmt.Sprintf("worker %s was held in epoch %d %v after epoch %d had begun at %v\n%s",
+						id, h.epoch, late, epoch, at.Sub(w.began), strings.Join(w.session, "\n"))
+				}
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/host/takeover_test.go
@@ -0,0 +1,147 @@
+package host
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// errRefused is what a call to a process that has ended gives.
+var errRefused = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+
+// takeoverWithin is when a new owner has to give orders.
+const takeoverWithin = 1500 * time.Millisecond
+
+// inWorld runs a test on five hosts and three workers in virtual time, once the
+// first owner holds all workers.
+func inWorld(t *testing.T, test func(t *testing.T, w *fakeWorld, first *fakeHost)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newFakeWorld(5, 3)
+		defer w.stopAll()
+		for _, h := range w.order {
+			w.start(h)
+		}
+		time.Sleep(2 * time.Second)
+		owners := w.owners()
+		if len(owners) != 1 {
+			t.Fatalf("%d owners", len(owners))
+		}
+		test(t, w, owners[0])
+	})
+}
+
+// awaitSuccessor waits until all workers but those excepted were held in the
+// second epoch, and returns how long that took.
+func awaitSuccessor(t *testing.T, w *fakeWorld, within time.Duration, except ...string) time.Duration {
+	t.Helper()
+	const epoch = 2
+	begin := time.Now()
+	for time.Since(begin) < within {
+		all := true
+		for _, id := range names(w.workers) {
+			skip := slices.Contains(except, string(id))
+			all = all && (skip || !w.lastHold(id, epoch).IsZero())
+		}
+		if all {
+			return time.Since(begin)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("no successor held the workers within %v", within)
+	return 0
+}
+
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.stop(first)
+		t.Logf("took %v", awaitSuccessor(t, w, takeoverWithin))
+	})
+}
+
+func TestSilentOwnerIsReplaced(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.setCut(first, true, append(w.otherHosts(first), storeName)...)
+		t.Logf("took %v", awaitSuccessor(t, w, takeoverWithin))
+	})
+}
+
+// leaveOneWorker cuts things so that w0 is reached by one host and the other
+// workers by all others, and no fence can tell that host anything.
+func (w *fakeWorld) leaveOneWorker(to *fakeHost) {
+	for _, h := range w.order {
+		if h != to {
+			w.setCut(h, true, "w0")
+		}
+	}
+	w.setCut(to, true, "w1", "w2")
+}
+
+// An owner that reaches its peers but not the store learns from its successor
+// that it was replaced, also while it does not meet a fence.
+func TestOwnerWithoutStoreLearnsOfItsSuccessor(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.setCut(first, true, storeName)
+		w.leaveOneWorker(first)
+		awaitSuccessor(t, w, 3*time.Second, "w0")
+		time.Sleep(time.Second)
+		if owners := w.owners(); len(owners) != 1 || owners[0] == first {
+			t.Errorf("%d owners after the takeover", len(owners))
+		}
+	})
+}
+
+// An owner that is cut from the store and from its peers may hold a worker that
+// its successor does not reach. It has to end before the successor takes the
+// lease there to be over.
+func TestCutOffOwnerEnds(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.setCut(first, true, append(w.otherHosts(first), storeName)...)
+		w.leaveOneWorker(first)
+		awaitSuccessor(t, w, takeoverWithin, "w0")
+		taken := time.Now()
+		time.Sleep(20 * time.Second)
+		const lease, waited = 3300 * time.Millisecond, 8 * time.Second
+		if last := w.lastHold("w0", 1).Sub(taken); last+lease > waited {
+			t.Errorf("the old owner still held a worker %v after the takeover", last)
+		}
+	})
+}
+
+// While the store is away for all hosts, the owner goes on.
+func TestOwnerGoesOnWithoutStore(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		for _, h := range w.order {
+			w.setCut(h, true, storeName)
+		}
+		w.stop(w.otherThan(first))
+		time.Sleep(30 * time.Second)
+		if owners := w.owners(); len(owners) != 1 || owners[0] != first {
+			t.Fatalf("%d owners while the store is away", len(owners))
+		}
+		if silent := time.Since(w.lastHold("w0", 1)); silent > 2*time.Second {
+			t.Errorf("the workers were last held %v ago", silent)
+		}
+	})
+}
+
+// A host that starts while the store is away learns from its seeds who the owner
+// is.
+func TestHostStartsWithoutStore(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		late := w.otherThan(first)
+		w.stop(late)
+		for _, h := range w.order {
+			w.setCut(h, true, storeName)
+		}
+		w.seeds = []netip.AddrPort{w.order[0].addr, w.order[1].addr}
+		w.start(late)
+		time.Sleep(5 * time.Second)
+		if known := late.host.knownOwner(); known.addr != first.addr {
+			t.Errorf("the owner is taken to be at %v", known.addr)
+		}
+	})
+}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -21,8 +21,10 @@
 const (
 	// pingEvery is the period of the pings to the owner.
 	pingEvery = 250 * time.Millisecond
-	// pingTimeout bounds a ping.
-	pingTimeout = 400 * time.Millisecond
+	// pingTimeout bounds a ping, and doubtTimeout one to an owner that has not
+	// answered the last one.
+	pingTimeout  = 300 * time.Millisecond
+	doubtTimeout = 120 * time.Millisecond
 	// doubtEvery is the period of the looks at the owner's row while the
 	// owner is in doubt, and maxDoubtPause that while it cannot be read.
 	doubtEvery    = 100 * time.Millisecond
@@ -41,22 +43,25 @@
 	takeoverSpread = 40 * time.Millisecond
 	// latencyFactor times the store's latency is how long a host lets nearer
 	// ones go first, at most maxDeference.
-	latencyFactor = 4
-	maxDeference  = 250 * time.Millisecond
+	latencyFactor = 8
+	maxDeference  = 500 * time.Millisecond
 )
 
 // followOwner watches the owner and takes its place when it is gone.
 func (h *Host) followOwner() {
 	doubts := 0
+	wait := pingTimeout
 	for h.ctx.Err() == nil {
 		pause := pingEvery
 		own := h.owning()
 		switch {
 		case own != nil:
 			h.endIfReplaced(own)
-		case h.ownerAnswers():
+		case h.ownerAnswers(wait):
 			doubts = 0
+			wait = pingTimeout
 		default:
+			wait = doubtTimeout
 			pause = h.lookAtStore(&doubts)
 		}
 		h.sleep(pause)
@@ -73,13 +78,13 @@
 }
 
 // ownerAnswers pings the owner, and reports whether it is well.
-func (h *Host) ownerAnswers() bool {
+func (h *Host) ownerAnswers(wait time.Duration) bool {
 	known := h.knownOwner()
 	h.unrenewed = 0
 	if !known.addr.IsValid() {
 		return false
 	}
-	from, pong, err := h.ping(known.addr, 0)
+	from, pong, err := h.ping(known.addr, 0, wait)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			h.ownerGone(known.incarnation)
@@ -103,8 +108,8 @@
 
 // ping asks a host for its view, and takes in what it tells. The epoch is the
 // one that this host owns, or 0.
-func (h *Host) ping(to netip.AddrPort, epoch uint64) (peer.Host, message.OwnerPong, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, pingTimeout)
+func (h *Host) ping(to netip.AddrPort, epoch uint64, wait time.Duration) (peer.Host, message.OwnerPong, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, wait)
 	defer cancel()
 	ping := message.EncodeHostPing(message.HostPing{
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
@@ -235,6 +240,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, recoverTimeout)
 	defer cancel()
 	h.announce(t.Me.Epoch)
+	t.Others = h.otherHosts()
 	own, err := owner.New(ctx, h.config.Owner, t, h.manifests.Current(),
 		h.platform.Ports, h.advisors, h.timers, h.scope, h.log)
 	if err != nil {
@@ -256,6 +262,20 @@
 	}
 }
 
+// otherHosts returns how many hosts there are beside this one, as far as it was
+// told by the last owner or by its settings.
+func (h *Host) otherHosts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seeds := 0
+	for _, at := range h.config.Seeds {
+		if at != h.config.Addr {
+			seeds++
+		}
+	}
+	return max(h.others, seeds)
+}
+
 // ended notes that this host owns the cell no more.
 func (h *Host) ended(own *owner.Owner) {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/owner/isolation.go
@@ -0,0 +1,52 @@
+package owner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+)
+
+const (
+	// isolatedAfter is how long an owner may neither renew its row nor hear
+	// from most hosts. Then it may have been replaced without learning of it,
+	// and workers that the new owner cannot reach must lose their lease.
+	isolatedAfter = 3 * time.Second
+	// renewedLately is the age of the last renewal up to which the hosts that
+	// are heard of count as those that there are.
+	renewedLately = 1 * time.Second
+)
+
+// isolation tells an owner that is cut off from one whose store is away.
+type isolation struct {
+	// hosts is how many others were heard of while the row could be renewed.
+	hosts int
+}
+
+// cutOff takes in for how long the row was not renewed and how many hosts were
+// heard of in the last isolatedAfter, and reports whether the owner has to end.
+func (i *isolation) cutOff(unrenewed time.Duration, heard int) bool {
+	if unrenewed < renewedLately && heard > 0 {
+		i.hosts = heard
+	}
+	return unrenewed >= isolatedAfter && i.hosts > 0 && 2*heard <= i.hosts
+}
+
+// endIfCutOff ends an owner that may have been replaced. Its host takes the cell
+// over again once it reaches the store, if nobody else has.
+func (o *Owner) endIfCutOff() {
+	unrenewed, heard := o.Renewed(), o.advice.remote.Heard(isolatedAfter)
+	if o.isolation.cutOff(unrenewed, heard) {
+		o.log.Warn("cut off from the store and from most hosts", zap.Duration("Unrenewed", unrenewed),
+			zap.Int("Heard", heard), zap.Int("Hosts", o.isolation.hosts))
+		o.end(fault.New("own", KindReplaced, "epoch %d could not be renewed for %v", o.Epoch(), unrenewed))
+	}
+}
+
+// Replaced ends the owner on the word of a host that owns a later epoch.
+func (o *Owner) Replaced(by uint64) {
+	if by > o.Epoch() {
+		o.end(fault.New("own", KindReplaced, "epoch %d has begun", by))
+	}
+}
--- /dev/null
+++ b/internal/owner/isolation_test.go
@@ -0,0 +1,34 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+func TestCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		hosts     int
+		unrenewed time.Duration
+		heard     int
+		want      bool
+	}{
+		{"the store is away for all", 7, 30 * time.Second, 7, false},
+		{"the store is away and three hosts are down", 7, 30 * time.Second, 4, false},
+		{"alone in a cut", 7, isolatedAfter, 0, true},
+		{"with fewer than half in a cut", 7, isolatedAfter, 3, true},
+		{"not for long enough", 7, isolatedAfter - time.Millisecond, 0, false},
+		{"the only host there is", 0, 30 * time.Second, 0, false},
+		{"one of two", 1, isolatedAfter, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var i isolation
+			if i.cutOff(0, c.hosts) {
+				t.Fatal("an owner that renews its row is cut off")
+			}
+			if got := i.cutOff(c.unrenewed, c.heard); got != c.want {
+				t.Errorf("cut off: %v", got)
+			}
+		})
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,6 +77,8 @@
 	Version uint64
 	// PreviousEnded is set when the last owner's process has surely ended.
 	PreviousEnded bool
+	// Others is how many hosts there were beside the last owner.
+	Others int
 }
 
 const (
@@ -124,7 +126,8 @@
 	// showAt is when the backlog is next shown among the metrics.
 	showAt time.Time
 	// leaving is set once the owner gives the cell up.
-	leaving bool
+	leaving   bool
+	isolation isolation
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -153,7 +156,7 @@
 		orders:  make(chan struct{}, ordersAtOnce),
 		holds:   make(map[cell.WorkerID]*holder),
 		version: tenure.Version, renewAt: now.Add(config.RenewEvery),
-		done: make(chan struct{}), renewedAt: now,
+		done: make(chan struct{}), renewedAt: now, isolation: isolation{hosts: tenure.Others},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newQuestions(ports.Advisor, remote, timers, log)
@@ -240,6 +243,7 @@
 			o.drain()
 		case <-tick.C:
 			o.cell.SetAdvisers(o.advice.hosts())
+			o.endIfCutOff()
 			now := o.timers.Now()
 			o.cell.Tick(now)
 			if !now.Before(o.showAt) {
--- a/internal/owner/questions.go
+++ b/internal/owner/questions.go
@@ -23,6 +23,8 @@
 type RemoteAdvisors interface {
 	// List returns the hosts that were heard of lately.
 	List() []netip.AddrPort
+	// Heard counts the hosts that were heard of within a time.
+	Heard(within time.Duration) int
 	Advise(ctx context.Context, to netip.AddrPort, step workload.StepID, workers []cell.WorkerID) (cell.Advice, error)
 }
 
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -48,7 +48,7 @@
 }
 
 // readersAtOnce bounds the reads of the store that run at the same time.
-const readersAtOnce = 8
+const readersAtOnce = 64
 
 // readAll reads ranges to their end.
 func (o *Owner) readAll(ctx context.Context, ranges ...rowstore.Range) (tableRows, error) {
