--- /dev/null
+++ b/internal/cell/ahead.go
@@ -0,0 +1,216 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// While the store is slow, a start may be sent ahead of its record. The owner's
+// row then names the workers that may get such starts, and a new owner starts
+// nothing until each of them has reported to it or has surely lost its lease: a
+// task that waits by its record may be running there. A task has at most one run
+// without a record, so that the number of that run is known.
+
+// stray is a run of an earlier owner that no record names.
+type stray struct {
+	worker   *worker
+	row      Running
+	stopping bool
+}
+
+// aheadState is what a cell knows of starts ahead of their record.
+type aheadState struct {
+	// wanted is set while starts should not wait for their record.
+	wanted bool
+	// allowed holds the workers that the durable row of this owner names.
+	allowed map[WorkerID]bool
+	// unsettled holds the workers that an earlier owner named and that have
+	// neither reported nor lost their lease.
+	unsettled map[WorkerID]bool
+	strays    map[workload.TaskID]*stray
+}
+
+func newAheadState() aheadState {
+	return aheadState{
+		allowed: make(map[WorkerID]bool), unsettled: make(map[WorkerID]bool),
+		strays: make(map[workload.TaskID]*stray),
+	}
+}
+
+// maxAhead bounds the workers that the owner's row names.
+const maxAhead = 128
+
+// GoAhead tells whether starts should go ahead of their record from now on.
+func (c *Cell) GoAhead(wanted bool) { c.ahead.wanted = wanted }
+
+// AheadWorkers returns the workers that the owner's next row has to name. Until
+// that row is durable, starts go ahead only at workers that the last one names
+// as well. It comes after Records.
+func (c *Cell) AheadWorkers(now time.Time) []WorkerID {
+	named := maps.Clone(c.ahead.unsettled)
+	for _, w := range c.ordered {
+		if c.ahead.wanted && len(named) < maxAhead && c.usable(now, w) {
+			named[w.id] = true
+		}
+	}
+	if c.HasRecords() {
+		// The row comes with records, but not with all of them.
+		maps.Copy(named, c.ahead.allowed)
+	}
+	maps.DeleteFunc(c.ahead.allowed, func(id WorkerID, _ bool) bool { return !named[id] })
+	return slices.Sorted(maps.Keys(named))
+}
+
+// AheadCommitted notes the workers that the owner's durable row names.
+func (c *Cell) AheadCommitted(named []WorkerID) {
+	clear(c.ahead.allowed)
+	for _, id := range named {
+		c.ahead.allowed[id] = !c.ahead.unsettled[id]
+	}
+}
+
+// RestoreAhead takes in the workers at which an earlier owner may have started
+// runs ahead of their record. It comes before Accept and Restore.
+func (c *Cell) RestoreAhead(named []WorkerID) {
+	for _, id := range named {
+		c.ahead.unsettled[id] = true
+	}
+}
+
+// settling reports whether runs may exist that this owner does not know.
+func (c *Cell) settling() bool { return len(c.ahead.unsettled) > 0 }
+
+// mayGoAhead reports whether a run may be started before its record is durable.
+func (c *Cell) mayGoAhead(r *run) bool {
+	t := r.task
+	spec := t.step.spec
+	if !c.ahead.wanted || spec.Gang || spec.LongRunning || !c.ahead.allowed[r.worker.id] {
+		return false
+	}
+	return t.numberRevision <= t.step.job.durable
+}
+
+// skipNumber leaves out a run number that an earlier owner may have used.
+func (c *Cell) skipNumber(t *task) {
+	if spec := t.step.spec; spec.Gang || spec.LongRunning || t.phase == phaseDone {
+		return
+	}
+	t.lastRun++
+	c.changed(t.step.job)
+	t.numberRevision = t.step.job.revision
+}
+
+// settled notes that a worker runs nothing that this owner does not know, beside
+// what its first report lists.
+func (c *Cell) settled(id WorkerID) {
+	if !c.ahead.unsettled[id] {
+		return
+	}
+	delete(c.ahead.unsettled, id)
+	c.reconsider = true
+	if !c.settling() {
+		c.log.Info("all runs that were started ahead of their record are known", zap.Int("Strays", len(c.ahead.strays)))
+	}
+}
+
+// tickAhead gives up workers whose lease has surely run out.
+func (c *Cell) tickAhead(now time.Time) {
+	for _, id := range sortedKeys(c.ahead.unsettled) {
+		if now.Sub(c.since) > c.inheritedWait() {
+			c.settled(id)
+		}
+	}
+}
+
+// noteStray takes in an unknown run of a worker's first report, which an earlier
+// owner may have started ahead of its record.
+func (c *Cell) noteStray(w *worker, e *Running) {
+	t := c.task(e.Task)
+	if t == nil || t.phase == phaseDone || t.step.spec.Gang || t.step.spec.LongRunning || t.step.job.state.Final() {
+		return
+	}
+	c.ahead.strays[e.Task] = &stray{worker: w, row: *e}
+}
+
+// strayAt returns the stray that a line of a worker's report is about, or nil.
+func (c *Cell) strayAt(w *worker, e *Running) *stray {
+	s, known := c.ahead.strays[e.Task]
+	if !known || s.worker != w || s.row.Run != e.Run {
+		return nil
+	}
+	return s
+}
+
+// dropStrays forgets the strays of a worker that its report does not list.
+func (c *Cell) dropStrays(w *worker, listed map[workload.TaskID]int) {
+	for id, s := range c.ahead.strays {
+		if number, there := listed[id]; s.worker == w && (!there || number != s.row.Run) {
+			delete(c.ahead.strays, id)
+			c.reconsider = true
+		}
+	}
+}
+
+// resolveStrays takes strays over whose tasks wait for a run. Once all workers
+// are settled, the others are stopped; their tasks wait until they are gone.
+func (c *Cell) resolveStrays(now time.Time) {
+	for _, s := range c.sortedStrays() {
+		id := s.row.Task
+		t := c.task(id)
+		if t == nil {
+			delete(c.ahead.strays, id)
+			continue
+		}
+		if t.current != nil && t.current.phase == runInherited && t.current.number < s.row.Run {
+			// The stray came after the run on record, which has ended then.
+			c.release(now, t.current, EndStopped)
+		}
+		switch {
+		case t.phase == phaseWaiting && t.step.ready && !t.step.job.state.Final() && !s.stopping:
+			c.takeOver(now, t, s)
+			delete(c.ahead.strays, id)
+		case !c.settling() && !s.stopping:
+			s.stopping = true
+			c.act(SendStop{Worker: s.worker.id, Task: id, Run: s.row.Run})
+		}
+	}
+}
+
+// sortedStrays returns the strays in a fixed order, so that a cell does the same
+// in every play.
+func (c *Cell) sortedStrays() []*stray {
+	return slices.SortedFunc(maps.Values(c.ahead.strays), func(a, b *stray) int {
+		return strings.Compare(a.row.Task.String(), b.row.Task.String())
+	})
+}
+
+// takeOver makes a stray the run of its task.
+func (c *Cell) takeOver(now time.Time, t *task, s *stray) {
+	step := t.step
+	r := &run{
+		task: t, number: s.row.Run, worker: s.worker, phase: runStarted, startedClock: s.worker.clock,
+		movedAt: now, pace: fullPace, percent: s.row.Percent, seen: true,
+	}
+	t.lastRun = max(t.lastRun, r.number)
+	t.phase = phaseActive
+	t.current = r
+	step.waiting--
+	if step.waiting == 0 {
+		delete(c.open, step.id)
+	}
+	s.worker.runs.add(r)
+	need := step.spec.Reserved()
+	s.worker.taken = s.worker.taken.Add(need)
+	s.worker.orphaned = s.worker.orphaned.Sub(need)
+	c.changed(step.job)
+	c.begin(step.job)
+	r.revision = step.job.revision
+	t.numberRevision = r.revision
+	c.log.Info("took over a run that was started ahead of its record", runFields(r)...)
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -89,6 +89,9 @@
 	// waveRecords holds what earlier owners have noted of waves.
 	waveRecords map[int]WaveRecord
 
+	// ahead tells which starts may go, or have gone, ahead of their record.
+	ahead aheadState
+
 	actions []Action
 	// reconsider is set when a placement may have become possible.
 	reconsider bool
@@ -104,7 +107,7 @@
 		open:      make(map[workload.StepID]*stepState),
 		pending:   make(map[string]int),
 		longLimit: 1, shares: make(map[string]float64), waves: make(map[int]*waveState),
-		waveRecords: make(map[int]WaveRecord),
+		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
 	}
 }
 
@@ -121,6 +124,7 @@
 func (c *Cell) Take(now time.Time) []Action {
 	if c.reconsider {
 		c.reconsider = false
+		c.resolveStrays(now)
 		c.place(now)
 	}
 	actions := c.actions
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -78,8 +78,10 @@
 	id    workload.TaskID
 	step  *stepState
 	phase phase
-	// lastRun is the highest run number used.
-	lastRun int
+	// lastRun is the highest run number used, and numberRevision the record
+	// that names it.
+	lastRun        int
+	numberRevision uint64
 	// failedRuns has the numbers of the runs that failed, each once, however
 	// often and late a worker lists their ends.
 	failedRuns []int
@@ -183,6 +185,13 @@
 		steps[i] = newStepState(now, j, k, i)
 	}
 	j.occurrences = append(j.occurrences, steps)
+	if c.settling() {
+		for _, s := range steps {
+			for _, t := range s.tasks {
+				c.skipNumber(t)
+			}
+		}
+	}
 	c.openReady(now, steps)
 }
 
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -27,7 +27,7 @@
 // TestJobLifeFindsOmissions leaves each guard out once: the oracle has to see
 // it, or it proves nothing.
 func TestJobLifeFindsOmissions(t *testing.T) {
-	for _, omit := range []omission{omitDurable, omitAckDurable, omitFence, omitDoubt, omitWaveRecord} {
+	for _, omit := range []omission{omitDurable, omitAckDurable, omitFence, omitDoubt, omitWaveRecord, omitAhead} {
 		t.Run(strings.ReplaceAll(string(omit), " ", "-"), func(t *testing.T) {
 			if !found(t, omit) {
 				t.Fatalf("no play showed that %s", omit)
@@ -52,6 +52,7 @@
 // playLife plays one session and returns the first promise that was broken.
 func playLife(t *rapid.T, omit omission) string {
 	w := newWorld(t, omit)
+	w.slow = rapid.Bool().Draw(t, "slow")
 	actions := map[string]func(*rapid.T){
 		"submit":   func(*rapid.T) { w.submit() },
 		"cancel":   func(*rapid.T) { w.cancel() },
@@ -67,9 +68,11 @@
 		"advance":  func(*rapid.T) { w.advance(w.span("advance", 10, 800)) },
 		"long":     func(*rapid.T) { w.advance(w.span("long", 1000, 9000)) },
 		"takeover": func(*rapid.T) { w.takeOver() },
+		"failover": func(*rapid.T) { w.failOver() },
 		"restart":  func(*rapid.T) { w.restart() },
 		"cut":      func(*rapid.T) { w.cut() },
 		"leave":    func(*rapid.T) { w.leave() },
+		"slow":     func(*rapid.T) { w.slow = !w.slow },
 		"wave":     func(*rapid.T) { w.announce() },
 		"":         func(*rapid.T) { w.check() },
 	}
@@ -345,6 +348,7 @@
 func (o *simOwner) committed(now time.Time, commit *simCommit) {
 	o.cell.Committed(now, commit.jobs)
 	o.cell.WavesCommitted(commit.waves)
+	o.cell.AheadCommitted(commit.ahead)
 }
 
 func (w *world) write(commit *simCommit) {
@@ -354,6 +358,7 @@
 	for _, r := range commit.waves {
 		w.storeWaves[r.Wave] = r
 	}
+	w.storeAhead = commit.ahead
 }
 
 // restart gives a worker a new life under its ID.
@@ -385,6 +390,15 @@
 	w.owner().cell.Sight(w.now, w.sighting(s))
 }
 
+// failOver loses the owner and a worker at the same moment, with all calls that
+// were made in time carried out.
+func (w *world) failOver() {
+	w.deliverAll()
+	w.anyWorker().cut = true
+	w.takeOver()
+	w.holdAll()
+}
+
 func (w *world) cut() {
 	s := w.anyWorker()
 	s.cut = s.gone || !s.cut
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -138,12 +138,16 @@
 			c.openDue(now, j)
 		}
 	}
+	c.tickAhead(now)
 	c.tickWaves(now)
 	c.forgetGone(now)
 	c.reconsider = c.reconsider || len(c.open) > 0
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
+	if len(c.ahead.strays) > 0 && c.lapsed(now, w) {
+		c.dropStrays(w, nil)
+	}
 	if w.runs.len() > 0 && c.lapsed(now, w) {
 		c.log.Warn("a worker's lease ran out", workerField(w), zap.Int("Runs", w.runs.len()),
 			zap.Duration("Silent", now.Sub(w.lastReport)))
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -57,6 +57,9 @@
 
 // placeStep places what it can of one step.
 func (c *Cell) placeStep(now time.Time, s *stepState, usable map[string][]*worker) {
+	if c.settling() && !s.spec.Gang && !s.spec.LongRunning {
+		return
+	}
 	q := c.queueOf(s.job)
 	fitting := s.fitting(usable[q.Service])
 	if s.spec.Gang {
@@ -96,7 +99,7 @@
 func (c *Cell) placeTasks(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
 	placed := false
 	for _, t := range s.tasks {
-		if t.phase != phaseWaiting {
+		if t.phase != phaseWaiting || c.ahead.strays[t.id] != nil {
 			continue
 		}
 		w := c.choose(now, s, q, fitting, t.failedOn)
@@ -207,4 +210,9 @@
 	c.changed(s.job)
 	r.revision = s.job.revision
 	s.job.planned = append(s.job.planned, r)
+	ahead := c.mayGoAhead(r)
+	t.numberRevision = r.revision
+	if ahead {
+		c.sendStart(now, r)
+	}
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -32,8 +32,10 @@
 	// FailedRuns has the numbers of the runs that failed.
 	FailedRuns []int
 	Checkpoint string
-	// Worker is where the task may be running; empty means nowhere.
+	// Worker is where the task may be running, and Run the number of that run;
+	// an empty Worker means nowhere.
 	Worker WorkerID
+	Run    int
 }
 
 // Records returns the records to make durable next, at most limit of them.
@@ -99,6 +101,7 @@
 		}
 		if t.current != nil {
 			rec.Tasks[i].Worker = t.current.worker.id
+			rec.Tasks[i].Run = t.current.number
 		}
 	}
 	return rec
@@ -165,6 +168,9 @@
 	if rec.Done {
 		t.step.markDone(t)
 	}
+	if c.settling() {
+		c.skipNumber(t)
+	}
 }
 
 // inherit notes a run of an earlier owner until its worker tells of it.
@@ -173,7 +179,7 @@
 	if !known {
 		w = c.addWorker(rec.Worker)
 	}
-	r := &run{task: t, number: rec.LastRun, worker: w, phase: runInherited, pace: fullPace}
+	r := &run{task: t, number: rec.Run, worker: w, phase: runInherited, pace: fullPace}
 	t.phase = phaseActive
 	t.current = r
 	t.step.waiting--
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -33,6 +33,7 @@
 		// An earlier owner may just have granted a lease.
 		w.deadline = max(w.deadline, report.Clock+c.config.Lease)
 		c.reconsider = true
+		c.firstReport(w, report)
 	}
 	for _, e := range report.Ended {
 		if e.Number > w.endsSeen {
@@ -44,6 +45,20 @@
 	c.watchPace(now, w)
 }
 
+// firstReport takes in which runs a worker has that no record names.
+func (c *Cell) firstReport(w *worker, report Report) {
+	if !c.ahead.unsettled[w.id] {
+		return
+	}
+	for i := range report.Running {
+		e := &report.Running[i]
+		if r, known := w.runs.get(e.Task); !known || r.number != e.Run {
+			c.noteStray(w, e)
+		}
+	}
+	c.settled(w.id)
+}
+
 // restarted forgets all that belongs to a worker's earlier life. A start that
 // was sent before the restart was known may belong to the new one.
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
@@ -53,6 +68,7 @@
 	w.clock, w.deadline = 0, report.Clock+c.config.MaxLease
 	w.endsSeen, w.endsOpen = 0, nil
 	w.health = health{}
+	c.dropStrays(w, nil)
 	w.cordonedBy = nil
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
@@ -97,11 +113,12 @@
 		listed[e.Task] = e.Run
 		r, known := w.runs.get(e.Task)
 		if !known || r.number != e.Run {
-			c.stopOrphan(w, e)
+			c.unknown(w, e)
 			continue
 		}
 		c.progress(now, r, e)
 	}
+	c.dropStrays(w, listed)
 	c.reconsider = c.reconsider || w.orphaned != orphanedBefore
 	if report.EndsCut {
 		return
@@ -114,10 +131,15 @@
 	}
 }
 
-// stopOrphan stops an unknown run: an old start that was carried
-// out late, or one of a job that has ended. It takes room until it is gone.
-func (c *Cell) stopOrphan(w *worker, e *Running) {
+// unknown stops a run that is not known: an old start that was carried out late,
+// or one of a job that has ended. It takes room until it is gone. Strays may be
+// taken over yet.
+func (c *Cell) unknown(w *worker, e *Running) {
 	w.orphaned = w.orphaned.Add(c.orphanRoom(w, e.Task))
+	if s := c.strayAt(w, e); s != nil && !s.stopping {
+		s.row = *e
+		return
+	}
 	c.log.Info("stopping an unknown run",
 		zap.String("Job", string(e.Task.Job)), zap.String("Task", e.Task.String()), zap.Int("Run", e.Run), workerField(w))
 	c.act(SendStop{Worker: w.id, Task: e.Task, Run: e.Run})
@@ -186,6 +208,11 @@
 	if t == nil {
 		return openEnd{number: e.Number}
 	}
+	if e.Run > t.lastRun {
+		t.lastRun = e.Run
+		c.changed(t.step.job)
+		t.numberRevision = t.step.job.revision
+	}
 	open := openEnd{number: e.Number, job: t.step.job, revision: t.step.job.revision}
 	if t.phase == phaseDone || t.step.job.state.Final() {
 		return open
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -34,6 +34,7 @@
 	// store holds the records as the store would have them.
 	store    map[workload.JobID]cell.Record
 	waves    map[int]cell.WaveRecord
+	ahead    []cell.WorkerID
 	accepted []cell.Accepted
 	// waiting holds records taken but neither committed nor failed.
 	waiting []cell.Record
@@ -117,6 +118,8 @@
 	case "status":
 		state, known := s.cell.Status(workload.JobID(first(0)))
 		return fmt.Sprintf("%v %v\n", known, state)
+	case "slow":
+		s.cell.GoAhead(first(0) == "on")
 	case "pending":
 		return fmt.Sprintln(s.cell.Pending(first(0)))
 	case "wave":
@@ -281,12 +284,18 @@
 		fmt.Fprintf(&out, "record wave %d ordered=%v settled=%v\n", w.Wave, w.Ordered, w.Settled)
 	}
 	s.cell.WavesCommitted(waves)
+	s.ahead = s.cell.AheadWorkers(s.now)
+	if len(s.ahead) > 0 {
+		fmt.Fprintf(&out, "starts go ahead at %v\n", s.ahead)
+	}
+	s.cell.AheadCommitted(s.ahead)
 	return out.String() + s.actions()
 }
 
 // takeover begins a new cell with what is durable.
 func (s *script) takeover(ended bool) {
 	s.restart()
+	s.cell.RestoreAhead(s.ahead)
 	if ended {
 		s.cell.PreviousOwnerEnded()
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -247,7 +247,7 @@
 // forgetGone drops the workers that have left the list and run nothing.
 func (c *Cell) forgetGone(now time.Time) {
 	c.ordered = slices.DeleteFunc(c.ordered, func(w *worker) bool {
-		gone := !w.listed && w.runs.len() == 0 && now.Sub(w.lastReport) > c.config.MaxLease
+		gone := !w.listed && w.runs.len() == 0 && !c.ahead.unsettled[w.id] && now.Sub(w.lastReport) > c.config.MaxLease
 		if gone {
 			delete(c.workers, w.id)
 		}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -29,10 +29,14 @@
 	// store holds what is durable.
 	store      map[workload.JobID]cell.Record
 	storeWaves map[int]cell.WaveRecord
-	epoch      uint64
-	jobs       []cell.Accepted
-	cancelled  map[workload.JobID]bool
-	manifest   *manifest.Manifest
+	// storeAhead holds the workers that the owner's row names.
+	storeAhead []cell.WorkerID
+	// slow is set while owners send starts ahead of their record.
+	slow      bool
+	epoch     uint64
+	jobs      []cell.Accepted
+	cancelled map[workload.JobID]bool
+	manifest  *manifest.Manifest
 	// omit leaves one of the cell's guards out of the world's owners.
 	omit omission
 
@@ -67,6 +71,7 @@
 	omitAckDurable omission = "ends are acknowledged before they are durable"
 	omitFence      omission = "workers check no fence"
 	omitWaveRecord omission = "orders for upkeep are sent before they are on record"
+	omitAhead      omission = "a new owner does not wait for starts ahead of their record"
 	omitDoubt      omission = "a start without an answer counts as not sent"
 )
 
@@ -74,14 +79,20 @@
 type simOwner struct {
 	cell  *cell.Cell
 	epoch uint64
+	// slow is what the owner's last row was written for.
+	slow bool
 	// commit is the transaction on its way; nil is none.
 	commit *simCommit
 	over   bool
+	// replacedAt is when the next owner took over.
+	replacedAt time.Time
 }
 
 type simCommit struct {
 	jobs  []cell.Record
 	waves []cell.WaveRecord
+	// ahead holds the workers that the owner's row names.
+	ahead []cell.WorkerID
 }
 
 type simRun struct {
@@ -139,6 +150,10 @@
 // worldLabels are the labels of the workers; the last one is of all others.
 var worldLabels = []string{"big", "small"}
 
+// replacedFor is how long an owner that was replaced may go on without learning
+// of it.
+const replacedFor = 3 * time.Second
+
 const (
 	worldWorkers  = 3
 	maxOldOwners  = 2
@@ -185,6 +200,14 @@
 	config := scriptConfig
 	o := &simOwner{epoch: w.epoch, cell: cell.New(w.now, config, unobserved{}, zap.NewNop())}
 	o.cell.SetManifest(w.manifest)
+	if w.omit != omitAhead {
+		o.cell.RestoreAhead(w.storeAhead)
+	}
+	for _, old := range w.owners {
+		if old.replacedAt.IsZero() {
+			old.replacedAt = w.now
+		}
+	}
 	for _, a := range w.jobs {
 		o.cell.Accept(w.now, a)
 		if r, ok := w.store[a.Job.ID]; ok {
@@ -243,8 +266,11 @@
 	if w.omit == omitWaveRecord {
 		o.cell.WavesCommitted(o.cell.WaveRecords())
 	}
-	if o.commit == nil && o.cell.HasRecords() {
+	o.cell.GoAhead(w.slow)
+	if o.commit == nil && (o.cell.HasRecords() || w.slow != o.slow) {
+		o.slow = w.slow
 		o.commit = &simCommit{jobs: o.cell.Records(100), waves: o.cell.WaveRecords()}
+		o.commit.ahead = o.cell.AheadWorkers(w.now)
 	}
 }
 
@@ -436,6 +462,7 @@
 		w.moveGangs()
 		w.returnMachines()
 		for _, o := range w.owners {
+			o.over = o.over || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > replacedFor
 			if !o.over {
 				o.cell.Tick(w.now)
 				w.act(o)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -52,6 +52,7 @@
 // set here.
 func (s State) Takeover(me ledger.Owner) (rowstore.Transaction, ledger.Owner, error) {
 	me.Epoch = s.Owner.Epoch + 1
+	me.Ahead = s.Owner.Ahead
 	value, err := ledger.EncodeOwner(me)
 	if err != nil {
 		return rowstore.Transaction{}, ledger.Owner{}, fault.New("take over", KindMalformed, "%w", err)
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -81,7 +82,7 @@
 		t.Errorf("conditions %+v", tx.Conditions)
 	}
 	read, err := election.ReadState([]rowstore.Row{{Key: ledger.OwnerKey(), Value: tx.Writes[0].Value, Version: 8}})
-	if err != nil || read.Owner != row || read.Version != 8 {
+	if err != nil || !reflect.DeepEqual(read.Owner, row) || read.Version != 8 {
 		t.Errorf("read back %+v, %v", read, err)
 	}
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -47,7 +47,7 @@
 func TestRecordsAreReadAsWritten(t *testing.T) {
 	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
-		{Done: true, LastRun: 1}, {LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w"},
+		{Done: true, LastRun: 1}, {LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3},
 	}}}}
 	value, err := ledger.EncodeRecord(r)
 	if err != nil {
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -19,6 +19,9 @@
 	Epoch uint64
 	// Released is set when the owner has given the cell up.
 	Released bool
+	// Ahead holds the workers at which runs may have been started that no
+	// record names yet.
+	Ahead []string
 }
 
 type ownerWire struct {
@@ -28,12 +31,14 @@
 	Addr        string
 	Epoch       uint64
 	Released    bool
+	Ahead       []string
 }
 
 // EncodeOwner returns the value of the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
 	return msgpack.Marshal(&ownerWire{
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
+		Ahead: o.Ahead,
 	})
 }
 
@@ -47,5 +52,5 @@
 	if err != nil {
 		return Owner{}, fault.New("decode owner", KindMalformed, "%w", err)
 	}
-	return Owner{Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released}, nil
+	return Owner{Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, Ahead: w.Ahead}, nil
 }
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -29,6 +29,7 @@
 	FailedRuns []int
 	Checkpoint string
 	Worker     string
+	Run        int
 }
 
 // EncodeRecord returns the value of a job's record of progress.
@@ -50,6 +51,7 @@
 		for n, t := range s.Tasks {
 			out[i].Tasks[n] = taskRecordWire{
 				Done: t.Done, LastRun: t.LastRun, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, Worker: string(t.Worker),
+				Run: t.Run,
 			}
 		}
 	}
@@ -77,7 +79,7 @@
 		for n, t := range s.Tasks {
 			out[i].Tasks[n] = cell.TaskRecord{
 				Done: t.Done, LastRun: t.LastRun, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint,
-				Worker: cell.WorkerID(t.Worker),
+				Worker: cell.WorkerID(t.Worker), Run: t.Run,
 			}
 		}
 	}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -41,6 +41,7 @@
 	b.waves = o.cell.WaveRecords()
 	b.waves = b.waves[:min(len(b.waves), wavesPerCommit)]
 	b.records = o.cell.Records(recordsPerCommit - len(b.removes) - len(b.waves))
+	b.ahead = o.cell.AheadWorkers(now)
 	t, err := o.transaction(b)
 	if err != nil {
 		o.end(fault.New("commit", KindStore, "%w", err))
@@ -64,6 +65,10 @@
 func (o *Owner) transaction(b batch) (rowstore.Transaction, error) {
 	me := o.tenure.Me
 	me.Released = o.leaving
+	me.Ahead = make([]string, len(b.ahead))
+	for i, id := range b.ahead {
+		me.Ahead[i] = string(id)
+	}
 	value, err := ledger.EncodeOwner(me)
 	if err != nil {
 		return rowstore.Transaction{}, err
@@ -96,6 +101,8 @@
 type batch struct {
 	records []cell.Record
 	waves   []cell.WaveRecord
+	// ahead holds the workers at which starts may go ahead of their record.
+	ahead []cell.WorkerID
 	// removes holds the forgotten jobs whose records go with it.
 	removes []workload.JobID
 }
@@ -111,6 +118,7 @@
 
 func (e committed) apply(o *Owner, now time.Time) {
 	o.committing = false
+	o.cell.GoAhead(o.slow.took(e.took, e.err))
 	o.meters.commit.RecordDuration(e.took)
 	if e.err == nil {
 		o.version = e.version
@@ -120,6 +128,7 @@
 		o.mu.Unlock()
 		o.removes = o.removes[len(e.batch.removes):]
 		o.cell.WavesCommitted(e.batch.waves)
+		o.cell.AheadCommitted(e.batch.ahead)
 		o.cell.Committed(now, e.batch.records)
 		if e.released {
 			o.log.Info("released the cell")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -128,6 +128,7 @@
 	// leaving is set once the owner gives the cell up.
 	leaving   bool
 	isolation isolation
+	slow      slowStore
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -33,6 +33,7 @@
 	if err := group.Wait(); err != nil {
 		return nil, fault.New("recover", KindStore, "%w", err)
 	}
+	o.cell.RestoreAhead(workerIDs(o.tenure.Me.Ahead))
 	o.takeIntake(now, intake.rows)
 	o.takeProgress(now, progress.rows)
 	o.takeCancels(now, intake.rows)
@@ -47,6 +48,14 @@
 	}, nil
 }
 
+func workerIDs(names []string) []cell.WorkerID {
+	out := make([]cell.WorkerID, len(names))
+	for i, name := range names {
+		out[i] = cell.WorkerID(name)
+	}
+	return out
+}
+
 // readersAtOnce bounds the reads of the store that run at the same time.
 const readersAtOnce = 64
 
