--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -25,6 +25,8 @@
 	StopRepeat time.Duration
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
+	// Policy is the zero value but in experiments.
+	Policy Policy
 }
 
 // Stage is a part of the way of a job whose duration is observed.
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -16,7 +16,7 @@
 // preempt makes room for a step of the first priority: it stops runs of later
 // queues that have a checkpoint, where the step is allowed to run.
 func (c *Cell) preempt(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
-	if q.Priority != 0 || s.spec.Gang || s.spec.LongRunning || now.Sub(s.readyAt) < preemptAfter {
+	if c.config.Policy.NoPreemption || q.Priority != 0 || s.spec.Gang || s.spec.LongRunning || now.Sub(s.readyAt) < preemptAfter {
 		return
 	}
 	wanted := s.waiting - s.coming
--- a/internal/cell/rank.go
+++ b/internal/cell/rank.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -32,7 +33,10 @@
 
 func (c *Cell) rank(now time.Time, s *stepState) rank {
 	q := c.queueOf(s.job)
-	objective := c.objective(s.job)
+	if c.config.Policy.Order == OrderArrival {
+		return rank{due: s.begins()}
+	}
+	objective := Objective(s.job.job, q)
 	due := s.begins().Add(objective)
 	class := q.Priority
 	switch {
@@ -55,12 +59,10 @@
 	return s.job.acceptedAt
 }
 
-// objective is how long a job may take from its acceptance, by its declared
-// estimates.
-func (c *Cell) objective(j *jobState) time.Duration {
-	q := c.queueOf(j)
-	chain := longestChain(j.job)
-	return time.Duration(q.SlackFactor*float64(chain)) + q.TargetLatency
+// Objective is how long a job of a queue may take from its acceptance, by its
+// declared estimates.
+func Objective(j *workload.Job, q *manifest.Queue) time.Duration {
+	return time.Duration(q.SlackFactor*float64(longestChain(j))) + q.TargetLatency
 }
 
 // longestChain returns the longest time through a job's steps.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -63,6 +63,7 @@
 			reportCommand(stdout),
 			logCommand(stdout),
 			demoCommand(stdout),
+			experimentCommand(stdout, stderr),
 			versionCommand(stdout),
 		},
 	}
--- /dev/null
+++ b/internal/experiment/file.go
@@ -0,0 +1,158 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/document"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+)
+
+// Kind tells why an experiment could not be played.
+type Kind string
+
+const (
+	// KindUnreadable means that the load could not be read at all.
+	KindUnreadable Kind = "unreadable"
+	// KindInvalid means that fields of the load are wrong; the error wraps
+	// document.Faults.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+// maxLoadBytes bounds a load file.
+const maxLoadBytes = 1 << 20
+
+type loadWire struct {
+	Duration   *string `validate:"required,duration=1s:24h"`
+	Askers     int     `validate:"number=1:1000"`
+	CommitTime *string `validate:"required,duration=0s:1m"`
+	CallTime   *string `validate:"required,duration=0s:1m"`
+	Workers    workersWire
+	Queues     []queueWire `validate:"required,dive"`
+	Bursts     []burstWire `validate:"dive"`
+}
+
+type workersWire struct {
+	Count        int     `validate:"number=1:100000"`
+	MilliCores   int64   `validate:"number=1:10000000"`
+	MemoryMB     int64   `validate:"number=1:100000000"`
+	PerRack      int     `validate:"number=1:100000"`
+	SlowShare    float64 `validate:"gte=0,lte=1"`
+	SlowFactor   float64 `validate:"gte=0"`
+	FailingShare float64 `validate:"gte=0,lte=1"`
+}
+
+type queueWire struct {
+	Name          string  `validate:"name"`
+	Priority      int     `validate:"number=0:100"`
+	MaxAttempts   int     `validate:"number=0:1000"`
+	SlackFactor   float64 `validate:"gte=0"`
+	TargetLatency *string `validate:"required,duration=0s:24h"`
+	PerSecond     float64 `validate:"gte=0"`
+	MeanSteps     float64 `validate:"gte=1"`
+	MeanTasks     float64 `validate:"gte=1"`
+	MilliCores    int64   `validate:"number=1:10000000"`
+	MemoryMB      int64   `validate:"number=0:100000000"`
+	RunTime       *string `validate:"required,duration=1ms:24h"`
+	EstimateError float64 `validate:"gte=0,lte=100"`
+	Checkpoints   bool
+	FailShare     float64 `validate:"gte=0,lte=1"`
+	HopelessShare float64 `validate:"gte=0,lte=1"`
+	CancelShare   float64 `validate:"gte=0,lte=1"`
+	Advice        *adviceWire
+}
+
+type adviceWire struct {
+	Fixed        *string `validate:"required,duration=0s:1h"`
+	PerWorker    *string `validate:"required,duration=0s:1h"`
+	Valid        *string `validate:"required,duration=1ms:24h"`
+	AllowedShare float64 `validate:"gt=0,lte=1"`
+}
+
+type burstWire struct {
+	Queue string  `validate:"name"`
+	At    *string `validate:"required,duration=0s:24h"`
+	For   *string `validate:"required,duration=0s:24h"`
+	Times float64 `validate:"gte=0"`
+}
+
+// ReadLoad reads a load in JSON, and names every field that is wrong.
+func ReadLoad(r io.Reader) (Load, error) {
+	var w loadWire
+	faults, err := document.Decode(r, maxLoadBytes, &w)
+	if err != nil {
+		return Load{}, fault.New("read load", KindUnreadable, "%w", err)
+	}
+	for i := range w.Bursts {
+		if !w.hasQueue(w.Bursts[i].Queue) {
+			faults.Add(fmt.Sprintf("Bursts[%d].Queue", i), w.Bursts[i].Queue, "the name of one of the Queues")
+		}
+	}
+	if len(faults) > 0 {
+		return Load{}, fault.New("read load", KindInvalid, "%w", faults)
+	}
+	return w.load(), nil
+}
+
+func (w *loadWire) hasQueue(name string) bool {
+	for i := range w.Queues {
+		if w.Queues[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *loadWire) load() Load {
+	l := Load{
+		Duration: span(w.Duration), Askers: w.Askers, CommitTime: span(w.CommitTime), CallTime: span(w.CallTime),
+		Workers: Workers{
+			Count: w.Workers.Count, Room: job.Size{MilliCores: w.Workers.MilliCores, MemoryMB: w.Workers.MemoryMB},
+			PerRack: w.Workers.PerRack, SlowShare: w.Workers.SlowShare, SlowFactor: w.Workers.SlowFactor,
+			FailingShare: w.Workers.FailingShare,
+		},
+	}
+	for i := range w.Queues {
+		l.Queues = append(l.Queues, w.Queues[i].queue())
+	}
+	for _, b := range w.Bursts {
+		l.Bursts = append(l.Bursts, Burst{Queue: b.Queue, At: span(b.At), For: span(b.For), Times: b.Times})
+	}
+	return l
+}
+
+func (w *queueWire) queue() Queue {
+	q := Queue{
+		Queue: manifest.Queue{
+			Name: w.Name, Service: service, Priority: w.Priority, MaxAttempts: w.MaxAttempts,
+			SlackFactor: w.SlackFactor, TargetLatency: span(w.TargetLatency),
+		},
+		PerSecond: w.PerSecond, MeanSteps: w.MeanSteps, MeanTasks: w.MeanTasks,
+		Size: job.Size{MilliCores: w.MilliCores, MemoryMB: w.MemoryMB}, RunTime: span(w.RunTime),
+		EstimateError: w.EstimateError, Checkpoints: w.Checkpoints, FailShare: w.FailShare,
+		HopelessShare: w.HopelessShare, CancelShare: w.CancelShare, AllowedShare: 1,
+	}
+	if a := w.Advice; a != nil {
+		q.Queue.Advice = manifest.Advice{Fixed: span(a.Fixed), PerWorker: span(a.PerWorker), Valid: span(a.Valid)}
+		q.AllowedShare = a.AllowedShare
+	}
+	return q
+}
+
+// span reads a duration that has been checked.
+func span(text *string) time.Duration {
+	if text == nil {
+		return 0
+	}
+	d, err := time.ParseDuration(*text)
+	if err != nil {
+		return 0 // the check has named it
+	}
+	return d
+}
--- /dev/null
+++ b/internal/experiment/output.go
@@ -0,0 +1,93 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+)
+
+// KindUnwritten means that a result could not be written.
+const KindUnwritten Kind = "unwritten"
+
+const percent = 100
+
+// WriteText writes a result as a table for people.
+func (r *Result) WriteText(to io.Writer) error {
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	lines := []string{"Queue\tJobs\tInTime\tLate\tMissed\tWait p50\tWait p99\tTime p50\tTime p99\t"}
+	for i := range r.Queues {
+		q := &r.Queues[i]
+		lines = append(lines, fmt.Sprintf("%s\t%d\t%.1f%%\t%d\t%d\t%s\t%s\t%s\t%s\t", q.Name, q.Jobs, percent*q.InTimeShare(),
+			q.Late, q.Missed, shown(q.Waits, half), shown(q.Waits, most), shown(q.Times, half), shown(q.Times, most)))
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(table, line); err != nil {
+			return fault.New("write", KindUnwritten, "%w", err)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return fault.New("write", KindUnwritten, "%w", err)
+	}
+	_, err := fmt.Fprintf(to, "Packing %.1f%%, starts %d, stops %d, questions for advice %d, wasted core-seconds %.0f\n",
+		percent*r.Packing, r.Starts, r.Stops, r.Questions, r.WastedCoreSeconds)
+	if err != nil {
+		return fault.New("write", KindUnwritten, "%w", err)
+	}
+	return nil
+}
+
+const (
+	half = 0.5
+	most = 0.99
+)
+
+func shown(sorted []time.Duration, part float64) string {
+	return Quantile(sorted, part).Round(time.Millisecond).String()
+}
+
+type resultWire struct {
+	Queues            []queueResultWire
+	Packing           float64
+	Starts            int
+	Stops             int
+	Questions         int
+	WastedCoreSeconds float64
+}
+
+type queueResultWire struct {
+	Name        string
+	Jobs        int
+	InTime      int
+	Late        int
+	Missed      int
+	WaitMedian  string
+	WaitP99     string
+	TimeMedian  string
+	TimeP99     string
+	InTimeShare float64
+}
+
+// WriteJSON writes a result for programs.
+func (r *Result) WriteJSON(to io.Writer) error {
+	w := resultWire{
+		Packing: r.Packing, Starts: r.Starts, Stops: r.Stops, Questions: r.Questions, WastedCoreSeconds: r.WastedCoreSeconds,
+	}
+	for i := range r.Queues {
+		q := &r.Queues[i]
+		w.Queues = append(w.Queues, queueResultWire{
+			Name: q.Name, Jobs: q.Jobs, InTime: q.InTime, Late: q.Late, Missed: q.Missed,
+			WaitMedian: shown(q.Waits, half), WaitP99: shown(q.Waits, most),
+			TimeMedian: shown(q.Times, half), TimeP99: shown(q.Times, most), InTimeShare: q.InTimeShare(),
+		})
+	}
+	encoder := json.NewEncoder(to)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(w); err != nil {
+		return fault.New("write", KindUnwritten, "%w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/plot.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"path/filepath"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	// WaitsPlot is the file into which Plot draws the waiting times.
+	WaitsPlot = "waits.svg"
+	// PackingPlot is the file into which Plot draws how full the workers were.
+	PackingPlot = "packing.svg"
+)
+
+// Plot draws how long jobs waited and how full the workers were into a folder.
+func (r *Result) Plot(folder string) error {
+	if err := r.plotWaits(filepath.Join(folder, WaitsPlot)); err != nil {
+		return err
+	}
+	return r.plotPacking(filepath.Join(folder, PackingPlot))
+}
+
+// plotWaits draws for each queue which part of its jobs had started after a time.
+func (r *Result) plotWaits(file string) error {
+	p := plot.New()
+	p.Title.Text = "Waiting time"
+	p.X.Label.Text = "seconds from handing in to the first start"
+	p.Y.Label.Text = "part of the jobs"
+	var lines []any
+	for i := range r.Queues {
+		lines = append(lines, r.Queues[i].Name, shares(r.Queues[i].Waits))
+	}
+	return save(p, file, lines)
+}
+
+func shares(sorted []time.Duration) plotter.XYs {
+	out := make(plotter.XYs, len(sorted))
+	for i, wait := range sorted {
+		out[i] = plotter.XY{X: wait.Seconds(), Y: float64(i+1) / float64(len(sorted))}
+	}
+	return out
+}
+
+func (r *Result) plotPacking(file string) error {
+	p := plot.New()
+	p.Title.Text = "Packing"
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "part of all cores at work"
+	p.Y.Min, p.Y.Max = 0, 1
+	line := make(plotter.XYs, len(r.PackingOver))
+	for i, part := range r.PackingOver {
+		line[i] = plotter.XY{X: float64(i), Y: part}
+	}
+	return save(p, file, []any{"packing", line})
+}
+
+func save(p *plot.Plot, file string, lines []any) error {
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fault.New("plot", KindUnwritten, "%w", err)
+	}
+	if err := p.Save(plotWidth, plotHeight, file); err != nil {
+		return fault.New("plot", KindUnwritten, "%w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/result.go
@@ -0,0 +1,159 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// Result is what the callers of a load got, and what it took.
+type Result struct {
+	Queues []QueueResult
+	// Packing is the part of all cores that worked, on average over the time in
+	// which jobs were handed in, and PackingOver the same by second.
+	Packing     float64
+	PackingOver []float64
+	// Starts and Stops count orders to workers, Questions those to the advice
+	// service.
+	Starts    int
+	Stops     int
+	Questions int
+	// WastedCoreSeconds is work that was stopped or failed and not saved.
+	WastedCoreSeconds float64
+}
+
+// QueueResult is what the callers of one queue got.
+type QueueResult struct {
+	Name string
+	// Jobs are those handed in that were not cancelled. InTime were complete, or
+	// failed for good if they are hopeless, within their objective; Late within
+	// three times of it.
+	Jobs   int
+	InTime int
+	Late   int
+	Missed int
+	// Waits are the times from handing in to the first start, and Times those
+	// to the end, of the jobs that got there, sorted.
+	Waits []time.Duration
+	Times []time.Duration
+}
+
+// lateFactor times the objective is when a job is of no use any more.
+const lateFactor = 3
+
+// InTimeShare is the part of the jobs that kept their objective.
+func (q *QueueResult) InTimeShare() float64 {
+	if q.Jobs == 0 {
+		return 1
+	}
+	return float64(q.InTime) / float64(q.Jobs)
+}
+
+// Quantile returns the value below which a part of sorted times lie.
+func Quantile(sorted []time.Duration, part float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(part*float64(len(sorted))), len(sorted)-1)]
+}
+
+func (p *play) result() Result {
+	out := Result{
+		Packing: p.tally.packing(), PackingOver: p.tally.over, Starts: p.tally.starts, Stops: p.tally.stops,
+		Questions: p.tally.questions, WastedCoreSeconds: p.tally.wasted,
+	}
+	for i := range p.load.Queues {
+		out.Queues = append(out.Queues, p.queueResult(&p.load.Queues[i]))
+	}
+	return out
+}
+
+func (p *play) queueResult(q *Queue) QueueResult {
+	out := QueueResult{Name: q.Queue.Name}
+	for _, j := range p.jobs {
+		if j.queue == q && !j.cancelled {
+			out.add(j)
+		}
+	}
+	slices.Sort(out.Waits)
+	slices.Sort(out.Times)
+	return out
+}
+
+func (q *QueueResult) add(j *jobPlay) {
+	q.Jobs++
+	if !j.startedAt.IsZero() {
+		q.Waits = append(q.Waits, j.startedAt.Sub(j.handedIn))
+	}
+	served := j.state == workload.StateCompleted || j.hopeless && j.state == workload.StateFailed
+	if !served {
+		q.Missed++
+		return
+	}
+	took := j.endedAt.Sub(j.handedIn)
+	q.Times = append(q.Times, took)
+	switch {
+	case took <= j.objective:
+		q.InTime++
+	case took <= lateFactor*j.objective:
+		q.Late++
+	default:
+		q.Missed++
+	}
+}
+
+// tally counts while a load is played.
+type tally struct {
+	starts    int
+	stops     int
+	questions int
+	wasted    float64
+
+	cores float64
+	begin time.Time
+	until time.Time
+	at    time.Time
+	used  float64
+	// worked is the sum of core-seconds up to at, over that of each second.
+	worked float64
+	over   []float64
+}
+
+func newTally(begin time.Time, load Load) tally {
+	const milli = 1000
+	return tally{
+		begin: begin, at: begin, until: begin.Add(load.Duration),
+		cores: float64(load.Workers.Room.MilliCores) / milli * float64(load.Workers.Count),
+		over:  make([]float64, int(load.Duration/time.Second)),
+	}
+}
+
+// pass lets time go on with the cores in use as they are.
+func (t *tally) pass(now time.Time) {
+	for t.at.Before(now) && t.at.Before(t.until) {
+		second := int(t.at.Sub(t.begin) / time.Second)
+		next := t.begin.Add(time.Duration(second+1) * time.Second)
+		if now.Before(next) {
+			next = now
+		}
+		worked := t.used * next.Sub(t.at).Seconds()
+		t.worked += worked
+		if second < len(t.over) {
+			t.over[second] += worked / t.cores
+		}
+		t.at = next
+	}
+}
+
+// use changes the cores in use.
+func (t *tally) use(now time.Time, cores float64) {
+	t.pass(now)
+	t.used += cores
+}
+
+func (t *tally) waste(worked time.Duration, cores float64) { t.wasted += worked.Seconds() * cores }
+
+func (t *tally) packing() float64 {
+	return t.worked / (t.cores * t.until.Sub(t.begin).Seconds())
+}
--- /dev/null
+++ b/internal/experiment/worker.go
@@ -0,0 +1,71 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// worker runs tasks in virtual time.
+type worker struct {
+	id cell.WorkerID
+	// slowdown times its estimate is how long a task runs here.
+	slowdown float64
+	failing  bool
+	runs     map[workload.TaskID]*run
+	ends     []cell.Ended
+	ended    int64
+}
+
+// run is a task at work.
+type run struct {
+	task   workload.TaskID
+	number int
+	from   time.Time
+	// took is how long the run will take in all, of which done is saved work of
+	// earlier runs.
+	took  time.Duration
+	done  time.Duration
+	fails bool
+	over  bool
+}
+
+// progress returns how much of the work is done, from 0 to 1.
+func (r *run) progress(now time.Time) float64 {
+	return min(float64(r.done+now.Sub(r.from))/float64(max(r.took, 1)), 1)
+}
+
+const fullPercent = 100
+
+// report is what the worker answers to a hold call.
+func (w *worker) report(now, begin time.Time, acknowledged int64) cell.Report {
+	w.ends = slices.DeleteFunc(w.ends, func(e cell.Ended) bool { return e.Number <= acknowledged })
+	out := cell.Report{Incarnation: 1, Clock: now.Sub(begin), Ended: slices.Clone(w.ends)}
+	for _, r := range w.runs {
+		out.Running = append(out.Running, cell.Running{
+			Task: r.task, Run: r.number, Percent: int(fullPercent * r.progress(now)),
+		})
+	}
+	slices.SortFunc(out.Running, func(a, b cell.Running) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+	return out
+}
+
+// end takes a run off the worker and lists its end.
+func (w *worker) end(r *run, how cell.EndKind, checkpoint string) {
+	r.over = true
+	delete(w.runs, r.task)
+	w.ended++
+	w.ends = append(w.ends, cell.Ended{Number: w.ended, Task: r.task, Run: r.number, Kind: how, Checkpoint: checkpoint})
+}
+
+// sighting is how the worker stands in the list of workers.
+func (w *worker) sighting(number int, load *Load) cell.Sighting {
+	return cell.Sighting{
+		ID: w.id, Incarnation: 1, Service: service, Room: load.Workers.Room,
+		Labels: []string{fmt.Sprintf("r%d", number/load.Workers.PerRack)},
+	}
+}
--- a/internal/owner/questions.go
+++ b/internal/owner/questions.go
@@ -40,14 +40,13 @@
 	log     *zap.Logger
 
 	mu sync.Mutex
-	// busy has for each host when its last question should be answered. The
-	// zero address stands for this host.
-	busy map[netip.AddrPort]time.Time
+	// spread gives the questions to hosts; the zero address stands for this one.
+	spread *cell.Spread[netip.AddrPort]
 }
 
 func newQuestions(advisor Advisor, remote RemoteAdvisors, timers timer.Service, log *zap.Logger) *questions {
 	return &questions{
-		advisor: advisor, remote: remote, timers: timers, log: log, busy: make(map[netip.AddrPort]time.Time),
+		advisor: advisor, remote: remote, timers: timers, log: log, spread: cell.NewSpread[netip.AddrPort](),
 	}
 }
 
@@ -76,25 +75,9 @@
 
 // pick returns the host to ask and how long its answer should take.
 func (q *questions) pick(a cell.AskAdvice) (netip.AddrPort, time.Duration) {
-	now := q.timers.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	hosts := append([]netip.AddrPort{{}}, q.remote.List()...)
 	slices.SortFunc(hosts, netip.AddrPort.Compare)
-	if !a.Urgent {
-		hosts = hosts[cell.UrgentAdvisers(len(hosts)):]
-	}
-	best := hosts[0]
-	for _, h := range hosts[1:] {
-		if q.busy[h].Before(q.busy[best]) {
-			best = h
-		}
-	}
-	begin := now
-	if q.busy[best].After(now) {
-		begin = q.busy[best]
-	}
-	end := begin.Add(a.Cost)
-	q.busy[best] = end
-	return best, end.Sub(now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.spread.Pick(q.timers.Now(), hosts, a)
 }
