--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -83,6 +83,8 @@
 	// shares has for each queue the part of the workers that is usually
 	// allowed.
 	shares map[string]float64
+	// estimates has for each queue what its estimates are worth.
+	estimates map[string]*estimates
 
 	// endedJobs holds the jobs that have ended, the oldest end first.
 	endedJobs []endedJob
@@ -110,6 +112,7 @@
 		pending:   make(map[string]int),
 		longLimit: 1, shares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
+		estimates: make(map[string]*estimates),
 	}
 }
 
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // health tells a worker on which everything fails from one that has bad luck.
 type health struct {
@@ -10,6 +13,10 @@
 	// that was done.
 	crawls           int
 	quarantinedUntil time.Time
+	// slowness is how many times as long as elsewhere tasks took here, less 1,
+	// as learned at slowAt.
+	slowness float64
+	slowAt   time.Time
 }
 
 const (
@@ -46,3 +53,27 @@
 func (h *health) refused(now time.Time) { h.quarantinedUntil = now.Add(quarantineAfterRefusal) }
 
 func (h *health) quarantined(now time.Time) bool { return now.Before(h.quarantinedUntil) }
+
+const (
+	// slowMemory is the time in which half of a learned slowness is forgotten.
+	slowMemory = 8 * time.Second
+	// slowWeight is the weight of one more run in the slowness.
+	slowWeight = 0.5
+	// slowEnough is the slowness from which on a worker is avoided.
+	slowEnough = 1.0
+)
+
+// took notes how long a run took, as a multiple of what is typical of its step.
+func (h *health) took(now time.Time, times float64) {
+	known := h.slowNow(now)
+	h.slowness = known + slowWeight*(max(times-1, 0)-known)
+	h.slowAt = now
+}
+
+// slowNow is the slowness as far as it is still believed.
+func (h *health) slowNow(now time.Time) float64 {
+	if h.slowness == 0 {
+		return 0
+	}
+	return h.slowness * math.Exp2(-float64(now.Sub(h.slowAt))/float64(slowMemory))
+}
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -135,9 +135,11 @@
 	// percent is the progress last reported, and movedAt when it changed.
 	percent int
 	movedAt time.Time
-	seen    bool
-	pace    int
-	load    float64
+	// fresh runs began without a checkpoint.
+	fresh bool
+	seen  bool
+	pace  int
+	load  float64
 }
 
 // Accept takes in a job of the store. A job that is known already is left as
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -31,6 +31,7 @@
 func (c *Cell) sendStart(now time.Time, r *run) {
 	r.phase = runSent
 	r.sentAt = now
+	r.fresh = r.task.checkpoint == ""
 	r.deadline = r.worker.grant(now, c.config.Lease)
 	c.observe(StageRecord, r.task.step.job, now.Sub(r.plannedAt))
 	c.begin(r.task.step.job)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -173,7 +173,7 @@
 		if s.spec.MaxPerWorker > 0 && w.countOf(s.id) >= s.spec.MaxPerWorker {
 			continue
 		}
-		if score := c.config.Policy.scoreAt(s, w); best == nil || score > bestScore {
+		if score := c.config.Policy.scoreAt(now, s, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
--- a/internal/cell/policy.go
+++ b/internal/cell/policy.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"time"
 )
 
 // Policy chooses how a cell orders and places tasks. The zero value is the way
@@ -41,7 +42,7 @@
 )
 
 // scoreAt tells how well a worker suits one more task of a step by the policy.
-func (p Policy) scoreAt(s *stepState, w *worker) float64 {
+func (p Policy) scoreAt(now time.Time, s *stepState, w *worker) float64 {
 	switch p.Fit {
 	case FitFirst:
 		return 0
@@ -52,5 +53,9 @@
 		return float64(h.Sum32())
 	case FitBest:
 	}
-	return s.score(w)
+	score := s.score(w)
+	if slow := w.health.slowNow(now); slow > slowEnough {
+		score -= slow
+	}
+	return score
 }
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -62,6 +62,9 @@
 		return true
 	}
 	typical, known := step.typical()
+	if !known && r.worker.health.slowNow(now) > slowEnough {
+		typical, known = c.expected(step)
+	}
 	worked, timed := r.took(now)
 	if !known || !timed || worked < crawlAfter || r.percent == 0 {
 		return false
@@ -81,6 +84,61 @@
 	return s.runTime / time.Duration(s.timed), true
 }
 
+// expected returns how long a task of a step should run: as the others of the step
+// did, or else by its estimate and how the queue's estimates proved.
+func (c *Cell) expected(s *stepState) (time.Duration, bool) {
+	if typical, known := s.typical(); known {
+		return typical, true
+	}
+	e, known := c.estimates[s.job.job.Queue]
+	if !known || e.samples < estimateSamples || !s.estimable() {
+		return 0, false
+	}
+	return time.Duration(float64(s.spec.Estimate) * e.factor * estimateMargin), true
+}
+
+// estimable reports whether the estimate of a step tells how long its tasks run.
+// Far from their data, or from each other, tasks take several times as long.
+func (s *stepState) estimable() bool {
+	return s.spec.Estimate > 0 && s.spec.DataRack == "" && !s.spec.SameRack
+}
+
+// estimates is how the run times of a queue's tasks compare with their estimates.
+type estimates struct {
+	factor  float64
+	samples int
+}
+
+const (
+	// estimateSamples is the least number of runs that tell what estimates of a
+	// queue are worth, and estimateWeight the weight of one more run.
+	estimateSamples = 10
+	estimateWeight  = 0.05
+	// estimateMargin times its estimate is what a task may take at least, since
+	// estimates are rough.
+	estimateMargin = 1.5
+)
+
+// learnRunTime takes in how long a task ran that is done.
+func (c *Cell) learnRunTime(now time.Time, r *run, took time.Duration) {
+	s := r.task.step
+	if !s.estimable() || !r.fresh {
+		return
+	}
+	if expected, known := c.expected(s); known {
+		r.worker.health.took(now, took.Seconds()/expected.Seconds())
+	}
+	queue := s.job.job.Queue
+	e, known := c.estimates[queue]
+	seen := took.Seconds() / s.spec.Estimate.Seconds()
+	if !known {
+		e = &estimates{factor: seen}
+		c.estimates[queue] = e
+	}
+	e.samples++
+	e.factor += estimateWeight * (seen - e.factor)
+}
+
 // took returns how long ago the run was sent, and false for a run of an earlier
 // owner.
 func (r *run) took(now time.Time) (time.Duration, bool) {
@@ -98,5 +156,8 @@
 	r.task.moves++
 	r.task.failedOn = r.worker.id
 	r.worker.health.crawled(now)
+	if typical, known := r.task.step.typical(); known && r.percent > 0 && r.task.step.estimable() {
+		r.worker.health.took(now, worked.Seconds()*fullPercent/float64(r.percent)/typical.Seconds())
+	}
 	c.stop(now, r)
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -193,6 +193,7 @@
 		c.observe(StageRun, t.step.job, took)
 	}
 	if e.Kind == EndDone && timed {
+		c.learnRunTime(now, r, took)
 		t.step.timed++
 		t.step.runTime += took
 	}
