--- a/cmd/cicadabarrow/onplatform_test.go
+++ b/cmd/cicadabarrow/onplatform_test.go
@@ -25,6 +25,7 @@
 	name    string
 	client  netip.AddrPort
 	health  netip.AddrPort
+	metrics netip.AddrPort
 	file    string
 	logFile string
 	cmd     *exec.Cmd
@@ -81,12 +82,12 @@
 
 func (f *hostFleet) newHost(dir, name string) *entryHost {
 	h := &entryHost{
-		name: name, client: freeAddr(f.t), health: freeAddr(f.t),
+		name: name, client: freeAddr(f.t), health: freeAddr(f.t), metrics: freeAddr(f.t),
 		file: filepath.Join(dir, name+".json"), logFile: filepath.Join(dir, name+".log"),
 	}
 	settings := map[string]any{
 		"Name": name, "Region": "r", "DataCentre": "dc-1", "PeerAddr": freeAddr(f.t), "ClientAddr": h.client,
-		"HealthAddr": h.health, "StoreAddr": f.platform.StoreAddr(), "AdviceAddr": f.platform.AdviceAddr(),
+		"HealthAddr": h.health, "MetricsAddr": h.metrics, "StoreAddr": f.platform.StoreAddr(), "AdviceAddr": f.platform.AdviceAddr(),
 		"MemoryMB": 284, "Fenced": true,
 		"Bounds": map[string]any{"MaxLease": "6s", "StopGrace": "6s", "KeepEnded": f.keep},
 	}
--- /dev/null
+++ b/internal/cell/overview.go
@@ -0,0 +1,153 @@
+package cell
+
+import (
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// Overview is what an operator sees of a cell.
+type Overview struct {
+	// Manifest is the version in force.
+	Manifest uint64
+	Backlog  Backlog
+	// Settling is set while runs may exist that this owner does not know.
+	Settling bool
+	Workers  []WorkerView
+	Waves    []WaveView
+}
+
+// WorkerState tells whether a worker gets starts, and why not.
+type WorkerState string
+
+const (
+	// WorkerReady workers get starts.
+	WorkerReady WorkerState = "Ready"
+	// WorkerSilent workers do not answer.
+	WorkerSilent WorkerState = "Silent"
+	// WorkerLeaving workers have been told to leave.
+	WorkerLeaving WorkerState = "Leaving"
+	// WorkerUpkeep workers are emptied for the upkeep of their machine.
+	WorkerUpkeep WorkerState = "Upkeep"
+	// WorkerQuarantined workers failed or crawled and are left alone for now.
+	WorkerQuarantined WorkerState = "Quarantined"
+	// WorkerUnlisted workers are not in the list of workers.
+	WorkerUnlisted WorkerState = "Unlisted"
+)
+
+// WorkerView is what an operator sees of a worker.
+type WorkerView struct {
+	ID    WorkerID
+	Rack  string
+	State WorkerState
+	Runs  int
+	Room  job.Size
+	Free  job.Size
+	// Slowness is how many times as long as elsewhere tasks took here, less 1.
+	Slowness float64
+}
+
+// WaveView is how far a wave of upkeep is.
+type WaveView struct {
+	Wave     int
+	Machines int
+	Ordered  int
+	Settled  int
+	Done     bool
+}
+
+// JobView is what an operator sees of a job.
+type JobView struct {
+	ID    workload.JobID
+	Queue string
+	State workload.State
+	// Age is for how long this owner knows the job.
+	Age   time.Duration
+	Steps []StepView
+}
+
+// StepView is how far one occurrence of a step is.
+type StepView struct {
+	ID      workload.StepID
+	Ready   bool
+	Tasks   int
+	Waiting int
+	Done    int
+	Runs    []RunView
+}
+
+// RunView is a task that may be at a worker.
+type RunView struct {
+	Task     workload.TaskID
+	Run      int
+	Worker   WorkerID
+	Percent  int
+	Pace     int
+	Stopping bool
+}
+
+// Overview returns what an operator sees of the cell now.
+func (c *Cell) Overview(now time.Time) Overview {
+	out := Overview{Backlog: c.Backlog(now), Settling: c.settling()}
+	if c.manifest != nil {
+		out.Manifest = c.manifest.Version
+	}
+	for _, w := range c.ordered {
+		out.Workers = append(out.Workers, WorkerView{
+			ID: w.id, Rack: w.sighting.Rack(), State: c.workerState(now, w), Runs: w.runs.len(),
+			Room: w.sighting.Room, Free: w.free(), Slowness: w.health.slowNow(now),
+		})
+	}
+	for _, number := range sortedKeys(c.waves) {
+		w := c.waves[number]
+		rec := w.record()
+		out.Waves = append(out.Waves, WaveView{
+			Wave: number, Machines: len(w.wave.Machines), Ordered: len(rec.Ordered), Settled: len(rec.Settled), Done: w.done,
+		})
+	}
+	return out
+}
+
+func (c *Cell) workerState(now time.Time, w *worker) WorkerState {
+	switch {
+	case !w.listed && now.Sub(w.unlistedAt) >= unlistedFor:
+		return WorkerUnlisted
+	case !w.reported || now.Sub(w.lastReport) > c.config.ContactFor:
+		return WorkerSilent
+	case w.sighting.Leaving:
+		return WorkerLeaving
+	case w.cordonedBy != nil || c.mayGoDown(w.sighting.Machine):
+		return WorkerUpkeep
+	case w.health.quarantined(now):
+		return WorkerQuarantined
+	}
+	return WorkerReady
+}
+
+// Job returns what an operator sees of a job, and false for an unknown one.
+func (c *Cell) Job(now time.Time, id workload.JobID) (JobView, bool) {
+	j, known := c.jobs[id]
+	if !known {
+		return JobView{}, false
+	}
+	out := JobView{ID: id, Queue: j.job.Queue, State: j.shown, Age: now.Sub(j.acceptedAt)}
+	for _, steps := range j.occurrences {
+		for _, s := range steps {
+			out.Steps = append(out.Steps, s.view())
+		}
+	}
+	return out, true
+}
+
+func (s *stepState) view() StepView {
+	out := StepView{ID: s.id, Ready: s.ready, Tasks: len(s.tasks), Waiting: s.waiting, Done: s.done}
+	for _, t := range s.tasks {
+		if r := t.current; r != nil {
+			out.Runs = append(out.Runs, RunView{
+				Task: t.id, Run: r.number, Worker: r.worker.id, Percent: r.percent, Pace: r.pace, Stopping: r.stopping,
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/command/cell.go
@@ -0,0 +1,159 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	flagAt = "at"
+	// viewTimeout bounds a question about the cell.
+	viewTimeout = 10 * time.Second
+	// maxView bounds the answer.
+	maxView = 64 << 20
+)
+
+func cellCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "cell",
+		Usage:       "shows what the owner of the cell on the users' platform knows",
+		Description: example("cicadabarrow cell show --at http://10.1.0.13:9464"),
+		Commands: []*cli.Command{
+			{
+				Name:        "show",
+				Usage:       "shows the owner, what waits, the workers and the waves of upkeep",
+				Description: example("cicadabarrow cell show --at http://10.1.0.13:9464"),
+				Flags:       []cli.Flag{atFlag(), formatFlag()},
+				Action:      act(stdout, 0, showCell),
+			},
+			{
+				Name:        "job",
+				Usage:       "shows the steps of a job and where its tasks run",
+				ArgsUsage:   "JOB",
+				Description: example("cicadabarrow cell job 5c0e7a21d94b36f8 --at http://10.1.0.13:9464"),
+				Flags:       []cli.Flag{atFlag(), formatFlag()},
+				Action:      act(stdout, 1, showCellJob),
+			},
+		},
+	}
+}
+
+func atFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagAt, Usage: "the `URL` of any host's MetricsAddr", Required: true}
+}
+
+// fetchView reads a page for operators into a value.
+func fetchView(ctx context.Context, cmd *cli.Command, path string, into any) (json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	url := strings.TrimRight(cmd.String(flagAt), "/") + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxView))
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		var said pageError
+		if err := json.Unmarshal(body, &said); err != nil || said.Error == "" {
+			return nil, fmt.Errorf("%s: status %d", url, answer.StatusCode)
+		}
+		return nil, fmt.Errorf("%s: %s", url, said.Error)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return nil, fmt.Errorf("%s: %w", url, err)
+	}
+	return body, nil
+}
+
+// cellPage is what the page of the cell says.
+type cellPage struct {
+	Owner    string
+	Epoch    uint64
+	Manifest uint64
+	Settling bool
+	Jobs     int
+	Steps    int
+	Tasks    int
+	Workers  []struct {
+		ID, Rack, State string
+		Runs            int
+		Room, Free      struct{ MilliCores, MemoryMB int64 }
+		Slowness        float64
+	}
+	Waves []struct {
+		Wave, Machines, Ordered, Settled int
+		Done                             bool
+	}
+}
+
+func showCell(ctx context.Context, cmd *cli.Command) (result, error) {
+	var p cellPage
+	document, err := fetchView(ctx, cmd, cellPath, &p)
+	if err != nil {
+		return result{}, err
+	}
+	return result{JSON: document, Text: func(w io.Writer) {
+		row(w, "Owner", p.Owner, "Epoch", p.Epoch, "Manifest", p.Manifest)
+		row(w, "Jobs", p.Jobs, "Waiting steps", p.Steps, "Waiting tasks", p.Tasks)
+		if p.Settling {
+			row(w, "Runs of the last owner may be unknown; nothing is started until all workers have answered")
+		}
+		for _, v := range p.Waves {
+			row(w, "Wave", v.Wave, "Machines", v.Machines, "Ordered", v.Ordered, "Settled", v.Settled, "Done", v.Done)
+		}
+		row(w, "WORKER", "RACK", "STATE", "RUNS", "FREE MILLICORES", "FREE MB", "SLOWNESS")
+		for _, v := range p.Workers {
+			row(w, v.ID, v.Rack, v.State, v.Runs, v.Free.MilliCores, v.Free.MemoryMB, fmt.Sprintf("%.1f", v.Slowness))
+		}
+	}}, nil
+}
+
+// jobPage is what the page of a job says.
+type jobPage struct {
+	ID, Queue, State, Age string
+	Steps                 []struct {
+		Step                 string
+		Ready                bool
+		Tasks, Waiting, Done int
+		Runs                 []struct {
+			Task     string
+			Run      int
+			Worker   string
+			Percent  int
+			Pace     int
+			Stopping bool
+		}
+	}
+}
+
+func showCellJob(ctx context.Context, cmd *cli.Command) (result, error) {
+	var p jobPage
+	document, err := fetchView(ctx, cmd, jobPath+cmd.Args().First(), &p)
+	if err != nil {
+		return result{}, err
+	}
+	return result{JSON: document, Text: func(w io.Writer) {
+		row(w, "Job", p.ID, "Queue", p.Queue, "State", p.State, "Age", p.Age)
+		for _, s := range p.Steps {
+			row(w, "Step", s.Step, "Ready", s.Ready, "Tasks", s.Tasks, "Waiting", s.Waiting, "Done", s.Done)
+			for _, r := range s.Runs {
+				row(w, "", r.Task, "run", r.Run, "at", r.Worker, fmt.Sprintf("%d%%", r.Percent), fmt.Sprintf("pace %d%%", r.Pace))
+			}
+		}
+	}}, nil
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -61,6 +61,7 @@
 			workerCommand(stdout),
 			upstreamCommand(stdout),
 			reportCommand(stdout),
+			cellCommand(stdout),
 			logCommand(stdout),
 			demoCommand(stdout),
 			experimentCommand(stdout, stderr),
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -141,7 +141,7 @@
 		settings: s, log: log.Named("process"), timers: timers, peers: peers, host: h,
 		clients: &http.Server{Handler: platform.NewIngress(h), ReadHeaderTimeout: headerTimeout},
 		health:  &http.Server{Handler: platform.NewReadiness(h.Ready), ReadHeaderTimeout: headerTimeout},
-		metrics: &http.Server{Handler: page.Handler, ReadHeaderTimeout: headerTimeout},
+		metrics: &http.Server{Handler: operatorPages(page.Handler, h), ReadHeaderTimeout: headerTimeout},
 	}, nil
 }
 
--- /dev/null
+++ b/internal/command/operators.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/host"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+const (
+	metricsPath = "/metrics"
+	cellPath    = "/cell"
+	jobPath     = cellPath + "/jobs/"
+)
+
+// viewer shows operators what the owner of the cell knows.
+type viewer interface {
+	Cell(ctx context.Context) ([]byte, error)
+	Job(ctx context.Context, id workload.JobID) ([]byte, error)
+}
+
+// operatorPages returns the pages for operators: metrics, the cell and its jobs.
+func operatorPages(metrics http.Handler, v viewer) http.Handler {
+	e := echo.New()
+	e.GET(metricsPath, echo.WrapHandler(metrics))
+	e.GET(cellPath, func(c echo.Context) error {
+		document, err := v.Cell(c.Request().Context())
+		return showDocument(c, document, err)
+	})
+	e.GET(jobPath+":id", func(c echo.Context) error {
+		document, err := v.Job(c.Request().Context(), workload.JobID(c.Param("id")))
+		return showDocument(c, document, err)
+	})
+	return e
+}
+
+func showDocument(c echo.Context, document []byte, err error) error {
+	switch {
+	case fault.Is(err, host.KindNoJob):
+		return c.JSON(http.StatusNotFound, pageError{err.Error()})
+	case err != nil:
+		return c.JSON(http.StatusServiceUnavailable, pageError{err.Error()})
+	}
+	return c.JSONBlob(http.StatusOK, document)
+}
+
+// pageError is what an operator's page says when it cannot answer.
+type pageError struct {
+	Error string
+}
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -37,6 +37,12 @@
 			return peer.Message{}, err
 		}
 		return h.lookUpQueue(ctx, q)
+	case message.KindCellLookup:
+		q, err := message.DecodeCellLookup(m)
+		if err != nil {
+			return peer.Message{}, err
+		}
+		return h.lookUpCell(ctx, q)
 	case message.KindIntakeNews:
 		news, err := message.DecodeIntakeNews(m)
 		if err != nil {
--- /dev/null
+++ b/internal/message/cellview.go
@@ -0,0 +1,52 @@
+package message
+
+import (
+	"cicadabarrow.example/cicadabarrow/internal/peer"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// CellLookup asks the owner for what an operator sees of the cell, or of one job.
+type CellLookup struct {
+	// Job is empty for the cell.
+	Job workload.JobID
+}
+
+// CellSeen answers CellLookup.
+type CellSeen struct {
+	// Document is in JSON; empty for a job that the owner does not know.
+	Document []byte
+}
+
+type cellLookupWire struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Job      string
+}
+
+var cellLookupCodec = codec[CellLookup, cellLookupWire]{
+	kind: KindCellLookup,
+	to:   func(m CellLookup) cellLookupWire { return cellLookupWire{Job: string(m.Job)} },
+	from: func(w cellLookupWire) CellLookup { return CellLookup{Job: workload.JobID(w.Job)} },
+}
+
+// EncodeCellLookup returns the message as it is sent.
+func EncodeCellLookup(m CellLookup) peer.Message { return cellLookupCodec.encode(m) }
+
+// DecodeCellLookup reads the message, or says why it cannot.
+func DecodeCellLookup(p peer.Message) (CellLookup, error) { return cellLookupCodec.decode(p) }
+
+type cellSeenWire struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Document []byte
+}
+
+var cellSeenCodec = codec[CellSeen, cellSeenWire]{
+	kind: KindCellSeen,
+	to:   func(m CellSeen) cellSeenWire { return cellSeenWire{Document: m.Document} },
+	from: func(w cellSeenWire) CellSeen { return CellSeen{Document: w.Document} },
+}
+
+// EncodeCellSeen returns the message as it is sent.
+func EncodeCellSeen(m CellSeen) peer.Message { return cellSeenCodec.encode(m) }
+
+// DecodeCellSeen reads the message, or says why it cannot.
+func DecodeCellSeen(p peer.Message) (CellSeen, error) { return cellSeenCodec.decode(p) }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -52,6 +52,8 @@
 	KindRelayed
 	KindIntakeNews
 	KindIntakeHeard
+	KindCellLookup
+	KindCellSeen
 )
 
 // AskPromise asks for a promise not to fence the sender.
