--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -26,18 +26,49 @@
 			Usage:       "checks a settings file and lists every fault",
 			ArgsUsage:   "FILE",
 			Description: example("cicadabarrow settings check examples/tsukushi/kita-hakata-1.json"),
-			Flags:       []cli.Flag{formatFlag()},
+			Flags: []cli.Flag{
+				&cli.StringFlag{
+					Name: flagFor, Value: forServe, Usage: "the `COMMAND` that reads the file: serve or host", Validator: checkReader,
+				},
+				formatFlag(),
+			},
 			Action: act(stdout, 1, func(_ context.Context, cmd *cli.Command) (result, error) {
-				file := cmd.Args().First()
-				s, err := settings.Load(file)
-				if err != nil {
-					return result{}, fmt.Errorf("%s: %w", file, err)
-				}
-				return result{
-					JSON: settingsChecked{File: file, Valid: true},
-					Text: func(w io.Writer) { row(w, fmt.Sprintf("%s is valid: %s in %s", file, s.Name, s.DataCentre)) },
-				}, nil
+				return checkSettings(cmd.Args().First(), cmd.String(flagFor))
 			}),
 		}},
 	}
 }
+
+const (
+	flagFor  = "for"
+	forServe = "serve"
+	forHost  = "host"
+)
+
+func checkReader(reader string) error {
+	if reader != forServe && reader != forHost {
+		return fmt.Errorf("the reader is %q; allowed is serve or host", reader)
+	}
+	return nil
+}
+
+func checkSettings(file, reader string) (result, error) {
+	name, dataCentre, err := nameOf(file, reader)
+	if err != nil {
+		return result{}, fmt.Errorf("%s: %w", file, err)
+	}
+	return result{
+		JSON: settingsChecked{File: file, Valid: true},
+		Text: func(w io.Writer) { row(w, fmt.Sprintf("%s is valid: %s in %s", file, name, dataCentre)) },
+	}, nil
+}
+
+// nameOf reads a settings file and returns the host that it is for.
+func nameOf(file, reader string) (name, dataCentre string, err error) {
+	if reader == forHost {
+		s, err := settings.LoadHost(file)
+		return s.Name, s.DataCentre, err
+	}
+	s, err := settings.Load(file)
+	return s.Name, s.DataCentre, err
+}
--- /dev/null
+++ b/internal/settings/host_test.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cicadabarrow.example/cicadabarrow/internal/document"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+)
+
+// hostExamples are settings of hosts on the users' platform, one for each of the
+// two deployments.
+const hostExamples = "../../examples/platform/*.json"
+
+func TestHostExamplesAreValid(t *testing.T) {
+	const count = 2
+	files, err := filepath.Glob(hostExamples)
+	if err != nil || len(files) != count {
+		t.Fatalf("examples: %v, %v", files, err)
+	}
+	for _, file := range files {
+		s, err := LoadHost(file)
+		if err != nil {
+			t.Errorf("%s: %v", file, err)
+			continue
+		}
+		if s.Name+".json" != filepath.Base(file) || len(s.Seeds) == 0 {
+			t.Errorf("%s: name %q, seeds %v", file, s.Name, s.Seeds)
+		}
+	}
+}
+
+// TestReadHost reads settings of a host from a data file. The command "edit"
+// replaces text in a valid document: one "old => new" a line.
+func TestReadHost(t *testing.T) {
+	base, err := os.ReadFile("../../examples/platform/centro-a-1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	datadriven.RunTest(t, "testdata/host", func(t *testing.T, d *datadriven.TestData) string {
+		_, err := ReadHost(strings.NewReader(edit(t, string(base), d.Input)))
+		if err == nil {
+			return "valid\n"
+		}
+		var faults document.Faults
+		if !errors.As(err, &faults) || !fault.Is(err, KindInvalid) {
+			t.Fatalf("an error without faults: %v", err)
+		}
+		return err.Error() + "\n"
+	})
+}
