--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -30,6 +30,8 @@
 	// Version changes whenever the owner commits; 0 means that there has
 	// never been an owner.
 	Version uint64
+	// Clock is the store's steady clock when the row was read; 0 is unknown.
+	Clock time.Duration
 }
 
 // ReadState finds the state in the rows of the owner's part.
@@ -53,6 +55,7 @@
 func (s State) Takeover(me ledger.Owner) (rowstore.Transaction, ledger.Owner, error) {
 	me.Epoch = s.Owner.Epoch + 1
 	me.Ahead = s.Owner.Ahead
+	me.Before = s.Clock
 	value, err := ledger.EncodeOwner(me)
 	if err != nil {
 		return rowstore.Transaction{}, ledger.Owner{}, fault.New("take over", KindMalformed, "%w", err)
@@ -99,7 +102,28 @@
 	if !w.known || s.Version != w.version {
 		w.known, w.version, w.changedAt = true, s.Version, now.Add(-sign.Unrenewed)
 	}
-	return now.Sub(w.changedAt) >= max(w.patience, latencyFactor*sign.Latency)
+	patience := max(w.patience, latencyFactor*sign.Latency)
+	return now.Sub(w.changedAt) >= patience || s.stoodFor(patience)
+}
+
+const (
+	// renewalGap is the longest time between two transactions of a healthy
+	// owner on a quick store.
+	renewalGap = 500 * time.Millisecond
+	// longestSilence is an age that the store's clock is not trusted for: it may
+	// have begun anew.
+	longestSilence = 1 * time.Hour
+)
+
+// stoodFor reports whether the row has stood unchanged for a time, also before it
+// was first read. The row names a time before it was written, at which the
+// owner's last transaction was carried out.
+func (s State) stoodFor(patience time.Duration) bool {
+	if s.Owner.Before == 0 || s.Clock == 0 {
+		return false
+	}
+	silence := s.Clock - s.Owner.Before
+	return silence >= patience+renewalGap && silence < longestSilence
 }
 
 // Reset forgets what was seen, after the owner has answered again.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -61,6 +61,30 @@
 	}
 }
 
+// A row that names a time long before it was read is taken at the first look: its
+// owner has not written since.
+func TestWatchTakesAnOldRowAtOnce(t *testing.T) {
+	const clock = time.Minute
+	for _, c := range []struct {
+		name    string
+		silence time.Duration
+		sign    election.Sign
+		due     bool
+	}{
+		{"stood for long", 1100 * time.Millisecond, election.Sign{}, true},
+		{"an idle owner between two renewals", 900 * time.Millisecond, election.Sign{}, false},
+		{"a slow store", 1100 * time.Millisecond, election.Sign{Latency: 200 * time.Millisecond}, false},
+		{"a clock that began anew", -time.Second, election.Sign{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := election.State{Version: 5, Clock: clock, Owner: ledger.Owner{Before: clock - c.silence}}
+			if due := election.NewWatch(600*time.Millisecond).Due(time.Unix(0, 0), s, c.sign); due != c.due {
+				t.Errorf("due is %v", due)
+			}
+		})
+	}
+}
+
 func TestWatchTakesAReleasedRowAtOnce(t *testing.T) {
 	s := election.State{Version: 5, Owner: ledger.Owner{Released: true}}
 	if !election.NewWatch(patience).Due(time.Unix(0, 0), s, election.Sign{}) {
--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -44,6 +44,9 @@
 	session []string
 }
 
+// clock is the store's steady clock.
+func (w *fakeWorld) clock() time.Duration { return time.Hour + time.Since(w.began) }
+
 // note adds a line to the session. The caller holds the lock.
 func (w *fakeWorld) note(format string, args ...any) {
 	w.session = append(w.session, fmt.Sprintf("%8v ", time.Since(w.began).Round(time.Millisecond))+fmt.Sprintf(format, args...))
@@ -252,7 +255,7 @@
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
-	return rowstore.Result{Version: w.version}, nil
+	return rowstore.Result{Version: w.version, Clock: w.clock()}, nil
 }
 
 // Read returns the rows of a range.
@@ -263,7 +266,7 @@
 	w := p.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := rowstore.Snapshot{Version: w.version}
+	out := rowstore.Snapshot{Version: w.version, Clock: w.clock()}
 	for key, row := range w.rows {
 		if key.Table == r.Table && key.Part == r.Part && key.Name >= r.From {
 			out.Rows = append(out.Rows, row)
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -207,7 +207,9 @@
 	if err != nil {
 		return election.State{}, err
 	}
-	return election.ReadState(snapshot.Rows)
+	state, err := election.ReadState(snapshot.Rows)
+	state.Clock = snapshot.Clock
+	return state, err
 }
 
 // takeOver tries to become the owner after the state that was read. Hosts near
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -19,6 +20,9 @@
 	Epoch uint64
 	// Released is set when the owner has given the cell up.
 	Released bool
+	// Before is the store's steady clock at some time before the row was
+	// written: when the owner's last transaction was carried out. 0 is unknown.
+	Before time.Duration
 	// Ahead holds the workers at which runs may have been started that no
 	// record names yet.
 	Ahead []string
@@ -32,13 +36,14 @@
 	Epoch       uint64
 	Released    bool
 	Ahead       []string
+	Before      time.Duration
 }
 
 // EncodeOwner returns the value of the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
 	return msgpack.Marshal(&ownerWire{
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
-		Ahead: o.Ahead,
+		Ahead: o.Ahead, Before: o.Before,
 	})
 }
 
@@ -52,5 +57,7 @@
 	if err != nil {
 		return Owner{}, fault.New("decode owner", KindMalformed, "%w", err)
 	}
-	return Owner{Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, Ahead: w.Ahead}, nil
+	return Owner{
+		Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, Ahead: w.Ahead, Before: w.Before,
+	}, nil
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -55,7 +55,7 @@
 		begin := o.timers.Now()
 		result, err := o.store.Commit(ctx, t)
 		took := o.timers.Now().Sub(begin)
-		o.put(committed{batch: b, version: result.Version, released: released, took: took, err: err})
+		o.put(committed{batch: b, version: result.Version, clock: result.Clock, released: released, took: took, err: err})
 	})
 }
 
@@ -65,6 +65,7 @@
 func (o *Owner) transaction(b batch) (rowstore.Transaction, error) {
 	me := o.tenure.Me
 	me.Released = o.leaving
+	me.Before = o.storeClock
 	me.Ahead = make([]string, len(b.ahead))
 	for i, id := range b.ahead {
 		me.Ahead[i] = string(id)
@@ -110,6 +111,7 @@
 type committed struct {
 	batch   batch
 	version uint64
+	clock   time.Duration
 	// released is set when the commit has given the cell up.
 	released bool
 	took     time.Duration
@@ -122,6 +124,7 @@
 	o.meters.commit.RecordDuration(e.took)
 	if e.err == nil {
 		o.version = e.version
+		o.storeClock = e.clock
 		o.renewAt = now.Add(o.config.RenewEvery)
 		o.mu.Lock()
 		o.renewedAt = now
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -113,6 +113,8 @@
 	holds map[cell.WorkerID]*holder
 	// version is that of the owner's row, as far as it is known.
 	version uint64
+	// storeClock is the store's steady clock at the last commit.
+	storeClock time.Duration
 	// committing is set while a commit is on its way.
 	committing bool
 	// renewAt is when the row is written even without records, and retryAt
@@ -156,7 +158,7 @@
 		events:  ring.New[event](ringSize),
 		orders:  make(chan struct{}, ordersAtOnce),
 		holds:   make(map[cell.WorkerID]*holder),
-		version: tenure.Version, renewAt: now.Add(config.RenewEvery),
+		version: tenure.Version, storeClock: tenure.Me.Before, renewAt: now.Add(config.RenewEvery),
 		done: make(chan struct{}), renewedAt: now, isolation: isolation{hosts: tenure.Others},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -83,6 +83,8 @@
 	More bool
 	// Version is the newest of the store at that moment.
 	Version uint64
+	// Clock is the store's steady clock.
+	Clock time.Duration
 }
 
 // Result is the outcome of a transaction that went through.
