--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,7 +15,9 @@
 // are allowed never changes; only their tickets run out.
 type adviceState struct {
 	allowed map[WorkerID]ticket
-	denied  map[WorkerID]bool
+	// order holds the allowed workers by their IDs.
+	order  []WorkerID
+	denied map[WorkerID]bool
 	// askedAt is when the open question was asked; zero without one.
 	askedAt time.Time
 	// long is set while the open question takes a place among the long ones.
@@ -79,6 +82,10 @@
 		if !known {
 			continue
 		}
+		if _, known := a.allowed[t.Worker]; !known {
+			at, _ := slices.BinarySearch(a.order, t.Worker)
+			a.order = slices.Insert(a.order, at, t.Worker)
+		}
 		a.allowed[t.Worker] = ticket{value: t.Value, until: now.Add(valid), incarnation: w.incarnation}
 	}
 }
@@ -91,23 +98,25 @@
 	}
 }
 
-// ask asks for advice on a step if more of it would help to place tasks now.
-func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
+// mayAsk reports whether a question about a step may be asked now.
+func (c *Cell) mayAsk(now time.Time, s *stepState, q *manifest.Queue) bool {
 	if !s.advice.askedAt.IsZero() {
 		if now.Sub(s.advice.askedAt) < q.Advice.Cost(maxAsked)+adviceTimeout {
-			return
+			return false
 		}
 		c.log.Warn("no answer to a question for advice", zap.String("Job", string(s.id.Job)), zap.Stringer("Step", s.id))
 		c.settleQuestion(s)
 	}
-	urgent := q.Priority == 0
-	if !urgent && c.longQuestions >= c.longLimit {
-		return
-	}
+	return q.Priority == 0 || c.longQuestions < c.longLimit
+}
+
+// ask asks for advice on a step if more of it would help to place tasks now.
+func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
 	workers := c.worthAsking(now, s, q, fitting)
 	if len(workers) == 0 {
 		return
 	}
+	urgent := q.Priority == 0
 	s.advice.askedAt = now
 	if !urgent {
 		s.advice.long = true
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -14,21 +14,31 @@
 	if len(c.open) == 0 {
 		return
 	}
-	fit := c.usableByService(now)
+	usable := usableWorkers{cell: c, now: now}
 	for _, s := range c.byRank(now) {
-		c.placeStep(now, s, fit)
+		c.placeStep(now, s, &usable)
 	}
 }
 
-// usableByService returns the workers that may get starts, in a fixed order.
-func (c *Cell) usableByService(now time.Time) map[string][]*worker {
-	out := make(map[string][]*worker)
-	for _, w := range c.ordered {
-		if c.usable(now, w) {
-			out[w.sighting.Service] = append(out[w.sighting.Service], w)
+// usableWorkers finds the workers that may get starts, at most once in a round of
+// placing, and not at all if no step needs to look at all of them.
+type usableWorkers struct {
+	cell      *Cell
+	now       time.Time
+	byService map[string][]*worker
+}
+
+// of returns the usable workers of a service in a fixed order.
+func (u *usableWorkers) of(service string) []*worker {
+	if u.byService == nil {
+		u.byService = make(map[string][]*worker)
+		for _, w := range u.cell.ordered {
+			if u.cell.usable(u.now, w) {
+				u.byService[w.sighting.Service] = append(u.byService[w.sighting.Service], w)
+			}
 		}
 	}
-	return out
+	return u.byService[service]
 }
 
 // byRank returns the open steps in the order in which they get room.
@@ -56,55 +66,76 @@
 }
 
 // placeStep places what it can of one step.
-func (c *Cell) placeStep(now time.Time, s *stepState, usable map[string][]*worker) {
+func (c *Cell) placeStep(now time.Time, s *stepState, usable *usableWorkers) {
 	if c.settling() && !s.spec.Gang && !s.spec.LongRunning {
 		return
 	}
 	q := c.queueOf(s.job)
-	fitting := s.fitting(usable[q.Service])
+	eligible := c.eligible(now, s, q, usable)
 	if s.spec.Gang {
 		if s.waiting == len(s.tasks) {
-			c.placeGang(now, s, q, fitting)
+			c.placeGang(now, s, eligible)
 		}
 	} else {
-		c.placeTasks(now, s, q, fitting)
+		c.placeTasks(now, s, eligible)
 	}
-	if s.waiting > 0 && q.Advice.Needed() {
-		c.ask(now, s, q, fitting)
+	if s.waiting > 0 && q.Advice.Needed() && c.mayAsk(now, s, q) {
+		c.ask(now, s, q, s.fitting(usable.of(q.Service)))
 	}
 	if s.waiting > 0 {
-		c.preempt(now, s, q, fitting)
+		c.preempt(now, s, q, eligible)
+	}
+}
+
+// eligible returns the workers that a step may be started on now, whether they
+// have room or not. With advice these are few, and only they are looked at.
+func (c *Cell) eligible(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []*worker {
+	if !q.Advice.Needed() {
+		return s.fitting(usable.of(q.Service))
+	}
+	out := make([]*worker, 0, len(s.advice.order))
+	for _, id := range s.advice.order {
+		w, known := c.workers[id]
+		if known && w.sighting.Service == q.Service && s.advice.valid(now, w) && s.fits(w) && c.usable(now, w) {
+			out = append(out, w)
+		}
 	}
+	return out
 }
 
 // fitting returns the workers whose size and labels suit a step.
 func (s *stepState) fitting(workers []*worker) []*worker {
 	out := make([]*worker, 0, len(workers))
 	for _, w := range workers {
-		if s.spec.Label != "" && !w.sighting.HasLabel(s.spec.Label) {
-			continue
-		}
-		if s.spec.Size.Fits(w.sighting.Room) || s.spec.Filler && s.spec.Reserved().Fits(w.sighting.Room) {
+		if s.fits(w) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
+// fits reports whether a worker's size and labels suit a step.
+func (s *stepState) fits(w *worker) bool {
+	if s.spec.Label != "" && !w.sighting.HasLabel(s.spec.Label) {
+		return false
+	}
+	return s.spec.Size.Fits(w.sighting.Room) || s.spec.Filler && s.spec.Reserved().Fits(w.sighting.Room)
+}
+
 // avoidFor is how long a task waits for another worker than the one on which it
 // failed.
 const avoidFor = 1 * time.Second
 
 // placeTasks places the tasks of a step one by one.
-func (c *Cell) placeTasks(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
+func (c *Cell) placeTasks(now time.Time, s *stepState, eligible []*worker) {
 	placed := false
 	for _, t := range s.tasks {
 		if t.phase != phaseWaiting || c.ahead.strays[t.id] != nil {
 			continue
 		}
-		w := c.choose(now, s, q, fitting, t.failedOn)
+		w := c.choose(now, s, eligible, t.failedOn)
 		if w == nil && t.failedOn != "" && now.Sub(t.waitingSince) > avoidFor {
-			w = c.choose(now, s, q, fitting, "")
+			w = c.choose(now, s, eligible, "")
 		}
 		if w == nil && t.failedOn == "" {
 			break
@@ -124,7 +155,7 @@
 }
 
 // placeGang places all tasks of a gang or none.
-func (c *Cell) placeGang(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
+func (c *Cell) placeGang(now time.Time, s *stepState, eligible []*worker) {
 	number := 0
 	s.rack = ""
 	for _, t := range s.tasks {
@@ -132,7 +163,7 @@
 	}
 	chosen := make([]*worker, 0, len(s.tasks))
 	for range s.tasks {
-		w := c.choose(now, s, q, fitting, "")
+		w := c.choose(now, s, eligible, "")
 		if w == nil {
 			break
 		}
@@ -159,17 +190,14 @@
 }
 
 // choose returns the best worker for one more task of a step, or nil.
-func (c *Cell) choose(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker, not WorkerID) *worker {
+func (c *Cell) choose(now time.Time, s *stepState, eligible []*worker, not WorkerID) *worker {
 	var best *worker
 	var bestScore float64
 	need := s.spec.Reserved()
-	for _, w := range fitting {
+	for _, w := range eligible {
 		if w.id == not || !need.Fits(w.free()) {
 			continue
 		}
-		if q.Advice.Needed() && !s.advice.valid(now, w) {
-			continue
-		}
 		if s.spec.MaxPerWorker > 0 && w.countOf(s.id) >= s.spec.MaxPerWorker {
 			continue
 		}
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -15,18 +15,15 @@
 
 // preempt makes room for a step of the first priority: it stops runs of later
 // queues that have a checkpoint, where the step is allowed to run.
-func (c *Cell) preempt(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
+func (c *Cell) preempt(now time.Time, s *stepState, q *manifest.Queue, eligible []*worker) {
 	if c.config.Policy.NoPreemption || q.Priority != 0 || s.spec.Gang || s.spec.LongRunning || now.Sub(s.readyAt) < preemptAfter {
 		return
 	}
 	wanted := s.waiting - s.coming
-	for _, w := range fitting {
+	for _, w := range eligible {
 		if wanted <= 0 {
 			return
 		}
-		if q.Advice.Needed() && !s.advice.valid(now, w) {
-			continue
-		}
 		wanted -= c.preemptAt(now, s, w, wanted)
 	}
 }
