--- /dev/null
+++ b/internal/cell/actions_test.go
@@ -0,0 +1,353 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+func (w *world) submit() {
+	if len(w.jobs) >= 6 {
+		return
+	}
+	id := workload.JobID(fmt.Sprintf("%016x", len(w.jobs)+1))
+	queue := w.manifest.Queues[rapid.IntRange(0, 1).Draw(w.t, "queue")]
+	a := cell.Accepted{Job: workload.Job{ID: id, Queue: queue.Name, Spec: "spec"}, Queue: queue}
+	if rapid.IntRange(0, 3).Draw(w.t, "timed") == 0 {
+		a.Job.Schedule = workload.Schedule{
+			First: w.now.Add(w.span("first", 0, 3000)), Every: w.span("every", 500, 2000),
+			Times: rapid.IntRange(1, 2).Draw(w.t, "times"),
+		}
+	}
+	for i := range rapid.IntRange(1, worldMaxSteps).Draw(w.t, "steps") {
+		step := workload.Step{
+			Tasks:    rapid.IntRange(1, 3).Draw(w.t, "tasks"),
+			Size:     job.Size{MilliCores: int64(rapid.IntRange(1, 3).Draw(w.t, "cores")) * 1000, MemoryMB: 500},
+			Estimate: time.Second, Checkpoints: rapid.Bool().Draw(w.t, "saves"),
+		}
+		w.shape(&step)
+		if i > 0 {
+			step.After = []int{i - 1}
+		} else if len(w.jobs) == 0 && rapid.Bool().Draw(w.t, "lasts") {
+			// Small enough to leave room for everything else.
+			step.LongRunning, step.Tasks, step.Size.MilliCores = true, rapid.IntRange(1, 2).Draw(w.t, "lasting"), 500
+			step.LimitsAway, step.MaxAway = rapid.Bool().Draw(w.t, "limitsAway"), 1
+			step.Gang, step.MaxPerWorker, step.Label = false, 0, ""
+			a.Job.Schedule = workload.Schedule{}
+		}
+		a.Job.Steps = append(a.Job.Steps, step)
+		if step.LongRunning {
+			break
+		}
+	}
+	w.jobs = append(w.jobs, a)
+	for _, o := range w.owners {
+		o.cell.Accept(w.now, a)
+	}
+}
+
+// shape gives a step some of the conditions that a caller may set.
+func (w *world) shape(step *workload.Step) {
+	switch rapid.IntRange(0, 7).Draw(w.t, "shape") {
+	case 0, 1:
+		step.Gang = true
+		step.Size.MilliCores = min(step.Size.MilliCores, 2000)
+	case 2:
+		step.MaxPerWorker = 1
+	case 3:
+		step.Label = worldLabels[rapid.IntRange(0, 1).Draw(w.t, "label")]
+	}
+}
+
+func (w *world) cancel() {
+	if len(w.jobs) == 0 {
+		return
+	}
+	id := w.jobs[rapid.IntRange(0, len(w.jobs)-1).Draw(w.t, "job")].Job.ID
+	w.cancelled[id] = true
+	w.owner().cell.Cancel(w.now, id)
+}
+
+func (w *world) anyWorker() *simWorker {
+	live := w.live()
+	if len(live) == 0 {
+		return w.workers[len(w.workers)-1]
+	}
+	return live[rapid.IntRange(0, len(live)-1).Draw(w.t, "worker")]
+}
+
+func (w *world) anyOwner() *simOwner {
+	return w.owners[rapid.IntRange(0, len(w.owners)-1).Draw(w.t, "owner")]
+}
+
+func (w *world) anyHold() { w.hold(w.anyOwner(), w.anyWorker()) }
+
+// holdAll has the newest owner call all workers, before any other call arrives.
+func (w *world) holdAll() {
+	others := w.calls
+	w.calls = nil
+	for _, s := range w.live() {
+		w.hold(w.owner(), s)
+	}
+	holds := w.calls
+	w.calls = others
+	for _, c := range holds {
+		w.finish(c)
+	}
+}
+
+// take removes a call that is on its way.
+func (w *world) take() *simCall {
+	if len(w.calls) == 0 {
+		return nil
+	}
+	i := rapid.IntRange(0, len(w.calls)-1).Draw(w.t, "call")
+	c := w.calls[i]
+	w.calls = append(w.calls[:i], w.calls[i+1:]...)
+	return c
+}
+
+// deliver carries a call out and gives its answer.
+func (w *world) deliver() {
+	c := w.take()
+	if c == nil {
+		return
+	}
+	w.finish(c)
+}
+
+func (w *world) deliverAll() {
+	calls := w.calls
+	w.calls = nil
+	for _, c := range calls {
+		w.finish(c)
+	}
+}
+
+func (w *world) finish(c *simCall) {
+	if c.upkeep != nil {
+		w.finishUpkeep(c)
+		return
+	}
+	if c.worker.cut {
+		w.unanswered(c)
+		return
+	}
+	outcome, report, fenced := w.execute(c)
+	if c.answered || c.owner.over {
+		return
+	}
+	c.answered = true
+	if fenced {
+		c.owner.over = true
+		return
+	}
+	w.answer(c, outcome, report)
+}
+
+func (w *world) finishUpkeep(c *simCall) {
+	outcome, fenced := w.upkeep(c.owner, c.upkeep)
+	if c.answered || c.owner.over {
+		return
+	}
+	c.answered = true
+	if c.owner.over = fenced; !fenced {
+		c.owner.cell.Upkept(w.now, *c.upkeep, outcome)
+	}
+}
+
+func (w *world) answer(c *simCall, outcome cell.StartOutcome, report cell.Report) {
+	o := c.owner.cell
+	switch {
+	case c.start != nil:
+		o.Started(w.now, c.worker.id, c.start.Task, c.start.Run, outcome)
+	case c.stop != nil:
+		o.Stopped(c.worker.id, c.stop.Task, c.stop.Run, outcome.Clock)
+	default:
+		o.Reported(w.now, c.worker.id, report)
+		if w.omit == omitAckDurable {
+			o.Committed(w.now, o.Records(100))
+		}
+	}
+	w.act(c.owner)
+}
+
+// unanswered tells the owner that a call has no answer.
+func (w *world) unanswered(c *simCall) {
+	if c.answered || c.owner.over {
+		return
+	}
+	c.answered = true
+	if c.upkeep != nil {
+		c.owner.cell.Upkept(w.now, *c.upkeep, cell.UpkeepLater)
+	}
+	if c.start != nil {
+		outcome := cell.StartOutcome{Unknown: true}
+		if w.omit == omitDoubt {
+			outcome = cell.StartOutcome{NotSent: true}
+		}
+		c.owner.cell.Started(w.now, c.worker.id, c.start.Task, c.start.Run, outcome)
+		w.act(c.owner)
+	}
+	if c.plan != nil {
+		c.owner.cell.HoldFailed(c.worker.id)
+	}
+}
+
+// loseAnswer carries a call out and loses its answer.
+func (w *world) loseAnswer() {
+	c := w.take()
+	switch {
+	case c == nil:
+		return
+	case c.upkeep != nil:
+		w.upkeep(c.owner, c.upkeep)
+	case !c.worker.cut:
+		// Its owner has no answer, so that this order is one that was held up.
+		told := c.answered
+		c.answered = true
+		w.execute(c)
+		c.answered = told
+	}
+	w.unanswered(c)
+}
+
+// delay gives a call no answer now, and carries it out later.
+func (w *world) delay() {
+	c := w.take()
+	if c == nil {
+		return
+	}
+	w.unanswered(c)
+	w.calls = append(w.calls, c)
+}
+
+// delayAll gives none of the calls on their way an answer for now.
+func (w *world) delayAll() {
+	for _, c := range slices.Clone(w.calls) {
+		w.unanswered(c)
+	}
+}
+
+// commit settles the transaction that an owner has on its way.
+func (w *world) commit() {
+	o := w.anyOwner()
+	if o.commit == nil || o.over {
+		return
+	}
+	commit := o.commit
+	o.commit = nil
+	if o.epoch < w.epoch {
+		o.over = true
+		return
+	}
+	switch rapid.IntRange(0, 5).Draw(w.t, "commit") {
+	case 0: // refused
+		o.cell.NotCommitted(commit.jobs)
+	case 1: // carried out, and the answer lost
+		w.write(commit)
+		o.cell.NotCommitted(commit.jobs)
+	default:
+		w.write(commit)
+		o.committed(w.now, commit)
+	}
+	w.act(o)
+}
+
+func (o *simOwner) committed(now time.Time, commit *simCommit) {
+	o.cell.Committed(now, commit.jobs)
+	o.cell.WavesCommitted(commit.waves)
+	o.cell.AheadCommitted(commit.ahead)
+}
+
+func (w *world) write(commit *simCommit) {
+	for _, r := range commit.jobs {
+		w.store[r.Job] = r
+	}
+	for _, r := range commit.waves {
+		w.storeWaves[r.Wave] = r
+	}
+	w.storeAhead = commit.ahead
+}
+
+// restart gives a worker a new life under its ID.
+func (w *world) restart() {
+	s := w.anyWorker()
+	if s.gone {
+		return
+	}
+	s.born++
+	s.since = w.now
+	s.fence, s.deadline, s.ended = 0, 0, 0
+	s.runs, s.highest, s.ends = make(map[workload.TaskID]*simRun), make(map[workload.TaskID]int), nil
+	s.leaving = false
+	// Of the calls that are on their way only stops may still reach the new
+	// life: docs/ASSUMPTIONS.md says why.
+	kept := w.calls[:0]
+	for _, c := range w.calls {
+		if c.worker == s {
+			w.unanswered(c)
+		}
+		if c.worker != s || c.stop != nil {
+			kept = append(kept, c)
+		}
+	}
+	w.calls = kept
+	for _, o := range w.owners {
+		o.cell.HoldFailed(s.id)
+	}
+	w.owner().cell.Sight(w.now, w.sighting(s))
+}
+
+// failOver loses the owner and a worker at the same moment, with all calls that
+// were made in time carried out.
+func (w *world) failOver() {
+	w.deliverAll()
+	w.anyWorker().cut = true
+	w.takeOver()
+	w.holdAll()
+}
+
+func (w *world) cut() {
+	s := w.anyWorker()
+	s.cut = s.gone || !s.cut
+}
+
+func (w *world) leave() {
+	s := w.anyWorker()
+	if s.gone {
+		return
+	}
+	s.leaving = !s.leaving
+	w.owner().cell.Sight(w.now, w.sighting(s))
+}
+
+// settle ends all faults: then every job has to reach its end.
+func (w *world) settle() {
+	for _, s := range w.live() {
+		s.cut, s.leaving = false, false
+		w.owner().cell.Sight(w.now, w.sighting(s))
+	}
+	for range 900 {
+		w.holdAll()
+		w.deliverAll()
+		o := w.owner()
+		if o.commit != nil {
+			w.write(o.commit)
+			o.committed(w.now, o.commit)
+			o.commit = nil
+		}
+		w.act(o)
+		w.advance(100 * time.Millisecond)
+		if w.settled() {
+			return
+		}
+	}
+	w.fail("jobs do not end: %s\n%s", w.open(), w.owner().cell.Describe())
+}
--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -11,12 +11,6 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// While the store is slow, a start may be sent ahead of its record. The owner's
-// row then names the workers that may get such starts, and a new owner starts
-// nothing until each of them has reported to it or has surely lost its lease: a
-// task that waits by its record may be running there. A task has at most one run
-// without a record, so that the number of that run is known.
-
 // stray is a run of an earlier owner that no record names.
 type stray struct {
 	worker   *worker
@@ -25,6 +19,12 @@
 }
 
 // aheadState is what a cell knows of starts ahead of their record.
+//
+// While the store is slow, a start may be sent before its record is durable. The
+// owner's row then names the workers that may get such starts, and a new owner
+// starts nothing until each of them has reported to it or has surely lost its
+// lease: a task that waits by its record may be running there. A task has at most
+// one run without a record, so that the number of that run is known.
 type aheadState struct {
 	// wanted is set while starts should not wait for their record.
 	wanted bool
@@ -106,8 +106,7 @@
 	t.numberRevision = t.step.job.revision
 }
 
-// settled notes that a worker runs nothing that this owner does not know, beside
-// what its first report lists.
+// settled notes that a worker has told what runs there, or has lost its lease.
 func (c *Cell) settled(id WorkerID) {
 	if !c.ahead.unsettled[id] {
 		return
@@ -173,7 +172,7 @@
 		}
 		switch {
 		case t.phase == phaseWaiting && t.step.ready && !t.step.job.state.Final() && !s.stopping:
-			c.takeOver(now, t, s)
+			c.adopt(now, t, s)
 			delete(c.ahead.strays, id)
 		case !c.settling() && !s.stopping:
 			s.stopping = true
@@ -190,8 +189,8 @@
 	})
 }
 
-// takeOver makes a stray the run of its task.
-func (c *Cell) takeOver(now time.Time, t *task, s *stray) {
+// adopt makes a stray the run of its task.
+func (c *Cell) adopt(now time.Time, t *task, s *stray) {
 	step := t.step
 	r := &run{
 		task: t, number: s.row.Run, worker: s.worker, phase: runStarted, startedClock: s.worker.clock,
--- /dev/null
+++ b/internal/cell/simworker_test.go
@@ -0,0 +1,165 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// execute carries a call out at its worker and returns whether it was answered.
+func (w *world) execute(c *simCall) (outcome cell.StartOutcome, report cell.Report, fenced bool) {
+	s := c.worker
+	w.expire(s)
+	w.moveGangs()
+	if c.owner.epoch < s.fence && w.omit != omitFence {
+		return cell.StartOutcome{Refused: cell.RefusedFence}, cell.Report{}, true
+	}
+	s.fence = max(s.fence, c.owner.epoch)
+	switch {
+	case c.start != nil:
+		outcome = w.start(s, c.start)
+		if r, ok := s.runs[c.start.Task]; ok && c.answered {
+			r.held = true
+		}
+	case c.stop != nil:
+		w.stop(s, c)
+		outcome.Clock = s.clock(w.now)
+	default:
+		report = w.report(s, c.plan)
+	}
+	return outcome, report, false
+}
+
+func (w *world) start(s *simWorker, a *cell.SendStart) cell.StartOutcome {
+	clock := s.clock(w.now)
+	s.extend(a.Deadline, clock)
+	if r, ok := s.runs[a.Task]; ok {
+		if r.number == a.Run {
+			return cell.StartOutcome{Clock: clock}
+		}
+		return cell.StartOutcome{Refused: cell.RefusedOld, Clock: clock}
+	}
+	switch {
+	case a.Run <= s.highest[a.Task]:
+		return cell.StartOutcome{Refused: cell.RefusedOld, Clock: clock}
+	case clock >= a.Deadline:
+		return cell.StartOutcome{Refused: cell.RefusedLate, Clock: clock}
+	}
+	w.checkStart(s, a)
+	step := w.step(a.Task)
+	r := &simRun{
+		number: a.Run, size: step.Reserved(), lasts: step.LongRunning, gang: step.Gang,
+		saves: step.Checkpoints, arrived: w.now,
+	}
+	s.runs[a.Task] = r
+	delete(w.away, a.Task)
+	if step.Gang {
+		w.joinGang(a)
+		w.moveGangs()
+	} else {
+		r.until = w.now.Add(w.drawnTime())
+		r.fails = w.drawnFailure()
+	}
+	return cell.StartOutcome{Clock: clock}
+}
+
+func (s *simWorker) extend(deadline, clock time.Duration) {
+	s.deadline = max(s.deadline, min(deadline, clock+scriptConfig.MaxLease))
+}
+
+func (w *world) stop(s *simWorker, c *simCall) {
+	a := c.stop
+	s.highest[a.Task] = max(s.highest[a.Task], a.Run)
+	if r, ok := s.runs[a.Task]; ok && r.number <= a.Run {
+		w.brokenBy(a.Task, r)
+		if !s.leaving && !c.leaving && w.atWork(r) {
+			w.takenAway(a.Task)
+		}
+		s.end(a.Task, r, cell.EndStopped)
+		s.ends[len(s.ends)-1].Checkpoint = w.checkpoint(a.Task, r)
+	}
+}
+
+func (s *simWorker) end(id workload.TaskID, r *simRun, how cell.EndKind) {
+	delete(s.runs, id)
+	s.ended++
+	s.highest[id] = max(s.highest[id], r.number)
+	s.ends = append(s.ends, cell.Ended{Number: s.ended, Task: id, Run: r.number, Kind: how})
+}
+
+// report answers a hold call. The oracle notes the ends that it acknowledges.
+func (w *world) report(s *simWorker, p *cell.HoldPlan) cell.Report {
+	clock := s.clock(w.now)
+	if p.Deadline > 0 {
+		s.extend(p.Deadline, clock)
+	}
+	for len(s.ends) > 0 && s.ends[0].Number <= p.Acknowledged {
+		w.acknowledged(s.ends[0])
+		s.ends = s.ends[1:]
+	}
+	out := cell.Report{Incarnation: s.born, Clock: clock, Ended: slices.Clone(s.ends)}
+	for _, id := range sortedTasks(s.runs) {
+		percent := 50
+		if r := s.runs[id]; r.lasts && w.now.Sub(r.arrived) >= startupFor {
+			percent = 100
+		}
+		out.Running = append(out.Running, cell.Running{
+			Task: id, Run: s.runs[id].number, Percent: percent, Checkpoint: w.checkpoint(id, s.runs[id]),
+		})
+	}
+	return out
+}
+
+// checkpoint returns the progress that a run has saved; empty means none.
+func (w *world) checkpoint(id workload.TaskID, r *simRun) string {
+	if !r.saves {
+		return ""
+	}
+	value := fmt.Sprintf("%s at %d", id, w.now.Sub(r.arrived).Milliseconds())
+	w.saved[value] = id
+	return value
+}
+
+func sortedTasks(runs map[workload.TaskID]*simRun) []workload.TaskID {
+	out := make([]workload.TaskID, 0, len(runs))
+	for id := range runs {
+		out = append(out, id)
+	}
+	slices.SortFunc(out, func(a, b workload.TaskID) int { return strings.Compare(a.String(), b.String()) })
+	return out
+}
+
+// expire ends what has finished or has lost its lease.
+func (w *world) expire(s *simWorker) {
+	lapsed := s.clock(w.now) >= s.deadline
+	for _, id := range sortedTasks(s.runs) {
+		r := s.runs[id]
+		switch {
+		case r.gang && lapsed:
+			w.brokenBy(id, r)
+			s.end(id, r, cell.EndLapsed)
+		case r.gang:
+		case !r.lasts && !w.now.Before(r.until) && r.fails:
+			s.end(id, r, cell.EndFailed)
+		case !r.lasts && !w.now.Before(r.until):
+			w.everDone[id] = true
+			s.end(id, r, cell.EndDone)
+		case lapsed:
+			s.end(id, r, cell.EndLapsed)
+		}
+	}
+}
+
+func (w *world) step(id workload.TaskID) *workload.Step {
+	for i := range w.jobs {
+		if w.jobs[i].Job.ID == id.Job {
+			return &w.jobs[i].Job.Steps[id.Step]
+		}
+	}
+	w.fail("task %s of a job that nobody submitted", id)
+	return &workload.Step{}
+}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +14,6 @@
 	"cicadabarrow.example/cicadabarrow/internal/lease"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
-	"cicadabarrow.example/cicadabarrow/internal/platform"
 	"cicadabarrow.example/cicadabarrow/internal/ring"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
@@ -172,125 +169,6 @@
 	}
 }
 
-// call carries out an action that waits for somebody else.
-func (l *Leases) call(a lease.Action) {
-	switch a := a.(type) {
-	case lease.Commit:
-		l.commit(a.Commit)
-	case lease.List:
-		l.list(a)
-	case lease.Read:
-		l.read(a.Key)
-	case lease.AskPromise:
-		l.askPromise(a)
-	case lease.AskWord:
-		l.askWord(a)
-	case lease.Probe:
-		l.probe(a)
-	}
-}
-
-func (l *Leases) commit(c platform.Commit) {
-	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
-	defer cancel()
-	version, err := l.table.Commit(ctx, c)
-	outcome := lease.OutcomeUnknown
-	switch {
-	case err == nil:
-		outcome = lease.OutcomeDone
-	case fault.Is(err, platform.KindConflict):
-		outcome = lease.OutcomeConflict
-	case fault.Is(err, platform.KindNotRun):
-		outcome = lease.OutcomeNotRun
-	}
-	l.post(func(now time.Time) []lease.Action {
-		return l.keeper.Committed(c.ID, outcome, version, now)
-	})
-}
-
-func (l *Leases) list(a lease.List) {
-	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
-	defer cancel()
-	const noLimit = 0
-	rows, err := l.table.List(ctx, a.Prefix, a.After, noLimit)
-	if err != nil {
-		return
-	}
-	l.post(func(now time.Time) []lease.Action {
-		actions, faults := l.keeper.Listed(a.After, rows, now)
-		for _, f := range faults {
-			l.log.Error("skipped a malformed row", zap.Error(f))
-		}
-		return actions
-	})
-}
-
-func (l *Leases) read(key string) {
-	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
-	defer cancel()
-	row, err := l.table.Get(ctx, key)
-	if err != nil && !fault.Is(err, platform.KindMissing) {
-		return
-	}
-	l.post(func(now time.Time) []lease.Action {
-		return l.keeper.Read(row, err == nil, now)
-	})
-}
-
-func (l *Leases) askPromise(a lease.AskPromise) {
-	ctx, cancel := context.WithTimeout(l.ctx, peerTimeout)
-	defer cancel()
-	// The promise is counted from before the question, whatever the peer's
-	// clock does.
-	sentAt := l.timers.Latest()
-	ask := message.EncodeAskPromise(message.AskPromise{Unjournaled: a.Unjournaled})
-	from, reply, err := l.peers.Ask(ctx, a.To.Addr, ask)
-	if err != nil || lease.Incarnation(from.Incarnation) != a.To.Incarnation {
-		return
-	}
-	p, err := message.DecodePromise(reply)
-	if err != nil {
-		l.log.Error("malformed promise", zap.Error(err))
-		return
-	}
-	l.post(func(time.Time) []lease.Action {
-		l.keeper.Promised(a.To.Incarnation, p.Yes, p.Unjournaled, sentAt)
-		return nil
-	})
-}
-
-func (l *Leases) askWord(a lease.AskWord) {
-	ctx, cancel := context.WithTimeout(l.ctx, peerTimeout)
-	defer cancel()
-	ask := message.AskWord{About: string(a.About), Version: a.Version}
-	from, reply, err := l.peers.Ask(ctx, a.To.Addr, message.EncodeAskWord(ask))
-	if err != nil || lease.Incarnation(from.Incarnation) != a.To.Incarnation {
-		return
-	}
-	w, err := message.DecodeWord(reply)
-	if err != nil {
-		l.log.Error("malformed word", zap.Error(err))
-		return
-	}
-	l.post(func(time.Time) []lease.Action {
-		l.keeper.WordGiven(a.To.Incarnation, a.About, a.Version, w.Yes, w.Unjournaled)
-		return nil
-	})
-}
-
-func (l *Leases) probe(a lease.Probe) {
-	ctx, cancel := context.WithTimeout(l.ctx, peerTimeout)
-	defer cancel()
-	hello, err := l.peers.Hello(ctx, a.Host.Addr)
-	if err != nil {
-		return
-	}
-	l.post(func(now time.Time) []lease.Action {
-		l.keeper.Probed(a.Host.Incarnation, lease.Incarnation(hello.Incarnation), now)
-		return nil
-	})
-}
-
 // answer runs a question of a peer in the duty and returns its answer.
 func answer[T any](ctx context.Context, l *Leases, ask func(now time.Time) T) (T, error) {
 	reply := make(chan T, 1)
@@ -325,70 +203,6 @@
 	})
 }
 
-// MayAct returns an error when this host may not act on a unit under an epoch
-// at this very moment.
-func (l *Leases) MayAct(u lease.Unit, epoch uint64) error {
-	if err := l.state.Load().MayAct(u, epoch, l.timers.Latest()); err != nil {
-		return fault.New("act", KindNotOwner, "%w", err)
-	}
-	return nil
-}
-
-// MayRenew returns an error when the authority over a unit ended longer than
-// the grace ago, or when the unit is no longer held.
-func (l *Leases) MayRenew(u lease.Unit, epoch uint64, grace time.Duration) error {
-	a := l.state.Load()
-	g, ok := a.Held[u]
-	switch {
-	case !ok || g.Epoch != epoch:
-		return fault.New("renew", KindNotOwner, "unit %s is not held under epoch %d", u, epoch)
-	case !l.timers.Latest().Before(a.latest.Add(grace)):
-		return fault.New("renew", KindNotOwner, "the authority over unit %s ended more than %v ago", u, grace)
-	}
-	return nil
-}
-
-// MayStartUnjournaled reports whether work may start that no journal names.
-func (l *Leases) MayStartUnjournaled() bool { return l.state.Load().unjournaled }
-
-// SetUnjournaled tells the heirs whether this host may start work that no
-// journal names.
-func (l *Leases) SetUnjournaled(on bool) {
-	l.post(func(time.Time) []lease.Action {
-		l.keeper.SetUnjournaled(on)
-		return nil
-	})
-}
-
-// SetUnits sets the units that the hosts of the data centre share.
-func (l *Leases) SetUnits(units []lease.Unit) {
-	l.post(func(time.Time) []lease.Action {
-		l.keeper.SetUnits(units)
-		return nil
-	})
-}
-
-// Owner returns the owner of a unit of this data centre as far as known.
-func (l *Leases) Owner(u lease.Unit) (lease.Peer, bool) {
-	p, ok := l.state.Load().owners[u]
-	return p, ok
-}
-
-// Peers returns the other live entry hosts of the data centre.
-func (l *Leases) Peers() []lease.Peer { return l.state.Load().peers }
-
-// Units returns the names of the units that this host holds.
-func (l *Leases) Units() []string {
-	var out []string
-	for _, u := range slices.Sorted(maps.Keys(l.state.Load().Held)) {
-		out = append(out, string(u))
-	}
-	return out
-}
-
-// StoreReachedAt returns when the table service last answered.
-func (l *Leases) StoreReachedAt() time.Time { return l.state.Load().reachedAt }
-
 // Leave gives up every unit in good order. Done is closed when that is done or
 // the context ends.
 func (l *Leases) Leave(ctx context.Context) error {
--- a/internal/owner/questions.go
+++ b/internal/owner/questions.go
@@ -73,6 +73,9 @@
 // hosts returns how many hosts can ask.
 func (q *questions) hosts() int { return len(q.remote.List()) + 1 }
 
+// heard counts the other hosts that were heard of within a time.
+func (q *questions) heard(within time.Duration) int { return q.remote.Heard(within) }
+
 // pick returns the host to ask and how long its answer should take.
 func (q *questions) pick(a cell.AskAdvice) (netip.AddrPort, time.Duration) {
 	hosts := append([]netip.AddrPort{{}}, q.remote.List()...)
