--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -34,6 +34,9 @@
 	workers map[cell.WorkerID]*fakeWorker
 	seeds   []netip.AddrPort
 	began   time.Time
+	// commits counts the transactions; of each loseEvery the answer is lost.
+	commits   int
+	loseEvery int
 	// session tells what happened, for failed tests.
 	session []string
 }
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -60,6 +60,13 @@
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
+	w.commits++
+	if w.loseEvery > 0 && w.commits%w.loseEvery == 0 {
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		return rowstore.Result{}, fault.New("commit", rowstore.KindUnknown, "%w", ctx.Err())
+	}
 	return rowstore.Result{Version: w.version, Clock: w.clock()}, nil
 }
 
--- a/internal/host/takeover_test.go
+++ b/internal/host/takeover_test.go
@@ -145,3 +145,23 @@
 		}
 	})
 }
+
+// A store that carries writes out and loses every second answer keeps no owner
+// from renewing its row.
+func TestLostAnswersDoNotHoldTheOwnerUp(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.mu.Lock()
+		w.loseEvery = 2
+		w.mu.Unlock()
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			own := first.host.owning()
+			if own == nil {
+				t.Fatal("the owner was replaced")
+			}
+			if silent := own.Renewed(); silent > takeoverWithin {
+				t.Fatalf("the owner's row was renewed %v ago", silent)
+			}
+		}
+	})
+}
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -23,6 +23,9 @@
 	// Before is the store's steady clock at some time before the row was
 	// written: when the owner's last transaction was carried out. 0 is unknown.
 	Before time.Duration
+	// Attempt counts the transactions of this owner; the row names the one that
+	// wrote it. 0 is the takeover.
+	Attempt uint64
 	// Ahead holds the workers at which runs may have been started that no
 	// record names yet.
 	Ahead []string
@@ -37,13 +40,14 @@
 	Released    bool
 	Ahead       []string
 	Before      time.Duration
+	Attempt     uint64
 }
 
 // EncodeOwner returns the value of the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
 	return msgpack.Marshal(&ownerWire{
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
-		Ahead: o.Ahead, Before: o.Before,
+		Ahead: o.Ahead, Before: o.Before, Attempt: o.Attempt,
 	})
 }
 
@@ -58,6 +62,6 @@
 		return Owner{}, fault.New("decode owner", KindMalformed, "%w", err)
 	}
 	return Owner{
-		Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, Ahead: w.Ahead, Before: w.Before,
+		Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, Ahead: w.Ahead, Before: w.Before, Attempt: w.Attempt,
 	}, nil
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -42,6 +42,8 @@
 	b.waves = b.waves[:min(len(b.waves), wavesPerCommit)]
 	b.records = o.cell.Records(recordsPerCommit - len(b.removes) - len(b.waves))
 	b.ahead = o.cell.AheadWorkers(now)
+	o.attempt++
+	attempt := o.attempt
 	t, err := o.transaction(b)
 	if err != nil {
 		o.end(fault.New("commit", KindStore, "%w", err))
@@ -53,7 +55,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
 		defer cancel()
 		begin := o.timers.Now()
-		result, err := o.store.Commit(ctx, t)
+		result, err := o.carryOut(ctx, t, attempt)
 		took := o.timers.Now().Sub(begin)
 		o.put(committed{batch: b, version: result.Version, clock: result.Clock, released: released, took: took, err: err})
 	})
@@ -66,6 +68,7 @@
 	me := o.tenure.Me
 	me.Released = o.leaving
 	me.Before = o.storeClock
+	me.Attempt = o.attempt
 	me.Ahead = make([]string, len(b.ahead))
 	for i, id := range b.ahead {
 		me.Ahead[i] = string(id)
--- /dev/null
+++ b/internal/owner/landed.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/election"
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
+	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+)
+
+// doubtAfter is how long a commit may be without an answer until the owner's row
+// is read, again and again, to see whether it has landed.
+const doubtAfter = 250 * time.Millisecond
+
+// carryOut carries out a transaction. If its answer is lost, the owner's row tells
+// that it has landed: it names the attempt. A store that is only slow answers in
+// the end, and gets no second transaction.
+func (o *Owner) carryOut(ctx context.Context, t rowstore.Transaction, attempt uint64) (rowstore.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	landed := make(chan rowstore.Result, 1)
+	o.calls.Go(func() {
+		if result, ok := o.awaitLanding(ctx, attempt); ok {
+			landed <- result
+			cancel()
+		}
+	})
+	result, err := o.store.Commit(ctx, t)
+	if err == nil {
+		return result, nil
+	}
+	select {
+	case result := <-landed:
+		o.log.Info("the answer to a commit was lost", zap.Uint64("Attempt", attempt), zap.Uint64("Version", result.Version))
+		return result, nil
+	default:
+		return rowstore.Result{}, err
+	}
+}
+
+// awaitLanding reads the owner's row until it names an attempt of this owner. It
+// returns false when the context has ended.
+func (o *Owner) awaitLanding(ctx context.Context, attempt uint64) (rowstore.Result, bool) {
+	key := ledger.OwnerKey()
+	for {
+		pause := o.timers.After(doubtAfter)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return rowstore.Result{}, false
+		}
+		snapshot, err := o.store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part})
+		if err != nil {
+			continue // the commit itself tells what is wrong
+		}
+		state, err := election.ReadState(snapshot.Rows)
+		if err == nil && state.Owner.Epoch == o.Epoch() && state.Owner.Attempt == attempt {
+			return rowstore.Result{Version: state.Version, Clock: snapshot.Clock}, true
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -115,6 +115,8 @@
 	version uint64
 	// storeClock is the store's steady clock at the last commit.
 	storeClock time.Duration
+	// attempt counts the transactions of this owner.
+	attempt uint64
 	// committing is set while a commit is on its way.
 	committing bool
 	// renewAt is when the row is written even without records, and retryAt
