--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -91,3 +91,16 @@
 	}
 	asked.Wait()
 }
+
+// tellReplaced has an owner learn that there is a later one. It may reach neither
+// the store nor its successor. The caller holds the lock.
+func (h *Host) tellReplaced(last netip.AddrPort) {
+	if !last.IsValid() || last == h.config.Addr {
+		return
+	}
+	h.duties.Go(func() {
+		if _, _, err := h.ping(last, 0, pingTimeout); err != nil {
+			h.log.Debug("the last owner does not answer", zap.Stringer("Addr", last), zap.Error(err))
+		}
+	})
+}
--- a/internal/host/takeover_test.go
+++ b/internal/host/takeover_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/message"
 )
 
 // errRefused is what a call to a process that has ended gives.
@@ -165,3 +167,18 @@
 		}
 	})
 }
+
+// An owner that reaches neither the store nor its successor learns of it from a
+// host that has read who the owner is.
+func TestOwnerLearnsOfItsSuccessorFromOthers(t *testing.T) {
+	inWorld(t, func(t *testing.T, _ *fakeWorld, first *fakeHost) {
+		first.host.pong(message.HostPing{Addr: first.addr, KnownEpoch: 1})
+		if err := first.host.owning().Err(); err != nil {
+			t.Fatalf("its own epoch ends the owner: %v", err)
+		}
+		first.host.pong(message.HostPing{Addr: first.addr, KnownEpoch: 2})
+		if own := first.host.owning(); own != nil && own.Err() == nil {
+			t.Error("the old owner goes on")
+		}
+	})
+}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -113,6 +113,7 @@
 	defer cancel()
 	ping := message.EncodeHostPing(message.HostPing{
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
+		KnownEpoch: max(epoch, h.knownOwner().epoch),
 	})
 	from, reply, err := h.peers.Ask(ctx, to, ping)
 	if err != nil {
@@ -183,6 +184,7 @@
 	if state.Owner.Incarnation != h.owner.incarnation {
 		h.log.Info("another host owns the cell", zap.String("Host", state.Owner.Host), zap.Uint64("Epoch", state.Owner.Epoch))
 		h.watch.Reset()
+		h.tellReplaced(h.owner.addr)
 	}
 	h.owner = ownerRef{addr: state.Owner.Addr, incarnation: state.Owner.Incarnation, epoch: state.Owner.Epoch}
 }
@@ -296,6 +298,9 @@
 		h.hearOfOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
 		h.mu.Unlock()
 	}
+	if own := h.owning(); own != nil {
+		own.Replaced(ping.KnownEpoch)
+	}
 	known := h.knownOwner()
 	pong := message.OwnerPong{
 		Manifest: h.manifestVersion(), Hosts: h.advisors.List(),
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -16,6 +16,9 @@
 	// when it is not the owner.
 	OwnEpoch    uint64
 	Incarnation string
+	// KnownEpoch is the latest that the host knows of, whoever owns it. An owner
+	// of an earlier one learns from it that it was replaced.
+	KnownEpoch uint64
 	// Manifest is the version that the host has in force.
 	Manifest uint64
 }
@@ -46,15 +49,16 @@
 	OwnEpoch    uint64
 	Incarnation string
 	Manifest    uint64
+	KnownEpoch  uint64
 }
 
 var hostPingCodec = codec[HostPing, hostPingWire]{
 	kind: KindHostPing,
 	to: func(m HostPing) hostPingWire {
-		return hostPingWire{Addr: m.Addr.String(), OwnEpoch: m.OwnEpoch, Incarnation: m.Incarnation, Manifest: m.Manifest}
+		return hostPingWire{Addr: m.Addr.String(), OwnEpoch: m.OwnEpoch, Incarnation: m.Incarnation, Manifest: m.Manifest, KnownEpoch: m.KnownEpoch}
 	},
 	from: func(w hostPingWire) HostPing {
-		return HostPing{Addr: parseAddr(w.Addr), OwnEpoch: w.OwnEpoch, Incarnation: w.Incarnation, Manifest: w.Manifest}
+		return HostPing{Addr: parseAddr(w.Addr), OwnEpoch: w.OwnEpoch, Incarnation: w.Incarnation, Manifest: w.Manifest, KnownEpoch: w.KnownEpoch}
 	},
 }
 
--- a/internal/owner/isolation.go
+++ b/internal/owner/isolation.go
@@ -16,6 +16,9 @@
 	// renewedLately is the age of the last renewal up to which the hosts that
 	// are heard of count as those that there are.
 	renewedLately = 1 * time.Second
+	// hostsWithin is how long a host that is silent still counts as one of them:
+	// it may be on the other side of a cut.
+	hostsWithin = 10 * time.Second
 )
 
 // isolation tells an owner that is cut off from one whose store is away.
@@ -24,11 +27,12 @@
 	hosts int
 }
 
-// cutOff takes in for how long the row was not renewed and how many hosts were
-// heard of in the last isolatedAfter, and reports whether the owner has to end.
-func (i *isolation) cutOff(unrenewed time.Duration, heard int) bool {
-	if unrenewed < renewedLately && heard > 0 {
-		i.hosts = heard
+// cutOff takes in for how long the row was not renewed, how many hosts were heard
+// of in the last isolatedAfter and how many within hostsWithin, and reports
+// whether the owner has to end.
+func (i *isolation) cutOff(unrenewed time.Duration, heard, hosts int) bool {
+	if unrenewed < renewedLately && hosts > 0 {
+		i.hosts = hosts
 	}
 	return unrenewed >= isolatedAfter && i.hosts > 0 && 2*heard <= i.hosts
 }
@@ -37,7 +41,7 @@
 // over again once it reaches the store, if nobody else has.
 func (o *Owner) endIfCutOff() {
 	unrenewed, heard := o.Renewed(), o.advice.heard(isolatedAfter)
-	if o.isolation.cutOff(unrenewed, heard) {
+	if o.isolation.cutOff(unrenewed, heard, o.advice.heard(hostsWithin)) {
 		o.log.Warn("cut off from the store and from most hosts", zap.Duration("Unrenewed", unrenewed),
 			zap.Int("Heard", heard), zap.Int("Hosts", o.isolation.hosts))
 		o.end(fault.New("own", KindReplaced, "epoch %d could not be renewed for %v", o.Epoch(), unrenewed))
--- a/internal/owner/isolation_test.go
+++ b/internal/owner/isolation_test.go
@@ -23,10 +23,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var i isolation
-			if i.cutOff(0, c.hosts) {
+			if i.cutOff(0, c.hosts, c.hosts) {
 				t.Fatal("an owner that renews its row is cut off")
 			}
-			if got := i.cutOff(c.unrenewed, c.heard); got != c.want {
+			if got := i.cutOff(c.unrenewed, c.heard, c.heard); got != c.want {
 				t.Errorf("cut off: %v", got)
 			}
 		})
