--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -115,7 +115,9 @@
 
 // start begins a life of a host.
 func (w *fakeWorld) start(h *fakeHost) {
+	w.mu.Lock()
 	h.lives++
+	w.mu.Unlock()
 	self := peer.Host{Name: h.name, DataCentre: "dc", Incarnation: fmt.Sprintf("%s/%d", h.name, h.lives)}
 	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, Patience: fakePatience}
 	config.Owner = owner.Config{
