--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -329,6 +329,20 @@
 	w.owner().cell.Sight(w.now, w.sighting(s))
 }
 
+// goOn lets a moment pass in which every call and commit of the owner succeeds.
+func (w *world) goOn() {
+	w.holdAll()
+	w.deliverAll()
+	o := w.owner()
+	if o.commit != nil {
+		w.write(o.commit)
+		o.committed(w.now, o.commit)
+		o.commit = nil
+	}
+	w.act(o)
+	w.advance(100 * time.Millisecond)
+}
+
 // settle ends all faults: then every job has to reach its end.
 func (w *world) settle() {
 	for _, s := range w.live() {
@@ -336,16 +350,7 @@
 		w.owner().cell.Sight(w.now, w.sighting(s))
 	}
 	for range 900 {
-		w.holdAll()
-		w.deliverAll()
-		o := w.owner()
-		if o.commit != nil {
-			w.write(o.commit)
-			o.committed(w.now, o.commit)
-			o.commit = nil
-		}
-		w.act(o)
-		w.advance(100 * time.Millisecond)
+		w.goOn()
 		if w.settled() {
 			return
 		}
--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -194,7 +194,7 @@
 	step := t.step
 	r := &run{
 		task: t, number: s.row.Run, worker: s.worker, phase: runStarted, startedClock: s.worker.clock,
-		movedAt: now, pace: fullPace, percent: s.row.Percent, seen: true,
+		movedAt: now, pace: inheritedPace(step.spec), percent: s.row.Percent, seen: true,
 	}
 	t.lastRun = max(t.lastRun, r.number)
 	t.phase = phaseActive
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -78,6 +78,28 @@
 	return w.violation
 }
 
+// TestCalmLife plays jobs without any fault: all members of a gang have to come
+// together in time, and no run may lose its lease.
+func TestCalmLife(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, omitNothing)
+		w.slow = rapid.Bool().Draw(t, "slow")
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(*rapid.T) { w.submit() },
+			"cancel": func(*rapid.T) { w.cancel() },
+			"go on":  func(*rapid.T) { w.goOn() },
+			"wave":   func(*rapid.T) { w.announce() },
+			"":       func(*rapid.T) { w.check() },
+		})
+		if w.settle(); w.violation != "" {
+			t.Fatal(w.violation)
+		}
+		if w.alone > 0 || w.lapsed > 0 {
+			t.Fatalf("%d members of gangs ended alone, %d runs lost their lease", w.alone, w.lapsed)
+		}
+	})
+}
+
 func (w *world) span(label string, from, to int) time.Duration {
 	return time.Duration(rapid.IntRange(from, to).Draw(w.t, label)) * time.Millisecond
 }
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -79,10 +79,11 @@
 
 // RunView is a task that may be at a worker.
 type RunView struct {
-	Task     workload.TaskID
-	Run      int
-	Worker   WorkerID
-	Percent  int
+	Task    workload.TaskID
+	Run     int
+	Worker  WorkerID
+	Percent int
+	// Pace is the percentage at which the run may work; below 0 it is unknown.
 	Pace     int
 	Stopping bool
 }
--- a/internal/cell/pace.go
+++ b/internal/cell/pace.go
@@ -1,10 +1,17 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
 
 const (
 	// fullPace is the percentage at which a run works unhindered.
 	fullPace = 100
+	// unknownPace is that of a run whose pace an earlier owner set, or a call
+	// without an answer.
+	unknownPace = -1
 	// paceStep is the percentage by which a paced run is given back speed.
 	paceStep = 20
 	// cutShare of the latency target is where fillers are cut.
@@ -25,35 +32,61 @@
 }
 
 // watchPace cuts the fillers of a worker as soon as a task that serves comes
-// near its latency target, and gives them speed back slowly.
+// near its latency target, and gives them speed back slowly. Where nothing serves
+// they work unhindered.
 func (c *Cell) watchPace(now time.Time, w *worker) {
-	if !w.shares() {
-		return
-	}
-	worst := 0.0
-	for _, r := range w.runs.list {
-		target := r.task.step.spec.LatencyTarget
-		if target > 0 && r.phase == runStarted {
-			worst = max(worst, r.load/float64(target.Milliseconds()))
-		}
-	}
+	worst, serving := w.worstLatency()
 	giveBack := worst < calmShare && now.Sub(w.pacedAt) >= giveBackEvery
 	for _, r := range w.runs.list {
 		if !r.task.step.spec.Filler || r.phase != runStarted {
 			continue
 		}
+		pace := r.pace
 		switch {
-		case worst > cutShare && r.pace > 0:
-			w.pacedAt = now
-			c.setPace(r, 0)
-		case giveBack && r.pace < fullPace:
+		case !serving:
+			pace = fullPace
+		case worst > cutShare:
+			pace = 0
+		case giveBack:
+			pace = min(max(r.pace, 0)+paceStep, fullPace)
+		}
+		if pace != r.pace {
 			w.pacedAt = now
-			c.setPace(r, min(r.pace+paceStep, fullPace))
+			c.setPace(r, pace)
 		}
 	}
 }
 
+// worstLatency returns the largest share that a task on the worker takes of its
+// latency target, and whether there is any task with one.
+func (w *worker) worstLatency() (worst float64, serving bool) {
+	for _, r := range w.runs.list {
+		target := r.task.step.spec.LatencyTarget
+		if target > 0 && r.phase == runStarted {
+			serving = true
+			worst = max(worst, r.load/float64(target.Milliseconds()))
+		}
+	}
+	return worst, serving
+}
+
 func (c *Cell) setPace(r *run, percent int) {
 	r.pace = percent
 	c.act(SetPace{Worker: r.worker.id, Task: r.task.id, Run: r.number, Percent: percent})
 }
+
+// inheritedPace is the pace of a run that an earlier owner started. Only fillers
+// are ever paced.
+func inheritedPace(step *workload.Step) int {
+	if step.Filler {
+		return unknownPace
+	}
+	return fullPace
+}
+
+// PaceFailed notes that a change of pace has no answer, so that it is made again.
+func (c *Cell) PaceFailed(id WorkerID, taskID workload.TaskID, number int) {
+	if r := c.run(id, taskID, number); r != nil {
+		r.pace = unknownPace
+	}
+}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -179,7 +179,7 @@
 	if !known {
 		w = c.addWorker(rec.Worker)
 	}
-	r := &run{task: t, number: rec.Run, worker: w, phase: runInherited, pace: fullPace}
+	r := &run{task: t, number: rec.Run, worker: w, phase: runInherited, pace: inheritedPace(t.step.spec)}
 	t.phase = phaseActive
 	t.current = r
 	t.step.waiting--
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -118,6 +118,8 @@
 	case "status":
 		state, known := s.cell.Status(workload.JobID(first(0)))
 		return fmt.Sprintf("%v %v\n", known, state)
+	case "pace-failed":
+		s.cell.PaceFailed(cell.WorkerID(first(0)), taskID(t, first(1)), number(t, first(2)))
 	case "slow":
 		s.cell.GoAhead(first(0) == "on")
 	case "pending":
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -140,6 +140,7 @@
 		r := s.runs[id]
 		switch {
 		case r.gang && lapsed:
+			w.lapsed++
 			w.brokenBy(id, r)
 			s.end(id, r, cell.EndLapsed)
 		case r.gang:
@@ -149,6 +150,7 @@
 			w.everDone[id] = true
 			s.end(id, r, cell.EndDone)
 		case lapsed:
+			w.lapsed++
 			s.end(id, r, cell.EndLapsed)
 		}
 	}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -53,8 +53,10 @@
 	wavesDone map[int]bool
 	// away holds the tasks that an order has ended and that are not back.
 	away map[workload.TaskID]bool
-	// alone counts the members of gangs that gave up waiting for the others.
-	alone int
+	// alone counts the members of gangs that gave up waiting for the others, and
+	// lapsed the runs whose worker lost its lease.
+	alone  int
+	lapsed int
 	// saved holds the checkpoints that a step's tasks have written.
 	saved map[string]workload.TaskID
 	// violation is the first promise that was broken.
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -152,8 +152,17 @@
 		for _, s := range p.Steps {
 			row(w, "Step", s.Step, "Ready", s.Ready, "Tasks", s.Tasks, "Waiting", s.Waiting, "Done", s.Done)
 			for _, r := range s.Runs {
-				row(w, "", r.Task, "run", r.Run, "at", r.Worker, fmt.Sprintf("%d%%", r.Percent), fmt.Sprintf("pace %d%%", r.Pace))
+				row(w, "", r.Task, "run", r.Run, "at", r.Worker, fmt.Sprintf("%d%%", r.Percent), paceText(r.Pace))
 			}
 		}
 	}}, nil
 }
+
+// paceText tells the pace of a run, which is below 0 while the owner does not
+// know it.
+func paceText(pace int) string {
+	if pace < 0 {
+		return "pace unknown"
+	}
+	return fmt.Sprintf("pace %d%%", pace)
+}
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -33,6 +33,14 @@
 	o.cell.Stopped(e.stop.Worker, e.stop.Task, e.stop.Run, e.clock)
 }
 
+type paceFailed struct {
+	order cell.SetPace
+}
+
+func (e paceFailed) apply(o *Owner, _ time.Time) {
+	o.cell.PaceFailed(e.order.Worker, e.order.Task, e.order.Run)
+}
+
 type advised struct {
 	advice cell.Advice
 }
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -107,6 +107,7 @@
 	o.order(func(ctx context.Context) {
 		if err := o.workers.SetPace(ctx, addr, p, o.Epoch()); err != nil {
 			o.failed("set pace", p.Worker, err, zap.String("Job", string(p.Task.Job)), zap.Stringer("Task", p.Task))
+			o.put(paceFailed{p})
 		}
 	})
 }
