--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -46,6 +46,14 @@
 // maxAhead bounds the workers that the owner's row names.
 const maxAhead = 128
 
+const (
+	// SlowCommit is the time of a commit from which on starts go ahead of their
+	// record, and QuickCommit that at which they wait for it again.
+	SlowCommit = 80 * time.Millisecond
+	// QuickCommit is well below SlowCommit, so that the two do not alternate.
+	QuickCommit = 40 * time.Millisecond
+)
+
 // GoAhead tells whether starts should go ahead of their record from now on.
 func (c *Cell) GoAhead(wanted bool) { c.ahead.wanted = wanted }
 
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cicadabarrow.example/cicadabarrow/internal/api"
 )
 
 const (
@@ -80,29 +82,8 @@
 	return body, nil
 }
 
-// cellPage is what the page of the cell says.
-type cellPage struct {
-	Owner    string
-	Epoch    uint64
-	Manifest uint64
-	Settling bool
-	Jobs     int
-	Steps    int
-	Tasks    int
-	Workers  []struct {
-		ID, Rack, State string
-		Runs            int
-		Room, Free      struct{ MilliCores, MemoryMB int64 }
-		Slowness        float64
-	}
-	Waves []struct {
-		Wave, Machines, Ordered, Settled int
-		Done                             bool
-	}
-}
-
 func showCell(ctx context.Context, cmd *cli.Command) (result, error) {
-	var p cellPage
+	var p api.Cell
 	document, err := fetchView(ctx, cmd, cellPath, &p)
 	if err != nil {
 		return result{}, err
@@ -123,26 +104,8 @@
 	}}, nil
 }
 
-// jobPage is what the page of a job says.
-type jobPage struct {
-	ID, Queue, State, Age string
-	Steps                 []struct {
-		Step                 string
-		Ready                bool
-		Tasks, Waiting, Done int
-		Runs                 []struct {
-			Task     string
-			Run      int
-			Worker   string
-			Percent  int
-			Pace     int
-			Stopping bool
-		}
-	}
-}
-
 func showCellJob(ctx context.Context, cmd *cli.Command) (result, error) {
-	var p jobPage
+	var p api.CellJob
 	document, err := fetchView(ctx, cmd, jobPath+cmd.Args().First(), &p)
 	if err != nil {
 		return result{}, err
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -20,6 +20,8 @@
 	// KindInvalid means that fields of the load are wrong; the error wraps
 	// document.Faults.
 	KindInvalid Kind = "invalid"
+	// KindStopped means that the play was stopped before its end.
+	KindStopped Kind = "stopped"
 )
 
 // Error is the error of this package.
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/api"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
-	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -60,103 +60,42 @@
 	return message.EncodeCellSeen(message.CellSeen{Document: document}), nil
 }
 
-type overviewWire struct {
-	Owner    string
-	Epoch    uint64
-	Manifest uint64
-	Settling bool
-	Jobs     int
-	Steps    int
-	Tasks    int
-	Workers  []workerWire
-	Waves    []waveWire
-}
-
-type workerWire struct {
-	ID       string
-	Rack     string
-	State    string
-	Runs     int
-	Room     sizeWire
-	Free     sizeWire
-	Slowness float64
-}
-
-type sizeWire struct {
-	MilliCores   int64
-	MemoryMB     int64
-	Accelerators int64
-}
-
-type waveWire struct {
-	Wave     int
-	Machines int
-	Ordered  int
-	Settled  int
-	Done     bool
-}
-
-func encodeOverview(o cell.Overview, owner string, epoch uint64) overviewWire {
-	out := overviewWire{
+func encodeOverview(o cell.Overview, owner string, epoch uint64) api.Cell {
+	out := api.Cell{
 		Owner: owner, Epoch: epoch, Manifest: o.Manifest, Settling: o.Settling,
 		Jobs: o.Backlog.Jobs, Steps: o.Backlog.Steps, Tasks: o.Backlog.Tasks,
-		Workers: make([]workerWire, len(o.Workers)), Waves: make([]waveWire, len(o.Waves)),
+		Workers: make([]api.CellWorker, len(o.Workers)), Waves: make([]api.CellWave, len(o.Waves)),
 	}
 	for i, w := range o.Workers {
-		out.Workers[i] = workerWire{
+		out.Workers[i] = api.CellWorker{
 			ID: string(w.ID), Rack: w.Rack, State: string(w.State), Runs: w.Runs,
-			Room: encodeSize(w.Room), Free: encodeSize(w.Free), Slowness: w.Slowness,
+			Room: api.Size(w.Room), Free: api.Size(w.Free), Slowness: w.Slowness,
 		}
 	}
 	for i, w := range o.Waves {
-		out.Waves[i] = waveWire(w)
+		out.Waves[i] = api.CellWave(w)
 	}
 	return out
 }
 
-func encodeSize(s job.Size) sizeWire { return sizeWire(s) }
-
-type jobWire struct {
-	ID    string
-	Queue string
-	State string
-	Age   string
-	Steps []stepWire
-}
-
-type stepWire struct {
-	Step    string
-	Ready   bool
-	Tasks   int
-	Waiting int
-	Done    int
-	Runs    []runWire
-}
-
-type runWire struct {
-	Task     string
-	Run      int
-	Worker   string
-	Percent  int
-	Pace     int
-	Stopping bool
-}
-
-func encodeJobView(v cell.JobView) jobWire {
-	out := jobWire{
+func encodeJobView(v cell.JobView) api.CellJob {
+	out := api.CellJob{
 		ID: string(v.ID), Queue: v.Queue, State: string(v.State), Age: v.Age.Round(time.Millisecond).String(),
-		Steps: make([]stepWire, len(v.Steps)),
+		Steps: make([]api.CellStep, len(v.Steps)),
 	}
 	for i, s := range v.Steps {
-		out.Steps[i] = stepWire{
-			Step: s.ID.String(), Ready: s.Ready, Tasks: s.Tasks, Waiting: s.Waiting, Done: s.Done,
-			Runs: make([]runWire, len(s.Runs)),
+		out.Steps[i] = api.CellStep{
+			Step: s.ID.String(), Ready: s.Ready, Tasks: s.Tasks, Waiting: s.Waiting, Done: s.Done, Runs: encodeRuns(s.Runs),
 		}
-		for n, r := range s.Runs {
-			out.Steps[i].Runs[n] = runWire{
-				Task: r.Task.String(), Run: r.Run, Worker: string(r.Worker), Percent: r.Percent, Pace: r.Pace,
-				Stopping: r.Stopping,
-			}
+	}
+	return out
+}
+
+func encodeRuns(runs []cell.RunView) []api.CellRun {
+	out := make([]api.CellRun, len(runs))
+	for i, r := range runs {
+		out[i] = api.CellRun{
+			Task: r.Task.String(), Run: r.Run, Worker: string(r.Worker), Percent: r.Percent, Pace: r.Pace, Stopping: r.Stopping,
 		}
 	}
 	return out
--- a/internal/owner/landed.go
+++ b/internal/owner/landed.go
@@ -55,7 +55,8 @@
 		}
 		snapshot, err := o.store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part})
 		if err != nil {
-			continue // the commit itself tells what is wrong
+			o.log.Debug("the owner's row cannot be read", zap.Uint64("Attempt", attempt), zap.Error(err))
+			continue
 		}
 		state, err := election.ReadState(snapshot.Rows)
 		if err == nil && state.Owner.Epoch == o.Epoch() && state.Owner.Attempt == attempt {
--- a/internal/owner/slow.go
+++ b/internal/owner/slow.go
@@ -1,12 +1,9 @@
 package owner
 
-import "time"
+import (
+	"time"
 
-const (
-	// slowCommit is the time of a commit from which on starts go ahead of their
-	// record, and quickCommit that at which they wait for it again.
-	slowCommit  = 80 * time.Millisecond
-	quickCommit = 40 * time.Millisecond
+	"cicadabarrow.example/cicadabarrow/internal/cell"
 )
 
 // slowStore tells whether commits take so long, or fail, that starts should not
@@ -18,9 +15,9 @@
 // took notes how a commit went, and reports whether the store is slow.
 func (s *slowStore) took(d time.Duration, err error) bool {
 	switch {
-	case err != nil || d >= slowCommit:
+	case err != nil || d >= cell.SlowCommit:
 		s.is = true
-	case d <= quickCommit:
+	case d <= cell.QuickCommit:
 		s.is = false
 	}
 	return s.is
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,17 +51,23 @@
 			text = edit(t, string(base), d.Input)
 		}
 		_, err := Read(strings.NewReader(text))
-		if err == nil {
-			return "valid\n"
-		}
-		var faults document.Faults
-		if !errors.As(err, &faults) || !fault.Is(err, KindInvalid) {
-			t.Fatalf("an error without faults: %v", err)
-		}
-		return faults.Error() + "\n"
+		return verdict(t, err)
 	})
 }
 
+// verdict tells what a reader of settings found wrong.
+func verdict(t *testing.T, err error) string {
+	t.Helper()
+	if err == nil {
+		return "valid\n"
+	}
+	var faults document.Faults
+	if !errors.As(err, &faults) || !fault.Is(err, KindInvalid) {
+		t.Fatalf("an error without faults: %v", err)
+	}
+	return faults.Error() + "\n"
+}
+
 func edit(t *testing.T, text, edits string) string {
 	for line := range strings.SplitSeq(edits, "\n") {
 		from, to, ok := strings.Cut(line, " => ")
