--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -21,7 +21,7 @@
 type CellWorker struct {
 	ID   string
 	Rack string
-	// State is Ready, Silent, Leaving, Upkeep, Quarantined or Unlisted.
+	// State is Ready, Silent, Leaving, Maintenance, Quarantined or Unlisted.
 	State string
 	Runs  int
 	Room  Size
@@ -30,7 +30,7 @@
 	Slowness float64
 }
 
-// CellWave is a wave of upkeep.
+// CellWave is a wave of maintenance.
 type CellWave struct {
 	Wave     int
 	Machines int
--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -131,8 +131,8 @@
 }
 
 func (w *world) finish(c *simCall) {
-	if c.upkeep != nil {
-		w.finishUpkeep(c)
+	if c.maintenance != nil {
+		w.finishMaintenance(c)
 		return
 	}
 	if c.worker.cut {
@@ -151,14 +151,14 @@
 	w.answer(c, outcome, report)
 }
 
-func (w *world) finishUpkeep(c *simCall) {
-	outcome, fenced := w.upkeep(c.owner, c.upkeep)
+func (w *world) finishMaintenance(c *simCall) {
+	outcome, fenced := w.maintenance(c.owner, c.maintenance)
 	if c.answered || c.owner.over {
 		return
 	}
 	c.answered = true
 	if c.owner.over = fenced; !fenced {
-		c.owner.cell.Upkept(w.now, *c.upkeep, outcome)
+		c.owner.cell.Maintained(w.now, *c.maintenance, outcome)
 	}
 }
 
@@ -184,8 +184,8 @@
 		return
 	}
 	c.answered = true
-	if c.upkeep != nil {
-		c.owner.cell.Upkept(w.now, *c.upkeep, cell.UpkeepLater)
+	if c.maintenance != nil {
+		c.owner.cell.Maintained(w.now, *c.maintenance, cell.MaintenanceLater)
 	}
 	if c.start != nil {
 		outcome := cell.StartOutcome{Unknown: true}
@@ -206,8 +206,8 @@
 	switch {
 	case c == nil:
 		return
-	case c.upkeep != nil:
-		w.upkeep(c.owner, c.upkeep)
+	case c.maintenance != nil:
+		w.maintenance(c.owner, c.maintenance)
 	case !c.worker.cut:
 		// Its owner has no answer, so that this order is one that was held up.
 		told := c.answered
@@ -302,7 +302,7 @@
 	for _, o := range w.owners {
 		o.cell.HoldFailed(s.id)
 	}
-	w.owner().cell.Sight(w.now, w.sighting(s))
+	w.owner().cell.Register(w.now, w.registration(s))
 }
 
 // failOver loses the owner and a worker at the same moment, with all calls that
@@ -326,7 +326,7 @@
 	}
 	s.leaving = !s.leaving
 	s.hasLeft = true
-	w.owner().cell.Sight(w.now, w.sighting(s))
+	w.owner().cell.Register(w.now, w.registration(s))
 }
 
 // goOn lets a moment pass in which every call and commit of the owner succeeds.
@@ -347,7 +347,7 @@
 func (w *world) settle() {
 	for _, s := range w.live() {
 		s.cut, s.leaving = false, false
-		w.owner().cell.Sight(w.now, w.sighting(s))
+		w.owner().cell.Register(w.now, w.registration(s))
 	}
 	for range 900 {
 		w.goOn()
--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -11,8 +11,8 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// stray is a run of an earlier owner that no record names.
-type stray struct {
+// unrecordedRun is a run of an earlier owner that no record names.
+type unrecordedRun struct {
 	worker   *worker
 	row      Running
 	stopping bool
@@ -32,14 +32,14 @@
 	allowed map[WorkerID]bool
 	// unsettled holds the workers that an earlier owner named and that have
 	// neither reported nor lost their lease.
-	unsettled map[WorkerID]bool
-	strays    map[workload.TaskID]*stray
+	unsettled  map[WorkerID]bool
+	unrecorded map[workload.TaskID]*unrecordedRun
 }
 
 func newAheadState() aheadState {
 	return aheadState{
 		allowed: make(map[WorkerID]bool), unsettled: make(map[WorkerID]bool),
-		strays: make(map[workload.TaskID]*stray),
+		unrecorded: make(map[workload.TaskID]*unrecordedRun),
 	}
 }
 
@@ -122,7 +122,7 @@
 	delete(c.ahead.unsettled, id)
 	c.reconsider = true
 	if !c.settling() {
-		c.log.Info("all runs that were started ahead of their record are known", zap.Int("Strays", len(c.ahead.strays)))
+		c.log.Info("all runs that were started ahead of their record are known", zap.Int("Unrecorded", len(c.ahead.unrecorded)))
 	}
 }
 
@@ -135,53 +135,53 @@
 	}
 }
 
-// noteStray takes in an unknown run of a worker's first report, which an earlier
+// noteUnrecorded takes in an unknown run of a worker's first report, which an earlier
 // owner may have started ahead of its record.
-func (c *Cell) noteStray(w *worker, e *Running) {
+func (c *Cell) noteUnrecorded(w *worker, e *Running) {
 	t := c.task(e.Task)
 	if t == nil || t.phase == phaseDone || t.step.spec.Gang || t.step.spec.LongRunning || t.step.job.state.Final() {
 		return
 	}
-	c.ahead.strays[e.Task] = &stray{worker: w, row: *e}
+	c.ahead.unrecorded[e.Task] = &unrecordedRun{worker: w, row: *e}
 }
 
-// strayAt returns the stray that a line of a worker's report is about, or nil.
-func (c *Cell) strayAt(w *worker, e *Running) *stray {
-	s, known := c.ahead.strays[e.Task]
+// unrecordedAt returns the unrecorded run that a line of a worker's report is about, or nil.
+func (c *Cell) unrecordedAt(w *worker, e *Running) *unrecordedRun {
+	s, known := c.ahead.unrecorded[e.Task]
 	if !known || s.worker != w || s.row.Run != e.Run {
 		return nil
 	}
 	return s
 }
 
-// dropStrays forgets the strays of a worker that its report does not list.
-func (c *Cell) dropStrays(w *worker, listed map[workload.TaskID]int) {
-	for id, s := range c.ahead.strays {
+// dropUnrecorded forgets the unrecorded runs of a worker that its report does not list.
+func (c *Cell) dropUnrecorded(w *worker, listed map[workload.TaskID]int) {
+	for id, s := range c.ahead.unrecorded {
 		if number, there := listed[id]; s.worker == w && (!there || number != s.row.Run) {
-			delete(c.ahead.strays, id)
+			delete(c.ahead.unrecorded, id)
 			c.reconsider = true
 		}
 	}
 }
 
-// resolveStrays takes strays over whose tasks wait for a run. Once all workers
+// resolveUnrecorded takes runs over whose tasks wait for a run. Once all workers
 // are settled, the others are stopped; their tasks wait until they are gone.
-func (c *Cell) resolveStrays(now time.Time) {
-	for _, s := range c.sortedStrays() {
+func (c *Cell) resolveUnrecorded(now time.Time) {
+	for _, s := range c.sortedUnrecorded() {
 		id := s.row.Task
 		t := c.task(id)
 		if t == nil {
-			delete(c.ahead.strays, id)
+			delete(c.ahead.unrecorded, id)
 			continue
 		}
 		if t.current != nil && t.current.phase == runInherited && t.current.number < s.row.Run {
-			// The stray came after the run on record, which has ended then.
+			// It came after the run on record, which has ended then.
 			c.release(now, t.current, EndStopped)
 		}
 		switch {
 		case t.phase == phaseWaiting && t.step.ready && !t.step.job.state.Final() && !s.stopping:
 			c.adopt(now, t, s)
-			delete(c.ahead.strays, id)
+			delete(c.ahead.unrecorded, id)
 		case !c.settling() && !s.stopping:
 			s.stopping = true
 			c.act(SendStop{Worker: s.worker.id, Task: id, Run: s.row.Run})
@@ -189,16 +189,16 @@
 	}
 }
 
-// sortedStrays returns the strays in a fixed order, so that a cell does the same
+// sortedUnrecorded returns the unrecorded runs in a fixed order, so that a cell does the same
 // in every play.
-func (c *Cell) sortedStrays() []*stray {
-	return slices.SortedFunc(maps.Values(c.ahead.strays), func(a, b *stray) int {
+func (c *Cell) sortedUnrecorded() []*unrecordedRun {
+	return slices.SortedFunc(maps.Values(c.ahead.unrecorded), func(a, b *unrecordedRun) int {
 		return strings.Compare(a.row.Task.String(), b.row.Task.String())
 	})
 }
 
-// adopt makes a stray the run of its task.
-func (c *Cell) adopt(now time.Time, t *task, s *stray) {
+// adopt makes an unrecorded run the one of its task.
+func (c *Cell) adopt(now time.Time, t *task, s *unrecordedRun) {
 	step := t.step
 	r := &run{
 		task: t, number: s.row.Run, worker: s.worker, phase: runStarted, startedClock: s.worker.clock,
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -88,7 +88,7 @@
 
 	// endedJobs holds the jobs that have ended, the oldest end first.
 	endedJobs []endedJob
-	// waves holds the operator's waves of upkeep by their number.
+	// waves holds the operator's waves of maintenance by their number.
 	waves map[int]*waveState
 	// waveRecords holds what earlier owners have noted of waves.
 	waveRecords map[int]WaveRecord
@@ -129,7 +129,7 @@
 func (c *Cell) Take(now time.Time) []Action {
 	if c.reconsider {
 		c.reconsider = false
-		c.resolveStrays(now)
+		c.resolveUnrecorded(now)
 		c.place(now)
 	}
 	actions := c.actions
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -10,7 +10,7 @@
 	var b strings.Builder
 	for _, w := range c.ordered {
 		fmt.Fprintf(&b, "worker %s listed=%v reported=%v leaving=%v taken=%+v leavingRoom=%+v rest=%v\n",
-			w.id, w.listed, w.reported, w.sighting.Leaving, w.taken, w.leaving, w.health.quarantinedUntil)
+			w.id, w.listed, w.reported, w.registration.Leaving, w.taken, w.leaving, w.health.quarantinedUntil)
 		for _, r := range w.runs.list {
 			fmt.Fprintf(&b, "  run %s %d phase=%d stopping=%v answered=%v\n", r.task.id, r.number, r.phase, r.stopping, r.stopAnswered)
 		}
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -9,9 +9,9 @@
 type health struct {
 	// failures counts the runs that failed since the last that did not.
 	failures int
-	// crawls counts the runs that made too little progress since the last
+	// stragglers counts the runs that made too little progress since the last
 	// that was done.
-	crawls           int
+	stragglers       int
 	quarantinedUntil time.Time
 	// slowness is how many times as long as elsewhere tasks took here, less 1,
 	// as learned at slowAt.
@@ -32,7 +32,7 @@
 func (h *health) ended(now time.Time, how EndKind) {
 	switch how {
 	case EndDone:
-		h.failures, h.crawls = 0, 0
+		h.failures, h.stragglers = 0, 0
 	case EndFailed:
 		h.failures++
 		if h.failures >= failuresToQuarantine {
@@ -42,10 +42,10 @@
 	}
 }
 
-// crawled notes a run that made too little progress.
-func (h *health) crawled(now time.Time) {
-	h.crawls++
-	if h.crawls >= failuresToQuarantine {
+// straggled notes a run that made too little progress.
+func (h *health) straggled(now time.Time) {
+	h.stragglers++
+	if h.stragglers >= failuresToQuarantine {
 		h.quarantinedUntil = now.Add(quarantineFor)
 	}
 }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -146,8 +146,8 @@
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
-	if len(c.ahead.strays) > 0 && c.lapsed(now, w) {
-		c.dropStrays(w, nil)
+	if len(c.ahead.unrecorded) > 0 && c.lapsed(now, w) {
+		c.dropUnrecorded(w, nil)
 	}
 	if w.runs.len() > 0 && c.lapsed(now, w) {
 		c.log.Warn("a worker's lease ran out", workerField(w), zap.Int("Runs", w.runs.len()),
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -28,9 +28,9 @@
 	WorkerSilent WorkerState = "Silent"
 	// WorkerLeaving workers have been told to leave.
 	WorkerLeaving WorkerState = "Leaving"
-	// WorkerUpkeep workers are emptied for the upkeep of their machine.
-	WorkerUpkeep WorkerState = "Upkeep"
-	// WorkerQuarantined workers failed or crawled and are left alone for now.
+	// WorkerMaintenance workers are emptied for the maintenance of their machine.
+	WorkerMaintenance WorkerState = "Maintenance"
+	// WorkerQuarantined workers failed or straggled and are left alone for now.
 	WorkerQuarantined WorkerState = "Quarantined"
 	// WorkerUnlisted workers are not in the list of workers.
 	WorkerUnlisted WorkerState = "Unlisted"
@@ -48,7 +48,7 @@
 	Slowness float64
 }
 
-// WaveView is how far a wave of upkeep is.
+// WaveView is how far a wave of maintenance is.
 type WaveView struct {
 	Wave     int
 	Machines int
@@ -96,8 +96,8 @@
 	}
 	for _, w := range c.ordered {
 		out.Workers = append(out.Workers, WorkerView{
-			ID: w.id, Rack: w.sighting.Rack(), State: c.workerState(now, w), Runs: w.runs.len(),
-			Room: w.sighting.Room, Free: w.free(), Slowness: w.health.slowNow(now),
+			ID: w.id, Rack: w.registration.Rack(), State: c.workerState(now, w), Runs: w.runs.len(),
+			Room: w.registration.Room, Free: w.free(), Slowness: w.health.slowNow(now),
 		})
 	}
 	for _, number := range sortedKeys(c.waves) {
@@ -116,10 +116,10 @@
 		return WorkerUnlisted
 	case !w.reported || now.Sub(w.lastReport) > c.config.ContactFor:
 		return WorkerSilent
-	case w.sighting.Leaving:
+	case w.registration.Leaving:
 		return WorkerLeaving
-	case w.cordonedBy != nil || c.mayGoDown(w.sighting.Machine):
-		return WorkerUpkeep
+	case w.cordonedBy != nil || c.mayGoDown(w.registration.Machine):
+		return WorkerMaintenance
 	case w.health.quarantined(now):
 		return WorkerQuarantined
 	}
--- a/internal/cell/pace.go
+++ b/internal/cell/pace.go
@@ -14,31 +14,31 @@
 	unknownPace = -1
 	// paceStep is the percentage by which a paced run is given back speed.
 	paceStep = 20
-	// cutShare of the latency target is where fillers are cut.
+	// cutShare of the latency target is where best-effort tasks are cut.
 	cutShare = 0.8
-	// calmShare of the latency target is where fillers get speed back, at most
+	// calmShare of the latency target is where best-effort tasks get speed back, at most
 	// once in giveBackEvery.
 	calmShare     = 0.5
 	giveBackEvery = 500 * time.Millisecond
 )
 
-// shares reports whether fillers run beside tasks with a latency target.
+// shares reports whether best-effort tasks run beside tasks with a latency target.
 func (w *worker) shares() bool {
 	fills := false
 	for _, r := range w.runs.list {
-		fills = fills || r.task.step.spec.Filler
+		fills = fills || r.task.step.spec.BestEffort
 	}
 	return fills && w.serves()
 }
 
-// watchPace cuts the fillers of a worker as soon as a task that serves comes
+// watchPace cuts the best-effort tasks of a worker as soon as a task that serves comes
 // near its latency target, and gives them speed back slowly. Where nothing serves
 // they work unhindered.
 func (c *Cell) watchPace(now time.Time, w *worker) {
 	worst, serving := w.worstLatency()
 	giveBack := worst < calmShare && now.Sub(w.pacedAt) >= giveBackEvery
 	for _, r := range w.runs.list {
-		if !r.task.step.spec.Filler || r.phase != runStarted {
+		if !r.task.step.spec.BestEffort || r.phase != runStarted {
 			continue
 		}
 		pace := r.pace
@@ -75,10 +75,10 @@
 	c.act(SetPace{Worker: r.worker.id, Task: r.task.id, Run: r.number, Percent: percent})
 }
 
-// inheritedPace is the pace of a run that an earlier owner started. Only fillers
+// inheritedPace is the pace of a run that an earlier owner started. Only best-effort tasks
 // are ever paced.
 func inheritedPace(step *workload.Step) int {
-	if step.Filler {
+	if step.BestEffort {
 		return unknownPace
 	}
 	return fullPace
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -34,7 +34,7 @@
 		u.byService = make(map[string][]*worker)
 		for _, w := range u.cell.ordered {
 			if u.cell.usable(u.now, w) {
-				u.byService[w.sighting.Service] = append(u.byService[w.sighting.Service], w)
+				u.byService[w.registration.Service] = append(u.byService[w.registration.Service], w)
 			}
 		}
 	}
@@ -96,7 +96,7 @@
 	out := make([]*worker, 0, len(s.advice.order))
 	for _, id := range s.advice.order {
 		w, known := c.workers[id]
-		if known && w.sighting.Service == q.Service && s.advice.valid(now, w) && s.fits(w) && c.usable(now, w) {
+		if known && w.registration.Service == q.Service && s.advice.valid(now, w) && s.fits(w) && c.usable(now, w) {
 			out = append(out, w)
 		}
 	}
@@ -116,10 +116,10 @@
 
 // fits reports whether a worker's size and labels suit a step.
 func (s *stepState) fits(w *worker) bool {
-	if s.spec.Label != "" && !w.sighting.HasLabel(s.spec.Label) {
+	if s.spec.Label != "" && !w.registration.HasLabel(s.spec.Label) {
 		return false
 	}
-	return s.spec.Size.Fits(w.sighting.Room) || s.spec.Filler && s.spec.Reserved().Fits(w.sighting.Room)
+	return s.spec.Size.Fits(w.registration.Room) || s.spec.BestEffort && s.spec.Reserved().Fits(w.registration.Room)
 }
 
 // avoidFor is how long a task waits for another worker than the one on which it
@@ -130,7 +130,7 @@
 func (c *Cell) placeTasks(now time.Time, s *stepState, eligible []*worker) {
 	placed := false
 	for _, t := range s.tasks {
-		if t.phase != phaseWaiting || c.ahead.strays[t.id] != nil {
+		if t.phase != phaseWaiting || c.ahead.unrecorded[t.id] != nil {
 			continue
 		}
 		w := c.choose(now, s, eligible, t.failedOn)
@@ -144,7 +144,7 @@
 			continue
 		}
 		if s.waiting == len(s.tasks) {
-			s.rack = w.sighting.Rack()
+			s.rack = w.registration.Rack()
 		}
 		c.plan(now, t, w, t.lastRun+1)
 		placed = true
@@ -168,7 +168,7 @@
 			break
 		}
 		chosen = append(chosen, w)
-		s.rack = chosen[0].sighting.Rack()
+		s.rack = chosen[0].registration.Rack()
 		// Taken for the moment, so that the next choice sees it.
 		w.taken = w.taken.Add(s.spec.Reserved())
 	}
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -59,7 +59,7 @@
 // preemptible reports whether a run can be stopped at little cost.
 func (c *Cell) preemptible(r *run) bool {
 	spec := r.task.step.spec
-	return spec.Checkpoints && !spec.Gang && !spec.LongRunning && !spec.Filler && !r.stopping &&
+	return spec.Checkpoints && !spec.Gang && !spec.LongRunning && !spec.BestEffort && !r.stopping &&
 		r.phase == runStarted && c.queueOf(r.task.step.job).Priority > 0
 }
 
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -10,19 +10,19 @@
 	// stuckFor is how long a run may report the same progress. A run of two
 	// minutes still moves by a percent in that time.
 	stuckFor = 1200 * time.Millisecond
-	// crawlFactor times the typical run time is when a run counts as crawling,
-	// and crawlLeft times that when enough of it is left for a move to pay.
-	crawlFactor = 4
-	crawlLeft   = 2
-	// crawlSamples is the least number of finished runs that make a run time
+	// stragglerFactor times the typical run time is when a run counts as a straggler,
+	// and stragglerLeft times that when enough of it is left for a move to pay.
+	stragglerFactor = 4
+	stragglerLeft   = 2
+	// stragglerSamples is the least number of finished runs that make a run time
 	// typical.
-	crawlSamples = 2
-	// crawlAfter is how long a run works before its progress says anything.
-	crawlAfter = 500 * time.Millisecond
+	stragglerSamples = 2
+	// stragglerAfter is how long a run works before its progress says anything.
+	stragglerAfter = 500 * time.Millisecond
 	// startupFor is how long a long-running task may take until it is at work.
 	startupFor = 4 * time.Second
 	// maxMoves bounds how often a task is moved because its run stands still
-	// or crawls, since some tasks are just like that.
+	// or is a straggler, since some tasks are just like that.
 	maxMoves = 2
 )
 
@@ -55,7 +55,7 @@
 		worked, timed := r.took(now)
 		return timed && r.percent < fullPercent && worked > startupFor && now.Sub(r.movedAt) >= stuckFor
 	}
-	if spec.LongRunning || spec.Gang || spec.Filler || r.stopping || r.task.moves >= maxMoves {
+	if spec.LongRunning || spec.Gang || spec.BestEffort || r.stopping || r.task.moves >= maxMoves {
 		return false
 	}
 	if now.Sub(r.movedAt) >= stuckFor {
@@ -66,11 +66,11 @@
 		typical, known = c.expected(step)
 	}
 	worked, timed := r.took(now)
-	if !known || !timed || worked < crawlAfter || r.percent == 0 {
+	if !known || !timed || worked < stragglerAfter || r.percent == 0 {
 		return false
 	}
 	projected := worked * fullPercent / time.Duration(r.percent)
-	return projected > crawlFactor*typical && projected-worked > crawlLeft*typical
+	return projected > stragglerFactor*typical && projected-worked > stragglerLeft*typical
 }
 
 // fullPercent is the progress of a run that is done.
@@ -78,7 +78,7 @@
 
 // typical returns the mean run time of the tasks of a step that are done.
 func (s *stepState) typical() (time.Duration, bool) {
-	if s.timed < crawlSamples {
+	if s.timed < stragglerSamples {
 		return 0, false
 	}
 	return s.runTime / time.Duration(s.timed), true
@@ -155,7 +155,7 @@
 		zap.Int("Percent", r.percent), zap.Duration("Since", now.Sub(r.movedAt)), zap.Duration("Worked", worked))...)
 	r.task.moves++
 	r.task.failedOn = r.worker.id
-	r.worker.health.crawled(now)
+	r.worker.health.straggled(now)
 	if typical, known := r.task.step.typical(); known && r.percent > 0 && r.task.step.estimable() {
 		r.worker.health.took(now, worked.Seconds()*fullPercent/float64(r.percent)/typical.Seconds())
 	}
--- a/internal/cell/rank.go
+++ b/internal/cell/rank.go
@@ -85,21 +85,21 @@
 func (s *stepState) score(w *worker) float64 {
 	free := w.free()
 	score := 0.0
-	if s.spec.DataRack != "" && w.sighting.HasLabel(s.spec.DataRack) {
+	if s.spec.DataRack != "" && w.registration.HasLabel(s.spec.DataRack) {
 		score += nearScore
 	}
-	if s.spec.SameRack && s.rack != "" && s.rack == w.sighting.Rack() {
+	if s.spec.SameRack && s.rack != "" && s.rack == w.registration.Rack() {
 		score += nearScore
 	}
-	if s.spec.Filler {
-		return score + fillerScore(s, w)
+	if s.spec.BestEffort {
+		return score + bestEffortScore(s, w)
 	}
 	if w.serves() && s.spec.LatencyTarget > 0 {
 		score -= crowdScore
 	}
 	// Best fit keeps large gaps for large tasks.
 	left := free.Sub(s.spec.Reserved())
-	return score - left.Share(w.sighting.Room)
+	return score - left.Share(w.registration.Room)
 }
 
 const (
@@ -109,11 +109,11 @@
 	crowdScore = 3
 )
 
-// fillerScore prefers workers with idle cores and without tasks that serve.
-func fillerScore(s *stepState, w *worker) float64 {
+// bestEffortScore prefers workers with idle cores and without tasks that serve.
+func bestEffortScore(s *stepState, w *worker) float64 {
 	idle := w.free().MilliCores
 	for _, r := range w.runs.list {
-		if r.task.step.spec.Filler {
+		if r.task.step.spec.BestEffort {
 			idle -= r.task.step.spec.Size.MilliCores
 		}
 	}
--- a/internal/cell/sighting.go
+++ b/internal/cell/registration.go
@@ -15,8 +15,8 @@
 // Incarnation tells one life of a worker from the next; a larger one is later.
 type Incarnation int64
 
-// Sighting is what a worker says of itself in the list of workers.
-type Sighting struct {
+// Registration is what a worker says of itself in the list of workers.
+type Registration struct {
 	ID          WorkerID
 	Incarnation Incarnation
 	// Machine is the machine that the worker runs on.
@@ -36,7 +36,7 @@
 const rackPrefix = "r"
 
 // Rack returns the label that names the worker's rack, or "" without one.
-func (s *Sighting) Rack() string {
+func (s *Registration) Rack() string {
 	for _, label := range s.Labels {
 		if len(label) > 1 && label[:1] == rackPrefix && label[1] >= '0' && label[1] <= '9' {
 			return label
@@ -46,7 +46,7 @@
 }
 
 // HasLabel reports whether the worker has a label.
-func (s *Sighting) HasLabel(label string) bool { return slices.Contains(s.Labels, label) }
+func (s *Registration) HasLabel(label string) bool { return slices.Contains(s.Labels, label) }
 
 // Running is one run that a worker reports.
 type Running struct {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -53,7 +53,7 @@
 	for i := range report.Running {
 		e := &report.Running[i]
 		if r, known := w.runs.get(e.Task); !known || r.number != e.Run {
-			c.noteStray(w, e)
+			c.noteUnrecorded(w, e)
 		}
 	}
 	c.settled(w.id)
@@ -68,7 +68,7 @@
 	w.clock, w.deadline = 0, report.Clock+c.config.MaxLease
 	w.endsSeen, w.endsOpen = 0, nil
 	w.health = health{}
-	c.dropStrays(w, nil)
+	c.dropUnrecorded(w, nil)
 	w.cordonedBy = nil
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
@@ -118,7 +118,7 @@
 		}
 		c.progress(now, r, e)
 	}
-	c.dropStrays(w, listed)
+	c.dropUnrecorded(w, listed)
 	c.reconsider = c.reconsider || w.orphaned != orphanedBefore
 	if report.EndsCut {
 		return
@@ -132,11 +132,11 @@
 }
 
 // unknown stops a run that is not known: an old start that was carried out late,
-// or one of a job that has ended. It takes room until it is gone. Strays may be
-// taken over yet.
+// or one of a job that has ended. It takes room until it is gone. Unrecorded runs may
+// be taken over yet.
 func (c *Cell) unknown(w *worker, e *Running) {
 	w.orphaned = w.orphaned.Add(c.orphanRoom(w, e.Task))
-	if s := c.strayAt(w, e); s != nil && !s.stopping {
+	if s := c.unrecordedAt(w, e); s != nil && !s.stopping {
 		s.row = *e
 		return
 	}
@@ -151,7 +151,7 @@
 	if j, known := c.jobs[id.Job]; known && id.Step < len(j.job.Steps) {
 		return j.job.Steps[id.Step].Reserved()
 	}
-	return w.sighting.Room
+	return w.registration.Room
 }
 
 // absent settles a run that the worker lists neither as running nor as ended.
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -83,7 +83,7 @@
 	first := func(n int) string { return d.CmdArgs[n].Key }
 	switch d.Cmd {
 	case "worker":
-		s.cell.Sight(s.now, sighting(t, first(0), arg, flag))
+		s.cell.Register(s.now, registration(t, first(0), arg, flag))
 	case "unlist":
 		s.cell.Unlist(s.now, cell.WorkerID(first(0)))
 	case "job":
@@ -127,8 +127,8 @@
 	case "wave":
 		machines := strings.Split(arg("machines"), "+")
 		s.cell.SetWave(s.now, cell.Wave{Number: 1, Machines: machines, Within: time.Minute, AtOnce: 1})
-	case "upkept":
-		s.cell.Upkept(s.now, cell.Upkeep{Machine: first(0), Wave: 1}, cell.UpkeepOutcome(first(1)))
+	case "maintained":
+		s.cell.Maintained(s.now, cell.Maintenance{Machine: first(0), Wave: 1}, cell.MaintenanceOutcome(first(1)))
 	case "expired":
 		ids := s.cell.Expired(s.now, 10)
 		s.cell.Forget(ids)
@@ -140,8 +140,8 @@
 	return s.actions()
 }
 
-func sighting(t *testing.T, id string, arg func(string) string, flag func(string) bool) cell.Sighting {
-	out := cell.Sighting{
+func registration(t *testing.T, id string, arg func(string) string, flag func(string) bool) cell.Registration {
+	out := cell.Registration{
 		ID: cell.WorkerID(id), Machine: "m-" + id, Service: "s", Room: job.Size{MilliCores: 8000, MemoryMB: 8000}, Leaving: flag("leaving"),
 	}
 	if v := arg("cores"); v != "" {
@@ -189,7 +189,7 @@
 	case "saves":
 		step.Checkpoints = true
 	case "fills":
-		step.Filler = true
+		step.BestEffort = true
 	case "copies":
 		step.Copies = true
 	case "target":
@@ -326,8 +326,8 @@
 			lines = append(lines, fmt.Sprintf("stop %s run %d at %s", a.Task, a.Run, a.Worker))
 		case cell.SetPace:
 			lines = append(lines, fmt.Sprintf("pace %s run %d at %s to %d", a.Task, a.Run, a.Worker, a.Percent))
-		case cell.Upkeep:
-			lines = append(lines, fmt.Sprintf("upkeep of %s for wave %d", a.Machine, a.Wave))
+		case cell.Maintenance:
+			lines = append(lines, fmt.Sprintf("maintenance of %s for wave %d", a.Machine, a.Wave))
 		case cell.WaveState:
 			lines = append(lines, fmt.Sprintf("wave %d done=%v", a.Wave, a.Done))
 		case cell.Look:
--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -7,10 +7,10 @@
 	"go.uber.org/zap"
 )
 
-// Wave asks for the upkeep of some machines.
+// Wave asks for the maintenance of some machines.
 type Wave struct {
 	Number int
-	// Machines are those that have to go down for upkeep once.
+	// Machines are those that have to go down for maintenance once.
 	Machines []string
 	// Within is how long the whole wave may take.
 	Within time.Duration
@@ -18,9 +18,9 @@
 	AtOnce int
 }
 
-// Upkeep asks the machines' service to take a machine down. Everything that
+// Maintenance asks the machines' service to take a machine down. Everything that
 // runs there ends.
-type Upkeep struct {
+type Maintenance struct {
 	Machine string
 	Wave    int
 }
@@ -31,19 +31,19 @@
 	Done bool
 }
 
-func (Upkeep) action()    {}
-func (WaveState) action() {}
+func (Maintenance) action() {}
+func (WaveState) action()   {}
 
-// UpkeepOutcome is what became of an Upkeep.
-type UpkeepOutcome string
+// MaintenanceOutcome is what became of an Maintenance.
+type MaintenanceOutcome string
 
 const (
-	// UpkeepBegun means that the machine is down for its upkeep, or was.
-	UpkeepBegun UpkeepOutcome = "begun"
-	// UpkeepNeedless means that there is no such machine, or not in the wave.
-	UpkeepNeedless UpkeepOutcome = "needless"
-	// UpkeepLater means that the order has to be repeated.
-	UpkeepLater UpkeepOutcome = "later"
+	// MaintenanceBegun means that the machine is down for its maintenance, or was.
+	MaintenanceBegun MaintenanceOutcome = "begun"
+	// MaintenanceNeedless means that there is no such machine, or not in the wave.
+	MaintenanceNeedless MaintenanceOutcome = "needless"
+	// MaintenanceLater means that the order has to be repeated.
+	MaintenanceLater MaintenanceOutcome = "later"
 )
 
 // waveState is a wave and how far it is.
@@ -52,7 +52,7 @@
 	since time.Time
 	// settled holds the machines that need no order any more.
 	settled map[string]bool
-	// ordered has when the upkeep of a machine was last ordered, by this owner
+	// ordered has when the maintenance of a machine was last ordered, by this owner
 	// or an earlier one. An order that is not settled may take the machine
 	// down at any time.
 	ordered map[string]time.Time
@@ -67,14 +67,14 @@
 }
 
 const (
-	// upkeepPause is how long after a takeover the first order waits, so that
+	// maintenancePause is how long after a takeover the first order waits, so that
 	// two owners do not take turns at one machine.
-	upkeepPause = 3500 * time.Millisecond
-	// upkeepRepeat is the wait before an order without effect is repeated.
-	upkeepRepeat = 1 * time.Second
-	// upkeepLongest is how long a machine may stay down before it counts as
+	maintenancePause = 3500 * time.Millisecond
+	// maintenanceRepeat is the wait before an order without effect is repeated.
+	maintenanceRepeat = 1 * time.Second
+	// maintenanceLongest is how long a machine may stay down before it counts as
 	// gone.
-	upkeepLongest = 30 * time.Second
+	maintenanceLongest = 30 * time.Second
 	// hurryShare of a wave's time is when tasks are no longer waited for.
 	hurryShare = 0.5
 )
@@ -90,14 +90,14 @@
 	}
 	w.restore(now, c.waveRecords[wave.Number])
 	c.waves[wave.Number] = w
-	c.log.Info("wave of upkeep", zap.Int("Wave", wave.Number), zap.Int("Machines", len(wave.Machines)),
+	c.log.Info("wave of maintenance", zap.Int("Wave", wave.Number), zap.Int("Machines", len(wave.Machines)),
 		zap.Int("AtOnce", wave.AtOnce), zap.Duration("Within", wave.Within))
 	c.act(WaveState{Wave: wave.Number})
 }
 
 // tickWaves moves the waves on.
 func (c *Cell) tickWaves(now time.Time) {
-	if now.Sub(c.since) < upkeepPause {
+	if now.Sub(c.since) < maintenancePause {
 		return
 	}
 	for _, number := range sortedKeys(c.waves) {
@@ -132,7 +132,7 @@
 	}
 	if open == 0 && busy == 0 {
 		w.done = true
-		c.log.Info("wave of upkeep is complete", zap.Int("Wave", w.wave.Number))
+		c.log.Info("wave of maintenance is complete", zap.Int("Wave", w.wave.Number))
 		c.act(WaveState{Wave: w.wave.Number, Done: true})
 	}
 }
@@ -144,7 +144,7 @@
 	if worker == nil || worker.cordonedBy != w || !w.settled[machine] {
 		return
 	}
-	if worker.lastReport.Sub(w.ordered[machine]) > upkeepRepeat {
+	if worker.lastReport.Sub(w.ordered[machine]) > maintenanceRepeat {
 		worker.cordonedBy = nil
 	}
 }
@@ -156,7 +156,7 @@
 		return c.takesPlace(w, machine)
 	}
 	at, ordered := w.ordered[machine]
-	if !ordered || now.Sub(at) > upkeepLongest {
+	if !ordered || now.Sub(at) > maintenanceLongest {
 		return false
 	}
 	worker := c.workerOn(machine)
@@ -184,10 +184,10 @@
 	if !missing {
 		w.missing[machine] = now
 	}
-	return missing && now.Sub(since) > upkeepLongest
+	return missing && now.Sub(since) > maintenanceLongest
 }
 
-// moveOn gets the tasks off a machine, and orders its upkeep once it is empty
+// moveOn gets the tasks off a machine, and orders its maintenance once it is empty
 // and the order is on record.
 func (c *Cell) moveOn(now time.Time, w *waveState, machine string) {
 	if worker := c.workerOn(machine); worker != nil {
@@ -202,12 +202,12 @@
 		w.ordered[machine] = time.Time{}
 		w.revision++
 	}
-	if w.durable < w.revision || now.Sub(at) < upkeepRepeat {
+	if w.durable < w.revision || now.Sub(at) < maintenanceRepeat {
 		return
 	}
 	w.ordered[machine] = now
-	c.log.Info("ordering upkeep", zap.String("Machine", machine), zap.Int("Wave", w.wave.Number))
-	c.act(Upkeep{Machine: machine, Wave: w.wave.Number})
+	c.log.Info("ordering maintenance", zap.String("Machine", machine), zap.Int("Wave", w.wave.Number))
+	c.act(Maintenance{Machine: machine, Wave: w.wave.Number})
 }
 
 // empty stops the tasks on a machine that may be taken away.
@@ -242,20 +242,20 @@
 	return away < s.spec.MaxAway
 }
 
-// Upkept takes in what became of an order.
-func (c *Cell) Upkept(now time.Time, order Upkeep, outcome UpkeepOutcome) {
+// Maintained takes in what became of an order.
+func (c *Cell) Maintained(now time.Time, order Maintenance, outcome MaintenanceOutcome) {
 	w, known := c.waves[order.Wave]
 	if !known {
 		return
 	}
-	c.log.Info("upkeep ordered", zap.String("Machine", order.Machine), zap.Int("Wave", order.Wave),
+	c.log.Info("maintenance ordered", zap.String("Machine", order.Machine), zap.Int("Wave", order.Wave),
 		zap.String("Outcome", string(outcome)))
-	if outcome == UpkeepLater || w.settled[order.Machine] {
+	if outcome == MaintenanceLater || w.settled[order.Machine] {
 		return
 	}
 	w.settled[order.Machine] = true
 	w.revision++
-	if outcome == UpkeepBegun {
+	if outcome == MaintenanceBegun {
 		w.ordered[order.Machine] = now
 		return
 	}
@@ -267,7 +267,7 @@
 
 // workerOn returns the worker on a machine, or nil.
 func (c *Cell) workerOn(machine string) *worker {
-	i := slices.IndexFunc(c.ordered, func(w *worker) bool { return w.listed && w.sighting.Machine == machine })
+	i := slices.IndexFunc(c.ordered, func(w *worker) bool { return w.listed && w.registration.Machine == machine })
 	if i < 0 {
 		return nil
 	}
--- a/internal/cell/wave_test.go
+++ b/internal/cell/wave_test.go
@@ -11,10 +11,10 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// maintenanceFor is how long a machine is down for its upkeep.
+// maintenanceFor is how long a machine is down for its maintenance.
 const maintenanceFor = 2 * time.Second
 
-// simWave is a wave of upkeep as the operator and the machines know it.
+// simWave is a wave of maintenance as the operator and the machines know it.
 type simWave struct {
 	wave cell.Wave
 	// begun holds the machines that have gone down for it.
@@ -50,32 +50,32 @@
 	}
 }
 
-// upkeep carries out an order for a machine.
-func (w *world) upkeep(o *simOwner, order *cell.Upkeep) (outcome cell.UpkeepOutcome, fenced bool) {
+// maintenance carries out an order for a machine.
+func (w *world) maintenance(o *simOwner, order *cell.Maintenance) (outcome cell.MaintenanceOutcome, fenced bool) {
 	i := slices.IndexFunc(w.machines, func(m *simMachine) bool { return m.name == order.Machine })
 	m, wave := w.machines[i], w.waves[order.Wave-1]
 	switch {
 	case o.epoch < m.fence && w.omit != omitFence:
-		return cell.UpkeepLater, true
+		return cell.MaintenanceLater, true
 	case !slices.Contains(wave.wave.Machines, m.name):
-		return cell.UpkeepNeedless, false
+		return cell.MaintenanceNeedless, false
 	}
 	m.fence = max(m.fence, o.epoch)
 	switch {
 	case wave.begun[m.name]:
-		return cell.UpkeepBegun, false
+		return cell.MaintenanceBegun, false
 	case !m.back.IsZero():
-		return cell.UpkeepLater, false
+		return cell.MaintenanceLater, false
 	}
-	w.checkUpkeep(m, wave)
+	w.checkMaintenance(m, wave)
 	wave.begun[m.name] = true
 	m.back, m.downBy = w.now.Add(maintenanceFor), wave
 	w.endLife(m)
-	return cell.UpkeepBegun, false
+	return cell.MaintenanceBegun, false
 }
 
-// checkUpkeep holds an upkeep against the operator's bounds, as it begins.
-func (w *world) checkUpkeep(m *simMachine, wave *simWave) {
+// checkMaintenance holds an maintenance against the operator's bounds, as it begins.
+func (w *world) checkMaintenance(m *simMachine, wave *simWave) {
 	down := 0
 	for _, other := range w.machines {
 		if other.downBy == wave {
@@ -140,7 +140,7 @@
 	}
 }
 
-// returnMachines brings the machines back whose upkeep is over.
+// returnMachines brings the machines back whose maintenance is over.
 func (w *world) returnMachines() {
 	for _, m := range w.machines {
 		if m.back.IsZero() || w.now.Before(m.back) {
@@ -149,7 +149,7 @@
 		m.back, m.downBy = time.Time{}, nil
 		s := w.newLife(m)
 		for _, o := range w.owners {
-			o.cell.Sight(w.now, w.sighting(s))
+			o.cell.Register(w.now, w.registration(s))
 		}
 	}
 }
--- a/internal/cell/waverecord.go
+++ b/internal/cell/waverecord.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// WaveRecord is what has to be durable of a wave of upkeep, so that a new
+// WaveRecord is what has to be durable of a wave of maintenance, so that a new
 // owner knows which orders of earlier owners may still be on their way.
 type WaveRecord struct {
 	Wave     int
@@ -39,7 +39,7 @@
 // RestoreWave takes in the record of an earlier owner, before SetWave.
 func (c *Cell) RestoreWave(rec WaveRecord) { c.waveRecords[rec.Wave] = rec }
 
-// mayGoDown reports whether an order for upkeep may take a machine down at any
+// mayGoDown reports whether an order for maintenance may take a machine down at any
 // time, an order of an earlier owner included whose wave is not known yet.
 func (c *Cell) mayGoDown(machine string) bool {
 	for _, w := range c.waves {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -13,8 +13,8 @@
 
 // worker is what the cell knows of one worker.
 type worker struct {
-	id       WorkerID
-	sighting Sighting
+	id           WorkerID
+	registration Registration
 	// listed is set while the worker stands in the list of workers.
 	listed     bool
 	unlistedAt time.Time
@@ -43,10 +43,10 @@
 	// unsure is set after a call without an answer: the worker may have begun
 	// a new life, whose ends are counted anew.
 	unsure bool
-	// cordonedBy is the wave of upkeep for which the worker's machine goes
+	// cordonedBy is the wave of maintenance for which the worker's machine goes
 	// down, so that it gets no starts; nil is none.
 	cordonedBy *waveState
-	// pacedAt is when the pace of fillers was last changed.
+	// pacedAt is when the pace of best-effort tasks was last changed.
 	pacedAt time.Time
 
 	health health
@@ -65,7 +65,7 @@
 }
 
 // free is the room that no run takes.
-func (w *worker) free() job.Size { return w.sighting.Room.Sub(w.taken).Sub(w.orphaned) }
+func (w *worker) free() job.Size { return w.registration.Room.Sub(w.taken).Sub(w.orphaned) }
 
 // addWorker makes a worker known.
 func (c *Cell) addWorker(id WorkerID) *worker {
@@ -76,18 +76,18 @@
 	return w
 }
 
-// Sight takes in a line of the list of workers.
-func (c *Cell) Sight(now time.Time, s Sighting) {
+// Register takes in a line of the list of workers.
+func (c *Cell) Register(now time.Time, s Registration) {
 	w, known := c.workers[s.ID]
 	if !known {
 		w = c.addWorker(s.ID)
 		c.log.Info("worker listed", workerField(w), zap.Stringer("Addr", s.Addr), zap.String("Service", s.Service))
 	}
-	if known && s.Leaving && !w.sighting.Leaving {
+	if known && s.Leaving && !w.registration.Leaving {
 		c.log.Info("worker is leaving", workerField(w), zap.Duration("TimeLeft", s.TimeLeft))
 		defer c.evacuate(now, w)
 	}
-	w.sighting = s
+	w.registration = s
 	w.listed = true
 	c.reconsider = true
 }
@@ -95,10 +95,10 @@
 // Addr returns where a worker takes calls.
 func (c *Cell) Addr(id WorkerID) (netip.AddrPort, bool) {
 	w, known := c.workers[id]
-	if !known || !w.sighting.Addr.IsValid() {
+	if !known || !w.registration.Addr.IsValid() {
 		return netip.AddrPort{}, false
 	}
-	return w.sighting.Addr, true
+	return w.registration.Addr, true
 }
 
 // Unlist notes that a worker has left the list of workers. What runs there
@@ -131,7 +131,7 @@
 const (
 	// holdWait is how long a hold waits for an end.
 	holdWait = 1 * time.Second
-	// sharedHoldWait is the wait at a worker where fillers run beside tasks
+	// sharedHoldWait is the wait at a worker where best-effort tasks run beside tasks
 	// with a latency target, whose tails have to be watched.
 	sharedHoldWait = 300 * time.Millisecond
 )
@@ -145,7 +145,7 @@
 	if !known {
 		return HoldPlan{}, false
 	}
-	plan := HoldPlan{Worker: id, Addr: w.sighting.Addr, Acknowledged: w.acknowledged(), Wait: holdWait}
+	plan := HoldPlan{Worker: id, Addr: w.registration.Addr, Acknowledged: w.acknowledged(), Wait: holdWait}
 	if w.unsure {
 		plan.Acknowledged = 0
 	}
@@ -238,10 +238,10 @@
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedFor
-	if !listed || !w.reported || w.sighting.Leaving || now.Sub(w.lastReport) > c.config.ContactFor {
+	if !listed || !w.reported || w.registration.Leaving || now.Sub(w.lastReport) > c.config.ContactFor {
 		return false
 	}
-	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.sighting.Machine)
+	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
 }
 
 // forgetGone drops the workers that have left the list and run nothing.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -71,7 +71,7 @@
 	omitDurable    omission = "starts are sent before their record is durable"
 	omitAckDurable omission = "ends are acknowledged before they are durable"
 	omitFence      omission = "workers check no fence"
-	omitWaveRecord omission = "orders for upkeep are sent before they are on record"
+	omitWaveRecord omission = "orders for maintenance are sent before they are on record"
 	omitAhead      omission = "a new owner does not wait for starts ahead of their record"
 	omitDoubt      omission = "a start without an answer counts as not sent"
 )
@@ -143,8 +143,8 @@
 	start *cell.SendStart
 	stop  *cell.SendStop
 	plan  *cell.HoldPlan
-	// upkeep is an order for a machine, and worker nil then.
-	upkeep *cell.Upkeep
+	// maintenance is an order for a machine, and worker nil then.
+	maintenance *cell.Maintenance
 	// answered is set once the owner has been told an outcome.
 	answered bool
 }
@@ -220,7 +220,7 @@
 		}
 	}
 	for _, s := range w.live() {
-		o.cell.Sight(w.now, w.sighting(s))
+		o.cell.Register(w.now, w.registration(s))
 	}
 	for _, number := range slices.Sorted(maps.Keys(w.storeWaves)) {
 		o.cell.RestoreWave(w.storeWaves[number])
@@ -236,8 +236,8 @@
 
 var workerRoom = job.Size{MilliCores: 4000, MemoryMB: 4000}
 
-func (w *world) sighting(s *simWorker) cell.Sighting {
-	return cell.Sighting{
+func (w *world) registration(s *simWorker) cell.Registration {
+	return cell.Registration{
 		ID: s.id, Incarnation: s.born, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Room: workerRoom, Leaving: s.leaving,
 	}
 }
@@ -256,8 +256,8 @@
 			w.calls = append(w.calls, &simCall{owner: o, worker: s, stop: &a})
 		case cell.Look:
 			w.hold(o, w.worker(a.Worker))
-		case cell.Upkeep:
-			w.calls = append(w.calls, &simCall{owner: o, upkeep: &a})
+		case cell.Maintenance:
+			w.calls = append(w.calls, &simCall{owner: o, maintenance: &a})
 		case cell.WaveState:
 			w.told(a)
 		}
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -30,7 +30,7 @@
 		Commands: []*cli.Command{
 			{
 				Name:        "show",
-				Usage:       "shows the owner, what waits, the workers and the waves of upkeep",
+				Usage:       "shows the owner, what waits, the workers and the waves of maintenance",
 				Description: example("cicadabarrow cell show --at http://10.1.0.13:9464"),
 				Flags:       []cli.Flag{atFlag(), formatFlag()},
 				Action:      act(stdout, 0, showCell),
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -64,10 +64,10 @@
 }
 
 // Urgent work has to start within a second, however full the cell is of other
-// work, and also while a sixth of the workers crawl or commits take 300 ms.
+// work, and also while a sixth of the workers are slow or commits take 300 ms.
 func TestUrgentWorkStartsWithinASecond(t *testing.T) {
 	const target = time.Second
-	for _, name := range []string{"full-cell", "large-jobs", "slow-store", "crawling-workers"} {
+	for _, name := range []string{"full-cell", "large-jobs", "slow-store", "slow-workers"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			load := readLoad(t, name)
@@ -95,7 +95,7 @@
 			without: experiment.Options{WaitForRecords: true},
 		},
 		{
-			name: "runs that crawl are moved", load: "crawling-workers", queue: "hold",
+			name: "stragglers are moved", load: "slow-workers", queue: "hold",
 			without: experiment.Options{Policy: cell.Policy{NoMoves: true}},
 		},
 		{
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -152,7 +152,7 @@
 	}
 	p.workers[w.id] = w
 	p.order = append(p.order, w)
-	p.cell.Sight(p.begin, w.sighting(number, &p.load))
+	p.cell.Register(p.begin, w.registration(number, &p.load))
 	p.hold(p.begin, w)
 }
 
--- a/internal/experiment/worker.go
+++ b/internal/experiment/worker.go
@@ -62,9 +62,9 @@
 	w.ends = append(w.ends, cell.Ended{Number: w.ended, Task: r.task, Run: r.number, Kind: how, Checkpoint: checkpoint})
 }
 
-// sighting is how the worker stands in the list of workers.
-func (w *worker) sighting(number int, load *Load) cell.Sighting {
-	return cell.Sighting{
+// registration is how the worker stands in the list of workers.
+func (w *worker) registration(number int, load *Load) cell.Registration {
+	return cell.Registration{
 		ID: w.id, Incarnation: 1, Service: service, Room: load.Workers.Room,
 		Labels: []string{fmt.Sprintf("r%d", number/load.Workers.PerRack)},
 	}
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -178,9 +178,9 @@
 	return cell.Advice{}, nil
 }
 
-// Upkeep is not called, since there is no wave.
-func (p *fakePort) Upkeep(context.Context, cell.Upkeep, uint64) (cell.UpkeepOutcome, error) {
-	return cell.UpkeepLater, nil
+// Maintenance is not called, since there is no wave.
+func (p *fakePort) Maintenance(context.Context, cell.Maintenance, uint64) (cell.MaintenanceOutcome, error) {
+	return cell.MaintenanceLater, nil
 }
 
 // WaveRow is not called, since there is no wave.
@@ -191,8 +191,8 @@
 
 func (fakeListing) Table() string { return tableWorkers }
 
-func (fakeListing) Decode(row rowstore.Row) (cell.Sighting, error) {
-	return cell.Sighting{
+func (fakeListing) Decode(row rowstore.Row) (cell.Registration, error) {
+	return cell.Registration{
 		ID: cell.WorkerID(row.Name), Incarnation: 1, Service: "s", Addr: netip.MustParseAddrPort("10.0.1.1:1"),
 	}, nil
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -58,7 +58,7 @@
 	Table() string
 	Name() string
 	Decode(value []byte) (*manifest.Manifest, error)
-	// Wave reads a wave of upkeep; false means that the row is none.
+	// Wave reads a wave of maintenance; false means that the row is none.
 	Wave(row rowstore.Row) (cell.Wave, bool, error)
 }
 
@@ -117,7 +117,7 @@
 	others int
 	// goneIncarnation is an owner whose process has surely ended.
 	goneIncarnation string
-	// waves are the operator's waves of upkeep by their number.
+	// waves are the operator's waves of maintenance by their number.
 	waves map[int]cell.Wave
 }
 
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -79,7 +79,7 @@
 		}
 		wave, ok, err := h.platform.Manifests.Wave(row)
 		if err != nil {
-			h.log.Error("a wave of upkeep cannot be read", zap.String("Row", row.Name), zap.Error(err))
+			h.log.Error("a wave of maintenance cannot be read", zap.String("Row", row.Name), zap.Error(err))
 		}
 		if ok {
 			h.takeWave(wave)
@@ -87,7 +87,7 @@
 	}
 }
 
-// takeWave keeps a wave of upkeep for the owner, which may be this host later.
+// takeWave keeps a wave of maintenance for the owner, which may be this host later.
 func (h *Host) takeWave(wave cell.Wave) {
 	h.mu.Lock()
 	h.waves[wave.Number] = wave
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -54,7 +54,7 @@
 	LongRunning   bool
 	Image         string
 	LatencyTarget time.Duration
-	Filler        bool
+	BestEffort    bool
 	MaxAway       int
 	LimitsAway    bool
 }
@@ -117,7 +117,7 @@
 		Tasks: s.Tasks, MilliCores: s.Size.MilliCores, MemoryMB: s.Size.MemoryMB, Accelerators: s.Size.Accelerators,
 		Estimate: s.Estimate, After: s.After, Checkpoints: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack,
 		Label: s.Label, DataRack: s.DataRack, MaxPerWorker: s.MaxPerWorker, Copies: s.Copies,
-		LongRunning: s.LongRunning, Image: s.Image, LatencyTarget: s.LatencyTarget, Filler: s.Filler,
+		LongRunning: s.LongRunning, Image: s.Image, LatencyTarget: s.LatencyTarget, BestEffort: s.BestEffort,
 		MaxAway: s.MaxAway, LimitsAway: s.LimitsAway,
 	}
 }
@@ -127,7 +127,7 @@
 		Tasks: w.Tasks, Size: job.Size{MilliCores: w.MilliCores, MemoryMB: w.MemoryMB, Accelerators: w.Accelerators},
 		Estimate: w.Estimate, After: w.After, Checkpoints: w.Checkpoints, Gang: w.Gang, SameRack: w.SameRack,
 		Label: w.Label, DataRack: w.DataRack, MaxPerWorker: w.MaxPerWorker, Copies: w.Copies,
-		LongRunning: w.LongRunning, Image: w.Image, LatencyTarget: w.LatencyTarget, Filler: w.Filler,
+		LongRunning: w.LongRunning, Image: w.Image, LatencyTarget: w.LatencyTarget, BestEffort: w.BestEffort,
 		MaxAway: w.MaxAway, LimitsAway: w.LimitsAway,
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -33,7 +33,7 @@
 	TableIntake = "intake"
 	// TableProgress holds the records of progress.
 	TableProgress = "progress"
-	// TableWaves holds how far the waves of upkeep are.
+	// TableWaves holds how far the waves of maintenance are.
 	TableWaves = "waves"
 	// TableOwner holds the row of the owner.
 	TableOwner = "owner"
@@ -67,7 +67,7 @@
 	return rowstore.Range{Table: TableProgress, Part: partCell}
 }
 
-// WaveKey names the record of a wave of upkeep.
+// WaveKey names the record of a wave of maintenance.
 func WaveKey(number int) rowstore.Key {
 	return rowstore.Key{Table: TableWaves, Part: partCell, Name: strconv.Itoa(number)}
 }
--- a/internal/owner/upkeep.go
+++ b/internal/owner/maintenance.go
@@ -12,9 +12,9 @@
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
-// Machines takes machines down for upkeep.
+// Machines takes machines down for maintenance.
 type Machines interface {
-	Upkeep(ctx context.Context, order cell.Upkeep, fence uint64) (cell.UpkeepOutcome, error)
+	Maintenance(ctx context.Context, order cell.Maintenance, fence uint64) (cell.MaintenanceOutcome, error)
 }
 
 // WaveRows names the rows by which the operator learns how far a wave is.
@@ -23,8 +23,8 @@
 }
 
 const (
-	// upkeepTimeout bounds an order for upkeep.
-	upkeepTimeout = 2 * time.Second
+	// maintenanceTimeout bounds an order for maintenance.
+	maintenanceTimeout = 2 * time.Second
 	// wavePause is the mean wait before the state of a wave is written again.
 	wavePause = 500 * time.Millisecond
 )
@@ -35,29 +35,29 @@
 
 func (e waveSet) apply(o *Owner, now time.Time) { o.cell.SetWave(now, e.wave) }
 
-// SetWave hands a wave of upkeep to the owner.
+// SetWave hands a wave of maintenance to the owner.
 func (o *Owner) SetWave(w cell.Wave) { o.put(waveSet{w}) }
 
-type upkept struct {
-	order   cell.Upkeep
-	outcome cell.UpkeepOutcome
+type maintained struct {
+	order   cell.Maintenance
+	outcome cell.MaintenanceOutcome
 }
 
-func (e upkept) apply(o *Owner, now time.Time) { o.cell.Upkept(now, e.order, e.outcome) }
+func (e maintained) apply(o *Owner, now time.Time) { o.cell.Maintained(now, e.order, e.outcome) }
 
-func (o *Owner) upkeep(order cell.Upkeep) {
+func (o *Owner) maintenance(order cell.Maintenance) {
 	o.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, upkeepTimeout)
+		ctx, cancel := context.WithTimeout(o.ctx, maintenanceTimeout)
 		defer cancel()
-		outcome, err := o.ports.Machines.Upkeep(ctx, order, o.Epoch())
+		outcome, err := o.ports.Machines.Maintenance(ctx, order, o.Epoch())
 		if errors.Is(err, cell.ErrFenced) {
-			o.fenced("upkeep", cell.WorkerID(order.Machine))
+			o.fenced("maintenance", cell.WorkerID(order.Machine))
 			return
 		}
 		if err != nil && o.ctx.Err() == nil {
-			o.log.Warn("upkeep failed", zap.String("Machine", order.Machine), zap.Int("Wave", order.Wave), zap.Error(err))
+			o.log.Warn("maintenance failed", zap.String("Machine", order.Machine), zap.Int("Wave", order.Wave), zap.Error(err))
 		}
-		o.put(upkept{order, outcome})
+		o.put(maintained{order, outcome})
 	})
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -49,7 +49,7 @@
 // Listing reads the rows by which workers register.
 type Listing interface {
 	Table() string
-	Decode(row rowstore.Row) (cell.Sighting, error)
+	Decode(row rowstore.Row) (cell.Registration, error)
 }
 
 // Ports are the adapters through which an owner meets the platform.
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -55,8 +55,8 @@
 		o.setPace(a)
 	case cell.Look:
 		o.look(a.Worker)
-	case cell.Upkeep:
-		o.upkeep(a)
+	case cell.Maintenance:
+		o.maintenance(a)
 	case cell.WaveState:
 		o.tellWave(a)
 	case cell.AskAdvice:
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -161,6 +161,6 @@
 			o.cell.Unlist(now, cell.WorkerID(row.Name))
 			continue
 		}
-		o.cell.Sight(now, s)
+		o.cell.Register(now, s)
 	}
 }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -86,8 +86,8 @@
 	// LatencyTarget bounds the tail latency of tasks that serve users of
 	// their own; 0 means that they have none.
 	LatencyTarget time.Duration
-	// Filler tasks take only processor time that the others leave unused.
-	Filler bool
+	// BestEffort tasks take only processor time that the others leave unused.
+	BestEffort bool
 	// MaxAway is how many tasks of a long-running step the scheduler may
 	// make unavailable at the same time.
 	MaxAway int
@@ -95,11 +95,11 @@
 	LimitsAway bool
 }
 
-// Reserved is the room that a task takes from its worker. A filler takes no
+// Reserved is the room that a task takes from its worker. A best-effort task takes no
 // processor time of its own.
 func (s *Step) Reserved() job.Size {
 	size := s.Size
-	if s.Filler {
+	if s.BestEffort {
 		size.MilliCores = 0
 	}
 	return size
