--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -13,57 +13,54 @@
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
 
-// Handle answers the calls of peers.
-func (h *Host) Handle(ctx context.Context, _ peer.Host, m peer.Message) (peer.Message, error) {
-	switch m.Kind {
-	case message.KindHostPing:
-		ping, err := message.DecodeHostPing(m)
-		return message.EncodeOwnerPong(h.pong(ping)), err
-	case message.KindStepQuestion:
-		q, err := message.DecodeStepQuestion(m)
-		if err != nil {
-			return peer.Message{}, err
-		}
-		return message.EncodeStepAdvice(h.adviseFor(ctx, q)), nil
-	case message.KindJobLookup:
-		q, err := message.DecodeJobLookup(m)
-		if err != nil {
-			return peer.Message{}, err
-		}
-		return h.lookUpJob(ctx, q)
-	case message.KindQueueLookup:
-		q, err := message.DecodeQueueLookup(m)
-		if err != nil {
-			return peer.Message{}, err
-		}
-		return h.lookUpQueue(ctx, q)
-	case message.KindCellLookup:
-		q, err := message.DecodeCellLookup(m)
-		if err != nil {
-			return peer.Message{}, err
-		}
-		return h.lookUpCell(ctx, q)
-	case message.KindIntakeNews:
-		news, err := message.DecodeIntakeNews(m)
-		if err != nil {
-			return peer.Message{}, err
-		}
-		h.hear(news)
-		return message.EncodeIntakeHeard(message.IntakeHeard{}), nil
-	case message.KindRelayedSubmit:
-		r, err := message.DecodeRelayedSubmit(m)
-		if err != nil {
-			return peer.Message{}, err
-		}
-		return message.EncodeRelayed(h.submitFor(ctx, r)), nil
-	case message.KindRelayedCancel:
-		r, err := message.DecodeRelayedCancel(m)
+// answerer answers one kind of call of a peer.
+type answerer func(ctx context.Context, m peer.Message) (peer.Message, error)
+
+// on makes an answerer of how a message is read and answered.
+func on[Q any](
+	decode func(peer.Message) (Q, error), answer func(context.Context, Q) (peer.Message, error),
+) answerer {
+	return func(ctx context.Context, m peer.Message) (peer.Message, error) {
+		q, err := decode(m)
 		if err != nil {
 			return peer.Message{}, err
 		}
-		return message.EncodeRelayed(h.cancelFor(ctx, r)), nil
+		return answer(ctx, q)
+	}
+}
+
+// answerers returns what the host does with each kind of call.
+func (h *Host) answerers() map[uint8]answerer {
+	return map[uint8]answerer{
+		message.KindHostPing: on(message.DecodeHostPing, func(_ context.Context, ping message.HostPing) (peer.Message, error) {
+			return message.EncodeOwnerPong(h.pong(ping)), nil
+		}),
+		message.KindStepQuestion: on(message.DecodeStepQuestion, func(ctx context.Context, q message.StepQuestion) (peer.Message, error) {
+			return message.EncodeStepAdvice(h.adviseFor(ctx, q)), nil
+		}),
+		message.KindIntakeNews: on(message.DecodeIntakeNews, func(_ context.Context, news message.IntakeNews) (peer.Message, error) {
+			h.hear(news)
+			return message.EncodeIntakeHeard(message.IntakeHeard{}), nil
+		}),
+		message.KindRelayedSubmit: on(message.DecodeRelayedSubmit, func(ctx context.Context, r message.RelayedSubmit) (peer.Message, error) {
+			return message.EncodeRelayed(h.submitFor(ctx, r)), nil
+		}),
+		message.KindRelayedCancel: on(message.DecodeRelayedCancel, func(ctx context.Context, r message.RelayedCancel) (peer.Message, error) {
+			return message.EncodeRelayed(h.cancelFor(ctx, r)), nil
+		}),
+		message.KindJobLookup:   on(message.DecodeJobLookup, h.lookUpJob),
+		message.KindQueueLookup: on(message.DecodeQueueLookup, h.lookUpQueue),
+		message.KindCellLookup:  on(message.DecodeCellLookup, h.lookUpCell),
+	}
+}
+
+// Handle answers the calls of peers.
+func (h *Host) Handle(ctx context.Context, _ peer.Host, m peer.Message) (peer.Message, error) {
+	answer, known := h.handlers[m.Kind]
+	if !known {
+		return peer.Message{}, fault.New("handle", KindInvalid, "message of kind %d", m.Kind)
 	}
-	return peer.Message{}, fault.New("handle", KindInvalid, "message of kind %d", m.Kind)
+	return answer(ctx, m)
 }
 
 // adviseFor asks the advice service for the owner.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -88,6 +88,9 @@
 	scope    tally.Scope
 	log      *zap.Logger
 
+	// handlers answer the calls of peers by their kind.
+	handlers map[uint8]answerer
+
 	manifests *manifest.Holder
 	// rawManifest is the manifest in force as the operator wrote it.
 	rawManifest atomic.Pointer[[]byte]
@@ -133,6 +136,7 @@
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
 		waves: make(map[int]cell.Wave),
 	}
+	h.handlers = h.answerers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.duties.Go(h.followManifest)
 	h.duties.Go(h.followOwner)
--- a/internal/host/ownership_test.go
+++ b/internal/host/ownership_test.go
@@ -116,6 +116,8 @@
 // lateHolds finds a hold of a replaced owner after which the lease that it granted
 // ran on when its successor, which never reached the worker, took it to be over.
 func (w *fakeWorld) lateHolds() string {
+	// The lease of 3.2 s by the slowest clock, and the longest one of 6 s by that
+	// clock with two seconds more, as a cell waits for it.
 	const lease, waited = 3300 * time.Millisecond, 8100 * time.Millisecond
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/message/plan.go
+++ b/internal/message/plan.go
@@ -66,9 +66,6 @@
 // EncodeStatusQuery returns the message as it is sent.
 func EncodeStatusQuery(m StatusQuery) peer.Message { return statusQueryCodec.encode(m) }
 
-// DecodeStatusQuery reads the message, or says why it cannot.
-func DecodeStatusQuery(p peer.Message) (StatusQuery, error) { return statusQueryCodec.decode(p) }
-
 type statusAnswerWire struct {
 	_msgpack   struct{} `msgpack:",as_array"`
 	Name       string
--- a/internal/message/worker.go
+++ b/internal/message/worker.go
@@ -25,9 +25,6 @@
 // EncodeWorkersQuery returns the message as it is sent.
 func EncodeWorkersQuery(m WorkersQuery) peer.Message { return workersQueryCodec.encode(m) }
 
-// DecodeWorkersQuery reads the message, or says why it cannot.
-func DecodeWorkersQuery(p peer.Message) (WorkersQuery, error) { return workersQueryCodec.decode(p) }
-
 type workersAnswerWire struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Workers  []workerStatusWire
