Show what waits inside the owner, and how waiting jobs are counted

Once a second the owner now logs how many events and decisions it had, how long its duty worked, and what waits for itself: events, calls to workers (with the longest wait), records, questions. Each count of waiting jobs is logged with the number of jobs left out of it by a start that no worker is known to have taken. The same stands among the metrics; owner_order_wait is a histogram by kind of call.

No decision has changed.

--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -27,6 +27,8 @@
 	acceptedAt time.Time
 	// begun is set when a start of any task was sent.
 	begun bool
+	// confirmed is set when a worker has taken a start of any task.
+	confirmed bool
 	// occurrences holds the steps of each occurrence that has become due.
 	occurrences [][]*stepState
 
@@ -267,12 +269,26 @@
 	}
 	j.begun = true
 	c.pending[j.job.Queue]--
+	if !j.confirmed {
+		c.unconfirmed[j.job.Queue]++
+	}
 	if j.state == workload.StateQueued {
 		j.state = workload.StateRunning
 		j.shown = workload.StateRunning
 	}
 }
 
+// confirm notes that a worker has taken a start of the job.
+func (c *Cell) confirm(j *jobState) {
+	if j.confirmed {
+		return
+	}
+	j.confirmed = true
+	if j.begun && !j.state.Final() {
+		c.unconfirmed[j.job.Queue]--
+	}
+}
+
 // finish gives a job its final state.
 func (c *Cell) finish(now time.Time, j *jobState, state workload.State) {
 	if j.state.Final() {
@@ -284,6 +300,8 @@
 	if !j.begun {
 		j.begun = true
 		c.pending[j.job.Queue]--
+	} else if !j.confirmed {
+		c.unconfirmed[j.job.Queue]--
 	}
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -58,6 +58,7 @@
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
 	default:
+		c.confirm(r.task.step.job)
 		r.phase = runStarted
 		r.startedClock = outcome.Clock
 		r.movedAt = now
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -28,6 +28,7 @@
 
 // progress takes in a line about a run that is known.
 func (c *Cell) progress(now time.Time, r *run, e *Running) {
+	c.confirm(r.task.step.job)
 	if r.phase != runStarted {
 		r.phase = runStarted
 		r.startedClock = r.worker.clock
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -184,6 +184,7 @@
 	}
 	t := r.task
 	took, timed := r.took(now)
+	c.confirm(t.step.job)
 	c.log.Info("run ended", append(runFields(r), zap.String("How", string(e.Kind)), zap.Duration("Took", took))...)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -18,6 +18,10 @@
 // Pending returns how many accepted jobs of a queue have no task started.
 func (c *Cell) Pending(queue string) int { return c.pending[queue] }
 
+// Unconfirmed returns how many jobs of a queue count as started although no worker
+// has taken a start of theirs yet.
+func (c *Cell) Unconfirmed(queue string) int { return c.unconfirmed[queue] }
+
 // Backlog is what waits and what there is to run it.
 type Backlog struct {
 	// Jobs counts the jobs that have not ended, Steps those with tasks to
@@ -25,6 +29,10 @@
 	Jobs  int
 	Steps int
 	Tasks int
+	// Records counts the jobs whose record waits to be made durable, and
+	// Questions the steps with an open question for advice.
+	Records   int
+	Questions int
 	// Workers counts those that may get starts, and Free is their free room in
 	// thousandths of a core.
 	Workers int
@@ -33,9 +41,12 @@
 
 // Backlog returns what waits now.
 func (c *Cell) Backlog(now time.Time) Backlog {
-	b := Backlog{Jobs: c.openJobs, Steps: len(c.open)}
+	b := Backlog{Jobs: c.openJobs, Steps: len(c.open), Records: len(c.dirty)}
 	for _, s := range c.open {
 		b.Tasks += s.waiting
+		if !s.advice.askedAt.IsZero() {
+			b.Questions++
+		}
 	}
 	for _, w := range c.ordered {
 		if c.usable(now, w) {
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
@@ -105,7 +107,12 @@
 	reply chan<- int
 }
 
-func (e queueAsked) apply(o *Owner, _ time.Time) { e.reply <- o.cell.Pending(e.name) }
+func (e queueAsked) apply(o *Owner, _ time.Time) {
+	pending := o.cell.Pending(e.name)
+	o.log.Info("counted waiting jobs", zap.String("Queue", e.name), zap.Int("Pending", pending),
+		zap.Int("Unconfirmed", o.cell.Unconfirmed(e.name)), zap.Int("EventsWaiting", o.events.Len()))
+	e.reply <- pending
+}
 
 // Pending returns how many accepted jobs of a queue have no task started.
 func (o *Owner) Pending(ctx context.Context, queue string) (int, error) {
--- a/internal/owner/meters.go
+++ b/internal/owner/meters.go
@@ -9,12 +9,15 @@
 	"cicadabarrow.example/cicadabarrow/internal/metrics"
 )
 
-// meters are the owner's figures. Only the duty uses them.
+// meters are the owner's figures. Only the duty uses them, but for orderWaits.
 type meters struct {
 	scope  tally.Scope
 	stages map[stageKey]tally.Histogram
 	commit tally.Histogram
 	starts tally.Counter
+	// orderWaits has for each kind of call to a worker how long it waited to be
+	// sent. Calls use them beside the duty.
+	orderWaits map[string]tally.Histogram
 }
 
 type stageKey struct {
@@ -24,8 +27,13 @@
 
 func newMeters(scope tally.Scope) *meters {
 	scope = scope.SubScope("owner")
+	waits := make(map[string]tally.Histogram)
+	for _, kind := range []string{orderStart, orderStop, orderPace} {
+		waits[kind] = scope.Tagged(map[string]string{"kind": kind}).Histogram("order_wait", metrics.Latencies())
+	}
 	return &meters{
-		scope: scope, stages: make(map[stageKey]tally.Histogram),
+		orderWaits: waits,
+		scope:      scope, stages: make(map[stageKey]tally.Histogram),
 		commit: scope.Histogram("commit", metrics.Latencies()), starts: scope.Counter("starts"),
 	}
 }
@@ -48,4 +56,19 @@
 	m.scope.Gauge("tasks_waiting").Update(float64(b.Tasks))
 	m.scope.Gauge("workers_usable").Update(float64(b.Workers))
 	m.scope.Gauge("milli_cores_free").Update(float64(b.Free))
+	m.scope.Gauge("questions_open").Update(float64(b.Questions))
+	m.scope.Gauge("records_waiting").Update(float64(b.Records))
+}
+
+// load shows what the duty did in the last second and what waits for it.
+func (m *meters) load(l load, eventsWaiting, ordersWaiting int) {
+	m.scope.Gauge("working_seconds").Update(l.working.Seconds())
+	m.scope.Gauge("longest_round_seconds").Update(l.longest.Seconds())
+	m.scope.Gauge("events_waiting").Update(float64(eventsWaiting))
+	m.scope.Gauge("orders_waiting").Update(float64(ordersWaiting))
+}
+
+// waitedToSend takes in how long a call to a worker waited until it was sent.
+func (m *meters) waitedToSend(kind string, waited time.Duration) {
+	m.orderWaits[kind].RecordDuration(waited)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -107,8 +107,8 @@
 
 	cell   *cell.Cell
 	events *ring.Ring[event]
-	// orders has a place for each call to a worker that is on its way.
-	orders chan struct{}
+	// orders is the line of the calls to workers that are not holds.
+	orders *orderLine
 	// holds has the workers that are called, with their pending plan.
 	holds map[cell.WorkerID]*holder
 	// version is that of the owner's row, as far as it is known.
@@ -133,6 +133,7 @@
 	leaving   bool
 	isolation isolation
 	slow      slowStore
+	load      load
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -158,7 +159,7 @@
 		meters:  meters,
 		cell:    cell.New(now, config.Cell, meters, log),
 		events:  ring.New[event](ringSize),
-		orders:  make(chan struct{}, ordersAtOnce),
+		orders:  newOrderLine(meters),
 		holds:   make(map[cell.WorkerID]*holder),
 		version: tenure.Version, storeClock: tenure.Me.Before, renewAt: now.Add(config.RenewEvery),
 		done: make(chan struct{}), renewedAt: now, isolation: isolation{hosts: tenure.Others},
@@ -244,34 +245,38 @@
 			o.calls.Wait()
 			return
 		case e := <-o.events.C():
+			o.load.begin(o.timers.Now())
 			e.apply(o, o.timers.Now())
-			o.drain()
+			o.load.events += 1 + o.drain()
 		case <-tick.C:
+			o.load.begin(o.timers.Now())
 			o.cell.SetAdvisers(o.advice.hosts())
 			o.endIfCutOff()
 			now := o.timers.Now()
 			o.cell.Tick(now)
 			if !now.Before(o.showAt) {
 				o.showAt = now.Add(showEvery)
-				o.meters.backlog(o.cell.Backlog(now))
+				o.showLoad(now)
 				o.expire(now)
 			}
 		}
 		o.decide()
+		o.load.end(o.timers.Now())
 	}
 }
 
-// drain applies the events that wait already.
-func (o *Owner) drain() {
+// drain applies the events that wait already, and returns how many there were.
+func (o *Owner) drain() int {
 	now := o.timers.Now()
-	for range drainLimit {
+	for n := range drainLimit {
 		select {
 		case e := <-o.events.C():
 			e.apply(o, now)
 		default:
-			return
+			return n
 		}
 	}
+	return drainLimit
 }
 
 // decide carries out what the cell wants done.
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -21,29 +21,6 @@
 	SetPace(ctx context.Context, to netip.AddrPort, p cell.SetPace, fence uint64) error
 }
 
-const (
-	// orderTimeout bounds a start, a stop or a change of pace.
-	orderTimeout = 350 * time.Millisecond
-	// ordersAtOnce bounds these calls. More of them would wait for this
-	// host's processor, and look like workers that do not answer.
-	ordersAtOnce = 64
-)
-
-// order makes a call to a worker beside the duty, when its turn has come.
-func (o *Owner) order(call func(ctx context.Context)) {
-	o.calls.Go(func() {
-		select {
-		case o.orders <- struct{}{}:
-		case <-o.ctx.Done():
-			return
-		}
-		defer func() { <-o.orders }()
-		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
-		defer cancel()
-		call(ctx)
-	})
-}
-
 // perform carries out one action of the cell. Its call runs beside the duty.
 func (o *Owner) perform(a cell.Action) {
 	switch a := a.(type) {
@@ -71,7 +48,7 @@
 		return
 	}
 	o.meters.starts.Inc(1)
-	o.order(func(ctx context.Context) {
+	o.order(orderStart, func(ctx context.Context) {
 		outcome, err := o.workers.Start(ctx, addr, s, o.Epoch())
 		if err != nil {
 			o.log.Warn("start failed", zap.String("Job", string(s.Task.Job)), zap.Stringer("Task", s.Task),
@@ -89,7 +66,7 @@
 	if !ok {
 		return // the cell repeats stops until their run has ended
 	}
-	o.order(func(ctx context.Context) {
+	o.order(orderStop, func(ctx context.Context) {
 		clock, err := o.workers.Stop(ctx, addr, s, o.Epoch())
 		if err != nil {
 			o.failed("stop", s.Worker, err, zap.String("Job", string(s.Task.Job)), zap.Stringer("Task", s.Task))
@@ -104,7 +81,7 @@
 	if !ok {
 		return
 	}
-	o.order(func(ctx context.Context) {
+	o.order(orderPace, func(ctx context.Context) {
 		if err := o.workers.SetPace(ctx, addr, p, o.Epoch()); err != nil {
 			o.failed("set pace", p.Worker, err, zap.String("Job", string(p.Task.Job)), zap.Stringer("Task", p.Task))
 			o.put(paceFailed{p})
