--- /dev/null
+++ b/internal/owner/orders_test.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A backlog of 3,000 starts that each take 300 ms is sent in 14 s, and a ticket lasts 2.5 s.
+func TestStartsDoNotOutliveTheirTicketsInLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(20)
+		p.startTakes, p.runTakes = 300*time.Millisecond, time.Second
+		o := p.own(t)
+		defer o.Close()
+		accept(o, 150, 20)
+		time.Sleep(60 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if len(p.refused) > 0 {
+			t.Errorf("starts were refused since they came too late: %v", p.refused)
+		}
+		if len(p.started) < 3000 {
+			t.Errorf("%d of 3000 tasks were started", len(p.started))
+		}
+	})
+}
+
+// 1,000 stops that each take 300 ms are sent in 5 s, and a stop without effect is repeated after 0.8 s.
+func TestAStopInLineIsNotJoinedByRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(20)
+		p.startTakes, p.runTakes, p.stopTakes = time.Millisecond, time.Hour, 300*time.Millisecond
+		o := p.own(t)
+		defer o.Close()
+		accept(o, 50, 20)
+		time.Sleep(10 * time.Second)
+		for i := range 50 {
+			o.JobCancelled(jobID(i))
+		}
+		time.Sleep(20 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if len(p.started) < 1000 || len(p.stops) < 1000 {
+			t.Errorf("%d tasks were started and %d stopped, of 1000", len(p.started), len(p.stops))
+		}
+		repeated := 0
+		for _, times := range p.stops {
+			repeated += times - 1
+		}
+		if repeated > 0 {
+			t.Errorf("%d stops were sent beside the first of their run, which was answered", repeated)
+		}
+	})
+}
