Decide what a start says when it is sent, and place no more than can be sent

Cause: starts waited without a bound in the owner's line of orders, 64 at a time on their way, each with the ticket and the lease deadline of its decision.

Change: a run whose record is durable joins a line in the cell, urgent ones first. The owner says how many starts may be sent, and a start gets its ticket and deadline as it leaves the line; one that would be refused is given up unsent. While the first in line waits 250 ms, or 512 runs are unsent, nothing more is placed.

--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -343,8 +344,14 @@
 	w.advance(100 * time.Millisecond)
 }
 
+// limit is how many starts an owner may send at a time from now on.
+func (w *world) limit() int {
+	return rapid.SampledFrom([]int{0, 1, 2, math.MaxInt}).Draw(w.t, "limit")
+}
+
 // settle ends all faults: then every job has to reach its end.
 func (w *world) settle() {
+	w.startLimit = max(w.startLimit, 1)
 	for _, s := range w.live() {
 		s.cut, s.leaving = false, false
 		w.owner().cell.Register(w.now, w.registration(s))
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -35,8 +35,10 @@
 const (
 	// StagePlace lasts from a task's turn to its place on a worker.
 	StagePlace Stage = "place"
-	// StageRecord lasts from the place to the durable record.
+	// StageRecord lasts from the place until the start may be sent.
 	StageRecord Stage = "record"
+	// StageLine lasts from then until it is sent.
+	StageLine Stage = "line"
 	// StageRun lasts from the start to the end as the owner learns of it.
 	StageRun Stage = "run"
 	// StageJob lasts from the acceptance to the job's end.
@@ -98,6 +100,8 @@
 
 	// ahead tells which starts may go, or have gone, ahead of their record.
 	ahead aheadState
+	// line holds the runs whose start waits to be sent.
+	line startLine
 
 	actions []Action
 	// reconsider is set when a placement may have become possible.
@@ -115,7 +119,7 @@
 		pending:   make(map[string]int), unconfirmed: make(map[string]int),
 		longLimit: 1, shares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
-		estimates: make(map[string]*estimates),
+		estimates: make(map[string]*estimates), line: startLine{limit: anyNumber},
 	}
 }
 
@@ -130,10 +134,12 @@
 
 // Take returns what is to be done now, and forgets it.
 func (c *Cell) Take(now time.Time) []Action {
-	if c.reconsider {
+	c.sendFromLine(now)
+	if c.reconsider && !c.line.full(now) {
 		c.reconsider = false
 		c.resolveUnrecorded(now)
 		c.place(now)
+		c.sendFromLine(now)
 	}
 	actions := c.actions
 	c.actions = nil
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -99,7 +99,7 @@
 type runPhase uint8
 
 const (
-	// runPlanned runs wait for their record to be durable.
+	// runPlanned runs wait for their record to be durable, or to be sent.
 	runPlanned runPhase = iota
 	// runSent runs have a start on its way.
 	runSent
@@ -116,6 +116,11 @@
 	number int
 	worker *worker
 	phase  runPhase
+	// inLine is set while the start waits to be sent, and ahead if it need not
+	// wait for its record.
+	inLine   bool
+	joinedAt time.Time
+	ahead    bool
 	// revision is that of the record which names the run.
 	revision uint64
 	ticket   string
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -68,6 +68,7 @@
 		"cut":      func(*rapid.T) { w.cut() },
 		"leave":    func(*rapid.T) { w.leave() },
 		"slow":     func(*rapid.T) { w.slow = !w.slow },
+		"limit":    func(*rapid.T) { w.startLimit = w.limit() },
 		"wave":     func(*rapid.T) { w.announce() },
 		"":         func(*rapid.T) { w.check() },
 	}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -8,8 +8,8 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// send sends the starts of a job whose record has become durable.
-func (c *Cell) send(now time.Time, j *jobState) {
+// lineUp puts the runs of a job into the line whose record has become durable.
+func (c *Cell) lineUp(now time.Time, j *jobState) {
 	planned := j.planned
 	j.planned = nil
 	for _, r := range planned {
@@ -17,23 +17,19 @@
 			j.planned = append(j.planned, r)
 			continue
 		}
-		if r.task.current != r || r.phase != runPlanned {
-			continue
-		}
-		if j.state.Final() || !c.usable(now, r.worker) {
-			c.release(now, r, EndStopped)
-			continue
+		if r.task.current == r && r.phase == runPlanned {
+			c.join(now, r)
 		}
-		c.sendStart(now, r)
 	}
 }
 
 func (c *Cell) sendStart(now time.Time, r *run) {
+	c.leavePlanned(r)
 	r.phase = runSent
 	r.sentAt = now
 	r.fresh = r.task.checkpoint == ""
 	r.deadline = r.worker.grant(now, c.config.Lease)
-	c.observe(StageRecord, r.task.step.job, now.Sub(r.plannedAt))
+	c.observe(StageLine, r.task.step.job, now.Sub(r.joinedAt))
 	c.begin(r.task.step.job)
 	c.log.Info("starting", append(runFields(r), zap.Duration("Waited", now.Sub(r.task.waitingSince)))...)
 	c.act(SendStart{
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -16,8 +16,12 @@
 	}
 	usable := usableWorkers{cell: c, now: now}
 	for _, s := range c.byRank(now) {
+		if c.line.full(now) {
+			break
+		}
 		c.placeStep(now, s, &usable)
 	}
+	c.reconsider = c.reconsider || c.line.full(now)
 }
 
 // usableWorkers finds the workers that may get starts, at most once in a round of
@@ -133,6 +137,9 @@
 		if t.phase != phaseWaiting || c.ahead.unrecorded[t.id] != nil {
 			continue
 		}
+		if c.line.full(now) {
+			break
+		}
 		w := c.choose(now, s, eligible, t.failedOn)
 		if w == nil && t.failedOn != "" && now.Sub(t.waitingSince) > avoidFor {
 			w = c.choose(now, s, eligible, "")
@@ -238,9 +245,10 @@
 	c.changed(s.job)
 	r.revision = s.job.revision
 	s.job.planned = append(s.job.planned, r)
-	ahead := c.mayGoAhead(r)
+	c.line.unsent++
+	r.ahead = c.mayGoAhead(r)
 	t.numberRevision = r.revision
-	if ahead {
-		c.sendStart(now, r)
+	if r.ahead {
+		c.join(now, r)
 	}
 }
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -30,6 +30,7 @@
 func (c *Cell) progress(now time.Time, r *run, e *Running) {
 	c.confirm(r.task.step.job)
 	if r.phase != runStarted {
+		c.leavePlanned(r)
 		r.phase = runStarted
 		r.startedClock = r.worker.clock
 	}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -66,7 +66,7 @@
 		}
 		j.durable = records[i].Revision
 		j.shown = records[i].State
-		c.send(now, j)
+		c.lineUp(now, j)
 	}
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -260,6 +260,7 @@
 	}
 	r.worker.taken = r.worker.taken.Sub(s.spec.Reserved())
 	r.worker.settlePreempted(r, s.spec.Reserved())
+	c.leavePlanned(r)
 	c.reconsider = true
 	if t.current != r {
 		return
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -31,11 +32,13 @@
 	// storeAhead holds the workers that the owner's row names.
 	storeAhead []cell.WorkerID
 	// slow is set while owners send starts ahead of their record.
-	slow      bool
-	epoch     uint64
-	jobs      []cell.Accepted
-	cancelled map[workload.JobID]bool
-	manifest  *manifest.Manifest
+	slow bool
+	// startLimit is how many starts owners may send at a time.
+	startLimit int
+	epoch      uint64
+	jobs       []cell.Accepted
+	cancelled  map[workload.JobID]bool
+	manifest   *manifest.Manifest
 	// omit leaves one of the cell's guards out of the world's owners.
 	omit omission
 
@@ -165,8 +168,8 @@
 func newWorld(t *rapid.T, omit omission) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), omit: omit,
-		storeWaves: make(map[int]cell.WaveRecord),
-		cancelled:  make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool), everDone: make(map[workload.TaskID]bool),
+		storeWaves: make(map[int]cell.WaveRecord), startLimit: math.MaxInt,
+		cancelled: make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool), everDone: make(map[workload.TaskID]bool),
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
 		wavesDone: make(map[int]bool), away: make(map[workload.TaskID]bool),
 		gangs: make(map[gangKey]*simGang), saved: make(map[string]workload.TaskID),
@@ -247,6 +250,7 @@
 	if o.over {
 		return
 	}
+	o.cell.LimitStarts(w.startLimit)
 	for _, a := range o.cell.Take(w.now) {
 		switch a := a.(type) {
 		case cell.SendStart:
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -23,6 +23,7 @@
 }
 
 func (e startAnswered) apply(o *Owner, now time.Time) {
+	o.startsOut--
 	o.cell.Started(now, e.start.Worker, e.start.Task, e.start.Run, e.outcome)
 }
 
--- a/internal/owner/meters.go
+++ b/internal/owner/meters.go
@@ -28,7 +28,7 @@
 func newMeters(scope tally.Scope) *meters {
 	scope = scope.SubScope("owner")
 	waits := make(map[string]tally.Histogram)
-	for _, kind := range []string{orderStart, orderStop, orderPace} {
+	for _, kind := range []string{orderStop, orderPace} {
 		waits[kind] = scope.Tagged(map[string]string{"kind": kind}).Histogram("order_wait", metrics.Latencies())
 	}
 	return &meters{
@@ -57,6 +57,7 @@
 	m.scope.Gauge("workers_usable").Update(float64(b.Workers))
 	m.scope.Gauge("milli_cores_free").Update(float64(b.Free))
 	m.scope.Gauge("questions_open").Update(float64(b.Questions))
+	m.scope.Gauge("starts_unsent").Update(float64(b.Unsent))
 	m.scope.Gauge("records_waiting").Update(float64(b.Records))
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -9,20 +9,21 @@
 const (
 	// orderTimeout bounds a start, a stop or a change of pace.
 	orderTimeout = 350 * time.Millisecond
-	// ordersAtOnce bounds these calls. More of them would wait for this
-	// host's processor, and look like workers that do not answer.
-	ordersAtOnce = 64
+	// startsAtOnce bounds the starts that are on their way, and ordersAtOnce the
+	// stops and changes of pace. More of them would wait for this host's
+	// processor, and look like workers that do not answer.
+	startsAtOnce = 64
+	ordersAtOnce = 32
 )
 
 // The kinds of these calls, as the metrics name them.
 const (
-	orderStart = "start"
-	orderStop  = "stop"
-	orderPace  = "pace"
+	orderStop = "stop"
+	orderPace = "pace"
 )
 
-// orderLine is the line of the calls to workers that are not holds. Some are on
-// their way, the others wait.
+// orderLine is the line of stops and changes of pace. Some are on their way, the
+// others wait. Starts wait in the cell.
 type orderLine struct {
 	meters *meters
 	// places has a place for each call on its way.
@@ -62,6 +63,9 @@
 	return l.waiting, longest
 }
 
+// limitStarts tells the cell how many starts may be sent now.
+func (o *Owner) limitStarts() { o.cell.LimitStarts(startsAtOnce - o.startsOut) }
+
 // order makes a call to a worker beside the duty, when its turn has come.
 func (o *Owner) order(kind string, call func(ctx context.Context)) {
 	begin := o.timers.Now()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -107,8 +107,10 @@
 
 	cell   *cell.Cell
 	events *ring.Ring[event]
-	// orders is the line of the calls to workers that are not holds.
-	orders *orderLine
+	// orders is the line of stops and changes of pace, and startsOut how many
+	// starts are on their way.
+	orders    *orderLine
+	startsOut int
 	// holds has the workers that are called, with their pending plan.
 	holds map[cell.WorkerID]*holder
 	// version is that of the owner's row, as far as it is known.
@@ -286,6 +288,7 @@
 		o.commit(now)
 		return
 	}
+	o.limitStarts()
 	for _, a := range o.cell.Take(now) {
 		o.perform(a)
 	}
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -42,13 +42,16 @@
 }
 
 func (o *Owner) start(s cell.SendStart) {
+	o.startsOut++
 	addr, ok := o.cell.Addr(s.Worker)
 	if !ok {
 		o.put(startAnswered{s, cell.StartOutcome{NotSent: true}})
 		return
 	}
 	o.meters.starts.Inc(1)
-	o.order(orderStart, func(ctx context.Context) {
+	o.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+		defer cancel()
 		outcome, err := o.workers.Start(ctx, addr, s, o.Epoch())
 		if err != nil {
 			o.log.Warn("start failed", zap.String("Job", string(s.Task.Job)), zap.Stringer("Task", s.Task),
