Have one stop and one change of pace of a run in line at a time

Changes of pace ran beside each other on several connections, so an older one could arrive last and stand until the next change.

Now the owner keeps which runs have a stop, or a change of pace, in line or on its way: a repeated stop is left out, and a later pace is sent when the one before it has ended.

--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -27,21 +27,36 @@
 	o.cell.Started(now, e.start.Worker, e.start.Task, e.start.Run, e.outcome)
 }
 
-type stopAnswered struct {
+type stopEnded struct {
 	stop  cell.SendStop
 	clock time.Duration
+	err   error
 }
 
-func (e stopAnswered) apply(o *Owner, _ time.Time) {
-	o.cell.Stopped(e.stop.Worker, e.stop.Task, e.stop.Run, e.clock)
+func (e stopEnded) apply(o *Owner, _ time.Time) {
+	delete(o.stops, runKey{e.stop.Worker, e.stop.Task, e.stop.Run})
+	if e.err == nil {
+		o.cell.Stopped(e.stop.Worker, e.stop.Task, e.stop.Run, e.clock)
+	}
 }
 
-type paceFailed struct {
+type paceEnded struct {
 	order cell.SetPace
-}
-
-func (e paceFailed) apply(o *Owner, _ time.Time) {
-	o.cell.PaceFailed(e.order.Worker, e.order.Task, e.order.Run)
+	err   error
+}
+
+func (e paceEnded) apply(o *Owner, _ time.Time) {
+	key := runKey{e.order.Worker, e.order.Task, e.order.Run}
+	wanted := o.paces[key]
+	delete(o.paces, key)
+	switch {
+	case wanted != e.order.Percent:
+		next := e.order
+		next.Percent = wanted
+		o.setPace(next)
+	case e.err != nil:
+		o.cell.PaceFailed(e.order.Worker, e.order.Task, e.order.Run)
+	}
 }
 
 type advised struct {
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -40,6 +40,10 @@
 	runTakes   time.Duration
 	// stopTakes is how long a stop is on its way.
 	stopTakes time.Duration
+	// paceTakes is how long a change to each pace is on its way, and paces has
+	// those that were carried out.
+	paceTakes map[int]time.Duration
+	paces     []int
 	// refused counts the starts that came too late, by the reason.
 	refused map[cell.Refusal]int
 	stops   map[string]int
@@ -248,8 +252,14 @@
 	return p.clock(), nil
 }
 
-// SetPace is carried out at once.
-func (p *fakePlatform) SetPace(context.Context, netip.AddrPort, cell.SetPace, uint64) error {
+// SetPace notes the pace when the call arrives.
+func (p *fakePlatform) SetPace(ctx context.Context, _ netip.AddrPort, order cell.SetPace, _ uint64) error {
+	if err := wait(ctx, p.paceTakes[order.Percent]); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paces = append(p.paces, order.Percent)
 	return nil
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -4,6 +4,9 @@
 	"context"
 	"sync"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 const (
@@ -22,6 +25,13 @@
 	orderPace = "pace"
 )
 
+// runKey names a run at a worker.
+type runKey struct {
+	worker cell.WorkerID
+	task   workload.TaskID
+	run    int
+}
+
 // orderLine is the line of stops and changes of pace. Some are on their way, the
 // others wait. Starts wait in the cell.
 type orderLine struct {
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 // A backlog of 3,000 starts that each take 300 ms is sent in 14 s, and a ticket lasts 2.5 s.
@@ -53,3 +56,27 @@
 		}
 	})
 }
+
+// onDuty has the owner's duty do something between two events.
+type onDuty func(o *Owner)
+
+func (do onDuty) apply(o *Owner, _ time.Time) { do(o) }
+
+func TestAnOlderPaceDoesNotOvertakeALaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(1)
+		p.paceTakes = map[int]time.Duration{0: 300 * time.Millisecond, 20: 200 * time.Millisecond, 40: 100 * time.Millisecond}
+		o := p.own(t)
+		defer o.Close()
+		task := workload.TaskID{StepID: workload.StepID{Job: jobID(0)}}
+		for _, percent := range []int{0, 20, 40, 60} {
+			o.put(onDuty(func(o *Owner) { o.setPace(cell.SetPace{Worker: "w00", Task: task, Run: 1, Percent: percent}) }))
+		}
+		time.Sleep(time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if last := p.paces[len(p.paces)-1]; last != 60 {
+			t.Errorf("the worker was last told %d percent, after %v; 60 was decided last", last, p.paces)
+		}
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -111,6 +111,10 @@
 	// starts are on their way.
 	orders    *orderLine
 	startsOut int
+	// stops holds the runs whose stop waits or is on its way, and paces the pace
+	// that each run should have whose change of pace does.
+	stops map[runKey]bool
+	paces map[runKey]int
 	// holds has the workers that are called, with their pending plan.
 	holds map[cell.WorkerID]*holder
 	// version is that of the owner's row, as far as it is known.
@@ -161,7 +165,7 @@
 		meters:  meters,
 		cell:    cell.New(now, config.Cell, meters, log),
 		events:  ring.New[event](ringSize),
-		orders:  newOrderLine(meters),
+		orders:  newOrderLine(meters), stops: make(map[runKey]bool), paces: make(map[runKey]int),
 		holds:   make(map[cell.WorkerID]*holder),
 		version: tenure.Version, storeClock: tenure.Me.Before, renewAt: now.Add(config.RenewEvery),
 		done: make(chan struct{}), renewedAt: now, isolation: isolation{hosts: tenure.Others},
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -66,29 +66,39 @@
 
 func (o *Owner) stop(s cell.SendStop) {
 	addr, ok := o.cell.Addr(s.Worker)
-	if !ok {
+	key := runKey{s.Worker, s.Task, s.Run}
+	if !ok || o.stops[key] {
 		return // the cell repeats stops until their run has ended
 	}
+	o.stops[key] = true
 	o.order(orderStop, func(ctx context.Context) {
 		clock, err := o.workers.Stop(ctx, addr, s, o.Epoch())
 		if err != nil {
 			o.failed("stop", s.Worker, err, zap.String("Job", string(s.Task.Job)), zap.Stringer("Task", s.Task))
-			return
 		}
-		o.put(stopAnswered{s, clock})
+		o.put(stopEnded{s, clock, err})
 	})
 }
 
+// setPace sets the pace of a run, or the next one if a change of its pace waits or
+// is on its way: calls on different connections may overtake each other.
 func (o *Owner) setPace(p cell.SetPace) {
 	addr, ok := o.cell.Addr(p.Worker)
 	if !ok {
 		return
 	}
+	key := runKey{p.Worker, p.Task, p.Run}
+	_, open := o.paces[key]
+	o.paces[key] = p.Percent
+	if open {
+		return
+	}
 	o.order(orderPace, func(ctx context.Context) {
-		if err := o.workers.SetPace(ctx, addr, p, o.Epoch()); err != nil {
+		err := o.workers.SetPace(ctx, addr, p, o.Epoch())
+		if err != nil {
 			o.failed("set pace", p.Worker, err, zap.String("Job", string(p.Task.Job)), zap.Stringer("Task", p.Task))
-			o.put(paceFailed{p})
 		}
+		o.put(paceEnded{p, err})
 	})
 }
 
