Count a job as started when a worker has taken a start of it

Cause: a job left the count of waiting jobs, and was shown as Running, when its first start was sent. A start that waited in line, was refused, or had no answer counted as well, and the next owner read Running from the record.

Change: the job begins when a worker accepts a start, lists a run or its end.

--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -216,7 +216,6 @@
 	s.worker.taken = s.worker.taken.Add(need)
 	s.worker.orphaned = s.worker.orphaned.Sub(need)
 	c.changed(step.job)
-	c.confirm(step.job)
 	c.begin(step.job)
 	r.revision = step.job.revision
 	t.numberRevision = r.revision
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -75,9 +75,6 @@
 	// dirty holds the jobs whose record has to be written.
 	dirty   []*jobState
 	pending map[string]int
-	// unconfirmed counts for each queue the jobs that have begun by a start that
-	// no worker is known to have taken.
-	unconfirmed map[string]int
 	// openJobs counts the jobs that have not ended.
 	openJobs int
 
@@ -116,7 +113,7 @@
 		workers:   make(map[WorkerID]*worker),
 		scheduled: make(map[workload.JobID]*jobState),
 		open:      make(map[workload.StepID]*stepState),
-		pending:   make(map[string]int), unconfirmed: make(map[string]int),
+		pending:   make(map[string]int),
 		longLimit: 1, shares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
 		estimates: make(map[string]*estimates), line: startLine{limit: anyNumber},
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -25,10 +25,8 @@
 	// before it is durable.
 	shown      workload.State
 	acceptedAt time.Time
-	// begun is set when a start of any task was sent.
+	// begun is set when a worker has taken a start of any task.
 	begun bool
-	// confirmed is set when a worker has taken a start of any task.
-	confirmed bool
 	// occurrences holds the steps of each occurrence that has become due.
 	occurrences [][]*stepState
 
@@ -267,33 +265,20 @@
 	c.dirty = append(c.dirty, j)
 }
 
-// begin notes that a task of the job has started.
+// begin notes that a worker has taken a start of the job. A start that was only
+// sent may be refused or lost, so it says nothing to callers.
 func (c *Cell) begin(j *jobState) {
 	if j.begun {
 		return
 	}
 	j.begun = true
 	c.pending[j.job.Queue]--
-	if !j.confirmed {
-		c.unconfirmed[j.job.Queue]++
-	}
 	if j.state == workload.StateQueued {
 		j.state = workload.StateRunning
 		j.shown = workload.StateRunning
 	}
 }
 
-// confirm notes that a worker has taken a start of the job.
-func (c *Cell) confirm(j *jobState) {
-	if j.confirmed {
-		return
-	}
-	j.confirmed = true
-	if j.begun && !j.state.Final() {
-		c.unconfirmed[j.job.Queue]--
-	}
-}
-
 // finish gives a job its final state.
 func (c *Cell) finish(now time.Time, j *jobState, state workload.State) {
 	if j.state.Final() {
@@ -305,8 +290,6 @@
 	if !j.begun {
 		j.begun = true
 		c.pending[j.job.Queue]--
-	} else if !j.confirmed {
-		c.unconfirmed[j.job.Queue]--
 	}
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -30,7 +30,6 @@
 	r.fresh = r.task.checkpoint == ""
 	r.deadline = r.worker.grant(now, c.config.Lease)
 	c.observe(StageLine, r.task.step.job, now.Sub(r.joinedAt))
-	c.begin(r.task.step.job)
 	c.log.Info("starting", append(runFields(r), zap.Duration("Waited", now.Sub(r.task.waitingSince)))...)
 	c.act(SendStart{
 		Worker: r.worker.id, Task: r.task.id, Run: r.number, Spec: r.task.step.job.job.Spec,
@@ -54,7 +53,7 @@
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
 	default:
-		c.confirm(r.task.step.job)
+		c.begin(r.task.step.job)
 		r.phase = runStarted
 		r.startedClock = outcome.Clock
 		r.movedAt = now
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -28,7 +28,7 @@
 
 // progress takes in a line about a run that is known.
 func (c *Cell) progress(now time.Time, r *run, e *Running) {
-	c.confirm(r.task.step.job)
+	c.begin(r.task.step.job)
 	if r.phase != runStarted {
 		c.leavePlanned(r)
 		r.phase = runStarted
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -141,7 +141,6 @@
 		}
 	}
 	delete(c.scheduled, j.job.ID)
-	c.confirm(j)
 	c.begin(j)
 	j.state = rec.State
 	j.shown = rec.State
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -184,7 +184,7 @@
 	}
 	t := r.task
 	took, timed := r.took(now)
-	c.confirm(t.step.job)
+	c.begin(t.step.job)
 	c.log.Info("run ended", append(runFields(r), zap.String("How", string(e.Kind)), zap.Duration("Took", took))...)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
@@ -210,6 +210,7 @@
 	if t == nil {
 		return openEnd{number: e.Number}
 	}
+	c.begin(t.step.job)
 	if e.Run > t.lastRun {
 		t.lastRun = e.Run
 		c.changed(t.step.job)
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -15,13 +15,10 @@
 	return j.shown, true
 }
 
-// Pending returns how many accepted jobs of a queue have no task started.
+// Pending returns how many accepted jobs of a queue have no task that a worker
+// has started.
 func (c *Cell) Pending(queue string) int { return c.pending[queue] }
 
-// Unconfirmed returns how many jobs of a queue count as started although no worker
-// has taken a start of theirs yet.
-func (c *Cell) Unconfirmed(queue string) int { return c.unconfirmed[queue] }
-
 // Backlog is what waits and what there is to run it.
 type Backlog struct {
 	// Jobs counts the jobs that have not ended, Steps those with tasks to
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -126,7 +126,7 @@
 func (e queueAsked) apply(o *Owner, _ time.Time) {
 	pending := o.cell.Pending(e.name)
 	o.log.Info("counted waiting jobs", zap.String("Queue", e.name), zap.Int("Pending", pending),
-		zap.Int("Unconfirmed", o.cell.Unconfirmed(e.name)), zap.Int("EventsWaiting", o.events.Len()))
+		zap.Int("EventsWaiting", o.events.Len()))
 	e.reply <- pending
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -162,10 +162,10 @@
 	meters := newMeters(scope)
 	o := &Owner{
 		config: config, tenure: tenure, ports: ports, store: ports.Store, workers: ports.Workers, listing: ports.Listing, timers: timers, log: log,
-		meters:  meters,
-		cell:    cell.New(now, config.Cell, meters, log),
-		events:  ring.New[event](ringSize),
-		orders:  newOrderLine(meters), stops: make(map[runKey]bool), paces: make(map[runKey]int),
+		meters: meters,
+		cell:   cell.New(now, config.Cell, meters, log),
+		events: ring.New[event](ringSize),
+		orders: newOrderLine(meters), stops: make(map[runKey]bool), paces: make(map[runKey]int),
 		holds:   make(map[cell.WorkerID]*holder),
 		version: tenure.Version, storeClock: tenure.Me.Before, renewAt: now.Add(config.RenewEvery),
 		done: make(chan struct{}), renewedAt: now, isolation: isolation{hosts: tenure.Others},
