Judge a run of go test by a list of single tests

Cause: a failed run could be passed over only for a whole package that named no failed test, by a text search over the output. A known-red test could not land. Change: internal/knownred reads KNOWN-RED.txt and the events of go test -json, shows the run as go test shows it, and names every failure that the list does not cover. A failed parent is covered by its failed subtests only if it logged nothing itself. A package with listed failures must have ended its tests and written nothing after them, so that a panic or a failing TestMain is seen. An entry with a Pattern covers what it covered before, with the text sought in that package alone. Weighed and not used: datadriven for the tests. By its source it logs its input under -v, which -json implies, so that the words of a recorded race would fail the run; the files are txtar archives instead.

--- /dev/null
+++ b/internal/knownred/cmd/main.go
@@ -0,0 +1,53 @@
+// Command cmd reads the events of go test -json and ends with an error unless
+// all that failed is listed in the file that its argument names. .ci/run uses it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"cicadabarrow.example/cicadabarrow/internal/knownred"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:      "knownred",
+		Usage:     "pass over the failed tests that are listed, and over nothing else",
+		ArgsUsage: "LIST",
+		Action: func(_ context.Context, c *cli.Command) error {
+			return judge(c.Args().First())
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// judge judges the run on the standard input by the list at path.
+func judge(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	list, err := knownred.ReadList(file)
+	if err != nil {
+		return err
+	}
+	run := knownred.New(os.Stdout)
+	if err := run.Read(os.Stdin); err != nil {
+		return err
+	}
+	verdict := run.Judge(list)
+	if err := verdict.Write(os.Stdout); err != nil {
+		return err
+	}
+	if len(verdict.Faults) > 0 {
+		return fmt.Errorf("the run fails: %d findings are not known red", len(verdict.Faults))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/knownred/knownred_test.go
@@ -0,0 +1,79 @@
+package knownred_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/knownred"
+)
+
+var rewrite = flag.Bool("rewrite", false, "write the wanted sections anew")
+
+// TestRuns judges the recorded runs of testdata. A file holds a list, the events
+// of go test -json without times and stack traces, what is to be shown, and
+// whether the run passes. Nothing is logged of a case that goes as wanted: the
+// words of a recorded data race would fail the run that plays this test.
+func TestRuns(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no recorded run: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) { playFile(t, path) })
+	}
+}
+
+func playFile(t *testing.T, path string) {
+	archive, err := txtar.ParseFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sections := make(map[string]string)
+	for _, f := range archive.Files {
+		sections[f.Name] = string(f.Data)
+	}
+	got := judge(t, sections["list"], sections["events"])
+	if *rewrite {
+		for i := range archive.Files {
+			if archive.Files[i].Name == "want" {
+				archive.Files[i].Data = []byte(got)
+			}
+		}
+		if err := os.WriteFile(path, txtar.Format(archive), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if want := sections["want"]; got != want {
+		t.Errorf("got:\n%s\nwant:\n%s", got, want)
+	}
+}
+
+func judge(t *testing.T, list, events string) string {
+	entries, err := knownred.ReadList(strings.NewReader(list))
+	if err != nil {
+		if !fault.Is(err, knownred.KindInvalid) {
+			t.Fatal(err)
+		}
+		return err.Error() + "\n"
+	}
+	var out strings.Builder
+	run := knownred.New(&out)
+	if err := run.Read(strings.NewReader(events)); err != nil {
+		t.Fatal(err)
+	}
+	verdict := run.Judge(entries)
+	if err := verdict.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	if len(verdict.Faults) > 0 {
+		return out.String() + "=> fails\n"
+	}
+	return out.String() + "=> passes\n"
+}
--- /dev/null
+++ b/internal/knownred/package.go
@@ -0,0 +1,145 @@
+package knownred
+
+import (
+	"regexp"
+	"strings"
+)
+
+// raceText is how the race detector reports a data race.
+const raceText = "DATA RACE"
+
+// logLine is a line that a test wrote with Log or Error.
+var logLine = regexp.MustCompile(`^\s+\S+\.go:\d+: `)
+
+// packageRun is the run of one package's tests.
+type packageRun struct {
+	name string
+	// result is empty until the package has ended.
+	result action
+	// failedBuild is set if the package was never run.
+	failedBuild bool
+	// race is set if the output has a data race.
+	race bool
+	// tests has the result of each test, actionRun until it has ended, and order
+	// their names as they started.
+	tests map[string]action
+	order []string
+	// logged has the tests that wrote with Log or Error.
+	logged map[string]bool
+	// outputs are kept until the package has passed.
+	outputs []event
+	// summed is set by the line that the testing package ends a failed run with,
+	// and afterSum is what the package wrote since.
+	summed   bool
+	afterSum []string
+	// closing is the last line about the package as a whole.
+	closing string
+}
+
+func newPackageRun(name string) *packageRun {
+	return &packageRun{name: name, tests: make(map[string]action), logged: make(map[string]bool)}
+}
+
+// take takes in an event of the package.
+func (p *packageRun) take(e event) {
+	switch e.Action {
+	case actionRun:
+		p.order = append(p.order, e.Test)
+		p.tests[e.Test] = actionRun
+	case actionOutput:
+		p.output(e)
+	case actionPass, actionFail, actionSkip:
+		if e.Test == "" {
+			p.end(e)
+			return
+		}
+		if _, started := p.tests[e.Test]; !started {
+			p.order = append(p.order, e.Test)
+		}
+		p.tests[e.Test] = e.Action
+	default:
+		// The others say nothing of the result.
+	}
+}
+
+func (p *packageRun) output(e event) {
+	p.outputs = append(p.outputs, e)
+	if e.Test != "" {
+		if logLine.MatchString(e.Output) {
+			p.logged[e.Test] = true
+		}
+		return
+	}
+	p.closing = e.Output
+	switch {
+	case e.Output == "FAIL\n":
+		p.summed = true
+		p.afterSum = nil
+	case p.summed:
+		p.afterSum = append(p.afterSum, e.Output)
+	}
+}
+
+func (p *packageRun) end(e event) {
+	p.result = e.Action
+	p.failedBuild = e.FailedBuild != ""
+	p.race = strings.Contains(p.text(), raceText)
+	if p.result != actionFail {
+		p.outputs = nil
+	}
+}
+
+// text returns all that the package wrote.
+func (p *packageRun) text() string {
+	var b strings.Builder
+	for _, e := range p.outputs {
+		b.WriteString(e.Output)
+	}
+	return b.String()
+}
+
+// failed returns the names of the failed tests.
+func (p *packageRun) failed() []string {
+	var out []string
+	for _, test := range p.order {
+		if p.tests[test] == actionFail {
+			out = append(out, test)
+		}
+	}
+	return out
+}
+
+// brokenOff says why the run of a failed package may not have reached all of its
+// tests, or failed for more than its tests. It returns "" if neither is so.
+func (p *packageRun) brokenOff() string {
+	for _, test := range p.order {
+		if p.tests[test] == actionRun {
+			return test + " did not end"
+		}
+	}
+	if !p.summed {
+		return "the tests were cut short, as by a panic or an exit"
+	}
+	if len(p.afterSum) != 1 || !strings.HasPrefix(p.afterSum[0], "FAIL\t"+p.name+"\t") {
+		return "the package wrote more after its tests had ended"
+	}
+	return ""
+}
+
+// shown returns what go test prints of the package without -json: the closing
+// line, and before it, if the package failed, all but the output of tests that
+// passed or were skipped.
+func (p *packageRun) shown() string {
+	if p.result != actionFail {
+		return p.closing
+	}
+	var b strings.Builder
+	for _, e := range p.outputs {
+		result := p.tests[e.Test]
+		if result == actionPass || result == actionSkip || strings.HasPrefix(e.Output, "=== ") {
+			continue
+		}
+		b.WriteString(e.Output)
+	}
+	return b.String()
+}
