--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -13,6 +13,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/election"
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/owner"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
@@ -37,6 +39,8 @@
 	// commits counts the transactions; of each loseEvery the answer is lost.
 	commits   int
 	loseEvery int
+	// wholeReads is how long a read of all accepted jobs takes.
+	wholeReads time.Duration
 	// session tells what happened, for failed tests.
 	session []string
 }
@@ -218,3 +222,21 @@
 	}
 	return w.order[len(w.order)-2]
 }
+
+// slowDown makes each read of all accepted jobs take a time.
+func (w *fakeWorld) slowDown(wholeReads time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wholeReads = wholeReads
+}
+
+// row returns the owner's row as it is in the store.
+func (w *fakeWorld) row() ledger.Owner {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	state, err := election.ReadState([]rowstore.Row{w.rows[ledger.OwnerKey()]})
+	if err != nil {
+		panic(err)
+	}
+	return state.Owner
+}
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -11,6 +11,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
@@ -72,10 +73,10 @@
 
 // Read returns the rows of a range.
 func (p *fakePort) Read(ctx context.Context, r rowstore.Range) (rowstore.Snapshot, error) {
-	if err := p.travel(ctx, storeName, storeLatency); err != nil {
+	w := p.world
+	if err := p.travel(ctx, storeName, w.readTakes(r)); err != nil {
 		return rowstore.Snapshot{}, err
 	}
-	w := p.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	out := rowstore.Snapshot{Version: w.version, Clock: w.clock()}
@@ -88,6 +89,16 @@
 	return out, nil
 }
 
+// readTakes returns how long the read of a range takes.
+func (w *fakeWorld) readTakes(r rowstore.Range) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Table == ledger.TableIntake {
+		return max(storeLatency, w.wholeReads)
+	}
+	return storeLatency
+}
+
 // Follow waits for changes of a table.
 func (p *fakePort) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Snapshot, error) {
 	until := time.Now().Add(wait)
