Let a host own the cell from the moment it has won the row

Change: owner.New returns at once. The owner's duty runs from the takeover on: it renews the row by the same commits as later (condition on the row's version, lost answers found by the attempt), answers pings, ends on a later epoch, and releases the row on SIGTERM or when the reads fail or last over 6 s; it then tries to for a second at most. The store is read and the cell filled beside the duty, so that decoding holds no renewal up. Lookups and news find no owner until the cell is known, as before; nothing is granted or started.

What could now go wrong, and does not: a row released during a takeover made the next owner take all earlier ones to have ended, though the one before may still grant leases. The row says whether that is known (EarlierEnded, a field at its end; rows of older releases are read). The same held before for an owner that was killed during its takeover. What the old owner said of its own renewals was counted against its successor; it is not any more. Before counts the wait ahead of the takeover. Attempts go on from the takeover's.

Logs: why the owner was in doubt, the deference, and how long and how much was read.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -66,6 +66,12 @@
 	}, me, nil
 }
 
+// EarlierEnded reports whether no owner up to the one of this state can grant a
+// lease any more; gone is set when its own process has surely ended.
+func (s State) EarlierEnded(gone bool) bool {
+	return s.Version == 0 || s.Owner.EarlierEnded && (gone || s.Owner.Released)
+}
+
 // Watch decides when the owner has to be replaced. It needs two signs: the
 // owner does not answer its peers as the owner, and it does not renew its row.
 type Watch struct {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -111,6 +111,27 @@
 	}
 }
 
+func TestEarlierOwnersHaveEnded(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state election.State
+		gone  bool
+		want  bool
+	}{
+		{"no owner yet", election.State{}, false, true},
+		{"the last one has ended", election.State{Version: 5, Owner: ledger.Owner{EarlierEnded: true}}, true, true},
+		{"the last one released", election.State{Version: 5, Owner: ledger.Owner{EarlierEnded: true, Released: true}}, false, true},
+		{"the last one may be alive", election.State{Version: 5, Owner: ledger.Owner{EarlierEnded: true}}, false, false},
+		{"one before the last may be alive", election.State{Version: 5, Owner: ledger.Owner{Released: true}}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.state.EarlierEnded(c.gone); got != c.want {
+				t.Errorf("ended: %v", got)
+			}
+		})
+	}
+}
+
 func TestMalformedRowIsNamed(t *testing.T) {
 	_, err := election.ReadState([]rowstore.Row{{Key: ledger.OwnerKey(), Value: []byte("x"), Version: 1}})
 	if !fault.Is(err, election.KindMalformed) {
--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -41,6 +41,8 @@
 	loseEvery int
 	// wholeReads is how long a read of all accepted jobs takes.
 	wholeReads time.Duration
+	// unread is a host whose reads of accepted jobs fail.
+	unread string
 	// session tells what happened, for failed tests.
 	session []string
 }
@@ -230,6 +232,13 @@
 	w.wholeReads = wholeReads
 }
 
+// failReads makes a host's reads of accepted jobs fail from now on.
+func (w *fakeWorld) failReads(h *fakeHost) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unread = h.name
+}
+
 // row returns the owner's row as it is in the store.
 func (w *fakeWorld) row() ledger.Owner {
 	w.mu.Lock()
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -79,6 +79,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if r.Table == ledger.TableIntake && p.host.name == w.unread {
+		return rowstore.Snapshot{}, fault.New("read", rowstore.KindNotDone, "refused")
+	}
 	out := rowstore.Snapshot{Version: w.version, Clock: w.clock()}
 	for key, row := range w.rows {
 		if key.Table == r.Table && key.Part == r.Part && key.Name >= r.From {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -96,11 +96,12 @@
 	rawManifest atomic.Pointer[[]byte]
 	watch       *election.Watch
 	advisors    *remoteAdvisors
-	// unrenewed is for how long the owner could not renew its row, by its last
-	// answer. Only the watching duty uses it.
-	unrenewed time.Duration
+	// doubt, unreadable and yieldUntil are used by the watching duty alone.
+	doubt doubt
 	// unreadable is when this host last failed to read the owner's row.
 	unreadable time.Time
+	// yieldUntil is until when this host leaves the cell to others.
+	yieldUntil time.Time
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -108,7 +109,7 @@
 	stopping atomic.Bool
 
 	mu sync.Mutex
-	// own is set while this host owns the cell.
+	// own is set while this host owns the cell, also before it decides.
 	own *owner.Owner
 	// endedEpoch is the last epoch that this host has owned and ended.
 	endedEpoch uint64
@@ -157,7 +158,7 @@
 // Requests of clients are still served.
 func (h *Host) Leave(ctx context.Context) {
 	h.stopping.Store(true)
-	if own := h.owning(); own != nil {
+	if own := h.owned(); own != nil {
 		own.Leave(ctx)
 		h.ended(own)
 	}
@@ -166,18 +167,27 @@
 // Close ends the duties.
 func (h *Host) Close() {
 	h.cancel()
-	if own := h.owning(); own != nil {
+	if own := h.owned(); own != nil {
 		own.Close()
 	}
 	h.duties.Wait()
 }
 
-func (h *Host) owning() *owner.Owner {
+// owned returns what runs the cell while this host owns it, or nil.
+func (h *Host) owned() *owner.Owner {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.own
 }
 
+// owning is like owned, but nil also while the store is still being read.
+func (h *Host) owning() *owner.Owner {
+	if own := h.owned(); own != nil && own.Decides() {
+		return own
+	}
+	return nil
+}
+
 // sleep waits, and reports false when the host ends.
 func (h *Host) sleep(d time.Duration) bool {
 	pause := h.timers.After(d)
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -118,7 +118,7 @@
 	h.rawManifest.Store(&raw)
 	h.log.Info("manifest in force", zap.Uint64("Version", m.Version), zap.Int("Queues", len(m.Queues)),
 		zap.String("From", from))
-	if own := h.owning(); own != nil {
+	if own := h.owned(); own != nil {
 		own.SetManifest(m)
 	}
 }
--- a/internal/host/ownership_test.go
+++ b/internal/host/ownership_test.go
@@ -19,9 +19,10 @@
 }
 
 // TestOwnership plays hosts that are killed, started and cut from the store, from
-// each other and from workers, one or more at a time. An owner that was replaced
-// must leave each worker alone before its successor takes the lease there to be
-// over, and once all is well again there is one owner that holds all workers.
+// each other and from workers, one or more at a time, with reads of the store that
+// take long in some takeovers. An owner that was replaced must leave each worker
+// alone before its successor takes the lease there to be over, and once all is well
+// again there is one owner that holds all workers.
 func TestOwnership(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		violation := ""
@@ -70,6 +71,9 @@
 				w.leaveOneWorker(h)
 			}
 		},
+		"reads": func(t *rapid.T) {
+			w.slowDown(rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond, wholeReads}).Draw(t, "took"))
+		},
 		"heal": func(*rapid.T) { w.healAll() },
 		"":     func(*rapid.T) {},
 	})
@@ -110,6 +114,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.cut)
+	w.wholeReads = 0
 	w.note("healed")
 }
 
--- a/internal/host/recovering_test.go
+++ b/internal/host/recovering_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/message"
 )
 
 // wholeReads is how long a successor on a weak host reads before it decides.
@@ -30,3 +32,103 @@
 		})
 	}
 }
+
+// inTakeover runs a test a second after the owner has become silent, while its
+// successor still reads.
+func inTakeover(t *testing.T, test func(t *testing.T, w *fakeWorld, successor *fakeHost)) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.slowDown(wholeReads)
+		w.setCut(first, true, append(w.otherHosts(first), storeName)...)
+		time.Sleep(takeoverWithin)
+		row := w.row()
+		for _, h := range w.order {
+			if row.Epoch == 2 && h.addr == row.Addr {
+				test(t, w, h)
+				return
+			}
+		}
+		t.Fatalf("no takeover: %+v", row)
+	})
+}
+
+func TestNothingIsGrantedBeforeTheStoreIsRead(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		pong := successor.host.pong(message.HostPing{})
+		if row := w.row(); !pong.Owning || pong.Renewed > fakePatience || row.Attempt == 0 {
+			t.Errorf("the successor does not look alive: %+v, row %+v", pong, row)
+		}
+		if successor.host.owning() != nil || !w.lastHold("w0", 2).IsZero() {
+			t.Error("the successor decides already")
+		}
+	})
+}
+
+func TestATakeoverEndsOnALaterEpoch(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		if pong := successor.host.pong(message.HostPing{KnownEpoch: 3}); pong.Owning {
+			t.Error("a replaced successor looks alive")
+		}
+		time.Sleep(wholeReads)
+		if !w.lastHold("w0", 2).IsZero() {
+			t.Error("a replaced successor goes on")
+		}
+	})
+}
+
+// The silent owner may still grant leases, so that whoever comes after the
+// release has to wait as long as after the silent owner itself.
+func TestALeavingHostReleasesTheCellWhileItTakesOver(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		begin := time.Now()
+		successor.host.Leave(t.Context())
+		if took := time.Since(begin); took > 100*time.Millisecond {
+			t.Errorf("leaving took %v", took)
+		}
+		if row := w.row(); !row.Released || row.EarlierEnded {
+			t.Errorf("row %+v", row)
+		}
+		time.Sleep(takeoverWithin)
+		if row := w.row(); row.Epoch != 3 || row.EarlierEnded {
+			t.Errorf("row %+v after the release", row)
+		}
+	})
+}
+
+func TestAHostThatIsKilledWhileItTakesOverIsReplaced(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		w.stop(successor)
+		time.Sleep(takeoverWithin)
+		if row := w.row(); row.Epoch != 3 || row.EarlierEnded {
+			t.Errorf("row %+v after the kill", row)
+		}
+	})
+}
+
+// A successor whose reads fail releases its row, and another host is next.
+func TestATakeoverThatCannotReadGivesUp(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		w.failReads(successor)
+		time.Sleep(takeoverWithin)
+		w.slowDown(0)
+		time.Sleep(takeoverWithin)
+		if row := w.row(); row.Epoch != 3 || row.Addr == successor.addr {
+			t.Errorf("row %+v", row)
+		}
+		if w.lastHold("w0", 3).IsZero() {
+			t.Error("the next host holds no worker")
+		}
+	})
+}
+
+// A takeover goes on where each second answer is lost.
+func TestLostAnswersDoNotEndATakeover(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		w.mu.Lock()
+		w.loseEvery = 2
+		w.mu.Unlock()
+		time.Sleep(wholeReads)
+		if row := w.row(); row.Epoch != 2 || successor.host.owning() == nil {
+			t.Errorf("row %+v", row)
+		}
+	})
+}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -32,19 +32,8 @@
 	// staleAfter is the age of the owner's last renewal at which its peers
 	// look at the store.
 	staleAfter = 900 * time.Millisecond
-	// stateTimeout bounds a read of the owner's row, and takeoverTimeout the
-	// transaction of a takeover.
-	stateTimeout    = 1500 * time.Millisecond
-	takeoverTimeout = 2 * time.Second
-	// recoverTimeout bounds the reads of a new owner.
-	recoverTimeout = 6 * time.Second
-	// takeoverSpread is the mean wait before a takeover, so that the hosts do
-	// not all try at once.
-	takeoverSpread = 40 * time.Millisecond
-	// latencyFactor times the store's latency is how long a host lets nearer
-	// ones go first, at most maxDeference.
-	latencyFactor = 8
-	maxDeference  = 500 * time.Millisecond
+	// stateTimeout bounds a read of the owner's row.
+	stateTimeout = 1500 * time.Millisecond
 )
 
 // followOwner watches the owner and takes its place when it is gone.
@@ -53,7 +42,7 @@
 	wait := pingTimeout
 	for h.ctx.Err() == nil {
 		pause := pingEvery
-		own := h.owning()
+		own := h.owned()
 		switch {
 		case own != nil:
 			h.endIfReplaced(own)
@@ -68,42 +57,34 @@
 	}
 }
 
-func (h *Host) endIfReplaced(own *owner.Owner) {
-	select {
-	case <-own.Done():
-		h.log.Info("no longer the owner", zap.Uint64("Epoch", own.Epoch()), zap.Error(own.Err()))
-		h.ended(own)
-	default:
-	}
-}
-
 // ownerAnswers pings the owner, and reports whether it is well.
 func (h *Host) ownerAnswers(wait time.Duration) bool {
 	known := h.knownOwner()
-	h.unrenewed = 0
+	h.doubt = doubt{epoch: known.epoch}
 	if !known.addr.IsValid() {
+		h.doubt.reason = "no owner is known"
 		return false
 	}
 	from, pong, err := h.ping(known.addr, 0, wait)
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			h.ownerGone(known.incarnation)
-		}
-		return false
-	}
-	if from.Incarnation != known.incarnation {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		h.ownerGone(known.incarnation)
-		return false
-	}
-	if !pong.Owning {
-		return false
-	}
-	if pong.Renewed > staleAfter {
-		h.unrenewed = pong.Renewed
-		return false
+		h.doubt.reason = "its port refuses"
+	case err != nil:
+		h.doubt.reason = "it does not answer"
+	case from.Incarnation != known.incarnation:
+		h.ownerGone(known.incarnation)
+		h.doubt.reason = "another process answers"
+	case !pong.Owning:
+		h.doubt.reason = "it says that it does not own the cell"
+	case pong.Renewed > staleAfter:
+		h.doubt.reason = "it cannot renew its row"
+		h.doubt.unrenewed = pong.Renewed
+	default:
+		h.watch.Reset()
+		return true
 	}
-	h.watch.Reset()
-	return true
+	return false
 }
 
 // ping asks a host for its view, and takes in what it tells. The epoch is the
@@ -144,7 +125,7 @@
 func (h *Host) lookAtStore(doubts *int) time.Duration {
 	begin := h.timers.Now()
 	state, err := h.readState()
-	sign := election.Sign{Latency: h.timers.Now().Sub(begin), Unrenewed: h.unrenewed}
+	latency := h.timers.Now().Sub(begin)
 	if err != nil {
 		h.unreadable = h.timers.Now()
 		if *doubts == 0 && h.ctx.Err() == nil {
@@ -156,17 +137,16 @@
 		return pause/2 + rand.N(pause)
 	}
 	*doubts = 0
-	// While the store was away for this host, it may have been for the owner.
-	sign.Unrenewed = min(sign.Unrenewed, begin.Sub(h.unreadable))
 	h.takeState(state)
-	if h.stopping.Load() {
+	if h.stopping.Load() || begin.Before(h.yieldUntil) {
 		return pingEvery
 	}
 	mine := state.Owner.Incarnation == h.config.Self.Incarnation && !state.Owner.Released
 	if mine && state.Owner.Epoch > h.lastEnded() {
-		h.become(owner.Tenure{Me: state.Owner, Version: state.Version})
+		h.become(owner.Tenure{Me: state.Owner, Version: state.Version, PreviousEnded: state.Owner.EarlierEnded})
 		return pingEvery
 	}
+	sign := h.doubt.sign(state, latency, begin.Sub(h.unreadable))
 	sign.Gone = h.isGone(state.Owner.Incarnation)
 	if mine || h.watch.Due(h.timers.Now(), state, sign) {
 		h.takeOver(state, sign)
@@ -214,82 +194,6 @@
 	return state, err
 }
 
-// takeOver tries to become the owner after the state that was read. Hosts near
-// the store come first, since an owner's commits wait for it.
-func (h *Host) takeOver(state election.State, sign election.Sign) {
-	if !h.sleep(min(latencyFactor*sign.Latency, maxDeference) + rand.N(takeoverSpread)) {
-		return
-	}
-	self := h.config.Self
-	t, me, err := state.Takeover(ledger.Owner{Host: self.Name, Incarnation: self.Incarnation, Addr: h.config.Addr})
-	if err != nil {
-		h.log.Error("takeover", zap.Error(err))
-		return
-	}
-	ctx, cancel := context.WithTimeout(h.ctx, takeoverTimeout)
-	defer cancel()
-	result, err := h.platform.Store.Commit(ctx, t)
-	if err != nil {
-		h.log.Info("did not become the owner", zap.Uint64("Epoch", me.Epoch), zap.Error(err))
-		return
-	}
-	h.log.Info("becoming the owner", zap.Uint64("Epoch", me.Epoch), zap.String("After", state.Owner.Host),
-		zap.Bool("Gone", sign.Gone), zap.Duration("Unrenewed", sign.Unrenewed), zap.Bool("Released", state.Owner.Released))
-	ended := sign.Gone || state.Owner.Released
-	h.become(owner.Tenure{Me: me, Version: result.Version, PreviousEnded: ended})
-}
-
-// become starts to own the cell.
-func (h *Host) become(t owner.Tenure) {
-	ctx, cancel := context.WithTimeout(h.ctx, recoverTimeout)
-	defer cancel()
-	h.announce(t.Me.Epoch)
-	t.Others = h.otherHosts()
-	own, err := owner.New(ctx, h.config.Owner, t, h.manifests.Current(),
-		h.platform.Ports, h.advisors, h.timers, h.scope, h.log)
-	if err != nil {
-		h.log.Warn("taking over failed", zap.Uint64("Epoch", t.Me.Epoch), zap.Error(err))
-		return
-	}
-	h.mu.Lock()
-	h.own = own
-	h.owner = ownerRef{addr: h.config.Addr, incarnation: h.config.Self.Incarnation, epoch: t.Me.Epoch}
-	h.mu.Unlock()
-	if m := h.manifests.Current(); m != nil {
-		own.SetManifest(m)
-	}
-	for _, wave := range h.knownWaves() {
-		own.SetWave(wave)
-	}
-	if h.stopping.Load() {
-		own.Close()
-	}
-}
-
-// otherHosts returns how many hosts there are beside this one, as far as it was
-// told by the last owner or by its settings.
-func (h *Host) otherHosts() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	seeds := 0
-	for _, at := range h.config.Seeds {
-		if at != h.config.Addr {
-			seeds++
-		}
-	}
-	return max(h.others, seeds)
-}
-
-// ended notes that this host owns the cell no more.
-func (h *Host) ended(own *owner.Owner) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.own == own {
-		h.own = nil
-		h.endedEpoch = max(h.endedEpoch, own.Epoch())
-	}
-}
-
 // pong answers the ping of a host.
 func (h *Host) pong(ping message.HostPing) message.OwnerPong {
 	h.advisors.heard(ping.Addr)
@@ -298,7 +202,8 @@
 		h.hearOfOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
 		h.mu.Unlock()
 	}
-	if own := h.owning(); own != nil {
+	own := h.owned()
+	if own != nil {
 		own.Replaced(ping.KnownEpoch)
 	}
 	known := h.knownOwner()
@@ -309,7 +214,7 @@
 	if raw := h.rawManifest.Load(); raw != nil && pong.Manifest > ping.Manifest {
 		pong.NewerManifest = *raw
 	}
-	if own := h.owning(); own != nil && !h.stopping.Load() {
+	if own != nil && own.Owns() && !h.stopping.Load() {
 		pong.Owning = true
 		pong.Renewed = own.Renewed()
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,11 +1,14 @@
 package ledger_test
 
 import (
+	"net/netip"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/job"
@@ -44,6 +47,36 @@
 	}
 }
 
+func TestOwnersAreReadAsWritten(t *testing.T) {
+	o := ledger.Owner{
+		Host: "h", Incarnation: "h/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 7, Released: true,
+		Before: time.Second, Attempt: 3, Ahead: []string{"w"}, EarlierEnded: true,
+	}
+	value, err := ledger.EncodeOwner(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := ledger.DecodeOwner(value)
+	if err != nil || !reflect.DeepEqual(read, o) {
+		t.Errorf("read %+v, %v", read, err)
+	}
+}
+
+// A row of a release that knew no EarlierEnded is read, and claims nothing.
+func TestOwnersOfOlderReleasesAreRead(t *testing.T) {
+	value, err := msgpack.Marshal([]any{"h", "h/1", "10.0.0.1:1", 7, true, []string{"w"}, time.Second, 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := ledger.DecodeOwner(value)
+	if err != nil || read.Epoch != 7 || read.Attempt != 3 || !read.Released || read.EarlierEnded {
+		t.Errorf("read %+v, %v", read, err)
+	}
+	if _, err := ledger.DecodeOwner(value[:len(value)-1]); !fault.Is(err, ledger.KindMalformed) {
+		t.Errorf("a cut row gives %v", err)
+	}
+}
+
 func TestRecordsAreReadAsWritten(t *testing.T) {
 	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -29,25 +29,46 @@
 	// Ahead holds the workers at which runs may have been started that no
 	// record names yet.
 	Ahead []string
+	// EarlierEnded is set when no owner before this one can grant a lease any
+	// more.
+	EarlierEnded bool
 }
 
 type ownerWire struct {
-	_msgpack    struct{} `msgpack:",as_array"`
-	Host        string
-	Incarnation string
-	Addr        string
-	Epoch       uint64
-	Released    bool
-	Ahead       []string
-	Before      time.Duration
-	Attempt     uint64
+	_msgpack     struct{} `msgpack:",as_array"`
+	Host         string
+	Incarnation  string
+	Addr         string
+	Epoch        uint64
+	Released     bool
+	Ahead        []string
+	Before       time.Duration
+	Attempt      uint64
+	EarlierEnded bool
+}
+
+// DecodeMsgpack reads also rows that older releases wrote, without the last
+// fields.
+func (w *ownerWire) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&w.Host, &w.Incarnation, &w.Addr, &w.Epoch, &w.Released, &w.Ahead, &w.Before, &w.Attempt, &w.EarlierEnded}
+	if n < ownerFields || n > len(fields) {
+		return fault.New("decode owner", KindMalformed, "%d fields", n)
+	}
+	return d.DecodeMulti(fields[:n]...)
 }
 
+// ownerFields is the least number of fields in a row.
+const ownerFields = 8
+
 // EncodeOwner returns the value of the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
 	return msgpack.Marshal(&ownerWire{
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
-		Ahead: o.Ahead, Before: o.Before, Attempt: o.Attempt,
+		Ahead: o.Ahead, Before: o.Before, Attempt: o.Attempt, EarlierEnded: o.EarlierEnded,
 	})
 }
 
@@ -63,5 +84,6 @@
 	}
 	return Owner{
 		Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, Ahead: w.Ahead, Before: w.Before, Attempt: w.Attempt,
+		EarlierEnded: w.EarlierEnded,
 	}, nil
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -33,7 +33,7 @@
 // renews the owner's row with each. While it is on its way, the next batch
 // fills.
 func (o *Owner) commit(now time.Time) {
-	due := o.cell.HasRecords() || o.leaving || !now.Before(o.renewAt)
+	due := o.cell.HasRecords() || o.leaving.is || !now.Before(o.renewAt)
 	if o.committing || now.Before(o.retryAt) || !due {
 		return
 	}
@@ -44,13 +44,13 @@
 	b.ahead = o.cell.AheadWorkers(now)
 	o.attempt++
 	attempt := o.attempt
-	t, err := o.transaction(b)
+	t, err := o.transaction(now, b)
 	if err != nil {
 		o.end(fault.New("commit", KindStore, "%w", err))
 		return
 	}
 	o.committing = true
-	released := o.leaving
+	released := o.leaving.is
 	o.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
 		defer cancel()
@@ -64,9 +64,10 @@
 // transaction writes records under the condition that the owner's row is as
 // this owner wrote it last. So nothing is written once another host has taken
 // over, and a write whose answer was lost never lands after a later one.
-func (o *Owner) transaction(b batch) (rowstore.Transaction, error) {
+func (o *Owner) transaction(now time.Time, b batch) (rowstore.Transaction, error) {
 	me := o.tenure.Me
-	me.Released = o.leaving
+	me.Released = o.leaving.is
+	me.EarlierEnded = o.earlierEnded(now)
 	me.Before = o.storeClock
 	me.Attempt = o.attempt
 	me.Ahead = make([]string, len(b.ahead))
@@ -138,7 +139,7 @@
 		o.cell.Committed(now, e.batch.records)
 		if e.released {
 			o.log.Info("released the cell")
-			o.end(fault.New("own", KindClosed, "the host is stopping"))
+			o.end(o.leaving.reason)
 		}
 		return
 	}
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -74,10 +74,6 @@
 // JobCancelled tells the owner of a cancel that has just become durable.
 func (o *Owner) JobCancelled(id workload.JobID) { o.put(jobCancelled{id}) }
 
-type leave struct{}
-
-func (leave) apply(o *Owner, _ time.Time) { o.leaving = true }
-
 // JobState is what the owner says of a job.
 type JobState struct {
 	Known bool
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -49,15 +49,16 @@
 
 func intakeChanged(rows []rowstore.Row, whole bool) event {
 	take := func(o *Owner, now time.Time, rows []rowstore.Row, _ bool) {
-		o.takeIntake(now, rows)
-		o.takeCancels(now, rows)
+		t := o.taker(o.cell)
+		t.takeIntake(now, rows)
+		t.takeCancels(now, rows)
 	}
 	return rowsChanged{rows: rows, whole: whole, take: take}
 }
 
 func workersChanged(rows []rowstore.Row, whole bool) event {
 	take := func(o *Owner, now time.Time, rows []rowstore.Row, whole bool) {
-		o.takeWorkers(now, rows)
+		o.taker(o.cell).takeWorkers(now, rows)
 		if whole {
 			o.unlistOthers(now, rows)
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -32,7 +32,8 @@
 	KindReplaced Kind = "replaced"
 	// KindClosed means that the owner was told to end.
 	KindClosed Kind = "closed"
-	// KindStore means that the store could not be read at the takeover.
+	// KindStore means that the store could not be read at the takeover, or that
+	// a row cannot be encoded or decoded.
 	KindStore Kind = "store"
 )
 
@@ -75,7 +76,8 @@
 	Me ledger.Owner
 	// Version is that of the row.
 	Version uint64
-	// PreviousEnded is set when the last owner's process has surely ended.
+	// PreviousEnded is set when the processes of all earlier owners have surely
+	// ended.
 	PreviousEnded bool
 	// Others is how many hosts there were beside the last owner.
 	Others int
@@ -94,8 +96,10 @@
 
 // Owner runs the cell for as long as this host owns it.
 type Owner struct {
-	config  Config
-	tenure  Tenure
+	config Config
+	tenure Tenure
+	// began is when the takeover began.
+	began   time.Time
 	ports   Ports
 	store   Store
 	workers Workers
@@ -105,8 +109,10 @@
 	log     *zap.Logger
 	meters  *meters
 
-	cell   *cell.Cell
-	events *ring.Ring[event]
+	// cell is empty until the store has been read.
+	cell     *cell.Cell
+	recovery recovery
+	events   *ring.Ring[event]
 	// orders has a place for each call to a worker that is on its way.
 	orders chan struct{}
 	// holds has the workers that are called, with their pending plan.
@@ -129,8 +135,8 @@
 	removes  []workload.JobID
 	// showAt is when the backlog is next shown among the metrics.
 	showAt time.Time
-	// leaving is set once the owner gives the cell up.
-	leaving   bool
+	// leaving says whether and why the owner gives the cell up.
+	leaving   leaving
 	isolation isolation
 	slow      slowStore
 
@@ -142,49 +148,50 @@
 	mu        sync.Mutex
 	err       error
 	renewedAt time.Time
+	// decides is set once the store has been read, and yields when the owner
+	// gives the cell up.
+	decides bool
+	yields  bool
 }
 
-// New takes the cell over: it reads the store and starts to decide. The
-// manifest is the one in force on this host.
+// New takes the cell over for a host that has won the owner's row: it reads the
+// store, renews the row meanwhile, and then starts to decide. The manifest is
+// the one in force on this host.
 func New(
-	ctx context.Context, config Config, tenure Tenure, m *manifest.Manifest, ports Ports, remote RemoteAdvisors,
+	config Config, tenure Tenure, m *manifest.Manifest, ports Ports, remote RemoteAdvisors,
 	timers timer.Service, scope tally.Scope, log *zap.Logger,
-) (*Owner, error) {
+) *Owner {
 	now := timers.Now()
-	log = log.Named("owner").With(zap.Uint64("Epoch", tenure.Me.Epoch))
-	meters := newMeters(scope)
 	o := &Owner{
-		config: config, tenure: tenure, ports: ports, store: ports.Store, workers: ports.Workers, listing: ports.Listing, timers: timers, log: log,
-		meters:  meters,
-		cell:    cell.New(now, config.Cell, meters, log),
+		config: config, tenure: tenure, began: now, ports: ports, store: ports.Store, workers: ports.Workers, listing: ports.Listing, timers: timers,
+		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Me.Epoch)),
+		meters:  newMeters(scope),
 		events:  ring.New[event](ringSize),
 		orders:  make(chan struct{}, ordersAtOnce),
 		holds:   make(map[cell.WorkerID]*holder),
-		version: tenure.Version, storeClock: tenure.Me.Before, renewAt: now.Add(config.RenewEvery),
+		version: tenure.Version, storeClock: tenure.Me.Before, attempt: tenure.Me.Attempt, renewAt: now.Add(config.RenewEvery),
 		done: make(chan struct{}), renewedAt: now, isolation: isolation{hosts: tenure.Others},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
-	o.advice = newQuestions(ports.Advisor, remote, timers, log)
-	if tenure.PreviousEnded {
-		o.cell.PreviousOwnerEnded()
-	}
-	if m != nil {
-		o.cell.SetManifest(m)
-	}
-	feeds, err := o.recover(ctx, now)
-	if err != nil {
-		o.cancel()
-		return nil, err
-	}
-	log.Info("took over", zap.Duration("Took", timers.Now().Sub(now)), zap.Int("Workers", len(o.cell.Workers())))
-	for _, f := range feeds {
-		o.calls.Go(func() { o.follow(f) })
-	}
+	o.advice = newQuestions(ports.Advisor, remote, timers, o.log)
+	o.cell = o.newCell(now)
+	o.recover(now, m)
 	go func() {
 		defer close(o.done)
 		o.run()
 	}()
-	return o, nil
+	return o
+}
+
+// newCell returns the cell as it is before the store has been read: it knows the
+// workers at which starts may have gone ahead of their record.
+func (o *Owner) newCell(now time.Time) *cell.Cell {
+	c := cell.New(now, o.config.Cell, o.meters, o.log)
+	if o.tenure.PreviousEnded {
+		c.PreviousOwnerEnded()
+	}
+	c.RestoreAhead(workerIDs(o.tenure.Me.Ahead))
+	return c
 }
 
 // Done is closed when the owner has ended.
@@ -197,11 +204,27 @@
 	return o.err
 }
 
+// Owns reports whether the owner holds the cell and means to keep it, also while
+// it still reads the store.
+func (o *Owner) Owns() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.err == nil && !o.yields
+}
+
+// Decides reports whether the owner has read the store, so that it decides and
+// answers questions.
+func (o *Owner) Decides() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.decides
+}
+
 // Leave gives the cell up in good order: what is decided already becomes
 // durable with the word that the cell is free. It returns when the owner has
 // ended.
 func (o *Owner) Leave(ctx context.Context) {
-	o.put(leave{})
+	o.put(leave{fault.New("own", KindClosed, "the host is stopping")})
 	select {
 	case <-o.done:
 	case <-ctx.Done():
@@ -244,30 +267,38 @@
 			o.calls.Wait()
 			return
 		case e := <-o.events.C():
-			e.apply(o, o.timers.Now())
+			o.take(e, o.timers.Now())
 			o.drain()
 		case <-tick.C:
-			o.cell.SetAdvisers(o.advice.hosts())
-			o.endIfCutOff()
-			now := o.timers.Now()
-			o.cell.Tick(now)
-			if !now.Before(o.showAt) {
-				o.showAt = now.Add(showEvery)
-				o.meters.backlog(o.cell.Backlog(now))
-				o.expire(now)
-			}
+			o.tick(o.timers.Now())
 		}
 		o.decide()
 	}
 }
 
+// tick does what is due by the clock.
+func (o *Owner) tick(now time.Time) {
+	o.endIfCutOff()
+	o.endIfNotReleased(now)
+	if o.recovery.underWay {
+		return
+	}
+	o.cell.SetAdvisers(o.advice.hosts())
+	o.cell.Tick(now)
+	if !now.Before(o.showAt) {
+		o.showAt = now.Add(showEvery)
+		o.meters.backlog(o.cell.Backlog(now))
+		o.expire(now)
+	}
+}
+
 // drain applies the events that wait already.
 func (o *Owner) drain() {
 	now := o.timers.Now()
 	for range drainLimit {
 		select {
 		case e := <-o.events.C():
-			e.apply(o, now)
+			o.take(e, now)
 		default:
 			return
 		}
@@ -277,7 +308,7 @@
 // decide carries out what the cell wants done.
 func (o *Owner) decide() {
 	now := o.timers.Now()
-	if o.leaving {
+	if o.leaving.is || o.recovery.underWay {
 		o.commit(now)
 		return
 	}
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -19,33 +19,56 @@
 	version uint64
 }
 
-// recover reads the store, fills the cell and returns what to follow.
-func (o *Owner) recover(ctx context.Context, now time.Time) ([]*feed, error) {
-	var intake, progress, waves, workers tableRows
+// size returns the bytes of the rows' values.
+func (t *tableRows) size() int {
+	n := 0
+	for _, row := range t.rows {
+		n += len(row.Value)
+	}
+	return n
+}
+
+// storeRows are all rows that a new owner reads.
+type storeRows struct {
+	intake, progress, waves, workers tableRows
+}
+
+// readStore reads all rows that a new owner needs.
+func (o *Owner) readStore(ctx context.Context) (storeRows, error) {
+	var s storeRows
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) { intake, err = o.readAll(ctx, ledger.IntakeRanges()...); return err })
-	group.Go(func() (err error) { progress, err = o.readAll(ctx, ledger.ProgressRange()); return err })
-	group.Go(func() (err error) { waves, err = o.readAll(ctx, ledger.WavesRange()); return err })
+	group.Go(func() (err error) { s.intake, err = o.readAll(ctx, ledger.IntakeRanges()...); return err })
+	group.Go(func() (err error) { s.progress, err = o.readAll(ctx, ledger.ProgressRange()); return err })
+	group.Go(func() (err error) { s.waves, err = o.readAll(ctx, ledger.WavesRange()); return err })
 	group.Go(func() (err error) {
-		workers, err = o.readAll(ctx, rowstore.Range{Table: o.listing.Table()})
+		s.workers, err = o.readAll(ctx, rowstore.Range{Table: o.listing.Table()})
 		return err
 	})
 	if err := group.Wait(); err != nil {
-		return nil, fault.New("recover", KindStore, "%w", err)
+		return storeRows{}, fault.New("recover", KindStore, "%w", err)
 	}
-	o.cell.RestoreAhead(workerIDs(o.tenure.Me.Ahead))
-	o.takeIntake(now, intake.rows)
-	o.takeProgress(now, progress.rows)
-	o.takeCancels(now, intake.rows)
-	o.takeWaves(waves.rows)
-	o.takeWorkers(now, workers.rows)
+	return s, nil
+}
+
+// fill takes the rows into an empty cell.
+func (o *Owner) fill(c *cell.Cell, now time.Time, s *storeRows) {
+	t := o.taker(c)
+	t.takeIntake(now, s.intake.rows)
+	t.takeProgress(now, s.progress.rows)
+	t.takeCancels(now, s.intake.rows)
+	t.takeWaves(s.waves.rows)
+	t.takeWorkers(now, s.workers.rows)
+}
+
+// feeds returns what to follow after the rows were read.
+func (o *Owner) feeds(s *storeRows) []*feed {
 	return []*feed{
-		{table: ledger.TableIntake, version: intake.version, ranges: ledger.IntakeRanges(), changed: intakeChanged},
+		{table: ledger.TableIntake, version: s.intake.version, ranges: ledger.IntakeRanges(), changed: intakeChanged},
 		{
-			table: o.listing.Table(), version: workers.version, pause: listPause,
+			table: o.listing.Table(), version: s.workers.version, pause: listPause,
 			ranges: []rowstore.Range{{Table: o.listing.Table()}}, changed: workersChanged,
 		},
-	}, nil
+	}
 }
 
 func workerIDs(names []string) []cell.WorkerID {
@@ -105,62 +128,71 @@
 	}
 }
 
-func (o *Owner) takeIntake(now time.Time, rows []rowstore.Row) {
+// taker takes rows into a cell.
+type taker struct {
+	cell    *cell.Cell
+	listing Listing
+	log     *zap.Logger
+}
+
+func (o *Owner) taker(c *cell.Cell) taker { return taker{cell: c, listing: o.listing, log: o.log} }
+
+func (t taker) takeIntake(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
 		if _, cancel := ledger.IsCancel(row.Name); cancel || row.Removed {
 			continue
 		}
 		a, err := ledger.DecodeJob(row.Value)
 		if err != nil {
-			o.log.Error("a job's row cannot be read", zap.String("Job", row.Name), zap.Error(err))
+			t.log.Error("a job's row cannot be read", zap.String("Job", row.Name), zap.Error(err))
 			continue
 		}
-		o.cell.Accept(now, a)
+		t.cell.Accept(now, a)
 	}
 }
 
-func (o *Owner) takeCancels(now time.Time, rows []rowstore.Row) {
+func (t taker) takeCancels(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
 		if id, cancel := ledger.IsCancel(row.Name); cancel && !row.Removed {
-			o.cell.Cancel(now, id)
+			t.cell.Cancel(now, id)
 		}
 	}
 }
 
-func (o *Owner) takeProgress(now time.Time, rows []rowstore.Row) {
+func (t taker) takeProgress(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
 		r, err := ledger.DecodeRecord(row.Value)
 		if err != nil {
-			o.log.Error("a record of progress cannot be read", zap.String("Job", row.Name), zap.Error(err))
+			t.log.Error("a record of progress cannot be read", zap.String("Job", row.Name), zap.Error(err))
 			continue
 		}
-		o.cell.Restore(now, r)
+		t.cell.Restore(now, r)
 	}
 }
 
-func (o *Owner) takeWaves(rows []rowstore.Row) {
+func (t taker) takeWaves(rows []rowstore.Row) {
 	for _, row := range rows {
 		r, err := ledger.DecodeWave(row.Value)
 		if err != nil {
-			o.log.Error("a record of a wave cannot be read", zap.String("Wave", row.Name), zap.Error(err))
+			t.log.Error("a record of a wave cannot be read", zap.String("Wave", row.Name), zap.Error(err))
 			continue
 		}
-		o.cell.RestoreWave(r)
+		t.cell.RestoreWave(r)
 	}
 }
 
-func (o *Owner) takeWorkers(now time.Time, rows []rowstore.Row) {
+func (t taker) takeWorkers(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
 		if row.Removed {
-			o.cell.Unlist(now, cell.WorkerID(row.Name))
+			t.cell.Unlist(now, cell.WorkerID(row.Name))
 			continue
 		}
-		s, err := o.listing.Decode(row)
+		s, err := t.listing.Decode(row)
 		if err != nil {
-			o.log.Warn("an entry in the list of workers cannot be used", zap.String("Entry", row.Name), zap.Error(err))
-			o.cell.Unlist(now, cell.WorkerID(row.Name))
+			t.log.Warn("an entry in the list of workers cannot be used", zap.String("Entry", row.Name), zap.Error(err))
+			t.cell.Unlist(now, cell.WorkerID(row.Name))
 			continue
 		}
-		o.cell.Register(now, s)
+		t.cell.Register(now, s)
 	}
 }
--- /dev/null
+++ b/internal/owner/takeover.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+)
+
+// recoverTimeout bounds the reads of a new owner.
+const recoverTimeout = 6 * time.Second
+
+// recovery is the time from the takeover until the store has been read. The row
+// is renewed in it, and nothing is granted or started.
+type recovery struct {
+	underWay bool
+	// stop ends the reading.
+	stop context.CancelFunc
+	// kept holds the events that wait until the cell is known.
+	kept []event
+}
+
+// recover reads the store beside the duty, into a cell that the duty does not
+// use before.
+func (o *Owner) recover(began time.Time, m *manifest.Manifest) {
+	ctx, cancel := context.WithTimeout(o.ctx, recoverTimeout)
+	o.recovery = recovery{underWay: true, stop: cancel}
+	o.calls.Go(func() {
+		defer cancel()
+		rows, err := o.readStore(ctx)
+		if err != nil {
+			o.put(recovered{err: err})
+			return
+		}
+		read := o.timers.Now()
+		c := o.newCell(began)
+		if m != nil {
+			c.SetManifest(m)
+		}
+		o.fill(c, began, &rows)
+		o.put(recovered{cell: c, rows: rows, began: began, reading: read.Sub(began)})
+	})
+}
+
+// recovered carries the cell as the store has it.
+type recovered struct {
+	cell *cell.Cell
+	rows storeRows
+	// began is when the takeover began, and reading how long the reads took.
+	began   time.Time
+	reading time.Duration
+	err     error
+}
+
+func (e recovered) apply(o *Owner, now time.Time) {
+	if o.leaving.is {
+		return
+	}
+	if e.err != nil {
+		o.log.Warn("the store could not be read, giving the cell up", zap.Error(e.err))
+		leave{e.err}.apply(o, now)
+		return
+	}
+	o.logTakeover(now, &e)
+	o.cell = e.cell
+	// The commits of the takeover shared the link with the reads.
+	o.slow = slowStore{}
+	o.mu.Lock()
+	o.decides = true
+	o.mu.Unlock()
+	for _, f := range o.feeds(&e.rows) {
+		o.calls.Go(func() { o.follow(f) })
+	}
+	kept := o.recovery.kept
+	o.recovery = recovery{}
+	for _, k := range kept {
+		k.apply(o, now)
+	}
+}
+
+func (o *Owner) logTakeover(now time.Time, e *recovered) {
+	rows, size := 0, 0
+	for _, t := range []*tableRows{&e.rows.intake, &e.rows.progress, &e.rows.waves, &e.rows.workers} {
+		rows += len(t.rows)
+		size += t.size()
+	}
+	o.log.Info("took over", zap.Duration("Took", now.Sub(e.began)), zap.Duration("Reading", e.reading),
+		zap.Int("Rows", rows), zap.Int("Bytes", size), zap.Uint64("Renewals", o.attempt-o.tenure.Me.Attempt),
+		zap.Int("Workers", len(e.cell.Workers())))
+}
+
+// take applies an event, or keeps it until the cell is known.
+func (o *Owner) take(e event, now time.Time) {
+	if o.recovery.underWay && !beforeRecovery(e) {
+		o.recovery.kept = append(o.recovery.kept, e)
+		return
+	}
+	e.apply(o, now)
+}
+
+// beforeRecovery reports whether an event concerns the owner's row or the
+// takeover, and not the cell.
+func beforeRecovery(e event) bool {
+	switch e.(type) {
+	case committed, recovered, leave:
+		return true
+	}
+	return false
+}
+
+// earlierEnded reports whether no owner before this one can grant a lease any
+// more. A successor that takes over soon after this owner relies on it.
+func (o *Owner) earlierEnded(now time.Time) bool {
+	const leases = 2
+	return o.tenure.PreviousEnded || now.Sub(o.began) >= leases*o.config.Cell.MaxLease
+}
