--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -92,8 +91,7 @@
 }
 
 // own starts an owner of the cell.
-func (p *fakePlatform) own(t *testing.T) *Owner {
-	t.Helper()
+func (p *fakePlatform) own() *Owner {
 	config := Config{
 		RenewEvery: 400 * time.Millisecond,
 		Cell: cell.Config{
@@ -104,11 +102,7 @@
 	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1}
 	tenure := Tenure{Me: me, PreviousEnded: true}
 	ports := Ports{Store: p, Workers: p, Listing: fakeListing{}, Advisor: p, Machines: p, WaveRows: p}
-	o, err := New(t.Context(), config, tenure, fakeManifest, ports, noHosts{}, timer.NewSystem(), tally.NoopScope, zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return o
+	return New(config, tenure, fakeManifest, ports, noHosts{}, timer.NewSystem(), tally.NoopScope, zap.NewNop())
 }
 
 // accept hands the owner jobs of one step each.
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform(20)
 		p.startTakes, p.runTakes = 300*time.Millisecond, time.Second
-		o := p.own(t)
+		o := p.own()
 		defer o.Close()
 		accept(o, 150, 20)
 		time.Sleep(60 * time.Second)
@@ -34,7 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform(20)
 		p.startTakes, p.runTakes, p.stopTakes = time.Millisecond, time.Hour, 300*time.Millisecond
-		o := p.own(t)
+		o := p.own()
 		defer o.Close()
 		accept(o, 50, 20)
 		time.Sleep(10 * time.Second)
@@ -66,7 +66,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform(1)
 		p.paceTakes = map[int]time.Duration{0: 300 * time.Millisecond, 20: 200 * time.Millisecond, 40: 100 * time.Millisecond}
-		o := p.own(t)
+		o := p.own()
 		defer o.Close()
 		task := workload.TaskID{StepID: workload.StepID{Job: jobID(0)}}
 		for _, percent := range []int{0, 20, 40, 60} {
