Measure a decision of the cell with a backlog

Nothing measured what a decision costs while steps wait. The benchmark plays an end of a run at one of 350 workers and the decision after it, a tick, and a report, with 30, 300 and 1,000 steps that wait for an answer, for room, or for any worker that is allowed.

--- /dev/null
+++ b/internal/cell/backlog_test.go
@@ -0,0 +1,192 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// backlog is a cell in which many steps wait, and whose workers each run a few
+// small tasks of a queue that needs no advice.
+type backlog struct {
+	t       testing.TB
+	now     time.Time
+	cell    *cell.Cell
+	workers []cell.WorkerID
+	ends    map[cell.WorkerID]int64
+	// running has the runs of each worker that it reports.
+	running map[cell.WorkerID][]cell.Running
+}
+
+// why is why the steps of a backlog wait.
+type why string
+
+const (
+	// whyUnanswered steps have a question for advice, or wait to ask one, and most
+	// of the workers' room is free.
+	whyUnanswered why = "unanswered"
+	// whyFull steps are allowed on workers that have no room.
+	whyFull why = "full"
+	// whyDenied steps are allowed nowhere.
+	whyDenied why = "denied"
+)
+
+var (
+	quickAdvice = manifest.Advice{Fixed: 25 * time.Millisecond, PerWorker: 350 * time.Microsecond, Valid: 2500 * time.Millisecond}
+	longAdvice  = manifest.Advice{Fixed: 380 * time.Millisecond, PerWorker: 5500 * time.Microsecond, Valid: 2500 * time.Millisecond}
+)
+
+var backlogManifest = manifest.Manifest{Version: 1, Queues: []manifest.Queue{
+	{Name: "hold", Service: "s", Priority: 0, MaxAttempts: 4, SlackFactor: 1.5, TargetLatency: 500 * time.Millisecond, Advice: quickAdvice},
+	{Name: "settle", Service: "s", Priority: 2, MaxAttempts: 4, SlackFactor: 2.2, TargetLatency: 1200 * time.Millisecond, Advice: longAdvice},
+	{Name: "free", Service: "s", Priority: 1, MaxAttempts: 4, SlackFactor: 2, TargetLatency: time.Second},
+}}
+
+const (
+	backlogAdvisers = 30
+	// smallRuns is how many small tasks each worker has.
+	smallRuns = 6
+	// leastRoom is the room of the smallest worker.
+	leastRoom = 16000
+)
+
+// newBacklog returns a cell with some workers, of which a quarter each has half
+// and double the size of the others, and some steps that wait.
+func newBacklog(t testing.TB, workers, steps int, why why) *backlog {
+	b := &backlog{
+		t: t, now: time.Unix(1_700_000_000, 0), ends: make(map[cell.WorkerID]int64),
+		running: make(map[cell.WorkerID][]cell.Running),
+	}
+	b.cell = cell.New(b.now, scriptConfig, unobserved{}, zap.NewNop())
+	b.cell.SetManifest(&backlogManifest)
+	b.cell.SetAdvisers(backlogAdvisers)
+	total := 0
+	for i := range workers {
+		size := []int{leastRoom, 2 * leastRoom, 2 * leastRoom, 4 * leastRoom}[i%4]
+		total += size / leastRoom
+		b.addWorker(cell.WorkerID(fmt.Sprintf("w%03d", i)), int64(size))
+	}
+	b.accept("small", "free", workload.Step{
+		Tasks: workers * smallRuns, Size: job.Size{MilliCores: 100}, Estimate: time.Second, MaxPerWorker: smallRuns,
+	})
+	b.settle()
+	asked := b.acceptBacklog(steps)
+	if why == whyFull {
+		b.accept("large", "free", workload.Step{
+			Tasks: total, Size: job.Size{MilliCores: leastRoom - smallRuns*100}, Estimate: time.Hour,
+		})
+		b.settle()
+	}
+	if why != whyUnanswered {
+		b.answer(asked, why)
+	}
+	b.settle()
+	return b
+}
+
+func (b *backlog) addWorker(id cell.WorkerID, room int64) {
+	b.workers = append(b.workers, id)
+	b.cell.Register(b.now, cell.Registration{
+		ID: id, Incarnation: 1, Machine: string(id), Service: "s", Room: job.Size{MilliCores: room, MemoryMB: 131072},
+	})
+	b.report(id)
+}
+
+func (b *backlog) accept(id workload.JobID, queue string, step workload.Step) {
+	b.cell.Accept(b.now, cell.Accepted{Job: workload.Job{ID: id, Queue: queue, Spec: "spec", Steps: []workload.Step{step}}})
+}
+
+// acceptBacklog submits the steps that wait, and returns what was asked for them.
+func (b *backlog) acceptBacklog(steps int) []cell.AskAdvice {
+	for i := range steps {
+		id := workload.JobID(fmt.Sprintf("%016x", i))
+		b.now = b.now.Add(time.Microsecond)
+		if i%2 == 0 {
+			b.accept(id, "hold", workload.Step{Tasks: 10, Size: job.Size{MilliCores: 4500}, Estimate: 800 * time.Millisecond})
+			continue
+		}
+		b.accept(id, "settle", workload.Step{Tasks: 21, Size: job.Size{MilliCores: 9000}, Estimate: 3800 * time.Millisecond})
+	}
+	return b.settle()
+}
+
+// settle carries out what the cell wants done until it wants nothing more, and
+// returns the questions that it asked.
+func (b *backlog) settle() []cell.AskAdvice {
+	var asked []cell.AskAdvice
+	for {
+		actions := b.cell.Take(b.now)
+		asked = append(asked, b.carryOut(actions)...)
+		records := b.cell.Records(1000)
+		b.cell.Committed(b.now, records)
+		if len(actions) == 0 && len(records) == 0 {
+			return asked
+		}
+	}
+}
+
+// carryOut sends the starts among some actions, and returns the questions.
+func (b *backlog) carryOut(actions []cell.Action) []cell.AskAdvice {
+	var asked []cell.AskAdvice
+	for _, a := range actions {
+		switch a := a.(type) {
+		case cell.AskAdvice:
+			asked = append(asked, a)
+		case cell.SendStart:
+			b.start(a)
+		}
+	}
+	return asked
+}
+
+func (b *backlog) start(a cell.SendStart) {
+	b.running[a.Worker] = append(b.running[a.Worker], cell.Running{Task: a.Task, Run: a.Run, Percent: 50})
+	b.cell.Started(b.now, a.Worker, a.Task, a.Run, cell.StartOutcome{Clock: b.clock()})
+}
+
+// answer answers questions until none is open: a step that waits for full workers
+// is allowed on all, and one that is denied on none.
+func (b *backlog) answer(asked []cell.AskAdvice, why why) {
+	for len(asked) > 0 {
+		for _, a := range asked {
+			answer := cell.Advice{Step: a.Step, Asked: a.Workers}
+			for _, id := range a.Workers {
+				if why == whyFull {
+					answer.Allowed = append(answer.Allowed, cell.Ticket{Worker: id, Value: "t"})
+				}
+			}
+			b.cell.Advised(b.now, answer)
+		}
+		asked = b.settle()
+	}
+}
+
+func (b *backlog) clock() time.Duration { return b.now.Sub(time.Unix(1_600_000_000, 0)) }
+
+func (b *backlog) report(id cell.WorkerID, ended ...cell.Ended) {
+	b.cell.Reported(b.now, id, cell.Report{Incarnation: 1, Clock: b.clock(), Running: b.running[id], Ended: ended})
+}
+
+// end has a worker report that one of its small runs was stopped, so that its
+// task is placed again.
+func (b *backlog) end(id cell.WorkerID) {
+	b.t.Helper()
+	for i, r := range b.running[id] {
+		if r.Task.Job != "small" {
+			continue
+		}
+		b.running[id] = append(b.running[id][:i:i], b.running[id][i+1:]...)
+		b.ends[id]++
+		b.now = b.now.Add(time.Microsecond)
+		b.report(id, cell.Ended{Number: b.ends[id], Task: r.Task, Run: r.Run, Kind: cell.EndStopped})
+		return
+	}
+	b.t.Fatalf("worker %s runs no small task", id)
+}
--- /dev/null
+++ b/internal/cell/bench_test.go
@@ -0,0 +1,57 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+const benchWorkers = 350
+
+// BenchmarkDecision ends a run at one worker and decides, with a backlog.
+func BenchmarkDecision(b *testing.B) {
+	for _, why := range []why{whyUnanswered, whyFull, whyDenied} {
+		for _, steps := range []int{30, 300, 1000} {
+			b.Run(fmt.Sprintf("%s-%d", why, steps), func(b *testing.B) { benchDecision(b, why, steps) })
+		}
+	}
+}
+
+func benchDecision(b *testing.B, why why, steps int) {
+	l := newBacklog(b, benchWorkers, steps, why)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		l.end(l.workers[i%len(l.workers)])
+		actions := l.cell.Take(l.now)
+		b.StopTimer()
+		l.carryOut(actions)
+		l.settle()
+		b.StartTimer()
+	}
+}
+
+// BenchmarkTick lets time pass by one tick and decides, with a backlog.
+func BenchmarkTick(b *testing.B) {
+	for _, steps := range []int{30, 300, 1000} {
+		b.Run(fmt.Sprintf("%s-%d", whyUnanswered, steps), func(b *testing.B) {
+			l := newBacklog(b, benchWorkers, steps, whyUnanswered)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				l.cell.Tick(l.now)
+				l.cell.Take(l.now)
+			}
+		})
+	}
+}
+
+// BenchmarkReported takes in a report of a worker with some runs on which nothing
+// has changed.
+func BenchmarkReported(b *testing.B) {
+	l := newBacklog(b, benchWorkers, 0, whyFull)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		l.report(l.workers[i%len(l.workers)])
+	}
+}
