Show that a backlog makes decisions dear

The test bounds how many steps one decision looks at by what waits in a cell that keeps up, a hundred steps. A counter in the cell counts them.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -99,6 +99,8 @@
 	actions []Action
 	// reconsider is set when a placement may have become possible.
 	reconsider bool
+	// looked counts the steps that decisions have looked at.
+	looked int
 }
 
 // New returns an empty cell that begins to decide now.
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// Looked returns how many steps decisions have looked at so far.
+func (c *Cell) Looked() int { return c.looked }
+
 // Describe tells what a cell believes, for failed tests.
 func (c *Cell) Describe() string {
 	var b strings.Builder
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -49,6 +49,7 @@
 	}
 	steps := make([]ranked, 0, len(c.open))
 	for _, s := range c.open {
+		c.looked++
 		steps = append(steps, ranked{s, c.rank(now, s)})
 	}
 	slices.SortFunc(steps, func(a, b ranked) int {
