Look only at the steps that a change can help

Cause: each decision ranked, sorted and looked at every open step, and asked itself for each which of all workers would be worth a question. With some hundred of them one end cost milliseconds of a whole core, on hosts that have a fifth of one.

Change: the agenda keeps the open steps in rank order. A step is looked at when it opens, when one of its tasks waits again, when its advice comes, when a worker that may run it gets room, when a place among the long questions is free, or when its time has come (preemption, a worker to avoid, a lost answer, a change of rank). A worker with new room is offered to the first 30 steps that are allowed there and the first 30 that have no worker left to ask about, in rank order, until its room is spoken for. A decision looks at 40 steps at the most, the most pressing first, and the next one goes on. Each tick looks at the first 8 and at 24 others in turn, whatever has changed; workers that become usable without a word of theirs are found there. Two new plays hold every decision against one that would look at everything (TestDecisionsMissNothing; TestJobLife and TestCalmLife do so as well).

Ruled out: marking a worker as new when it reports after a silence, which starts tasks a tick earlier and changed the script frozen-owner; counting room as spoken for by a step whose task avoids the worker, which left room unused (found by TestJobLife).

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -54,6 +54,7 @@
 	}
 	s := j.occurrences[answer.Step.Occurrence][answer.Step.Step]
 	c.settleQuestion(s)
+	c.mark(s)
 	c.reconsider = true
 	if answer.Failed {
 		return
@@ -64,6 +65,11 @@
 	}
 	c.learnShare(c.queueOf(j), answer)
 	s.advice.learn(now, c, answer, valid)
+	if s.open {
+		for _, l := range c.wantedLists(s) {
+			l.add(s)
+		}
+	}
 }
 
 func (a *adviceState) learn(now time.Time, c *Cell, answer Advice, valid time.Duration) {
@@ -98,23 +104,30 @@
 	}
 }
 
-// mayAsk reports whether a question about a step may be asked now.
-func (c *Cell) mayAsk(now time.Time, s *stepState, q *manifest.Queue) bool {
-	if !s.advice.askedAt.IsZero() {
-		if now.Sub(s.advice.askedAt) < q.Advice.Cost(maxAsked)+adviceTimeout {
-			return false
-		}
-		c.log.Warn("no answer to a question for advice", zap.String("Job", string(s.id.Job)), zap.Stringer("Step", s.id))
-		c.settleQuestion(s)
+// questionOpen reports whether an answer about a step is still waited for.
+func (c *Cell) questionOpen(now time.Time, s *stepState, q *manifest.Queue) bool {
+	if s.advice.askedAt.IsZero() {
+		return false
 	}
-	return q.Priority == 0 || c.longQuestions < c.longLimit
+	if now.Before(s.advice.answerBy(q)) {
+		return true
+	}
+	c.log.Warn("no answer to a question for advice", zap.String("Job", string(s.id.Job)), zap.Stringer("Step", s.id))
+	c.settleQuestion(s)
+	return false
 }
 
-// ask asks for advice on a step if more of it would help to place tasks now.
-func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) {
+// answerBy is when the open question is given up.
+func (a *adviceState) answerBy(q *manifest.Queue) time.Time {
+	return a.askedAt.Add(q.Advice.Cost(maxAsked) + adviceTimeout)
+}
+
+// ask asks for advice on a step if more of it would help to place tasks now, and
+// reports whether it did.
+func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) bool {
 	workers := c.worthAsking(now, s, q, fitting)
 	if len(workers) == 0 {
-		return
+		return false
 	}
 	urgent := q.Priority == 0
 	s.advice.askedAt = now
@@ -122,7 +135,9 @@
 		s.advice.long = true
 		c.longQuestions++
 	}
+	c.setAlarm(now, s, s.advice.answerBy(q))
 	c.act(AskAdvice{Step: s.id, Workers: workers, Urgent: urgent, Cost: q.Advice.Cost(len(workers))})
+	return true
 }
 
 // settleQuestion notes that the open question of a step is answered or given
@@ -202,17 +217,19 @@
 }
 
 // roomOn returns how many more tasks of a step a worker may take now.
-func (s *stepState) roomOn(w *worker) int64 {
-	room := w.roomFor(s.spec.Reserved())
+func (s *stepState) roomOn(w *worker) int64 { return s.roomIn(w, w.free()) }
+
+// roomIn returns how many more tasks of a step a worker may take in some free room.
+func (s *stepState) roomIn(w *worker, free job.Size) int64 {
+	room := timesIn(free, s.spec.Reserved())
 	if s.spec.MaxPerWorker > 0 {
 		room = min(room, int64(s.spec.MaxPerWorker-w.countOf(s.id)))
 	}
 	return max(room, 0)
 }
 
-// roomFor returns how many tasks of a size fit into the worker's free room.
-func (w *worker) roomFor(need job.Size) int64 {
-	free := w.free()
+// timesIn returns how many tasks of a size fit into some free room.
+func timesIn(free, need job.Size) int64 {
 	n := int64(math.MaxInt32)
 	if need.MilliCores > 0 {
 		n = min(n, free.MilliCores/need.MilliCores)
--- /dev/null
+++ b/internal/cell/agenda_test.go
@@ -0,0 +1,98 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// TestDecisionsMissNothing plays steps that need advice, and holds each decision
+// against one that would look at everything.
+func TestDecisionsMissNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &advisedPlay{backlog: newBacklog(t, 6, 0, whyUnanswered), t: t}
+		p.cell.SetAdvisers(3)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  func(*rapid.T) { p.submit() },
+			"answer":  func(*rapid.T) { p.answerOne() },
+			"answer2": func(*rapid.T) { p.answerOne() },
+			"end":     func(*rapid.T) { p.endOne() },
+			"end2":    func(*rapid.T) { p.endOne() },
+			"tick":    func(*rapid.T) { p.tick() },
+			"":        func(*rapid.T) { p.check() },
+		})
+	})
+}
+
+// advisedPlay is a cell whose questions are answered in any order.
+type advisedPlay struct {
+	*backlog
+	t         *rapid.T
+	jobs      int
+	questions []cell.AskAdvice
+}
+
+// maxAdvisedJobs is few enough that a worker is offered to all that wait.
+const maxAdvisedJobs = 30
+
+func (p *advisedPlay) submit() {
+	if p.jobs == maxAdvisedJobs {
+		return
+	}
+	p.jobs++
+	queue := rapid.SampledFrom([]string{"hold", "settle", "free"}).Draw(p.t, "queue")
+	p.accept(workload.JobID(fmt.Sprintf("%016x", p.jobs)), queue, workload.Step{
+		Tasks:        rapid.IntRange(1, 6).Draw(p.t, "tasks"),
+		Size:         job.Size{MilliCores: int64(rapid.IntRange(1, 15).Draw(p.t, "cores")) * 1000},
+		Estimate:     time.Second,
+		Checkpoints:  rapid.Bool().Draw(p.t, "saves"),
+		MaxPerWorker: rapid.IntRange(0, 2).Draw(p.t, "maxPerWorker"),
+	})
+}
+
+func (p *advisedPlay) answerOne() {
+	if len(p.questions) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(p.questions)-1).Draw(p.t, "question")
+	asked := p.questions[i]
+	p.questions = append(p.questions[:i:i], p.questions[i+1:]...)
+	answer := cell.Advice{Step: asked.Step, Asked: asked.Workers, Failed: rapid.IntRange(0, 9).Draw(p.t, "lost") == 0}
+	for _, id := range asked.Workers {
+		if rapid.Bool().Draw(p.t, "allowed") {
+			answer.Allowed = append(answer.Allowed, cell.Ticket{Worker: id, Value: "t"})
+		}
+	}
+	p.cell.Advised(p.now, answer)
+}
+
+func (p *advisedPlay) endOne() {
+	id := rapid.SampledFrom(p.workers).Draw(p.t, "worker")
+	if len(p.running[id]) == 0 {
+		return
+	}
+	how := rapid.SampledFrom([]cell.EndKind{cell.EndDone, cell.EndDone, cell.EndStopped, cell.EndFailed}).Draw(p.t, "how")
+	p.endRun(id, rapid.IntRange(0, len(p.running[id])-1).Draw(p.t, "run"), how)
+}
+
+// tick lets time pass, with a report of each worker.
+func (p *advisedPlay) tick() {
+	p.now = p.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(p.t, "pass")) * time.Millisecond)
+	for _, id := range p.workers {
+		p.report(id)
+	}
+	p.cell.Tick(p.now)
+}
+
+func (p *advisedPlay) check() {
+	p.questions = append(p.questions, p.settle()...)
+	if missed := p.cell.Missed(p.now); len(missed) > 0 {
+		p.t.Fatalf("a decision leaves steps that could be placed or asked about: %v\n%s", missed, p.cell.Describe())
+	}
+}
--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -122,6 +122,7 @@
 	delete(c.ahead.unsettled, id)
 	c.reconsider = true
 	if !c.settling() {
+		c.markAll()
 		c.log.Info("all runs that were started ahead of their record are known", zap.Int("Unrecorded", len(c.ahead.unrecorded)))
 	}
 }
@@ -160,6 +161,9 @@
 		if number, there := listed[id]; s.worker == w && (!there || number != s.row.Run) {
 			delete(c.ahead.unrecorded, id)
 			c.reconsider = true
+			if t := c.task(id); t != nil {
+				c.mark(t.step)
+			}
 		}
 	}
 }
@@ -209,7 +213,7 @@
 	t.current = r
 	step.waiting--
 	if step.waiting == 0 {
-		delete(c.open, step.id)
+		c.closeStep(step)
 	}
 	s.worker.runs.add(r)
 	need := step.spec.Reserved()
--- a/internal/cell/backlog_bound_test.go
+++ b/internal/cell/backlog_bound_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 // healthySteps is how many steps wait in a cell that keeps up, at the most.
@@ -35,3 +39,41 @@
 	b.carryOut(actions)
 	b.settle()
 }
+
+// TestABacklogKeepsItsOrder frees room for one task that many steps could use.
+func TestABacklogKeepsItsOrder(t *testing.T) {
+	b := newBacklog(t, 40, 300, whyFull)
+	id := b.workers[0]
+	large := slices.IndexFunc(b.running[id], func(r cell.Running) bool { return r.Task.Job == "large" })
+	b.endRun(id, large, cell.EndDone)
+	b.settle()
+	for _, r := range b.running[id] {
+		if r.Task.Job == "0000000000000000" {
+			return
+		}
+	}
+	t.Errorf("the room does not go to the urgent step that is due first: %v", b.running[id])
+}
+
+// TestABacklogHidesNoStep lists a worker that only the steps themselves can ask about.
+func TestABacklogHidesNoStep(t *testing.T) {
+	const steps, ticks = 1000, 50
+	b := newBacklog(t, 40, steps, whyDenied)
+	b.addWorker("new", leastRoom)
+	asked := make(map[workload.StepID]bool)
+	for range ticks {
+		b.cell.Tick(b.now)
+		for _, a := range b.settle() {
+			asked[a.Step] = a.Urgent
+		}
+	}
+	urgent := 0
+	for _, u := range asked {
+		if u {
+			urgent++
+		}
+	}
+	if urgent != steps/2 {
+		t.Errorf("%d of the %d urgent steps have asked about the new worker after %d ticks", urgent, steps/2, ticks)
+	}
+}
--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"testing"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
@@ -16,7 +17,7 @@
 // backlog is a cell in which many steps wait, and whose workers each run a few
 // small tasks of a queue that needs no advice.
 type backlog struct {
-	t       testing.TB
+	t       rapid.TB
 	now     time.Time
 	cell    *cell.Cell
 	workers []cell.WorkerID
@@ -59,7 +60,7 @@
 
 // newBacklog returns a cell with some workers, of which a quarter each has half
 // and double the size of the others, and some steps that wait.
-func newBacklog(t testing.TB, workers, steps int, why why) *backlog {
+func newBacklog(t rapid.TB, workers, steps int, why why) *backlog {
 	b := &backlog{
 		t: t, now: time.Unix(1_700_000_000, 0), ends: make(map[cell.WorkerID]int64),
 		running: make(map[cell.WorkerID][]cell.Running),
@@ -178,15 +179,18 @@
 // task is placed again.
 func (b *backlog) end(id cell.WorkerID) {
 	b.t.Helper()
-	for i, r := range b.running[id] {
-		if r.Task.Job != "small" {
-			continue
-		}
-		b.running[id] = append(b.running[id][:i:i], b.running[id][i+1:]...)
-		b.ends[id]++
-		b.now = b.now.Add(time.Microsecond)
-		b.report(id, cell.Ended{Number: b.ends[id], Task: r.Task, Run: r.Run, Kind: cell.EndStopped})
-		return
+	i := slices.IndexFunc(b.running[id], func(r cell.Running) bool { return r.Task.Job == "small" })
+	if i < 0 {
+		b.t.Fatalf("worker %s runs no small task", id)
 	}
-	b.t.Fatalf("worker %s runs no small task", id)
+	b.endRun(id, i, cell.EndStopped)
+}
+
+// endRun has a worker report the end of a run.
+func (b *backlog) endRun(id cell.WorkerID, i int, how cell.EndKind) {
+	r := b.running[id][i]
+	b.running[id] = slices.Delete(slices.Clone(b.running[id]), i, i+1)
+	b.ends[id]++
+	b.now = b.now.Add(time.Microsecond)
+	b.report(id, cell.Ended{Number: b.ends[id], Task: r.Task, Run: r.Run, Kind: how})
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -70,6 +70,8 @@
 	scheduled map[workload.JobID]*jobState
 	// open holds the steps that have tasks to place.
 	open map[workload.StepID]*stepState
+	// agenda says which of them the next decisions look at.
+	agenda agenda
 	// dirty holds the jobs whose record has to be written.
 	dirty   []*jobState
 	pending map[string]int
@@ -124,6 +126,7 @@
 		return
 	}
 	c.manifest = m
+	c.agenda.stale = true
 	c.reconsider = true
 }
 
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -2,12 +2,55 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 // Looked returns how many steps decisions have looked at so far.
 func (c *Cell) Looked() int { return c.looked }
 
+// Missed returns the steps of which a task could be placed now, or for which more
+// workers could be asked about, though the last decision has not done it. Left
+// out are gangs, and workers that have become usable since the last tick without a
+// word of theirs.
+func (c *Cell) Missed(now time.Time) []workload.StepID {
+	var out []workload.StepID
+	usable := usableWorkers{cell: c, now: now}
+	for _, s := range c.open {
+		if s.spec.Gang || c.settling() && !s.spec.LongRunning {
+			continue
+		}
+		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.wasUsable })
+		for _, t := range s.tasks {
+			if t.phase == phaseWaiting && c.ahead.unrecorded[t.id] == nil && c.choose(now, s, eligible, t.failedOn) != nil {
+				out = append(out, s.id)
+				break
+			}
+		}
+		if c.couldAsk(now, s, &usable) {
+			out = append(out, s.id)
+		}
+	}
+	return out
+}
+
+// couldAsk reports whether a question about a step could be asked. A task that avoids
+// a worker may have to ask once others take the room there; ticks see to that.
+func (c *Cell) couldAsk(now time.Time, s *stepState, usable *usableWorkers) bool {
+	q := c.queueOf(s.job)
+	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || q.Priority > 0 && c.longQuestions >= c.longLimit {
+		return false
+	}
+	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.failedOn != "" }) {
+		return false
+	}
+	fitting := slices.DeleteFunc(s.fitting(usable.of(q.Service)), func(w *worker) bool { return !w.wasUsable })
+	return len(c.worthAsking(now, s, q, fitting)) > 0
+}
+
 // Describe tells what a cell believes, for failed tests.
 func (c *Cell) Describe() string {
 	var b strings.Builder
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -61,6 +61,11 @@
 	// coming counts the tasks for which runs are being stopped elsewhere.
 	coming int
 	advice adviceState
+	// open is set while the step is on the agenda, where key is its place.
+	open bool
+	key  stepKey
+	// lookedIn is the last decision that has looked at the step.
+	lookedIn uint64
 }
 
 type phase uint8
@@ -221,8 +226,7 @@
 			t.waitingSince = now
 		}
 		if s.waiting > 0 {
-			c.open[s.id] = s
-			c.reconsider = true
+			c.openStep(now, s)
 		}
 	}
 }
@@ -287,7 +291,7 @@
 	}
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
-			delete(c.open, s.id)
+			c.closeStep(s)
 			c.stopAll(now, s)
 		}
 	}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -142,7 +142,7 @@
 	c.tickAhead(now)
 	c.tickWaves(now)
 	c.forgetGone(now)
-	c.reconsider = c.reconsider || len(c.open) > 0
+	c.sweep(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,23 +1,52 @@
 package cell
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// place gives waiting tasks to workers, the most pressing steps first.
+// place gives waiting tasks to workers, the most pressing steps first. It looks at
+// the steps that may have got a chance, and leaves those beyond maxLooks to the
+// next decision.
 func (c *Cell) place(now time.Time) {
-	if len(c.open) == 0 {
-		return
+	c.refresh(now)
+	c.wake(now)
+	for _, s := range c.agenda.askers.first(c.longLimit - c.longQuestions) {
+		c.agenda.next.add(s)
 	}
+	c.agenda.decision++
 	usable := usableWorkers{cell: c, now: now}
-	for _, s := range c.byRank(now) {
+	for looks := 0; looks < maxLooks; looks++ {
+		if c.agenda.next.len() == 0 || looks == 0 {
+			c.offerFreed(now)
+		}
+		s := c.nextStep()
+		if s == nil {
+			break
+		}
+		c.looked++
+		s.lookedIn = c.agenda.decision
 		c.placeStep(now, s, &usable)
 	}
+	c.reconsider = c.reconsider || c.nextWaits()
+}
+
+// nextStep takes the next step to look at off the agenda, or returns nil.
+func (c *Cell) nextStep() *stepState {
+	if s := c.agenda.next.pop(); s != nil {
+		return s
+	}
+	if c.longQuestions < c.longLimit {
+		return c.agenda.askers.pop()
+	}
+	return nil
+}
+
+// nextWaits reports whether there is a step to look at.
+func (c *Cell) nextWaits() bool {
+	return c.agenda.next.len() > 0 || len(c.agenda.freed) > 0 || c.agenda.askers.len() > 0 && c.longQuestions < c.longLimit
 }
 
 // usableWorkers finds the workers that may get starts, at most once in a round of
@@ -41,33 +70,10 @@
 	return u.byService[service]
 }
 
-// byRank returns the open steps in the order in which they get room.
-func (c *Cell) byRank(now time.Time) []*stepState {
-	type ranked struct {
-		step *stepState
-		rank rank
-	}
-	steps := make([]ranked, 0, len(c.open))
-	for _, s := range c.open {
-		c.looked++
-		steps = append(steps, ranked{s, c.rank(now, s)})
-	}
-	slices.SortFunc(steps, func(a, b ranked) int {
-		if n := a.rank.compare(b.rank); n != 0 {
-			return n
-		}
-		x, y := a.step.id, b.step.id
-		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence), cmp.Compare(x.Step, y.Step))
-	})
-	out := make([]*stepState, len(steps))
-	for i := range steps {
-		out[i] = steps[i].step
-	}
-	return out
-}
-
 // placeStep places what it can of one step.
 func (c *Cell) placeStep(now time.Time, s *stepState, usable *usableWorkers) {
+	c.agenda.askers.remove(s)
+	c.agenda.short.remove(s)
 	if c.settling() && !s.spec.Gang && !s.spec.LongRunning {
 		return
 	}
@@ -80,14 +86,25 @@
 	} else {
 		c.placeTasks(now, s, eligible)
 	}
-	if s.waiting > 0 && q.Advice.Needed() && c.mayAsk(now, s, q) {
-		c.ask(now, s, q, s.fitting(usable.of(q.Service)))
-	}
 	if s.waiting > 0 {
+		c.seekWorkers(now, s, q, usable)
 		c.preempt(now, s, q, eligible)
 	}
 }
 
+// seekWorkers asks about more workers for a step, or notes what it waits for.
+func (c *Cell) seekWorkers(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) {
+	switch {
+	case !q.Advice.Needed():
+		c.agenda.short.add(s)
+	case c.questionOpen(now, s, q):
+	case q.Priority != 0 && c.longQuestions >= c.longLimit:
+		c.agenda.askers.add(s)
+	case !c.ask(now, s, q, s.fitting(usable.of(q.Service))):
+		c.agenda.short.add(s)
+	}
+}
+
 // eligible returns the workers that a step may be started on now, whether they
 // have room or not. With advice these are few, and only they are looked at.
 func (c *Cell) eligible(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []*worker {
@@ -151,7 +168,7 @@
 		placed = true
 	}
 	if placed && s.waiting == 0 {
-		delete(c.open, s.id)
+		c.closeStep(s)
 	}
 }
 
@@ -187,7 +204,7 @@
 		t.checkpoint = checkpoint
 		c.plan(now, t, chosen[i], number+1)
 	}
-	delete(c.open, s.id)
+	c.closeStep(s)
 }
 
 // choose returns the best worker for one more task of a step, or nil.
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -137,7 +137,7 @@
 func (c *Cell) restoreEnded(now time.Time, j *jobState, rec Record) {
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
-			delete(c.open, s.id)
+			c.closeStep(s)
 		}
 	}
 	delete(c.scheduled, j.job.ID)
@@ -156,7 +156,7 @@
 		}
 	}
 	if s.waiting == 0 {
-		delete(c.open, s.id)
+		c.closeStep(s)
 	}
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -32,7 +32,7 @@
 	if first {
 		// An earlier owner may just have granted a lease.
 		w.deadline = max(w.deadline, report.Clock+c.config.Lease)
-		c.reconsider = true
+		c.gotRoom(w)
 		c.firstReport(w, report)
 	}
 	for _, e := range report.Ended {
@@ -119,7 +119,9 @@
 		c.progress(now, r, e)
 	}
 	c.dropUnrecorded(w, listed)
-	c.reconsider = c.reconsider || w.orphaned != orphanedBefore
+	if w.orphaned != orphanedBefore {
+		c.gotRoom(w)
+	}
 	if report.EndsCut {
 		return
 	}
@@ -259,7 +261,7 @@
 	}
 	r.worker.taken = r.worker.taken.Sub(s.spec.Reserved())
 	r.worker.settlePreempted(r, s.spec.Reserved())
-	c.reconsider = true
+	c.gotRoom(r.worker)
 	if t.current != r {
 		return
 	}
@@ -278,11 +280,14 @@
 	if how == EndFailed {
 		c.failed(now, t, r.number, r.worker.id)
 	}
+	if t.failedOn != "" {
+		c.setAlarm(now, s, now.Add(avoidFor+justAfter))
+	}
 	if s.spec.Gang && !s.job.state.Final() {
 		c.stopAll(now, s)
 	}
 	if !s.job.state.Final() {
-		c.open[s.id] = s
+		c.openStep(now, s)
 	}
 }
 
@@ -325,7 +330,7 @@
 	if s.done < len(s.tasks) || s.job.state.Final() {
 		return
 	}
-	delete(c.open, s.id)
+	c.closeStep(s)
 	c.openReady(now, s.job.occurrences[s.id.Occurrence])
 	c.completeIfDone(now, s.job)
 }
--- /dev/null
+++ b/internal/cell/steplist.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// stepKey is the place of an open step among the others: the smaller key gets room
+// first. No two steps have the same.
+type stepKey struct {
+	rank rank
+	id   workload.StepID
+}
+
+func (k stepKey) compare(o stepKey) int {
+	if n := k.rank.compare(o.rank); n != 0 {
+		return n
+	}
+	return cmp.Or(cmp.Compare(k.id.Job, o.id.Job), cmp.Compare(k.id.Occurrence, o.id.Occurrence), cmp.Compare(k.id.Step, o.id.Step))
+}
+
+// stepList holds open steps in the order of their keys.
+type stepList struct {
+	steps []*stepState
+}
+
+// find returns the index of the first step that does not come before a key.
+func (l *stepList) find(key stepKey) int {
+	at, _ := slices.BinarySearchFunc(l.steps, key, func(s *stepState, key stepKey) int { return s.key.compare(key) })
+	return at
+}
+
+// add puts a step in, unless it is there.
+func (l *stepList) add(s *stepState) {
+	at := l.find(s.key)
+	if at == len(l.steps) || l.steps[at] != s {
+		l.steps = slices.Insert(l.steps, at, s)
+	}
+}
+
+// remove takes a step out, and reports whether it was there.
+func (l *stepList) remove(s *stepState) bool {
+	at := l.find(s.key)
+	if at == len(l.steps) || l.steps[at] != s {
+		return false
+	}
+	l.steps = slices.Delete(l.steps, at, at+1)
+	return true
+}
+
+// pop takes the first step out, or returns nil.
+func (l *stepList) pop() *stepState {
+	if len(l.steps) == 0 {
+		return nil
+	}
+	first := l.steps[0]
+	l.steps = slices.Delete(l.steps, 0, 1)
+	return first
+}
+
+// first returns the first steps, at most n.
+func (l *stepList) first(n int) []*stepState { return l.steps[:max(min(n, len(l.steps)), 0)] }
+
+func (l *stepList) len() int { return len(l.steps) }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -50,6 +50,13 @@
 	pacedAt time.Time
 
 	health health
+
+	// wanted holds the open steps that are allowed on the worker.
+	wanted stepList
+	// offering is set while the worker's room waits to be offered.
+	offering bool
+	// wasUsable is set if the worker could get starts at the last sweep.
+	wasUsable bool
 }
 
 // openEnd is an end whose effect on a job is not durable yet.
@@ -89,7 +96,7 @@
 	}
 	w.registration = s
 	w.listed = true
-	c.reconsider = true
+	c.gotRoom(w)
 }
 
 // Addr returns where a worker takes calls.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -262,6 +262,9 @@
 			w.told(a)
 		}
 	}
+	if missed := o.cell.Missed(w.now); len(missed) > 0 {
+		w.fail("a decision leaves steps that could be placed: %v\n%s", missed, o.cell.Describe())
+	}
 	if w.omit == omitDurable {
 		o.cell.Committed(w.now, o.cell.Records(100))
 	}
