--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -72,6 +72,8 @@
 	scheduled map[workload.JobID]*jobState
 	// open holds the steps that have tasks to place.
 	open map[workload.StepID]*stepState
+	// agenda says which of them the next decisions look at.
+	agenda agenda
 	// dirty holds the jobs whose record has to be written.
 	dirty   []*jobState
 	pending map[string]int
@@ -103,6 +105,8 @@
 	actions []Action
 	// reconsider is set when a placement may have become possible.
 	reconsider bool
+	// looked counts the steps that decisions have looked at.
+	looked int
 }
 
 // New returns an empty cell that begins to decide now.
@@ -126,6 +130,7 @@
 		return
 	}
 	c.manifest = m
+	c.agenda.stale = true
 	c.reconsider = true
 }
 
