Look again at a step when a late end changes what it avoids

Cause: a worker may report the failure of a run that the cell has given up. The waiting task then avoids that worker and no longer the one before, which may have room, and the step was not looked at before the next tick. Change: such a failure has the step looked at.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -295,6 +295,7 @@
 func (c *Cell) failed(now time.Time, t *task, number int, on WorkerID) {
 	s := t.step
 	t.failedOn = on
+	c.mark(s)
 	if s.spec.LongRunning {
 		return
 	}
