Ask about workers without looking at all of them

Cause: a look at a step that may ask made a list of all fitting workers, and counted the room on each, also where it found enough at once or no room at all.

Change: allowed workers whose ticket has run out are found by the step's own list of them. Then the usable workers are gone through until enough are named; one without room costs a comparison. The lists of a decision are kept for the next one. What is asked is the same: no script and no golden file has changed.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -124,8 +124,8 @@
 
 // ask asks for advice on a step if more of it would help to place tasks now, and
 // reports whether it did.
-func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) bool {
-	workers := c.worthAsking(now, s, q, fitting)
+func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) bool {
+	workers := c.worthAsking(now, s, q, usable)
 	if len(workers) == 0 {
 		return false
 	}
@@ -184,36 +184,59 @@
 // worthAsking returns the workers to ask about: those with room for the tasks
 // that wait, as many as should give enough of it. Workers that are known to be
 // allowed and need only a fresh ticket come first.
-func (c *Cell) worthAsking(now time.Time, s *stepState, q *manifest.Queue, fitting []*worker) []WorkerID {
+func (c *Cell) worthAsking(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []WorkerID {
+	asked, wanted := c.worthRenewing(now, s, q)
+	if wanted <= 0 {
+		return asked[:min(len(asked), maxAsked)]
+	}
 	share := c.allowedShare(q)
-	wanted := float64(s.waiting) * spareRoom
-	var known, unknown []WorkerID
-	for _, w := range fitting {
+	need := s.spec.Reserved()
+	for _, w := range usable.of(q.Service) {
+		if wanted <= 0 || len(asked) >= maxAsked {
+			break
+		}
+		if !need.Fits(w.free()) || s.advice.knows(w.id) || !s.fits(w) {
+			continue
+		}
+		if room := s.roomOn(w); room > 0 {
+			asked = append(asked, w.id)
+			wanted -= share * float64(room)
+		}
+	}
+	return asked[:min(len(asked), maxAsked)]
+}
+
+// worthRenewing returns the allowed workers whose ticket has run out, as many as are
+// needed, and how much room is wanted beyond that of all allowed workers.
+func (c *Cell) worthRenewing(now time.Time, s *stepState, q *manifest.Queue) (asked []WorkerID, wanted float64) {
+	wanted = float64(s.waiting) * spareRoom
+	for _, id := range s.advice.order {
+		w, known := c.workers[id]
+		if !known || w.registration.Service != q.Service || !s.fits(w) || !c.usable(now, w) {
+			continue
+		}
 		room := s.roomOn(w)
-		_, allowed := s.advice.allowed[w.id]
-		switch {
-		case room == 0 || s.advice.denied[w.id]:
-		case allowed && s.advice.valid(now, w):
-			wanted -= float64(room)
-		case allowed:
-			known = append(known, w.id)
-			wanted -= float64(room)
-		default:
-			unknown = append(unknown, w.id)
+		if room == 0 {
+			continue
 		}
+		if !s.advice.valid(now, w) {
+			asked = append(asked, id)
+		}
+		wanted -= float64(room)
 		if wanted <= 0 {
 			break
 		}
 	}
-	asked := known
-	for _, id := range unknown {
-		if wanted <= 0 || len(asked) >= maxAsked {
-			break
-		}
-		asked = append(asked, id)
-		wanted -= share * float64(s.roomOn(c.workers[id]))
+	return asked, wanted
+}
+
+// knows reports whether an answer has said of a worker that it is allowed or not.
+func (a *adviceState) knows(id WorkerID) bool {
+	if a.denied[id] {
+		return true
 	}
-	return asked[:min(len(asked), maxAsked)]
+	_, allowed := a.allowed[id]
+	return allowed
 }
 
 // roomOn returns how many more tasks of a step a worker may take now.
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -32,16 +32,20 @@
 
 // BenchmarkTick lets time pass by one tick and decides, with a backlog.
 func BenchmarkTick(b *testing.B) {
-	for _, steps := range []int{30, 300, 1000} {
-		b.Run(fmt.Sprintf("%s-%d", whyUnanswered, steps), func(b *testing.B) {
-			l := newBacklog(b, benchWorkers, steps, whyUnanswered)
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				l.cell.Tick(l.now)
-				l.cell.Take(l.now)
-			}
-		})
+	for _, why := range []why{whyUnanswered, whyFull, whyDenied} {
+		for _, steps := range []int{30, 300, 1000} {
+			b.Run(fmt.Sprintf("%s-%d", why, steps), func(b *testing.B) { benchTick(b, why, steps) })
+		}
+	}
+}
+
+func benchTick(b *testing.B, why why, steps int) {
+	l := newBacklog(b, benchWorkers, steps, why)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		l.cell.Tick(l.now)
+		l.cell.Take(l.now)
 	}
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -98,6 +98,8 @@
 	// ahead tells which starts may go, or have gone, ahead of their record.
 	ahead aheadState
 
+	usableNow usableWorkers
+
 	actions []Action
 	// reconsider is set when a placement may have become possible.
 	reconsider bool
@@ -107,7 +109,7 @@
 
 // New returns an empty cell that begins to decide now.
 func New(now time.Time, config Config, observer Observer, log *zap.Logger) *Cell {
-	return &Cell{
+	c := &Cell{
 		config: config, observer: observer, log: log.Named("cell"), since: now,
 		jobs:      make(map[workload.JobID]*jobState),
 		workers:   make(map[WorkerID]*worker),
@@ -118,6 +120,8 @@
 		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
 		estimates: make(map[string]*estimates),
 	}
+	c.usableNow = newUsableWorkers(c)
+	return c
 }
 
 // SetManifest puts a newer manifest in force.
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -18,7 +18,12 @@
 // word of theirs.
 func (c *Cell) Missed(now time.Time) []workload.StepID {
 	var out []workload.StepID
-	usable := usableWorkers{cell: c, now: now}
+	usable := newUsableWorkers(c)
+	usable.begin(now)
+	usable.of("")
+	for service, workers := range usable.byService {
+		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.wasUsable })
+	}
 	for _, s := range c.open {
 		if s.spec.Gang || c.settling() && !s.spec.LongRunning {
 			continue
@@ -47,8 +52,7 @@
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.failedOn != "" }) {
 		return false
 	}
-	fitting := slices.DeleteFunc(s.fitting(usable.of(q.Service)), func(w *worker) bool { return !w.wasUsable })
-	return len(c.worthAsking(now, s, q, fitting)) > 0
+	return slices.ContainsFunc(c.worthAsking(now, s, q, usable), func(id WorkerID) bool { return c.workers[id].wasUsable })
 }
 
 // Describe tells what a cell believes, for failed tests.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -17,7 +17,7 @@
 		c.agenda.next.add(s)
 	}
 	c.agenda.decision++
-	usable := usableWorkers{cell: c, now: now}
+	c.usableNow.begin(now)
 	for looks := 0; looks < maxLooks; looks++ {
 		if c.agenda.next.len() == 0 || looks == 0 {
 			c.offerFreed(now)
@@ -28,7 +28,7 @@
 		}
 		c.looked++
 		s.lookedIn = c.agenda.decision
-		c.placeStep(now, s, &usable)
+		c.placeStep(now, s, &c.usableNow)
 	}
 	c.reconsider = c.reconsider || c.nextWaits()
 }
@@ -52,15 +52,32 @@
 // usableWorkers finds the workers that may get starts, at most once in a round of
 // placing, and not at all if no step needs to look at all of them.
 type usableWorkers struct {
-	cell      *Cell
-	now       time.Time
+	cell *Cell
+	now  time.Time
+	// found is set once byService is of this round.
+	found     bool
 	byService map[string][]*worker
+	// buffer serves the lists that are needed for one step.
+	buffer []*worker
+}
+
+func newUsableWorkers(c *Cell) usableWorkers {
+	return usableWorkers{cell: c, byService: make(map[string][]*worker)}
+}
+
+// begin begins a round.
+func (u *usableWorkers) begin(now time.Time) {
+	u.now = now
+	u.found = false
 }
 
 // of returns the usable workers of a service in a fixed order.
 func (u *usableWorkers) of(service string) []*worker {
-	if u.byService == nil {
-		u.byService = make(map[string][]*worker)
+	if !u.found {
+		u.found = true
+		for known, workers := range u.byService {
+			u.byService[known] = workers[:0]
+		}
 		for _, w := range u.cell.ordered {
 			if u.cell.usable(u.now, w) {
 				u.byService[w.registration.Service] = append(u.byService[w.registration.Service], w)
@@ -100,7 +117,7 @@
 	case c.questionOpen(now, s, q):
 	case q.Priority != 0 && c.longQuestions >= c.longLimit:
 		c.agenda.askers.add(s)
-	case !c.ask(now, s, q, s.fitting(usable.of(q.Service))):
+	case !c.ask(now, s, q, usable):
 		c.agenda.short.add(s)
 	}
 }
@@ -108,27 +125,22 @@
 // eligible returns the workers that a step may be started on now, whether they
 // have room or not. With advice these are few, and only they are looked at.
 func (c *Cell) eligible(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []*worker {
-	if !q.Advice.Needed() {
-		return s.fitting(usable.of(q.Service))
-	}
-	out := make([]*worker, 0, len(s.advice.order))
-	for _, id := range s.advice.order {
-		w, known := c.workers[id]
-		if known && w.registration.Service == q.Service && s.advice.valid(now, w) && s.fits(w) && c.usable(now, w) {
-			out = append(out, w)
+	out := usable.buffer[:0]
+	if q.Advice.Needed() {
+		for _, id := range s.advice.order {
+			w, known := c.workers[id]
+			if known && w.registration.Service == q.Service && s.advice.valid(now, w) && s.fits(w) && c.usable(now, w) {
+				out = append(out, w)
+			}
 		}
-	}
-	return out
-}
-
-// fitting returns the workers whose size and labels suit a step.
-func (s *stepState) fitting(workers []*worker) []*worker {
-	out := make([]*worker, 0, len(workers))
-	for _, w := range workers {
-		if s.fits(w) {
-			out = append(out, w)
+	} else {
+		for _, w := range usable.of(q.Service) {
+			if s.fits(w) {
+				out = append(out, w)
+			}
 		}
 	}
+	usable.buffer = out
 	return out
 }
 
