--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -102,6 +102,8 @@
 	// line holds the runs whose start waits to be sent.
 	line startLine
 
+	usableNow usableWorkers
+
 	actions []Action
 	// reconsider is set when a placement may have become possible.
 	reconsider bool
@@ -111,7 +113,7 @@
 
 // New returns an empty cell that begins to decide now.
 func New(now time.Time, config Config, observer Observer, log *zap.Logger) *Cell {
-	return &Cell{
+	c := &Cell{
 		config: config, observer: observer, log: log.Named("cell"), since: now,
 		jobs:      make(map[workload.JobID]*jobState),
 		workers:   make(map[WorkerID]*worker),
@@ -122,6 +124,8 @@
 		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
 		estimates: make(map[string]*estimates), line: startLine{limit: anyNumber},
 	}
+	c.usableNow = newUsableWorkers(c)
+	return c
 }
 
 // SetManifest puts a newer manifest in force.
