Show that a weak host takes the cell over beside a strong one

Hosts do not know what they can carry.

Nothing uses them yet. The test loses the owner of a cell with one strong host among weak ones.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/host"
 	"cicadabarrow.example/cicadabarrow/internal/logging"
 	"cicadabarrow.example/cicadabarrow/internal/metrics"
@@ -148,6 +149,7 @@
 func hostConfig(s settings.Host, self peer.Host) host.Config {
 	return host.Config{
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, Patience: patience,
+		Capacity: election.Capacity{Processor: s.ProcessorShare, Link: s.LinkMbps},
 		Owner: owner.Config{
 			RenewEvery: renewEvery,
 			Cell: cell.Config{
--- /dev/null
+++ b/internal/host/capacity_test.go
@@ -0,0 +1,52 @@
+package host
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/election"
+)
+
+// TestAHostThatCarriesTheCellGoesFirst loses a weak owner in a cell of weak hosts
+// and one strong one, whose pings come at any time of their period.
+func TestAHostThatCarriesTheCellGoesFirst(t *testing.T) {
+	const plays = 40
+	for name, lose := range losses() {
+		t.Run(name, func(t *testing.T) {
+			others := 0
+			for play := range plays {
+				synctest.Test(t, func(t *testing.T) {
+					if !strongHostFollows(rand.New(rand.NewPCG(16, uint64(play))), lose) {
+						others++
+					}
+				})
+			}
+			if others > 0 {
+				t.Errorf("a weak host took over in %d of %d plays", others, plays)
+			}
+		})
+	}
+}
+
+// strongHostFollows plays one loss, and reports whether the strong host owns the
+// cell a while later.
+func strongHostFollows(random *rand.Rand, lose func(*fakeWorld, *fakeHost)) bool {
+	w := newFakeWorld(6, 1)
+	defer w.stopAll()
+	strong := w.order[len(w.order)-1]
+	for _, h := range w.order {
+		h.capacity = election.Capacity{Processor: 0.192, Link: 10}
+		if h == strong {
+			h.capacity = election.Capacity{Processor: 0.8, Link: 200}
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(pingEvery))))
+		w.start(h)
+	}
+	time.Sleep(2*time.Second + time.Duration(random.Int64N(int64(pingEvery))))
+	lose(w, w.owners()[0])
+	time.Sleep(3 * time.Second)
+	return w.row().Addr == strong.addr
+}
--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -86,6 +86,8 @@
 	addr  netip.AddrPort
 	lives int
 	host  *Host
+	// capacity is what the host says of itself; the zero value is nothing.
+	capacity election.Capacity
 }
 
 const (
@@ -125,7 +127,7 @@
 	h.lives++
 	w.mu.Unlock()
 	self := peer.Host{Name: h.name, DataCentre: "dc", Incarnation: fmt.Sprintf("%s/%d", h.name, h.lives)}
-	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, Patience: fakePatience}
+	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, Patience: fakePatience, Capacity: h.capacity}
 	config.Owner = owner.Config{
 		RenewEvery: 400 * time.Millisecond,
 		Cell: cell.Config{
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,6 +71,8 @@
 	Owner owner.Config
 	// Patience is how long the owner's row may stand unchanged.
 	Patience time.Duration
+	// Capacity is what the host can give to the cell.
+	Capacity election.Capacity
 }
 
 // Peers is the transport between entry hosts.
--- a/internal/host/recovering_test.go
+++ b/internal/host/recovering_test.go
@@ -10,13 +10,18 @@
 // wholeReads is how long a successor on a weak host reads before it decides.
 const wholeReads = 2500 * time.Millisecond
 
+// losses are the ways in which an owner is lost.
+func losses() map[string]func(w *fakeWorld, owner *fakeHost) {
+	return map[string]func(*fakeWorld, *fakeHost){
+		"killed":             func(w *fakeWorld, owner *fakeHost) { w.stop(owner) },
+		"silent":             func(w *fakeWorld, owner *fakeHost) { w.setCut(owner, true, append(w.otherHosts(owner), storeName)...) },
+		"cut from the store": func(w *fakeWorld, owner *fakeHost) { w.setCut(owner, true, storeName) },
+	}
+}
+
 // A takeover that others cut short begins anew elsewhere, and nobody decides.
 func TestASuccessorIsNotReplacedWhileItTakesOver(t *testing.T) {
-	for name, lose := range map[string]func(w *fakeWorld, first *fakeHost){
-		"killed":             func(w *fakeWorld, first *fakeHost) { w.stop(first) },
-		"silent":             func(w *fakeWorld, first *fakeHost) { w.setCut(first, true, append(w.otherHosts(first), storeName)...) },
-		"cut from the store": func(w *fakeWorld, first *fakeHost) { w.setCut(first, true, storeName) },
-	} {
+	for name, lose := range losses() {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
 				w.slowDown(wholeReads)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -35,6 +35,11 @@
 	MachinesAddr netip.AddrPort
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
+	// ProcessorShare is how much of a core the process may use, and LinkMbps
+	// what its link carries in Mbit/s; 0 is unknown. Hosts with more of both
+	// take the cell over first.
+	ProcessorShare float64
+	LinkMbps       float64
 	// Fenced is set where workers check fencing tokens.
 	Fenced   bool
 	Bounds   HostBounds
@@ -52,21 +57,23 @@
 }
 
 type wireHost struct {
-	Name         string   `validate:"name"`
-	Region       string   `validate:"name"`
-	DataCentre   string   `validate:"name"`
-	PeerAddr     string   `validate:"address"`
-	Seeds        []string `validate:"dive,omitempty,address"`
-	ClientAddr   string   `validate:"address"`
-	HealthAddr   string   `validate:"address"`
-	MetricsAddr  string   `validate:"omitempty,address"`
-	StoreAddr    string   `validate:"address"`
-	AdviceAddr   string   `validate:"omitempty,address"`
-	MachinesAddr string   `validate:"omitempty,address"`
-	MemoryMB     int      `validate:"number=32:1048576"`
-	Fenced       bool
-	Bounds       wireHostBounds
-	LogLevel     string `validate:"omitempty,oneof=debug info warn error"`
+	Name           string   `validate:"name"`
+	Region         string   `validate:"name"`
+	DataCentre     string   `validate:"name"`
+	PeerAddr       string   `validate:"address"`
+	Seeds          []string `validate:"dive,omitempty,address"`
+	ClientAddr     string   `validate:"address"`
+	HealthAddr     string   `validate:"address"`
+	MetricsAddr    string   `validate:"omitempty,address"`
+	StoreAddr      string   `validate:"address"`
+	AdviceAddr     string   `validate:"omitempty,address"`
+	MachinesAddr   string   `validate:"omitempty,address"`
+	MemoryMB       int      `validate:"number=32:1048576"`
+	ProcessorShare *float64 `validate:"omitempty,number=0.001:1024"`
+	LinkMbps       *float64 `validate:"omitempty,number=0.001:1000000"`
+	Fenced         bool
+	Bounds         wireHostBounds
+	LogLevel       string `validate:"omitempty,oneof=debug info warn error"`
 }
 
 type wireHostBounds struct {
@@ -109,6 +116,7 @@
 		PeerAddr: address(w.PeerAddr), ClientAddr: address(w.ClientAddr), HealthAddr: address(w.HealthAddr),
 		MetricsAddr: address(w.MetricsAddr), StoreAddr: address(w.StoreAddr), AdviceAddr: address(w.AdviceAddr),
 		MachinesAddr: address(w.MachinesAddr), MemoryMB: w.MemoryMB, Fenced: w.Fenced, LogLevel: level(w.LogLevel),
+		ProcessorShare: number(w.ProcessorShare, 0), LinkMbps: number(w.LinkMbps, 0),
 		Bounds: HostBounds{
 			MaxLease: duration(w.Bounds.MaxLease, 0), StopGrace: duration(w.Bounds.StopGrace, 0), KeepEnded: duration(w.Bounds.KeepEnded, 0),
 		},
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -31,6 +31,25 @@
 	}
 }
 
+func TestAHostNeedNotKnowItsCapacity(t *testing.T) {
+	base, err := os.ReadFile("../../examples/platform/centro-a-1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const given = `  "ProcessorShare": 0.4,
+  "LinkMbps": 1000.0,
+`
+	s, err := ReadHost(strings.NewReader(string(base)))
+	if err != nil || s.ProcessorShare != 0.4 || s.LinkMbps != 1000 {
+		t.Errorf("%v of a core, %v Mbit/s, %v", s.ProcessorShare, s.LinkMbps, err)
+	}
+	without := strings.Replace(string(base), given, "", 1)
+	s, err = ReadHost(strings.NewReader(without))
+	if err != nil || without == string(base) || s.ProcessorShare != 0 || s.LinkMbps != 0 {
+		t.Errorf("without: %v of a core, %v Mbit/s, %v", s.ProcessorShare, s.LinkMbps, err)
+	}
+}
+
 // TestReadHost reads settings of a host from a data file. The command "edit"
 // replaces text in a valid document: one "old => new" a line.
 func TestReadHost(t *testing.T) {
--- a/internal/settings/wire.go
+++ b/internal/settings/wire.go
@@ -117,7 +117,7 @@
 	return value
 }
 
-func number[T int | int64](value *T, otherwise T) T {
+func number[T int | int64 | float64](value *T, otherwise T) T {
 	if value == nil {
 		return otherwise
 	}
