Repeat the reads of a takeover whose answers are lost

With a third of the answers lost, no takeover of 35 reads could get through at all.

Change: a read is called again when it fails (three times, then the cell is given up), and beside the open call when it is late: after three times the time in which half of the reads of this takeover have ended, at least 0.4 s and at most 3 s. The first answer counts.

--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -41,6 +41,10 @@
 	loseEvery int
 	// wholeReads is how long a read of all accepted jobs takes.
 	wholeReads time.Duration
+	// reads counts the reads of accepted jobs; of each loseReads the answer is
+	// lost.
+	reads     int
+	loseReads int
 	// unread is a host whose reads of accepted jobs fail.
 	unread string
 	// session tells what happened, for failed tests.
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -77,6 +77,10 @@
 	if err := p.travel(ctx, storeName, w.readTakes(r)); err != nil {
 		return rowstore.Snapshot{}, err
 	}
+	if w.losesRead(r) {
+		<-ctx.Done()
+		return rowstore.Snapshot{}, fault.New("read", rowstore.KindUnknown, "%w", ctx.Err())
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r.Table == ledger.TableIntake && p.host.name == w.unread {
@@ -102,6 +106,17 @@
 	return storeLatency
 }
 
+// losesRead reports whether the answer to a read is lost.
+func (w *fakeWorld) losesRead(r rowstore.Range) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Table != ledger.TableIntake {
+		return false
+	}
+	w.reads++
+	return w.loseReads > 0 && w.reads%w.loseReads == 0
+}
+
 // Follow waits for changes of a table.
 func (p *fakePort) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Snapshot, error) {
 	until := time.Now().Add(wait)
--- a/internal/host/recovering_test.go
+++ b/internal/host/recovering_test.go
@@ -137,3 +137,30 @@
 		}
 	})
 }
+
+// A store that loses the answers to a third of the reads holds a takeover up for a
+// second or two, where one lost answer would hold it up to its bound.
+func TestLostReadsDoNotHoldATakeoverUp(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.mu.Lock()
+		w.loseReads = 3
+		w.mu.Unlock()
+		w.stop(first)
+		t.Logf("took %v", awaitSuccessor(t, w, 2*takeoverWithin))
+	})
+}
+
+// Reads that all went into a short cut are repeated once the store answers again.
+func TestReadsThatWereAllLostAreRepeated(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.mu.Lock()
+		w.loseReads = 1
+		w.mu.Unlock()
+		w.stop(first)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.loseReads = 0
+		w.mu.Unlock()
+		t.Logf("took %v after the cut", awaitSuccessor(t, w, 3*time.Second))
+	})
+}
--- /dev/null
+++ b/internal/owner/reads.go
@@ -0,0 +1,144 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+)
+
+const (
+	// readersAtOnce bounds the reads of the store that run at the same time.
+	readersAtOnce = 64
+	// lateFactor times the time in which half of the reads have ended is when
+	// another one counts as late, between minLate and maxLate.
+	lateFactor = 3
+	minLate    = 400 * time.Millisecond
+	maxLate    = 3 * time.Second
+	// lateLook is the period at which a read is looked at, and the wait before
+	// a failed one is repeated.
+	lateLook = 100 * time.Millisecond
+	// callsAtOnce bounds the calls of one read that have no answer, and
+	// failedCalls those that fail until the read has failed.
+	callsAtOnce = 8
+	failedCalls = 3
+)
+
+// pace tells how long reads that begin together take.
+type pace struct {
+	mu    sync.Mutex
+	began time.Time
+	// left is how many reads have to end until half of them have.
+	left int
+	// half is in which time half of the reads have ended; 0 is unknown.
+	half time.Duration
+}
+
+func newPace(now time.Time, reads int) *pace { return &pace{began: now, left: (reads + 1) / 2} }
+
+// ended notes that a read has ended.
+func (p *pace) ended(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left--; p.left == 0 {
+		p.half = now.Sub(p.began)
+	}
+}
+
+// lateAfter returns after which time a call counts as late.
+func (p *pace) lateAfter() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.half == 0 {
+		return maxLate
+	}
+	return min(max(lateFactor*p.half, minLate), maxLate)
+}
+
+// readAll reads ranges to their end, at the pace of all reads that begin with them.
+func (o *Owner) readAll(ctx context.Context, p *pace, ranges ...rowstore.Range) (tableRows, error) {
+	found := make([]tableRows, len(ranges))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readersAtOnce)
+	for i, r := range ranges {
+		group.Go(func() (err error) {
+			found[i], err = o.readRange(ctx, r, p)
+			p.ended(o.timers.Now())
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return tableRows{}, err
+	}
+	var out tableRows
+	for _, f := range found {
+		out.add(f)
+	}
+	return out, nil
+}
+
+func (o *Owner) readRange(ctx context.Context, r rowstore.Range, p *pace) (tableRows, error) {
+	var out tableRows
+	for {
+		snapshot, err := o.readRows(ctx, r, p)
+		if err != nil {
+			return tableRows{}, err
+		}
+		out.add(tableRows{rows: snapshot.Rows, version: snapshot.Version})
+		if !snapshot.More || len(snapshot.Rows) == 0 {
+			return out, nil
+		}
+		// The smallest name after the last one.
+		r.From = snapshot.Rows[len(snapshot.Rows)-1].Name + "\x00"
+	}
+}
+
+// readOutcome is how one call of a read went.
+type readOutcome struct {
+	snapshot rowstore.Snapshot
+	err      error
+}
+
+// readRows reads once, and again if the call fails or its answer may be lost: it
+// is late against other reads. The first answer counts.
+func (o *Owner) readRows(ctx context.Context, r rowstore.Range, p *pace) (rowstore.Snapshot, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan readOutcome, callsAtOnce)
+	open, failed := 0, 0
+	var called time.Time
+	call := func() {
+		open++
+		called = o.timers.Now()
+		go func() {
+			snapshot, err := o.store.Read(ctx, r)
+			outcomes <- readOutcome{snapshot, err}
+		}()
+	}
+	call()
+	look := o.timers.Every(lateLook)
+	defer look.Stop()
+	for {
+		select {
+		case outcome := <-outcomes:
+			if outcome.err == nil {
+				return outcome.snapshot, nil
+			}
+			open--
+			failed++
+			if failed == failedCalls || ctx.Err() != nil {
+				return rowstore.Snapshot{}, outcome.err
+			}
+			o.log.Debug("a read of the store failed", zap.String("Table", r.Table), zap.String("Part", r.Part), zap.Error(outcome.err))
+		case <-look.C:
+			late := o.timers.Now().Sub(called) > p.lateAfter()
+			if open == 0 || late && open < callsAtOnce {
+				call()
+			}
+		}
+	}
+}
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -36,14 +36,27 @@
 // readStore reads all rows that a new owner needs.
 func (o *Owner) readStore(ctx context.Context) (storeRows, error) {
 	var s storeRows
+	parts := []struct {
+		into   *tableRows
+		ranges []rowstore.Range
+	}{
+		{&s.intake, ledger.IntakeRanges()},
+		{&s.progress, []rowstore.Range{ledger.ProgressRange()}},
+		{&s.waves, []rowstore.Range{ledger.WavesRange()}},
+		{&s.workers, []rowstore.Range{{Table: o.listing.Table()}}},
+	}
+	reads := 0
+	for _, part := range parts {
+		reads += len(part.ranges)
+	}
+	p := newPace(o.timers.Now(), reads)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) { s.intake, err = o.readAll(ctx, ledger.IntakeRanges()...); return err })
-	group.Go(func() (err error) { s.progress, err = o.readAll(ctx, ledger.ProgressRange()); return err })
-	group.Go(func() (err error) { s.waves, err = o.readAll(ctx, ledger.WavesRange()); return err })
-	group.Go(func() (err error) {
-		s.workers, err = o.readAll(ctx, rowstore.Range{Table: o.listing.Table()})
-		return err
-	})
+	for _, part := range parts {
+		group.Go(func() (err error) {
+			*part.into, err = o.readAll(ctx, p, part.ranges...)
+			return err
+		})
+	}
 	if err := group.Wait(); err != nil {
 		return storeRows{}, fault.New("recover", KindStore, "%w", err)
 	}
@@ -79,46 +92,6 @@
 	return out
 }
 
-// readersAtOnce bounds the reads of the store that run at the same time.
-const readersAtOnce = 64
-
-// readAll reads ranges to their end.
-func (o *Owner) readAll(ctx context.Context, ranges ...rowstore.Range) (tableRows, error) {
-	found := make([]tableRows, len(ranges))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(readersAtOnce)
-	for i, r := range ranges {
-		group.Go(func() (err error) {
-			found[i], err = o.readRange(ctx, r)
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return tableRows{}, err
-	}
-	var out tableRows
-	for _, f := range found {
-		out.add(f)
-	}
-	return out, nil
-}
-
-func (o *Owner) readRange(ctx context.Context, r rowstore.Range) (tableRows, error) {
-	var out tableRows
-	for {
-		snapshot, err := o.store.Read(ctx, r)
-		if err != nil {
-			return tableRows{}, err
-		}
-		out.add(tableRows{rows: snapshot.Rows, version: snapshot.Version})
-		if !snapshot.More || len(snapshot.Rows) == 0 {
-			return out, nil
-		}
-		// The smallest name after the last one.
-		r.From = snapshot.Rows[len(snapshot.Rows)-1].Name + "\x00"
-	}
-}
-
 // add joins the rows of another read; the oldest version is the one to follow
 // from.
 func (t *tableRows) add(o tableRows) {
