Let hosts that can carry the cell take it over first

Change: before a takeover a host waits for as long as it would take more than one with a whole core and an endless link for 0.1 s of processor time and 5 Mbit, 0.45 s at the most; a figure that is not known counts 75 ms. The deference for the store's latency stays. A host that has heard of the next owner by then leaves its transaction out.

--- a/internal/election/capacity.go
+++ b/internal/election/capacity.go
@@ -1,8 +1,36 @@
 package election
 
+import "time"
+
 // Capacity is what a host can give to the cell.
 type Capacity struct {
 	// Processor is in cores, and Link in Mbit/s; 0 is unknown.
 	Processor float64
 	Link      float64
 }
+
+const (
+	// workTime is the processor time and transferMbit the transfer by which hosts
+	// are compared: about what the reading of all rows takes.
+	workTime     = 100 * time.Millisecond
+	transferMbit = 5.0
+	// unknownPart is the deference for a figure that is not known.
+	unknownPart = 75 * time.Millisecond
+	// maxDeference bounds the deference.
+	maxDeference = 450 * time.Millisecond
+)
+
+// Deference returns how long a host waits before it takes over, so that hosts
+// which can carry the cell better go first. It is how much longer this host takes
+// for a fixed piece of work and of transfer than one with a whole core and an
+// endless link.
+func (c Capacity) Deference() time.Duration {
+	work, transfer := unknownPart.Seconds(), unknownPart.Seconds()
+	if c.Processor > 0 {
+		work = max(workTime.Seconds()/c.Processor-workTime.Seconds(), 0)
+	}
+	if c.Link > 0 {
+		transfer = transferMbit / c.Link
+	}
+	return time.Duration(min(work+transfer, maxDeference.Seconds()) * float64(time.Second))
+}
--- a/internal/host/capacity_test.go
+++ b/internal/host/capacity_test.go
@@ -9,6 +9,11 @@
 	"cicadabarrow.example/cicadabarrow/internal/election"
 )
 
+var (
+	weakHost   = election.Capacity{Processor: 0.192, Link: 10}
+	strongHost = election.Capacity{Processor: 0.8, Link: 200}
+)
+
 // TestAHostThatCarriesTheCellGoesFirst loses a weak owner in a cell of weak hosts
 // and one strong one, whose pings come at any time of their period.
 func TestAHostThatCarriesTheCellGoesFirst(t *testing.T) {
@@ -37,9 +42,9 @@
 	defer w.stopAll()
 	strong := w.order[len(w.order)-1]
 	for _, h := range w.order {
-		h.capacity = election.Capacity{Processor: 0.192, Link: 10}
+		h.capacity = weakHost
 		if h == strong {
-			h.capacity = election.Capacity{Processor: 0.8, Link: 200}
+			h.capacity = strongHost
 			time.Sleep(2 * time.Second)
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(pingEvery))))
@@ -50,3 +55,22 @@
 	time.Sleep(3 * time.Second)
 	return w.row().Addr == strong.addr
 }
+
+// A cell that has weak hosts only still has a new owner in time.
+func TestWeakHostsAloneTakeOverInTime(t *testing.T) {
+	for name, lose := range losses() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFakeWorld(5, 3)
+				defer w.stopAll()
+				for _, h := range w.order {
+					h.capacity = weakHost
+					w.start(h)
+				}
+				time.Sleep(2 * time.Second)
+				lose(w, w.owners()[0])
+				t.Logf("took %v", awaitSuccessor(t, w, 2*takeoverWithin))
+			})
+		})
+	}
+}
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -20,9 +20,9 @@
 	// not all try at once.
 	takeoverSpread = 40 * time.Millisecond
 	// latencyFactor times the store's latency is how long a host lets nearer
-	// ones go first, at most maxDeference.
-	latencyFactor = 8
-	maxDeference  = 500 * time.Millisecond
+	// ones go first, at most maxLatencyPart.
+	latencyFactor  = 8
+	maxLatencyPart = 500 * time.Millisecond
 	// yieldFor is how long a host that could not read the store after its
 	// takeover leaves the cell to others.
 	yieldFor = 1 * time.Second
@@ -31,14 +31,18 @@
 	releaseTimeout = 1 * time.Second
 )
 
-// takeOver tries to become the owner after the state that was read. Hosts near
-// the store come first, since an owner's commits wait for it.
+// takeOver tries to become the owner after the state that was read. Hosts that
+// can carry the cell better come first, and hosts near the store, since an owner's
+// commits wait for it.
 func (h *Host) takeOver(state election.State, sign election.Sign) {
 	read := h.timers.Now()
-	deference := min(latencyFactor*sign.Latency, maxDeference) + rand.N(takeoverSpread)
+	deference := h.config.Capacity.Deference() + min(latencyFactor*sign.Latency, maxLatencyPart) + rand.N(takeoverSpread)
 	if !h.sleep(deference) || h.stopping.Load() {
 		return
 	}
+	if h.knownOwner().epoch > state.Owner.Epoch {
+		return // another host was first, and has said so
+	}
 	if state.Clock != 0 {
 		state.Clock += h.timers.Now().Sub(read)
 	}
