Remember how many hosts there are while a successor is new

Cause: a successor answers as the owner from its takeover on, and lists the hosts that it has heard of in the last 0.75 s: at first few. Its peers took that for the size of the cell, by which an owner that is cut off knows that it has to end.

Change: for two seconds after they learn of an epoch, peers keep the larger figure. Measured: the test fails before (1 other host) and passes now.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -117,6 +117,8 @@
 	endedEpoch uint64
 	// owner is who the owner was last known to be.
 	owner ownerRef
+	// ownerSince is when this host learned of the owner's epoch.
+	ownerSince time.Time
 	// members are the hosts that the owners have told of.
 	members map[netip.AddrPort]bool
 	// others counts the hosts beside the owner, by the owner's last answer.
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,8 +18,13 @@
 	epoch       uint64
 }
 
-// maxMembers bounds the hosts that are remembered.
-const maxMembers = 256
+const (
+	// maxMembers bounds the hosts that are remembered.
+	maxMembers = 256
+	// membersSettle is how long after its takeover an owner may not have heard
+	// from all hosts yet.
+	membersSettle = 2 * time.Second
+)
 
 // knownOwner returns the owner as this host knows it; the address is invalid
 // when it knows none.
@@ -37,10 +43,23 @@
 			h.members[at] = true
 		}
 	}
-	if pong.Owning {
-		h.others = len(pong.Hosts)
-	}
 	h.hearOfOwner(ownerRef{addr: pong.OwnerAddr, incarnation: pong.OwnerIncarnation, epoch: pong.Epoch})
+	if !pong.Owning {
+		return
+	}
+	if h.timers.Now().Sub(h.ownerSince) < membersSettle {
+		h.others = max(h.others, len(pong.Hosts))
+		return
+	}
+	h.others = len(pong.Hosts)
+}
+
+// setOwner notes who owns the cell. The caller holds the lock.
+func (h *Host) setOwner(now ownerRef) {
+	if now.epoch != h.owner.epoch {
+		h.ownerSince = h.timers.Now()
+	}
+	h.owner = now
 }
 
 // hearOfOwner takes in who owns the cell by the word of a peer. The caller holds
@@ -53,7 +72,7 @@
 		h.own.Replaced(heard.epoch)
 	}
 	h.log.Info("heard from a peer who owns the cell", zap.Stringer("Addr", heard.addr), zap.Uint64("Epoch", heard.epoch))
-	h.owner = heard
+	h.setOwner(heard)
 }
 
 // askPeers asks all known hosts who owns the cell, for a host that cannot read
--- a/internal/host/recovering_test.go
+++ b/internal/host/recovering_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -164,3 +165,24 @@
 		t.Logf("took %v after the cut", awaitSuccessor(t, w, 3*time.Second))
 	})
 }
+
+// A successor that has just won has not heard from most hosts yet. Its peers must
+// not take the cell to be that small: an owner ends by how many it hears from.
+func TestPeersOfASuccessorRememberHowManyHostsThereAre(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		peer := w.order[0]
+		if peer == successor {
+			peer = w.order[1]
+		}
+		heard := message.OwnerPong{Owning: true, Epoch: 3, OwnerAddr: w.order[4].addr, Hosts: []netip.AddrPort{peer.addr}}
+		peer.host.learn(heard)
+		if n := peer.host.otherHosts(); n < 3 {
+			t.Errorf("%d other hosts at the beginning of an epoch", n)
+		}
+		time.Sleep(membersSettle)
+		peer.host.learn(heard)
+		if n := peer.host.otherHosts(); n != 1 {
+			t.Errorf("%d other hosts later on", n)
+		}
+	})
+}
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -104,7 +104,7 @@
 		return nil
 	}
 	h.own = owner.New(h.config.Owner, t, h.manifests.Current(), h.platform.Ports, h.advisors, h.timers, h.scope, h.log)
-	h.owner = ownerRef{addr: h.config.Addr, incarnation: h.config.Self.Incarnation, epoch: t.Me.Epoch}
+	h.setOwner(ownerRef{addr: h.config.Addr, incarnation: h.config.Self.Incarnation, epoch: t.Me.Epoch})
 	return h.own
 }
 
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -166,7 +166,7 @@
 		h.watch.Reset()
 		h.tellReplaced(h.owner.addr)
 	}
-	h.owner = ownerRef{addr: state.Owner.Addr, incarnation: state.Owner.Incarnation, epoch: state.Owner.Epoch}
+	h.setOwner(ownerRef{addr: state.Owner.Addr, incarnation: state.Owner.Incarnation, epoch: state.Owner.Epoch})
 }
 
 func (h *Host) isGone(incarnation string) bool {
