--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -41,6 +41,10 @@
 	loseEvery int
 	// wholeReads is how long a read of all accepted jobs takes.
 	wholeReads time.Duration
+	// reads counts the reads of accepted jobs; of each loseReads the answer is
+	// lost.
+	reads     int
+	loseReads int
 	// unread is a host whose reads of accepted jobs fail.
 	unread string
 	// session tells what happened, for failed tests.
@@ -86,6 +90,8 @@
 	addr  netip.AddrPort
 	lives int
 	host  *Host
+	// capacity is what the host says of itself; the zero value is nothing.
+	capacity election.Capacity
 }
 
 const (
@@ -125,7 +131,7 @@
 	h.lives++
 	w.mu.Unlock()
 	self := peer.Host{Name: h.name, DataCentre: "dc", Incarnation: fmt.Sprintf("%s/%d", h.name, h.lives)}
-	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, Patience: fakePatience}
+	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, Patience: fakePatience, Capacity: h.capacity}
 	config.Owner = owner.Config{
 		RenewEvery: 400 * time.Millisecond,
 		Cell: cell.Config{
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,6 +71,8 @@
 	Owner owner.Config
 	// Patience is how long the owner's row may stand unchanged.
 	Patience time.Duration
+	// Capacity is what the host can give to the cell.
+	Capacity election.Capacity
 }
 
 // Peers is the transport between entry hosts.
@@ -115,6 +117,8 @@
 	endedEpoch uint64
 	// owner is who the owner was last known to be.
 	owner ownerRef
+	// ownerSince is when this host learned of the owner's epoch.
+	ownerSince time.Time
 	// members are the hosts that the owners have told of.
 	members map[netip.AddrPort]bool
 	// others counts the hosts beside the owner, by the owner's last answer.
--- a/internal/host/recovering_test.go
+++ b/internal/host/recovering_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -10,13 +11,18 @@
 // wholeReads is how long a successor on a weak host reads before it decides.
 const wholeReads = 2500 * time.Millisecond
 
+// losses are the ways in which an owner is lost.
+func losses() map[string]func(w *fakeWorld, owner *fakeHost) {
+	return map[string]func(*fakeWorld, *fakeHost){
+		"killed":             func(w *fakeWorld, owner *fakeHost) { w.stop(owner) },
+		"silent":             func(w *fakeWorld, owner *fakeHost) { w.setCut(owner, true, append(w.otherHosts(owner), storeName)...) },
+		"cut from the store": func(w *fakeWorld, owner *fakeHost) { w.setCut(owner, true, storeName) },
+	}
+}
+
 // A takeover that others cut short begins anew elsewhere, and nobody decides.
 func TestASuccessorIsNotReplacedWhileItTakesOver(t *testing.T) {
-	for name, lose := range map[string]func(w *fakeWorld, first *fakeHost){
-		"killed":             func(w *fakeWorld, first *fakeHost) { w.stop(first) },
-		"silent":             func(w *fakeWorld, first *fakeHost) { w.setCut(first, true, append(w.otherHosts(first), storeName)...) },
-		"cut from the store": func(w *fakeWorld, first *fakeHost) { w.setCut(first, true, storeName) },
-	} {
+	for name, lose := range losses() {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
 				w.slowDown(wholeReads)
@@ -132,3 +138,51 @@
 		}
 	})
 }
+
+// A store that loses the answers to a third of the reads holds a takeover up for a
+// second or two, where one lost answer would hold it up to its bound.
+func TestLostReadsDoNotHoldATakeoverUp(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.mu.Lock()
+		w.loseReads = 3
+		w.mu.Unlock()
+		w.stop(first)
+		t.Logf("took %v", awaitSuccessor(t, w, 2*takeoverWithin))
+	})
+}
+
+// Reads that all went into a short cut are repeated once the store answers again.
+func TestReadsThatWereAllLostAreRepeated(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		w.mu.Lock()
+		w.loseReads = 1
+		w.mu.Unlock()
+		w.stop(first)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.loseReads = 0
+		w.mu.Unlock()
+		t.Logf("took %v after the cut", awaitSuccessor(t, w, 3*time.Second))
+	})
+}
+
+// A successor that has just won has not heard from most hosts yet. Its peers must
+// not take the cell to be that small: an owner ends by how many it hears from.
+func TestPeersOfASuccessorRememberHowManyHostsThereAre(t *testing.T) {
+	inTakeover(t, func(t *testing.T, w *fakeWorld, successor *fakeHost) {
+		peer := w.order[0]
+		if peer == successor {
+			peer = w.order[1]
+		}
+		heard := message.OwnerPong{Owning: true, Epoch: 3, OwnerAddr: w.order[4].addr, Hosts: []netip.AddrPort{peer.addr}}
+		peer.host.learn(heard)
+		if n := peer.host.otherHosts(); n < 3 {
+			t.Errorf("%d other hosts at the beginning of an epoch", n)
+		}
+		time.Sleep(membersSettle)
+		peer.host.learn(heard)
+		if n := peer.host.otherHosts(); n != 1 {
+			t.Errorf("%d other hosts later on", n)
+		}
+	})
+}
