Ask about room that no open question asks for, and bound the urgent questions

What callers saw: after an outage their jobs waited beside thousands of free cores.

Cause: each question for advice named the first workers in the list with room. While many steps wait, all ask about the same few (300 open questions named 6 of 350 workers); the first answer takes the room, and the others ask again.

Change: a question leaves to the open ones as many workers with room as they name, as long as there are others. At most two urgent questions for each host that asks are open; further steps wait in the order of their rank, as those for the long questions did.

TestABacklogHidesNoStep never answered a question; with a bound on open ones it now answers each, and demands as before that every one of the 500 urgent steps asks within 50 ticks. The harness settles until no step waits for a look.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -20,8 +20,10 @@
 	denied map[WorkerID]bool
 	// askedAt is when the open question was asked; zero without one.
 	askedAt time.Time
-	// long is set while the open question takes a place among the long ones.
-	long bool
+	// named is how many workers the open question names, and among which
+	// questions it counts.
+	named int
+	among *asking
 }
 
 type ticket struct {
@@ -129,14 +131,11 @@
 	if len(workers) == 0 {
 		return false
 	}
-	urgent := q.Priority == 0
 	s.advice.askedAt = now
-	if !urgent {
-		s.advice.long = true
-		c.longQuestions++
-	}
+	s.advice.named, s.advice.among = len(workers), c.askingFor(q)
+	s.advice.among.asked(len(workers))
 	c.setAlarm(now, s, s.advice.answerBy(q))
-	c.act(AskAdvice{Step: s.id, Workers: workers, Urgent: urgent, Cost: q.Advice.Cost(len(workers))})
+	c.act(AskAdvice{Step: s.id, Workers: workers, Urgent: q.Priority == 0, Cost: q.Advice.Cost(len(workers))})
 	return true
 }
 
@@ -144,31 +143,12 @@
 // up.
 func (c *Cell) settleQuestion(s *stepState) {
 	s.advice.askedAt = time.Time{}
-	if s.advice.long {
-		s.advice.long = false
-		c.longQuestions--
-	}
-}
-
-// SetAdvisers tells how many hosts can ask the advice service. A host's
-// questions are answered in turn, so no more long ones are asked than there
-// are hosts for them, and some hosts are kept free for urgent ones.
-func (c *Cell) SetAdvisers(hosts int) {
-	limit := max(hosts-UrgentAdvisers(hosts), 1)
-	c.reconsider = c.reconsider || limit > c.longLimit
-	c.longLimit = limit
-}
-
-// urgentShare is the part of the hosts that is kept free of long questions.
-const urgentShare = 3
-
-// UrgentAdvisers returns how many of some hosts are kept free of long
-// questions.
-func UrgentAdvisers(hosts int) int {
-	if hosts < 2 {
-		return 0
+	if s.advice.among == nil {
+		return
 	}
-	return (hosts + urgentShare - 1) / urgentShare
+	s.advice.among.settled(s.advice.named)
+	s.advice.among = nil
+	c.reconsider = true
 }
 
 const (
@@ -183,13 +163,22 @@
 
 // worthAsking returns the workers to ask about: those with room for the tasks
 // that wait, as many as should give enough of it. Workers that are known to be
-// allowed and need only a fresh ticket come first.
+// allowed and need only a fresh ticket come first. Of the others, those are left
+// to the open questions that these should name, as long as there are more.
 func (c *Cell) worthAsking(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []WorkerID {
 	asked, wanted := c.worthRenewing(now, s, q)
 	if wanted <= 0 {
 		return asked[:min(len(asked), maxAsked)]
 	}
 	share := c.allowedShare(q)
+	leave := c.askingFor(q).named
+	var left []*worker
+	ask := func(w *worker) {
+		if room := s.roomOn(w); room > 0 && wanted > 0 && len(asked) < maxAsked {
+			asked = append(asked, w.id)
+			wanted -= share * float64(room)
+		}
+	}
 	need := s.spec.Reserved()
 	for _, w := range usable.of(q.Service) {
 		if wanted <= 0 || len(asked) >= maxAsked {
@@ -198,9 +187,16 @@
 		if !need.Fits(w.free()) || s.advice.knows(w.id) || !s.fits(w) {
 			continue
 		}
-		if room := s.roomOn(w); room > 0 {
-			asked = append(asked, w.id)
-			wanted -= share * float64(room)
+		if len(left) < leave {
+			left = append(left, w)
+			continue
+		}
+		ask(w)
+	}
+	if len(left) > 0 {
+		first := leave % len(left)
+		for _, w := range slices.Concat(left[first:], left[:first]) {
+			ask(w)
 		}
 	}
 	return asked[:min(len(asked), maxAsked)]
--- a/internal/cell/agenda.go
+++ b/internal/cell/agenda.go
@@ -14,8 +14,6 @@
 	all stepList
 	// next holds the steps that the next decisions look at.
 	next stepList
-	// askers holds the steps that wait for a place among the long questions.
-	askers stepList
 	// short holds the steps for which no worker is left to start on or to ask about.
 	short stepList
 	// freed holds the workers that may have got room since the last decision.
@@ -89,7 +87,7 @@
 
 // listsOf returns the lists that may hold a step.
 func (c *Cell) listsOf(s *stepState) []*stepList {
-	return append(c.wantedLists(s), &c.agenda.all, &c.agenda.next, &c.agenda.askers, &c.agenda.short)
+	return append(c.wantedLists(s), &c.agenda.all, &c.agenda.next, &c.urgentAsking.waiting, &c.longAsking.waiting, &c.agenda.short)
 }
 
 // mark has the next decision look at a step.
--- a/internal/cell/backlog_bound_test.go
+++ b/internal/cell/backlog_bound_test.go
@@ -63,8 +63,13 @@
 	asked := make(map[workload.StepID]bool)
 	for range ticks {
 		b.cell.Tick(b.now)
-		for _, a := range b.settle() {
-			asked[a.Step] = a.Urgent
+		questions := b.settle()
+		for len(questions) > 0 {
+			for _, a := range questions {
+				asked[a.Step] = a.Urgent
+				b.cell.Advised(b.now, cell.Advice{Step: a.Step, Asked: a.Workers})
+			}
+			questions = b.settle()
 		}
 	}
 	urgent := 0
--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -127,7 +127,7 @@
 		asked = append(asked, b.carryOut(actions)...)
 		records := b.cell.Records(1000)
 		b.cell.Committed(b.now, records)
-		if len(actions) == 0 && len(records) == 0 {
+		if len(actions) == 0 && len(records) == 0 && !b.cell.Decides(b.now) {
 			return asked
 		}
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -80,10 +80,10 @@
 	// openJobs counts the jobs that have not ended.
 	openJobs int
 
-	// longQuestions counts the open questions for advice that are not urgent,
-	// and longLimit bounds them.
-	longQuestions int
-	longLimit     int
+	// urgentAsking bounds the open questions for advice that are urgent, and
+	// longAsking the others.
+	urgentAsking asking
+	longAsking   asking
 	// shares has for each queue the part of the workers that is usually
 	// allowed.
 	shares map[string]float64
@@ -115,12 +115,12 @@
 func New(now time.Time, config Config, observer Observer, log *zap.Logger) *Cell {
 	c := &Cell{
 		config: config, observer: observer, log: log.Named("cell"), since: now,
-		jobs:      make(map[workload.JobID]*jobState),
-		workers:   make(map[WorkerID]*worker),
-		scheduled: make(map[workload.JobID]*jobState),
-		open:      make(map[workload.StepID]*stepState),
-		pending:   make(map[string]int),
-		longLimit: 1, shares: make(map[string]float64), waves: make(map[int]*waveState),
+		jobs:         make(map[workload.JobID]*jobState),
+		workers:      make(map[WorkerID]*worker),
+		scheduled:    make(map[workload.JobID]*jobState),
+		open:         make(map[workload.StepID]*stepState),
+		pending:      make(map[string]int),
+		urgentAsking: asking{limit: urgentPerAdviser}, longAsking: asking{limit: 1}, shares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), ahead: newAheadState(),
 		estimates: make(map[string]*estimates), line: startLine{limit: anyNumber},
 	}
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -12,6 +12,9 @@
 // Looked returns how many steps decisions have looked at so far.
 func (c *Cell) Looked() int { return c.looked }
 
+// Decides reports whether the next decision has a step to look at.
+func (c *Cell) Decides(now time.Time) bool { return c.nextWaits() && !c.line.full(now) }
+
 // Missed returns the steps of which a task could be placed now, or for which more
 // workers could be asked about, though the last decision has not done it. Left
 // out are gangs, and workers that have become usable since the last tick without a
@@ -49,7 +52,7 @@
 // a worker may have to ask once others take the room there; ticks see to that.
 func (c *Cell) couldAsk(now time.Time, s *stepState, usable *usableWorkers) bool {
 	q := c.queueOf(s.job)
-	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || q.Priority > 0 && c.longQuestions >= c.longLimit {
+	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || c.askingFor(q).room() <= 0 {
 		return false
 	}
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.failedOn != "" }) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -13,8 +13,10 @@
 func (c *Cell) place(now time.Time) {
 	c.refresh(now)
 	c.wake(now)
-	for _, s := range c.agenda.askers.first(c.longLimit - c.longQuestions) {
-		c.agenda.next.add(s)
+	for _, a := range c.askings() {
+		for _, s := range a.waiting.first(a.room()) {
+			c.agenda.next.add(s)
+		}
 	}
 	c.agenda.decision++
 	c.usableNow.begin(now)
@@ -38,15 +40,17 @@
 	if s := c.agenda.next.pop(); s != nil {
 		return s
 	}
-	if c.longQuestions < c.longLimit {
-		return c.agenda.askers.pop()
+	for _, a := range c.askings() {
+		if a.ready() {
+			return a.waiting.pop()
+		}
 	}
 	return nil
 }
 
 // nextWaits reports whether there is a step to look at.
 func (c *Cell) nextWaits() bool {
-	return c.agenda.next.len() > 0 || len(c.agenda.freed) > 0 || c.agenda.askers.len() > 0 && c.longQuestions < c.longLimit
+	return c.agenda.next.len() > 0 || len(c.agenda.freed) > 0 || c.urgentAsking.ready() || c.longAsking.ready()
 }
 
 // usableWorkers finds the workers that may get starts, at most once in a round of
@@ -89,7 +93,8 @@
 
 // placeStep places what it can of one step.
 func (c *Cell) placeStep(now time.Time, s *stepState, usable *usableWorkers) {
-	c.agenda.askers.remove(s)
+	c.urgentAsking.waiting.remove(s)
+	c.longAsking.waiting.remove(s)
 	c.agenda.short.remove(s)
 	if c.settling() && !s.spec.Gang && !s.spec.LongRunning {
 		return
@@ -119,8 +124,8 @@
 	case !q.Advice.Needed():
 		c.agenda.short.add(s)
 	case c.questionOpen(now, s, q):
-	case q.Priority != 0 && c.longQuestions >= c.longLimit:
-		c.agenda.askers.add(s)
+	case c.askingFor(q).room() <= 0:
+		c.askingFor(q).waiting.add(s)
 	case !c.ask(now, s, q, usable):
 		c.agenda.short.add(s)
 	}
