Note no time twice when a manifest changes no rank

Cause: each new manifest noted again for every open step when its rank changes, so a series of manifests made the list of these times long, and each entry dearer. Measured: 20 manifests with 300 open steps added 9,000 entries to 622. Change: only a step whose rank has changed is noted again. TestManifestsAddNoAlarms failed before and passes.

--- a/internal/cell/agenda.go
+++ b/internal/cell/agenda.go
@@ -108,17 +108,19 @@
 	c.reconsider = true
 }
 
-// rerank gives a step the place that its rank asks for now.
-func (c *Cell) rerank(now time.Time, s *stepState) {
+// rerank gives a step the place that its rank asks for now, and reports whether it
+// is another one.
+func (c *Cell) rerank(now time.Time, s *stepState) bool {
 	key := stepKey{c.rank(now, s), s.id}
 	if key.compare(s.key) == 0 {
-		return
+		return false
 	}
 	lists := slices.DeleteFunc(c.listsOf(s), func(l *stepList) bool { return !l.remove(s) })
 	s.key = key
 	for _, l := range lists {
 		l.add(s)
 	}
+	return true
 }
 
 // setAlarms notes when the rank of a step changes, and when it may preempt.
@@ -164,8 +166,9 @@
 	}
 	c.agenda.stale = false
 	for _, s := range slices.Clone(c.agenda.all.steps) {
-		c.rerank(now, s)
-		c.setAlarms(now, s)
+		if c.rerank(now, s) {
+			c.setAlarms(now, s)
+		}
 	}
 	c.markAll()
 }
--- a/internal/cell/backlog_bound_test.go
+++ b/internal/cell/backlog_bound_test.go
@@ -40,6 +40,21 @@
 	b.settle()
 }
 
+// TestManifestsAddNoAlarms puts manifests in force that leave all ranks as they are.
+func TestManifestsAddNoAlarms(t *testing.T) {
+	b := newBacklog(t, 40, 300, whyUnanswered)
+	before := b.cell.Alarms()
+	for version := range uint64(20) {
+		m := backlogManifest
+		m.Version += version + 1
+		b.cell.SetManifest(&m)
+		b.cell.Take(b.now)
+	}
+	if after := b.cell.Alarms(); after > before {
+		t.Errorf("the manifests have added %d alarms to %d", after-before, before)
+	}
+}
+
 // TestABacklogKeepsItsOrder frees room for one task that many steps could use.
 func TestABacklogKeepsItsOrder(t *testing.T) {
 	b := newBacklog(t, 40, 300, whyFull)
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -12,6 +12,9 @@
 // Looked returns how many steps decisions have looked at so far.
 func (c *Cell) Looked() int { return c.looked }
 
+// Alarms returns how many times are noted at which a step is looked at.
+func (c *Cell) Alarms() int { return len(c.agenda.alarms) }
+
 // Missed returns the steps of which a task could be placed now, or for which more
 // workers could be asked about, though the last decision has not done it. Left
 // out are gangs, and workers that have become usable since the last tick without a
