--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -15,6 +15,9 @@
 // Decides reports whether the next decision has a step to look at.
 func (c *Cell) Decides(now time.Time) bool { return c.nextWaits() && !c.line.full(now) }
 
+// Alarms returns how many times are noted at which a step is looked at.
+func (c *Cell) Alarms() int { return len(c.agenda.alarms) }
+
 // Missed returns the steps of which a task could be placed now, or for which more
 // workers could be asked about, though the last decision has not done it. Left
 // out are gangs, and workers that have become usable since the last tick without a
