Double the patience after owners that lasted for a short time

Cause: with small hosts only, takeovers still followed one another.

Change: hosts count owners that lasted for less than 5 s, one after the other, and double the patience after the first and the second, to 2.4 s. An owner that has surely ended or released its row is replaced at once as before.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -98,6 +98,9 @@
 	Unrenewed time.Duration
 	// Gone is set when the owner's process has surely ended.
 	Gone bool
+	// Short is how many owners before this one lasted for a short time, one
+	// after the other.
+	Short int
 }
 
 // Due takes in the state at a time, and reports whether a takeover is due.
@@ -108,7 +111,7 @@
 	if !w.known || s.Version != w.version {
 		w.known, w.version, w.changedAt = true, s.Version, now.Add(-sign.Unrenewed)
 	}
-	patience := max(w.patience, latencyFactor*sign.Latency)
+	patience := max(patient(w.patience, sign.Short), latencyFactor*sign.Latency)
 	return now.Sub(w.changedAt) >= patience || s.stoodFor(patience)
 }
 
--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -41,6 +41,8 @@
 	loseEvery int
 	// wholeReads is how long a read of all accepted jobs takes.
 	wholeReads time.Duration
+	// renewalTakes is how long a transaction of an owner takes, if that is long.
+	renewalTakes time.Duration
 	// reads counts the reads of accepted jobs; of each loseReads the answer is
 	// lost.
 	reads     int
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -40,10 +40,10 @@
 
 // Commit carries out a transaction.
 func (p *fakePort) Commit(ctx context.Context, t rowstore.Transaction) (rowstore.Result, error) {
-	if err := p.travel(ctx, storeName, 2*storeLatency); err != nil {
+	w := p.world
+	if err := p.travel(ctx, storeName, w.commitTime(t)); err != nil {
 		return rowstore.Result{}, err
 	}
-	w := p.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, c := range t.Conditions {
@@ -71,6 +71,20 @@
 	return rowstore.Result{Version: w.version, Clock: w.clock()}, nil
 }
 
+// commitTime returns how long a transaction takes: one of an owner may take longer
+// than a takeover.
+func (w *fakeWorld) commitTime(t rowstore.Transaction) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, write := range t.Writes {
+		row, err := ledger.DecodeOwner(write.Value)
+		if write.Key == ledger.OwnerKey() && err == nil && row.Attempt > 0 {
+			return max(2*storeLatency, w.renewalTakes)
+		}
+	}
+	return 2 * storeLatency
+}
+
 // Read returns the rows of a range.
 func (p *fakePort) Read(ctx context.Context, r rowstore.Range) (rowstore.Snapshot, error) {
 	w := p.world
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -119,6 +119,7 @@
 	owner ownerRef
 	// ownerSince is when this host learned of the owner's epoch.
 	ownerSince time.Time
+	tenures    election.Tenures
 	// members are the hosts that the owners have told of.
 	members map[netip.AddrPort]bool
 	// others counts the hosts beside the owner, by the owner's last answer.
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -58,6 +58,7 @@
 func (h *Host) setOwner(now ownerRef) {
 	if now.epoch != h.owner.epoch {
 		h.ownerSince = h.timers.Now()
+		h.tenures.Begin(h.ownerSince, now.epoch)
 	}
 	h.owner = now
 }
--- a/internal/host/recovering_test.go
+++ b/internal/host/recovering_test.go
@@ -186,3 +186,22 @@
 		}
 	})
 }
+
+// Owners that renew their row in time by their own measure, and do not answer
+// pings, must not be replaced one after the other without an end.
+func TestTakeoversDoNotFollowOneAnotherForever(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, _ *fakeHost) {
+		for _, h := range w.order {
+			w.setCut(h, true, w.otherHosts(h)...)
+		}
+		w.mu.Lock()
+		w.renewalTakes = 700 * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		before := w.row().Epoch
+		time.Sleep(20 * time.Second)
+		if after := w.row().Epoch; after != before {
+			t.Errorf("%d takeovers in 20 s", after-before)
+		}
+	})
+}
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -63,7 +63,7 @@
 		return
 	}
 	h.log.Info("becoming the owner", zap.Uint64("Epoch", me.Epoch), zap.String("After", state.Owner.Host),
-		zap.String("Doubt", h.doubt.reason), zap.Bool("Gone", sign.Gone), zap.Duration("Unrenewed", sign.Unrenewed),
+		zap.String("Doubt", h.doubt.reason), zap.Bool("Gone", sign.Gone), zap.Duration("Unrenewed", sign.Unrenewed), zap.Int("Short", sign.Short),
 		zap.Bool("Released", state.Owner.Released), zap.Duration("Deference", deference))
 	h.become(owner.Tenure{Me: me, Version: result.Version, PreviousEnded: ended})
 }
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -147,7 +147,7 @@
 		return pingEvery
 	}
 	sign := h.doubt.sign(state, latency, begin.Sub(h.unreadable))
-	sign.Gone = h.isGone(state.Owner.Incarnation)
+	sign.Gone, sign.Short = h.isGone(state.Owner.Incarnation), h.shortTenures()
 	if mine || h.watch.Due(h.timers.Now(), state, sign) {
 		h.takeOver(state, sign)
 	}
@@ -175,6 +175,12 @@
 	return h.goneIncarnation != "" && h.goneIncarnation == incarnation
 }
 
+func (h *Host) shortTenures() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tenures.Short()
+}
+
 func (h *Host) lastEnded() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
