Let the answer tell which life of a worker has taken a start

Cause: when a report tells that a worker has begun a new life, starts that had no answer yet were stopped. If the new life takes them, their tasks are at work when the stops arrive, all of a step at once, though its owner may miss only one.

Change: such a start waits for its answer. A clock beyond that of the new life says that the earlier one took it; else the run counts as started, and the next report settles it either way.

--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -124,6 +124,9 @@
 	inLine   bool
 	joinedAt time.Time
 	ahead    bool
+	// crossed is set when the worker began a new life while the start was on its
+	// way.
+	crossed bool
 	// revision is that of the record which names the run.
 	revision uint64
 	ticket   string
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -52,6 +52,8 @@
 		c.release(now, r, EndStopped)
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
+	case r.crossed && outcome.Clock > r.worker.clockNow(now)+leaseSlack:
+		c.release(now, r, EndLapsed) // the earlier life had taken it
 	default:
 		c.begin(r.task.step.job)
 		r.phase = runStarted
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -74,6 +74,9 @@
 		r.startedClock, r.stoppedClock = 0, 0
 		switch {
 		case report.mentions(r):
+		case r.phase == runSent && !r.stopping:
+			// The answer tells which life has taken the start.
+			r.crossed, r.deadline = true, noDeadline
 		case r.phase == runSent || r.phase == runDoubtful:
 			// Its deadline says nothing on the new life's clock.
 			r.phase, r.deadline = runDoubtful, noDeadline
