Read the store at the pace of the link while taking over

Cause: a successor with 10 Mbit/s asked for all 35 ranges at once, and the answers to its renewals and to its peers' pings waited behind them.

Change: as many reads run at once as the link bears, one for each 5 Mbit/s and at least two. When a read is late is taken from the longest of the first reads that end, and from what one reader needs for the largest answer. The reads may last 15 s in place of 6, since a host that takes over no longer looks dead.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -147,11 +147,11 @@
 }
 
 func hostConfig(s settings.Host, self peer.Host) host.Config {
+	capacity := election.Capacity{Processor: s.ProcessorShare, Link: s.LinkMbps}
 	return host.Config{
-		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, Patience: patience,
-		Capacity: election.Capacity{Processor: s.ProcessorShare, Link: s.LinkMbps},
+		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, Patience: patience, Capacity: capacity,
 		Owner: owner.Config{
-			RenewEvery: renewEvery,
+			RenewEvery: renewEvery, Readers: capacity.Readers(),
 			Cell: cell.Config{
 				Lease: min(workerLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease, ContactFor: contactFor,
 				StopRepeat: stopRepeat, KeepEnded: s.Bounds.KeepEnded,
--- a/internal/election/capacity.go
+++ b/internal/election/capacity.go
@@ -34,3 +34,19 @@
 	}
 	return time.Duration(min(work+transfer, maxDeference.Seconds()) * float64(time.Second))
 }
+
+const (
+	// readerMbit is the part of a link that one reader of the store fills.
+	readerMbit = 5
+	minReaders = 2
+	maxReaders = 64
+)
+
+// Readers returns how many reads of the store may run at the same time, so that
+// the answers to renewals and pings do not wait behind those to the reads.
+func (c Capacity) Readers() int {
+	if c.Link <= 0 {
+		return maxReaders
+	}
+	return int(min(max(c.Link/readerMbit, minReaders), maxReaders))
+}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -157,6 +157,14 @@
 	}
 }
 
+func TestReadersFitTheLink(t *testing.T) {
+	for link, want := range map[float64]int{0: 64, 2: 2, 10: 2, 20: 4, 200: 40, 1000: 64} {
+		if got := (election.Capacity{Link: link}).Readers(); got != want {
+			t.Errorf("%d readers on %v Mbit/s, want %d", got, link, want)
+		}
+	}
+}
+
 func TestMalformedRowIsNamed(t *testing.T) {
 	_, err := election.ReadState([]rowstore.Row{{Key: ledger.OwnerKey(), Value: []byte("x"), Version: 1}})
 	if !fault.Is(err, election.KindMalformed) {
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -117,7 +117,7 @@
 func (o *Owner) reread(f *feed) error {
 	ctx, cancel := context.WithTimeout(o.ctx, rereadTimeout)
 	defer cancel()
-	all, err := o.readAll(ctx, newPace(o.timers.Now(), len(f.ranges)), f.ranges...)
+	all, err := o.readAll(ctx, newPace(len(f.ranges), o.config.Readers), f.ranges...)
 	if err != nil {
 		return err
 	}
--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -12,13 +12,15 @@
 )
 
 const (
-	// readersAtOnce bounds the reads of the store that run at the same time.
-	readersAtOnce = 64
-	// lateFactor times the time in which half of the reads have ended is when
-	// another one counts as late, between minLate and maxLate.
+	// lateFactor times the longest of the first reads that have ended is when
+	// another one counts as late, at most maxLate.
 	lateFactor = 3
-	minLate    = 400 * time.Millisecond
 	maxLate    = 3 * time.Second
+	// minLate is the least such time on an endless link. To it comes largestRead,
+	// which one reader needs for the largest answer, divided by the readers that
+	// the link bears.
+	minLate     = 400 * time.Millisecond
+	largestRead = 2200 * time.Millisecond
 	// lateLook is the period at which a read is looked at, and the wait before
 	// a failed one is repeated.
 	lateLook = 100 * time.Millisecond
@@ -28,46 +30,59 @@
 	failedCalls = 3
 )
 
-// pace tells how long reads that begin together take.
+// pace tells how long reads that begin together take, and bounds how many of them
+// run at the same time.
 type pace struct {
-	mu    sync.Mutex
-	began time.Time
-	// left is how many reads have to end until half of them have.
-	left int
-	// half is in which time half of the reads have ended; 0 is unknown.
-	half time.Duration
+	slots chan struct{}
+
+	mu sync.Mutex
+	// unknown is how many reads have to end until it is known how long one takes.
+	unknown int
+	longest time.Duration
 }
 
-func newPace(now time.Time, reads int) *pace { return &pace{began: now, left: (reads + 1) / 2} }
+func newPace(reads, readers int) *pace {
+	readers = max(readers, 1)
+	return &pace{slots: make(chan struct{}, readers), unknown: min((reads+1)/2, 2*readers)}
+}
 
-// ended notes that a read has ended.
-func (p *pace) ended(now time.Time) {
+// ended notes how long a read took.
+func (p *pace) ended(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.left--; p.left == 0 {
-		p.half = now.Sub(p.began)
+	if p.unknown == 0 {
+		return // later ones may have been repeated
 	}
+	p.unknown--
+	p.longest = max(p.longest, took)
 }
 
 // lateAfter returns after which time a call counts as late.
 func (p *pace) lateAfter() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.half == 0 {
+	if p.unknown > 0 {
 		return maxLate
 	}
-	return min(max(lateFactor*p.half, minLate), maxLate)
+	least := minLate + largestRead/time.Duration(cap(p.slots))
+	return min(max(lateFactor*p.longest, least), maxLate)
 }
 
 // readAll reads ranges to their end, at the pace of all reads that begin with them.
 func (o *Owner) readAll(ctx context.Context, p *pace, ranges ...rowstore.Range) (tableRows, error) {
 	found := make([]tableRows, len(ranges))
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(readersAtOnce)
 	for i, r := range ranges {
 		group.Go(func() (err error) {
+			select {
+			case p.slots <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			defer func() { <-p.slots }()
+			begin := o.timers.Now()
 			found[i], err = o.readRange(ctx, r, p)
-			p.ended(o.timers.Now())
+			p.ended(o.timers.Now().Sub(begin))
 			return err
 		})
 	}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -10,8 +10,8 @@
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
-// recoverTimeout bounds the reads of a new owner.
-const recoverTimeout = 6 * time.Second
+// recoverTimeout bounds the reads of a new owner, also over a narrow link.
+const recoverTimeout = 15 * time.Second
 
 // recovery is the time from the takeover until the store has been read. The row
 // is renewed in it, and nothing is granted or started.
