Gather the workers of a question in a type of its own

worthAsking had grown a closure and three exits. What is asked is the same: no script and no golden file changes. A run that has left the line is no longer held by it.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -161,27 +161,41 @@
 	spareRoom = 1.5
 )
 
+// candidates gathers the workers that a question names.
+type candidates struct {
+	step *stepState
+	ids  []WorkerID
+	// wanted is for how many more tasks there should be room, and share the part of
+	// the workers that is usually allowed.
+	wanted float64
+	share  float64
+}
+
+// enough reports whether no more workers are to be named.
+func (l *candidates) enough() bool { return l.wanted <= 0 || len(l.ids) >= maxAsked }
+
+// add names a worker if it has room.
+func (l *candidates) add(w *worker) {
+	room := l.step.roomOn(w)
+	if room == 0 || l.enough() {
+		return
+	}
+	l.ids = append(l.ids, w.id)
+	l.wanted -= l.share * float64(room)
+}
+
 // worthAsking returns the workers to ask about: those with room for the tasks
 // that wait, as many as should give enough of it. Workers that are known to be
-// allowed and need only a fresh ticket come first. Of the others, those are left
-// to the open questions that these should name, as long as there are more.
+// allowed and need only a fresh ticket come first. Of the others, as many are left
+// to the open questions as these name, unless there are no more.
 func (c *Cell) worthAsking(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []WorkerID {
-	asked, wanted := c.worthRenewing(now, s, q)
-	if wanted <= 0 {
-		return asked[:min(len(asked), maxAsked)]
-	}
-	share := c.allowedShare(q)
+	known, wanted := c.worthRenewing(now, s, q)
+	out := &candidates{step: s, ids: known, wanted: wanted, share: c.allowedShare(q)}
 	leave := c.askingFor(q).named
 	var left []*worker
-	ask := func(w *worker) {
-		if room := s.roomOn(w); room > 0 && wanted > 0 && len(asked) < maxAsked {
-			asked = append(asked, w.id)
-			wanted -= share * float64(room)
-		}
-	}
 	need := s.spec.Reserved()
 	for _, w := range usable.of(q.Service) {
-		if wanted <= 0 || len(asked) >= maxAsked {
+		if out.enough() {
 			break
 		}
 		if !need.Fits(w.free()) || s.advice.knows(w.id) || !s.fits(w) {
@@ -191,15 +205,13 @@
 			left = append(left, w)
 			continue
 		}
-		ask(w)
+		out.add(w)
 	}
-	if len(left) > 0 {
-		first := leave % len(left)
-		for _, w := range slices.Concat(left[first:], left[:first]) {
-			ask(w)
-		}
+	for i := range left {
+		// Not always the first ones, which all others would name as well.
+		out.add(left[(leave+i)%len(left)])
 	}
-	return asked[:min(len(asked), maxAsked)]
+	return out.ids[:min(len(out.ids), maxAsked)]
 }
 
 // worthRenewing returns the allowed workers whose ticket has run out, as many as are
--- a/internal/cell/startline.go
+++ b/internal/cell/startline.go
@@ -57,6 +57,7 @@
 		return nil
 	}
 	r := (*from)[0]
+	(*from)[0] = nil
 	*from = (*from)[1:]
 	r.inLine = false
 	return r
