Keep showing a job as running when an older record becomes durable

Since a job begins when a worker has taken a start, a record made before that may commit after it, and its state (Queued) covered the one that callers had been shown (Running). Nothing wrote it again.

Change: only a final state, or one of a job that has not begun, comes from a record. The script older-record-after-a-start failed before and passes.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -65,7 +65,9 @@
 			continue
 		}
 		j.durable = records[i].Revision
-		j.shown = records[i].State
+		if records[i].State.Final() || !j.begun {
+			j.shown = records[i].State
+		}
 		c.lineUp(now, j)
 	}
 }
