Let no urgent task wait for starts of others, nor for runs without a record

Change: the line has two parts, each with its own count and wait, and only runs that wait to be sent count. Urgent steps look at the urgent part alone; other steps are put back, and looked at again once the line is shorter.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -141,7 +141,7 @@
 // Take returns what is to be done now, and forgets it.
 func (c *Cell) Take(now time.Time) []Action {
 	c.sendFromLine(now)
-	if c.reconsider && !c.line.full(now) {
+	if c.reconsider && !c.line.full(now, true) {
 		c.reconsider = false
 		c.resolveUnrecorded(now)
 		c.place(now)
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -13,7 +13,7 @@
 func (c *Cell) Looked() int { return c.looked }
 
 // Decides reports whether the next decision has a step to look at.
-func (c *Cell) Decides(now time.Time) bool { return c.nextWaits() && !c.line.full(now) }
+func (c *Cell) Decides(now time.Time) bool { return c.nextWaits() && !c.line.full(now, false) }
 
 // Alarms returns how many times are noted at which a step is looked at.
 func (c *Cell) Alarms() int { return len(c.agenda.alarms) }
@@ -24,9 +24,6 @@
 // word of theirs.
 func (c *Cell) Missed(now time.Time) []workload.StepID {
 	var out []workload.StepID
-	if c.line.full(now) {
-		return nil // nothing is placed until starts are sent
-	}
 	usable := newUsableWorkers(c)
 	usable.begin(now)
 	usable.of("")
@@ -34,7 +31,7 @@
 		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.wasUsable })
 	}
 	for _, s := range c.open {
-		if s.spec.Gang || c.settling() && !s.spec.LongRunning {
+		if s.spec.Gang || c.settling() && !s.spec.LongRunning || c.line.full(now, c.urgent(s)) {
 			continue
 		}
 		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.wasUsable })
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -124,6 +124,8 @@
 	inLine   bool
 	joinedAt time.Time
 	ahead    bool
+	// urgent is set if its queue was of the first priority when it was planned.
+	urgent bool
 	// crossed is set when the worker began a new life while the start was on its
 	// way.
 	crossed bool
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -24,7 +24,6 @@
 }
 
 func (c *Cell) sendStart(now time.Time, r *run) {
-	c.leavePlanned(r)
 	r.phase = runSent
 	r.sentAt = now
 	r.fresh = r.task.checkpoint == ""
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -20,7 +20,8 @@
 	}
 	c.agenda.decision++
 	c.usableNow.begin(now)
-	for looks := 0; looks < maxLooks && !c.line.full(now); looks++ {
+	var held []*stepState
+	for looks := 0; looks < maxLooks; looks++ {
 		if c.agenda.next.len() == 0 || looks == 0 {
 			c.offerFreed(now)
 		}
@@ -28,13 +29,26 @@
 		if s == nil {
 			break
 		}
+		if c.line.full(now, c.urgent(s)) {
+			held = append(held, s)
+			if s.spec.LongRunning {
+				continue // urgent steps may come after it
+			}
+			break
+		}
 		c.looked++
 		s.lookedIn = c.agenda.decision
 		c.placeStep(now, s, &c.usableNow)
 	}
+	for _, s := range held {
+		c.agenda.next.add(s)
+	}
 	c.reconsider = c.reconsider || c.nextWaits()
 }
 
+// urgent reports whether a step is of the first priority.
+func (c *Cell) urgent(s *stepState) bool { return c.queueOf(s.job).Priority == 0 }
+
 // nextStep takes the next step to look at off the agenda, or returns nil.
 func (c *Cell) nextStep() *stepState {
 	if s := c.agenda.next.pop(); s != nil {
@@ -110,7 +124,7 @@
 	}
 	switch {
 	case s.waiting == 0:
-	case c.line.full(now):
+	case c.line.full(now, c.urgent(s)):
 		c.mark(s)
 	default:
 		c.seekWorkers(now, s, q, usable)
@@ -172,7 +186,7 @@
 		if t.phase != phaseWaiting || c.ahead.unrecorded[t.id] != nil {
 			continue
 		}
-		if c.line.full(now) {
+		if c.line.full(now, c.urgent(s)) {
 			break
 		}
 		w := c.choose(now, s, eligible, t.failedOn)
@@ -280,7 +294,7 @@
 	c.changed(s.job)
 	r.revision = s.job.revision
 	s.job.planned = append(s.job.planned, r)
-	c.line.unsent++
+	r.urgent = c.urgent(s)
 	r.ahead = c.mayGoAhead(r)
 	t.numberRevision = r.revision
 	if r.ahead {
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -30,7 +30,7 @@
 func (c *Cell) progress(now time.Time, r *run, e *Running) {
 	c.begin(r.task.step.job)
 	if r.phase != runStarted {
-		c.leavePlanned(r)
+		c.line.leave(r)
 		r.phase = runStarted
 		r.startedClock = r.worker.clock
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -266,7 +266,7 @@
 	}
 	r.worker.taken = r.worker.taken.Sub(s.spec.Reserved())
 	r.worker.settlePreempted(r, s.spec.Reserved())
-	c.leavePlanned(r)
+	c.line.leave(r)
 	c.gotRoom(r.worker)
 	if t.current != r {
 		return
--- a/internal/cell/startline.go
+++ b/internal/cell/startline.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// maxUnsent bounds the runs that have a place and whose start has not been
-	// sent. They hold room at workers, and tickets that run out.
-	maxUnsent = 512
+	// maxInLine bounds the starts that wait to be sent. They hold room at workers,
+	// and tickets that run out.
+	maxInLine = 512
 	// maxLineWait is how long a start may have waited in the line until no more
-	// tasks are placed. A ticket lasts several times as long.
+	// tasks are placed.
 	maxLineWait = 250 * time.Millisecond
 	// anyNumber of starts may be sent by a cell that was told no limit.
 	anyNumber = math.MaxInt
@@ -21,17 +21,30 @@
 // start says is decided when it leaves the line and not when it joins.
 type startLine struct {
 	// urgent holds the runs of the first priority, which go before all others.
-	urgent []*run
-	others []*run
+	urgent runQueue
+	others runQueue
 	// limit is how many starts may be sent now.
 	limit int
-	// unsent counts the runs that have a place and whose start was not sent.
-	unsent int
+}
+
+// runQueue is a part of the line. Runs that were given up stay in it until their turn.
+type runQueue struct {
+	runs []*run
+	// waiting counts the runs that were not given up.
+	waiting int
 }
 
 // LimitStarts tells how many starts may be sent until it is called again.
 func (c *Cell) LimitStarts(limit int) { c.line.limit = limit }
 
+// of returns the part of the line that a run belongs to.
+func (l *startLine) of(r *run) *runQueue {
+	if r.urgent {
+		return &l.urgent
+	}
+	return &l.others
+}
+
 // join puts a run at the end of the line.
 func (c *Cell) join(now time.Time, r *run) {
 	if r.inLine {
@@ -40,47 +53,52 @@
 	r.inLine = true
 	r.joinedAt = now
 	c.observe(StageRecord, r.task.step.job, now.Sub(r.plannedAt))
-	if c.queueOf(r.task.step.job).Priority == 0 {
-		c.line.urgent = append(c.line.urgent, r)
-		return
+	part := c.line.of(r)
+	part.waiting++
+	part.runs = append(part.runs, r)
+}
+
+// leave notes that a run waits in the line no more.
+func (l *startLine) leave(r *run) {
+	if r.inLine {
+		r.inLine = false
+		l.of(r).waiting--
 	}
-	c.line.others = append(c.line.others, r)
 }
 
 // next takes the run out of the line whose turn it is, or returns nil.
 func (l *startLine) next() *run {
-	from := &l.urgent
-	if len(l.urgent) == 0 {
-		from = &l.others
-	}
-	if len(*from) == 0 {
-		return nil
+	for _, part := range []*runQueue{&l.urgent, &l.others} {
+		for len(part.runs) > 0 {
+			r := part.runs[0]
+			part.runs[0] = nil
+			part.runs = part.runs[1:]
+			if r.inLine {
+				l.leave(r)
+				return r
+			}
+		}
 	}
-	r := (*from)[0]
-	(*from)[0] = nil
-	*from = (*from)[1:]
-	r.inLine = false
-	return r
+	return nil
 }
 
-// full reports whether no more tasks should be placed, since those that have a
-// place wait to be sent.
-func (l *startLine) full(now time.Time) bool {
-	if l.unsent >= maxUnsent {
+// full reports whether no more tasks should be placed, urgent ones or others, since
+// those that have a place wait to be sent. Urgent ones do not wait for others.
+func (l *startLine) full(now time.Time, urgent bool) bool {
+	if l.urgent.waiting >= maxInLine || l.urgent.wait(now) > maxLineWait {
 		return true
 	}
-	return l.wait(now) > maxLineWait
+	return !urgent && (l.urgent.waiting+l.others.waiting >= maxInLine || l.others.wait(now) > maxLineWait)
 }
 
-// wait returns how long the start has waited that waits longest.
-func (l *startLine) wait(now time.Time) time.Duration {
-	longest := time.Duration(0)
-	for _, part := range [][]*run{l.urgent, l.others} {
-		if len(part) > 0 {
-			longest = max(longest, now.Sub(part[0].joinedAt))
+// wait returns how long the first run has waited.
+func (q *runQueue) wait(now time.Time) time.Duration {
+	for _, r := range q.runs {
+		if r.inLine {
+			return now.Sub(r.joinedAt)
 		}
 	}
-	return longest
+	return 0
 }
 
 // sendFromLine sends the starts whose turn it is. A run whose start would be
@@ -92,8 +110,6 @@
 			return
 		}
 		switch {
-		case r.task.current != r || r.phase != runPlanned:
-			// released, or sent ahead of its record
 		case !c.maySend(r):
 			// its record is on the way and brings it back into the line
 		case r.task.step.job.state.Final() || !c.usable(now, r.worker) || !c.renewTicket(now, r):
@@ -107,13 +123,6 @@
 	}
 }
 
-// leavePlanned notes that a run is no longer one whose start was not sent.
-func (c *Cell) leavePlanned(r *run) {
-	if r.phase == runPlanned {
-		c.line.unsent--
-	}
-}
-
 // maySend reports whether the record of a run is durable, or its start may go
 // ahead of it.
 func (c *Cell) maySend(r *run) bool {
