Name the workers of starts whose record has not been written yet

A start goes ahead of its record, the store is quick again, and the next row names no worker since it brings the record. If that commit fails and the one after it has no place for the record, its row names nobody either: a successor takes the task to wait, and may start it beside the run (TWICE). It takes over 90 records, or less beside many removes.

Change: the cell keeps the runs that were sent ahead until a record of theirs is durable, and each row names their workers unless it comes with the record. TestARowNamesAWorkerWhoseStartHasNoRecordYet failed before and passes.

--- a/internal/cell/ahead.go
+++ b/internal/cell/ahead.go
@@ -32,7 +32,10 @@
 	allowed map[WorkerID]bool
 	// unsettled holds the workers that an earlier owner named and that have
 	// neither reported nor lost their lease.
-	unsettled  map[WorkerID]bool
+	unsettled map[WorkerID]bool
+	// undurable holds the runs that were sent ahead of a record which is not
+	// known to be durable.
+	undurable  []*run
 	unrecorded map[workload.TaskID]*unrecordedRun
 }
 
@@ -67,6 +70,9 @@
 			named[w.id] = true
 		}
 	}
+	for _, id := range c.undurableWorkers() {
+		named[id] = true
+	}
 	if c.HasRecords() {
 		// The row comes with records, but not with all of them.
 		maps.Copy(named, c.ahead.allowed)
@@ -75,6 +81,23 @@
 	return slices.Sorted(maps.Keys(named))
 }
 
+// undurableWorkers returns the workers with runs that were sent ahead of a record
+// which the next commit does not bring.
+func (c *Cell) undurableWorkers() []WorkerID {
+	var out []WorkerID
+	c.ahead.undurable = slices.DeleteFunc(c.ahead.undurable, func(r *run) bool {
+		j := r.task.step.job
+		if r.revision <= j.durable {
+			return true
+		}
+		if j.dirty {
+			out = append(out, r.worker.id)
+		}
+		return false
+	})
+	return out
+}
+
 // AheadCommitted notes the workers that the owner's durable row names.
 func (c *Cell) AheadCommitted(named []WorkerID) {
 	clear(c.ahead.allowed)
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -25,6 +25,9 @@
 
 func (c *Cell) sendStart(now time.Time, r *run) {
 	r.phase = runSent
+	if r.revision > r.task.step.job.durable {
+		c.ahead.undurable = append(c.ahead.undurable, r)
+	}
 	r.sentAt = now
 	r.fresh = r.task.checkpoint == ""
 	r.deadline = r.worker.grant(now, c.config.Lease)
--- /dev/null
+++ b/internal/cell/record_test.go
@@ -0,0 +1,61 @@
+package cell_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// recordsOf returns the jobs of the next records.
+func recordsOf(c *cell.Cell, limit int) ([]cell.Record, []workload.JobID) {
+	records := c.Records(limit)
+	ids := make([]workload.JobID, len(records))
+	for i := range records {
+		ids[i] = records[i].Job
+	}
+	return records, ids
+}
+
+// aheadCell has one worker, which the owner's durable row names.
+func aheadCell() (*cell.Cell, time.Time) {
+	now := time.Unix(1_700_000_000, 0)
+	c := cell.New(now, scriptConfig, unobserved{}, zap.NewNop())
+	c.SetManifest(&backlogManifest)
+	c.Register(now, cell.Registration{ID: "w", Incarnation: 1, Machine: "m", Service: "s", Room: job.Size{MilliCores: 1000}})
+	c.Reported(now, "w", cell.Report{Incarnation: 1})
+	c.GoAhead(true)
+	c.AheadCommitted(c.AheadWorkers(now))
+	return c, now
+}
+
+func acceptFree(c *cell.Cell, now time.Time, id string) {
+	step := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 1000}, Estimate: time.Second}
+	c.Accept(now, cell.Accepted{Job: workload.Job{ID: workload.JobID(id), Queue: "free", Steps: []workload.Step{step}}})
+}
+
+// The record of a start that went ahead fails to be written, and the next commit has no place for it.
+func TestARowNamesAWorkerWhoseStartHasNoRecordYet(t *testing.T) {
+	c, now := aheadCell()
+	acceptFree(c, now, "a")
+	if actions := c.Take(now); len(actions) != 1 {
+		t.Fatalf("%v in place of a start ahead of its record", actions)
+	}
+	c.GoAhead(false)
+	records, _ := recordsOf(c, 90)
+	if named := c.AheadWorkers(now); len(named) > 0 {
+		t.Fatalf("%v named beside the record", named)
+	}
+	c.NotCommitted(records)
+	if _, ids := recordsOf(c, 0); len(ids) > 0 {
+		t.Fatalf("records of %v", ids)
+	}
+	if named := c.AheadWorkers(now); !slices.Equal(named, []cell.WorkerID{"w"}) {
+		t.Errorf("%v named, and neither the worker nor its record", named)
+	}
+}
