Write records that failed first, and then those that urgent starts wait for

After a takeover with named workers every open job has a record to write, so an urgent start waited for 6 commits with 500 jobs and for 34 with 3,000, half a second each on a slow store. A record whose commit had failed went to the end of the line.

Change: if not all records fit, those whose commit has failed go first, then those of jobs with urgent starts. TestRecordsOfUrgentStartsGoFirst and TestRecordsWhoseCommitFailedGoFirst failed before and pass.

--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -34,8 +34,10 @@
 	// the store holds.
 	revision uint64
 	durable  uint64
-	// dirty is set while the job waits for its record to be written.
+	// dirty is set while the job waits for its record to be written, and again if
+	// that has failed.
 	dirty bool
+	again bool
 	// planned holds the runs whose start waits for a durable record.
 	planned []*run
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,15 +43,30 @@
 // They count as taken: a later change of a job gives a new record.
 func (c *Cell) Records(limit int) []Record {
 	n := min(limit, len(c.dirty))
+	if n < len(c.dirty) {
+		slices.SortStableFunc(c.dirty, func(a, b *jobState) int { return cmp.Compare(a.recordRank(), b.recordRank()) })
+	}
 	out := make([]Record, n)
 	for i, j := range c.dirty[:n] {
-		j.dirty = false
+		j.dirty, j.again = false, false
 		out[i] = j.record()
 	}
 	c.dirty = slices.Delete(c.dirty, 0, n)
 	return out
 }
 
+// recordRank orders the records that wait: those whose commit has failed come
+// first, and then those that urgent starts wait for.
+func (j *jobState) recordRank() int {
+	switch {
+	case j.again:
+		return 0
+	case slices.ContainsFunc(j.planned, func(r *run) bool { return r.urgent }):
+		return 1
+	}
+	return 2
+}
+
 // HasRecords reports whether a record waits to be made durable.
 func (c *Cell) HasRecords() bool { return len(c.dirty) > 0 || len(c.WaveRecords()) > 0 }
 
@@ -78,6 +94,7 @@
 	for i := range records {
 		if j, known := c.jobs[records[i].Job]; known {
 			c.markDirty(j)
+			j.again = true
 		}
 	}
 }
--- a/internal/cell/record_test.go
+++ b/internal/cell/record_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -59,3 +60,37 @@
 		t.Errorf("%v named, and neither the worker nor its record", named)
 	}
 }
+
+func TestRecordsOfUrgentStartsGoFirst(t *testing.T) {
+	b := newBacklog(t, 100, 0, whyUnanswered)
+	for i := range 200 {
+		b.accept(workload.JobID(fmt.Sprint("free", i)), "free", workload.Step{Tasks: 1, Size: job.Size{MilliCores: 100}, Estimate: time.Second})
+	}
+	for range 10 {
+		b.cell.Take(b.now)
+	}
+	b.accept("urgent", "hold", workload.Step{Tasks: 1, Size: job.Size{MilliCores: 100}, Estimate: time.Second})
+	for _, q := range b.carryOut(b.cell.Take(b.now)) {
+		b.cell.Advised(b.now, cell.Advice{Step: q.Step, Asked: q.Workers, Allowed: []cell.Ticket{{Worker: q.Workers[0], Value: "t"}}})
+	}
+	b.cell.Take(b.now)
+	if _, ids := recordsOf(b.cell, 90); !slices.Contains(ids, "urgent") {
+		t.Error("the record of an urgent start is not among the first 90 of 201")
+	}
+}
+
+func TestRecordsWhoseCommitFailedGoFirst(t *testing.T) {
+	c, now := aheadCell()
+	acceptFree(c, now, "a")
+	c.Take(now)
+	failed, _ := recordsOf(c, 90)
+	for i := range 100 {
+		id := workload.JobID(fmt.Sprint("b", i))
+		acceptFree(c, now, string(id))
+		c.Cancel(now, id)
+	}
+	c.NotCommitted(failed)
+	if _, ids := recordsOf(c, 90); !slices.Contains(ids, "a") {
+		t.Error("the record that failed is not among the first 90 of 101")
+	}
+}
