Send no stop to a worker that is silent

Change: a stop for a silent worker is left to the tick, which sends it as soon as the worker answers again, as it did with repeated stops. What runs there ends with its lease otherwise. The script stop-waits-for-contact failed before and passes.

--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -102,7 +102,13 @@
 	c.sendStop(now, r)
 }
 
+// sendStop sends a stop, unless the worker is silent: it would hold other stops up,
+// and goes out once the worker answers.
 func (c *Cell) sendStop(now time.Time, r *run) {
+	if !c.inContact(now, r.worker) {
+		r.stopSentAt = time.Time{}
+		return
+	}
 	r.stopSentAt = now
 	c.act(SendStop{Worker: r.worker.id, Task: r.task.id, Run: r.number})
 }
@@ -157,7 +163,7 @@
 		}
 		return
 	}
-	if !w.reported || now.Sub(w.lastReport) > c.config.ContactFor {
+	if !c.inContact(now, w) {
 		return // stops go on once the worker answers
 	}
 	for _, r := range w.runs.list {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -242,10 +242,15 @@
 	unlistedFor = 3 * time.Second
 )
 
+// inContact reports whether a worker has answered this owner lately.
+func (c *Cell) inContact(now time.Time, w *worker) bool {
+	return w.reported && now.Sub(w.lastReport) <= c.config.ContactFor
+}
+
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedFor
-	if !listed || !w.reported || w.registration.Leaving || now.Sub(w.lastReport) > c.config.ContactFor {
+	if !listed || w.registration.Leaving || !c.inContact(now, w) {
 		return false
 	}
 	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
