Start nothing for a moment at a worker that a start did not reach

Change: the worker gets no start for 0.3 s, as after a refused call. The script unsent-start failed before and passes.

--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -51,6 +51,7 @@
 		c.log.Warn("a start has no answer", runFields(r)...)
 		c.stop(now, r)
 	case outcome.NotSent:
+		r.worker.health.refused(now)
 		c.release(now, r, EndStopped)
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
