Pause before a question for advice that has failed is asked again

Change: the step waits for 50 ms, and twice as long after each further failure, up to 0.4 s. TestAdviceThatIsRefusedIsNotAskedForAtOnce failed before and passes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -24,6 +24,10 @@
 	// questions it counts.
 	named int
 	among *asking
+	// notBefore is when the step may ask again after questions that failed, and
+	// pause how long it waits for that after the next one.
+	notBefore time.Time
+	pause     time.Duration
 }
 
 type ticket struct {
@@ -38,6 +42,9 @@
 	// ticketMargin is how long before its end a ticket is no longer used, for
 	// a start takes a while to arrive.
 	ticketMargin = 150 * time.Millisecond
+	// firstAskPause and maxAskPause bound the wait after a question that failed.
+	firstAskPause = 50 * time.Millisecond
+	maxAskPause   = 400 * time.Millisecond
 	// adviceTimeout is the wait for an answer beyond the question's cost.
 	adviceTimeout = 4 * time.Second
 )
@@ -56,11 +63,13 @@
 	}
 	s := j.occurrences[answer.Step.Occurrence][answer.Step.Step]
 	c.settleQuestion(s)
-	c.mark(s)
 	c.reconsider = true
 	if answer.Failed {
+		c.askLater(now, s)
 		return
 	}
+	s.advice.pause = 0
+	c.mark(s)
 	valid := answer.Valid
 	if valid == 0 {
 		valid = c.queueOf(j).Advice.Valid
@@ -106,6 +115,13 @@
 	}
 }
 
+// askLater has a step ask again after a pause, which grows with each failure.
+func (c *Cell) askLater(now time.Time, s *stepState) {
+	s.advice.pause = min(max(2*s.advice.pause, firstAskPause), maxAskPause)
+	s.advice.notBefore = now.Add(s.advice.pause)
+	c.setAlarm(now, s, s.advice.notBefore)
+}
+
 // questionOpen reports whether an answer about a step is still waited for.
 func (c *Cell) questionOpen(now time.Time, s *stepState, q *manifest.Queue) bool {
 	if s.advice.askedAt.IsZero() {
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -52,7 +52,7 @@
 // a worker may have to ask once others take the room there; ticks see to that.
 func (c *Cell) couldAsk(now time.Time, s *stepState, usable *usableWorkers) bool {
 	q := c.queueOf(s.job)
-	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || c.askingFor(q).room() <= 0 {
+	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || now.Before(s.advice.notBefore) || c.askingFor(q).room() <= 0 {
 		return false
 	}
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.failedOn != "" }) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -137,7 +137,7 @@
 	switch {
 	case !q.Advice.Needed():
 		c.agenda.short.add(s)
-	case c.questionOpen(now, s, q):
+	case c.questionOpen(now, s, q) || now.Before(s.advice.notBefore):
 	case c.askingFor(q).room() <= 0:
 		c.askingFor(q).waiting.add(s)
 	case !c.ask(now, s, q, usable):
--- a/internal/cell/questions_test.go
+++ b/internal/cell/questions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 )
@@ -29,3 +30,27 @@
 		}
 	}
 }
+
+// TestAdviceThatIsRefusedIsNotAskedForAtOnce has each question fail at once for ten seconds.
+func TestAdviceThatIsRefusedIsNotAskedForAtOnce(t *testing.T) {
+	const steps, span, pause = 50, 10 * time.Second, 10 * time.Millisecond
+	b := newBacklog(t, 40, 0, whyUnanswered)
+	questions := b.acceptBacklog(2 * steps)
+	asked := 0
+	for range int(span / pause) {
+		for _, q := range questions {
+			if q.Urgent {
+				asked++
+			}
+			b.cell.Advised(b.now, cell.Advice{Step: q.Step, Asked: q.Workers, Failed: true})
+		}
+		b.now = b.now.Add(pause)
+		b.cell.Tick(b.now)
+		questions = b.carryOut(b.cell.Take(b.now))
+	}
+	// Three a second for each step are a small part of what 30 hosts can ask, which is
+	// some 30 a second each.
+	if most := steps * 3 * int(span/time.Second); asked > most || asked < steps {
+		t.Errorf("%d questions about %d steps in %v, at most %d expected", asked, steps, span, most)
+	}
+}
