End the doubled patience with a healthy tenure

Cause: the count of short tenures went back to 0 only with the epoch after a long tenure, so it stood for the whole of that long tenure. After three short owners at a start, one that had been well for an hour was replaced after 2.4 s in place of 0.6 s. An owner that gave the cell up in good order within 5 s counted as short as well.

Evidence: TestPatienceEndsWithAHealthyTenure failed before (a silent owner of a minute, after two short ones, was replaced after 2.6 s; 1.5 s are allowed), and so did TestAReleasedRowIsNoShortTenure (each of four hosts counted 1). Callers saw a cell without decisions for up to 1.8 s longer.

Change: an owner that answers a ping as a healthy one 5 s or more after its beginning ends the count. An owner whose released row the host has seen is not counted; it does not end the count either, since a host that could not read the store releases it too.

Tried first: the count is 0 once 5 s have passed, whatever the owner answers. TestTakeoversDoNotFollowOneAnotherForever failed with that (7 takeovers in 20 s, 40 of 40 runs): owners that renew every 0.7 s and reach no peer last only because the patience is doubled. So time alone does not end it, an answer does.

TestShortTenuresAreCounted asks only as epochs begin; the tests beside it ask between them. A host that learns of the successor before it reads the released row still counts that tenure.

--- a/internal/election/tenures.go
+++ b/internal/election/tenures.go
@@ -13,9 +13,10 @@
 // follows another, hosts take the cell over sooner than any of them can begin to
 // decide, and have to be more patient.
 type Tenures struct {
-	epoch uint64
-	since time.Time
-	short int
+	epoch    uint64
+	since    time.Time
+	released bool
+	short    int
 }
 
 // Begin notes that an epoch is known from now on.
@@ -23,12 +24,30 @@
 	if epoch <= t.epoch {
 		return
 	}
-	if t.epoch > 0 && now.Sub(t.since) < shortTenure {
+	switch lasted := now.Sub(t.since); {
+	case t.epoch == 0 || lasted >= shortTenure:
+		t.short = 0
+	case !t.released:
 		t.short++
-	} else {
+	}
+	t.epoch, t.since, t.released = epoch, now, false
+}
+
+// Release notes that the owner of an epoch has given the cell up. Its tenure is
+// not counted, since nobody lost patience with it.
+func (t *Tenures) Release(epoch uint64) {
+	if epoch == t.epoch {
+		t.released = true
+	}
+}
+
+// Well notes that the owner of an epoch has answered as a healthy one. If it has
+// lasted by then, the short tenures before it count no more. Time alone is not
+// enough: an owner that never answers may last only because hosts are patient.
+func (t *Tenures) Well(now time.Time, epoch uint64) {
+	if epoch == t.epoch && now.Sub(t.since) >= shortTenure {
 		t.short = 0
 	}
-	t.epoch, t.since = epoch, now
 }
 
 // Short returns how many owners before this one lasted for a short time, one
--- a/internal/election/tenures_test.go
+++ b/internal/election/tenures_test.go
@@ -31,6 +31,56 @@
 	}
 }
 
+// Short tenures count against the next owner until it is well after 5 s.
+func TestAHealthyTenureEndsTheShortOnes(t *testing.T) {
+	begin := time.Unix(0, 0)
+	var tenures election.Tenures
+	for epoch := range uint64(4) {
+		tenures.Begin(begin, epoch+1)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		epoch uint64
+		short int
+	}{
+		{0, 4, 3},
+		{5*time.Second - 1, 4, 3},
+		{time.Hour, 3, 3}, // an answer of an earlier owner
+		{5 * time.Second, 4, 0},
+	} {
+		tenures.Well(begin.Add(c.after), c.epoch)
+		if got := tenures.Short(); got != c.short {
+			t.Errorf("epoch %d is well after %v: %d short tenures", c.epoch, c.after, got)
+		}
+	}
+	tenures.Begin(begin.Add(time.Hour), 5)
+	tenures.Begin(begin.Add(time.Hour+time.Second), 6)
+	if got := tenures.Short(); got != 1 {
+		t.Errorf("%d short tenures after a long and a short one", got)
+	}
+}
+
+func TestAReleasedTenureIsNotCounted(t *testing.T) {
+	now := time.Unix(0, 0)
+	var tenures election.Tenures
+	tenures.Begin(now, 1)
+	tenures.Begin(now, 2)
+	tenures.Release(1) // has ended already
+	tenures.Begin(now, 3)
+	if got := tenures.Short(); got != 2 {
+		t.Errorf("%d short tenures before the release", got)
+	}
+	tenures.Release(3)
+	tenures.Begin(now, 4)
+	if got := tenures.Short(); got != 2 {
+		t.Errorf("%d short tenures after the release", got)
+	}
+	tenures.Begin(now, 5)
+	if got := tenures.Short(); got != 3 {
+		t.Errorf("%d short tenures after the one that followed the release", got)
+	}
+}
+
 func TestWatchIsPatientAfterShortTenures(t *testing.T) {
 	for short, want := range []time.Duration{patience, 2 * patience, 4 * patience, 4 * patience} {
 		sign := election.Sign{Short: short}
--- /dev/null
+++ b/internal/host/tenures_test.go
@@ -0,0 +1,61 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/election"
+	"cicadabarrow.example/cicadabarrow/internal/message"
+)
+
+// silence cuts the owner off, and returns how long it took until the row named
+// another one.
+func (w *fakeWorld) silence(t *testing.T) time.Duration {
+	t.Helper()
+	row := w.row()
+	for _, h := range w.order {
+		if h.addr == row.Addr {
+			w.setCut(h, true, append(w.otherHosts(h), storeName)...)
+		}
+	}
+	begin := time.Now()
+	for w.row().Epoch == row.Epoch {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatalf("epoch %d was not replaced", row.Epoch)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// After short tenures, an owner that has lasted is replaced as soon as any.
+func TestPatienceEndsWithAHealthyTenure(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, _ *fakeHost) {
+		w.silence(t)
+		time.Sleep(time.Second)
+		w.silence(t)
+		time.Sleep(time.Minute)
+		if took := w.silence(t); took > takeoverWithin {
+			t.Errorf("replaced after %v", took)
+		}
+	})
+}
+
+func TestAReleasedRowIsNoShortTenure(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *fakeWorld, first *fakeHost) {
+		for _, h := range w.order {
+			if h == first {
+				continue
+			}
+			row := w.row()
+			row.Released = true
+			h.host.takeState(election.State{Owner: row, Version: 1})
+			h.host.learn(message.OwnerPong{
+				OwnerAddr: first.addr, OwnerIncarnation: "later/1", Epoch: row.Epoch + 1,
+			})
+			if got := h.host.shortTenures(); got != 0 {
+				t.Errorf("%s counts %d short tenures", h.name, got)
+			}
+		}
+	})
+}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -82,6 +82,7 @@
 		h.doubt.unrenewed = pong.Renewed
 	default:
 		h.watch.Reset()
+		h.ownerWell(known.epoch)
 		return true
 	}
 	return false
@@ -167,6 +168,9 @@
 		h.tellReplaced(h.owner.addr)
 	}
 	h.setOwner(ownerRef{addr: state.Owner.Addr, incarnation: state.Owner.Incarnation, epoch: state.Owner.Epoch})
+	if state.Owner.Released {
+		h.tenures.Release(state.Owner.Epoch)
+	}
 }
 
 func (h *Host) isGone(incarnation string) bool {
@@ -181,6 +185,13 @@
 	return h.tenures.Short()
 }
 
+// ownerWell notes that the owner of an epoch has answered as a healthy one.
+func (h *Host) ownerWell(epoch uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tenures.Well(h.timers.Now(), epoch)
+}
+
 func (h *Host) lastEnded() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
