Give the rereading of a table as long as a takeover

Cause: a feed whose history the store has dropped had 5 s to read its table again, while a takeover has 15 s for the same rows. Where the reads take longer than 5 s, as over a narrow link, each reread failed, the feed asked for changes from the version that the store had dropped, and began anew, without an end.

Callers saw an owner that had taken over from the same rows and never learned of new jobs or workers.

Change: one bound, readTimeout, for both. What a takeover was able to read, a reread is able to read, at the same pace.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -47,6 +47,8 @@
 	refused map[cell.Refusal]int
 	stops   map[string]int
 	started map[workload.TaskID]bool
+	// readTakes is how long a read takes, if that is long.
+	readTakes time.Duration
 }
 
 // fakeWorker runs what it is told to.
@@ -148,7 +150,10 @@
 
 // Read returns the rows of a range.
 func (p *fakePlatform) Read(ctx context.Context, r rowstore.Range) (rowstore.Snapshot, error) {
-	if err := wait(ctx, fakeLatency); err != nil {
+	p.mu.Lock()
+	takes := max(fakeLatency, p.readTakes)
+	p.mu.Unlock()
+	if err := wait(ctx, takes); err != nil {
 		return rowstore.Snapshot{}, err
 	}
 	p.mu.Lock()
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -18,8 +18,6 @@
 	feedWait = 1 * time.Second
 	// feedMargin is how long its answer may take beyond that.
 	feedMargin = 1 * time.Second
-	// rereadTimeout bounds the reading of a whole table.
-	rereadTimeout = 5 * time.Second
 	// feedPause is the mean wait after a failed call.
 	feedPause = 150 * time.Millisecond
 	// listPause spaces the calls for the list of workers, which changes with
@@ -115,7 +113,7 @@
 }
 
 func (o *Owner) reread(f *feed) error {
-	ctx, cancel := context.WithTimeout(o.ctx, rereadTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, readTimeout)
 	defer cancel()
 	all, err := o.readAll(ctx, newPace(len(f.ranges), o.config.Readers), f.ranges...)
 	if err != nil {
--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// readTimeout bounds the reads of a takeover, and those of a table whose
+	// history the store has dropped, also over a narrow link.
+	readTimeout = 15 * time.Second
 	// lateFactor times the longest of the first reads that have ended is when
 	// another one counts as late, at most maxLate.
 	lateFactor = 3
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -10,9 +10,6 @@
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
-// recoverTimeout bounds the reads of a new owner, also over a narrow link.
-const recoverTimeout = 15 * time.Second
-
 // recovery is the time from the takeover until the store has been read. The row
 // is renewed in it, and nothing is granted or started.
 type recovery struct {
@@ -26,7 +23,7 @@
 // recover reads the store beside the duty, into a cell that the duty does not
 // use before.
 func (o *Owner) recover(began time.Time, m *manifest.Manifest) {
-	ctx, cancel := context.WithTimeout(o.ctx, recoverTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, readTimeout)
 	o.recovery = recovery{underWay: true, stop: cancel}
 	o.calls.Go(func() {
 		defer cancel()
