End a call to a frozen peer with its context

Cause: the exchange of hellos had a deadline of 2 s of its own and did not look at the caller's context. The lock of the address was held during the dial, so that other callers waited for it as well, whatever their contexts said.

Evidence: TestACallToAFrozenPeerEndsWithItsContext failed before (calls with 120 ms, and cancelled ones, had not ended when the 2 s were over), and TestACallDoesNotWaitForTheDialOfAnother did not end (in virtual time nothing moves while a mutex is waited for; stopped after 6 s). Callers saw a ping with 120 ms to a frozen host return after 2 s, and a takeover from it that came that much later.

Change: the hello ends with the context or after 2 s, whichever is first, and a call waits for its turn at an address no longer than its context lasts. The connection is closed if the context ended meanwhile, so none stays behind with a deadline in the past. A hello of an accepted connection ends with the transport, and Close no longer waits for it.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -29,9 +29,20 @@
 	writeTimeout = 2 * time.Second
 )
 
-// shake exchanges hellos and returns the connection.
-func (n *Net) shake(raw net.Conn) (*conn, *bufio.Reader, error) {
+// shake exchanges hellos and returns the connection. It ends with its context, or
+// after helloTimeout.
+func (n *Net) shake(ctx context.Context, raw net.Conn) (*conn, *bufio.Reader, error) {
 	_ = raw.SetDeadline(time.Now().Add(helloTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Now()) })
+	c, r, err := n.exchangeHellos(raw)
+	if !stop() {
+		return nil, nil, fault.New("hello", KindNotSent, "%w", ctx.Err())
+	}
+	_ = raw.SetDeadline(time.Time{})
+	return c, r, err
+}
+
+func (n *Net) exchangeHellos(raw net.Conn) (*conn, *bufio.Reader, error) {
 	mine := hello{
 		Version: Version, Name: n.self.Name, DataCentre: n.self.DataCentre, Incarnation: n.self.Incarnation,
 	}
@@ -53,7 +64,6 @@
 	if theirs.Name == "" || theirs.Incarnation == "" {
 		return nil, nil, fault.New("hello", KindMalformed, "Name %q, Incarnation %q", theirs.Name, theirs.Incarnation)
 	}
-	_ = raw.SetDeadline(time.Time{})
 	c := &conn{
 		net: n, raw: raw, calls: make(map[uint64]chan envelope),
 		remote: Host{Name: theirs.Name, DataCentre: theirs.DataCentre, Incarnation: theirs.Incarnation},
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -62,10 +62,23 @@
 
 // outgoing makes at most one connection to an address at a time.
 type outgoing struct {
-	mu   sync.Mutex
+	// turn holds a value while somebody uses conn or dials.
+	turn chan struct{}
 	conn *conn
 }
 
+// lock waits for the turn, no longer than the context lasts.
+func (o *outgoing) lock(ctx context.Context) error {
+	select {
+	case o.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (o *outgoing) unlock() { <-o.turn }
+
 // Flow names bytes by purpose and data centre.
 type Flow struct {
 	DataCentre string
@@ -102,7 +115,7 @@
 			return
 		}
 		n.work.Go(func() {
-			c, r, err := n.shake(raw)
+			c, r, err := n.shake(n.ctx, raw)
 			if err != nil {
 				n.log.Info("refused connection", zap.Error(err))
 				_ = raw.Close()
@@ -151,7 +164,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c, r, err := n.shake(raw)
+	c, r, err := n.shake(ctx, raw)
 	if err != nil {
 		_ = raw.Close()
 	}
@@ -162,13 +175,15 @@
 	n.mu.Lock()
 	o, ok := n.out[to]
 	if !ok {
-		o = &outgoing{}
+		o = &outgoing{turn: make(chan struct{}, 1)}
 		n.out[to] = o
 	}
 	n.mu.Unlock()
 
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	if err := o.lock(ctx); err != nil {
+		return nil, err
+	}
+	defer o.unlock()
 	if o.conn != nil && !o.conn.isClosed() {
 		return o.conn, nil
 	}
