Go on dialling a peer when the call that asked for it gives up

The tests of calls that end with their context pass as before; in their harness the transport is closed before the dialer's channel, since a dial may now outlast its call.

--- a/internal/peer/dial_test.go
+++ b/internal/peer/dial_test.go
@@ -52,8 +52,8 @@
 		dialer := frozenDialer{reads: reads, held: make(chan net.Conn, 8)}
 		self := Host{Name: "client", Incarnation: "client-1"}
 		n := New(self, idleListener{closed: make(chan struct{})}, dialer, handlerFunc(echo), tally.NoopScope, zap.NewNop())
-		defer n.Close()
 		defer func() {
+			n.Close() // ends the dials
 			close(dialer.held)
 			for far := range dialer.held {
 				_ = far.Close()
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -62,23 +62,20 @@
 
 // outgoing makes at most one connection to an address at a time.
 type outgoing struct {
-	// turn holds a value while somebody uses conn or dials.
-	turn chan struct{}
+	mu   sync.Mutex
 	conn *conn
+	// dialing is set while a connection is being made.
+	dialing *dialing
 }
 
-// lock waits for the turn, no longer than the context lasts.
-func (o *outgoing) lock(ctx context.Context) error {
-	select {
-	case o.turn <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+// dialing is a connection that is being made, for all calls that wait for it. It
+// goes on when a call gives up, so that a slow peer is connected for the next one.
+type dialing struct {
+	done chan struct{}
+	conn *conn
+	err  error
 }
 
-func (o *outgoing) unlock() { <-o.turn }
-
 // Flow names bytes by purpose and data centre.
 type Flow struct {
 	DataCentre string
@@ -171,32 +168,70 @@
 	return c, r, err
 }
 
+// connect returns the connection to an address. It waits for one to be made no
+// longer than its context lasts.
 func (n *Net) connect(ctx context.Context, to netip.AddrPort) (*conn, error) {
 	n.mu.Lock()
 	o, ok := n.out[to]
 	if !ok {
-		o = &outgoing{turn: make(chan struct{}, 1)}
+		o = &outgoing{}
 		n.out[to] = o
 	}
 	n.mu.Unlock()
 
-	if err := o.lock(ctx); err != nil {
-		return nil, err
+	c, d := n.connectionOrDial(o, to)
+	if c != nil {
+		return c, nil
 	}
-	defer o.unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// connectionOrDial returns the connection that stands, or else the one that is being
+// made.
+func (n *Net) connectionOrDial(o *outgoing, to netip.AddrPort) (*conn, *dialing) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.conn != nil && !o.conn.isClosed() {
 		return o.conn, nil
 	}
-	c, r, err := n.dial(ctx, to)
-	if err != nil {
-		return nil, err
+	if o.dialing != nil {
+		return nil, o.dialing
+	}
+	d := &dialing{done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		d.err = net.ErrClosed
+		close(d.done)
+		return nil, d
+	}
+	o.dialing = d
+	n.work.Go(func() { n.finish(o, d, to) })
+	return nil, d
+}
+
+// finish makes a connection, hands it to the calls that wait, and reads from it.
+func (n *Net) finish(o *outgoing, d *dialing, to netip.AddrPort) {
+	c, r, err := n.dial(n.ctx, to)
+	if err == nil && !n.added(c) {
+		err = net.ErrClosed
+	}
+	o.mu.Lock()
+	o.dialing = nil
+	if err == nil {
+		o.conn, d.conn = c, c
 	}
-	if !n.added(c) {
-		return nil, net.ErrClosed
+	d.err = err
+	o.mu.Unlock()
+	close(d.done)
+	if err == nil {
+		c.readLoop(n.ctx, r)
 	}
-	o.conn = c
-	n.work.Go(func() { c.readLoop(n.ctx, r) })
-	return c, nil
 }
 
 func (c *conn) isClosed() bool {
