Show that a record larger than a row stops the cell

The store takes at most 65,536 bytes in a row; the record of a job of 10,000 tasks, which is accepted, is larger, and the commit that brings it is refused and repeated as it is. Nothing else becomes durable meanwhile, nor is the owner's row renewed.

--- /dev/null
+++ b/internal/owner/commit_test.go
@@ -0,0 +1,29 @@
+package owner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// The record of a job of 10,000 tasks is larger than a row.
+func TestARecordBeyondARowDoesNotStopOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(20)
+		p.startTakes, p.runTakes = time.Millisecond, time.Second
+		o := p.own()
+		defer o.Close()
+		accept(o, 1, 10000)
+		time.Sleep(5 * time.Second)
+		const small = 1
+		acceptFrom(o, small, 1, 1)
+		time.Sleep(10 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.started[workload.TaskID{StepID: workload.StepID{Job: jobID(small)}}] {
+			t.Error("a small job waits for ten seconds behind the record of a large one")
+		}
+	})
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -68,6 +68,8 @@
 	queueUrgent  = "urgent"
 	ticketValid  = 2500 * time.Millisecond
 	fakeLatency  = 4 * time.Millisecond
+	// maxRowBytes is the largest value that the platform's store takes.
+	maxRowBytes = 65536
 )
 
 var fakeManifest = &manifest.Manifest{Version: 1, Queues: []manifest.Queue{{
@@ -108,8 +110,11 @@
 }
 
 // accept hands the owner jobs of one step each.
-func accept(o *Owner, jobs, tasks int) {
-	for i := range jobs {
+func accept(o *Owner, jobs, tasks int) { acceptFrom(o, 0, jobs, tasks) }
+
+// acceptFrom is accept for jobs that are numbered from a first one.
+func acceptFrom(o *Owner, first, jobs, tasks int) {
+	for i := first; i < first+jobs; i++ {
 		step := workload.Step{
 			Tasks: tasks, Size: job.Size{MilliCores: 100, MemoryMB: 10}, Estimate: time.Second, Checkpoints: true,
 		}
@@ -141,6 +146,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, w := range t.Writes {
+		if len(w.Value) > maxRowBytes {
+			return rowstore.Result{}, fault.New("commit", rowstore.KindInvalid, "row %s has %d bytes", w.Name, len(w.Value))
+		}
+	}
 	p.version++
 	for _, w := range t.Writes {
 		p.rows[w.Key] = rowstore.Row{Key: w.Key, Value: w.Value, Version: p.version}
