Show the hosts' logs when the soak waits for them in vain

A wait that ends without its condition now logs the end of each process's log. No check and no bound has changed.

--- a/cmd/cicadabarrow/fleet_test.go
+++ b/cmd/cicadabarrow/fleet_test.go
@@ -269,6 +269,9 @@
 	f.t.Helper()
 	for end := time.Now().Add(conditionTimeout); !reached(); wait(f.t.Context(), healthEvery) {
 		if time.Now().After(end) {
+			for _, p := range f.processes {
+				f.t.Logf("the log of %s ends with:\n%s", p.host.Name, f.logTail(p))
+			}
 			f.t.Fatalf("after %v it is not so that %s", conditionTimeout, what)
 		}
 	}
