Test that a task that crashes its workers is given up

Some submitted jobs of the simulation now have deadly tasks: one task of a step or all of them, early in a run or late. A deadly run crashes its worker, all runs there vanish without an end, and the machine is back 100 ms to 9 s later as a new worker or, less often, with the same ID, always as a later incarnation. Workers also crash for reasons of their own, leave for good, and lapse from the list while they work.

The oracle checks that a task starts at most twice after three workers have crashed under it; that a job is shown as failed only if a task has used up its failed runs or at least two workers crashed under one of its tasks (also in all plays that were there before); and that a job with a deadly task ends as failed while all others end too. What it checked before is unchanged.

Under faults some crashes limit starts only later: those of a worker that keeps its ID, from its next report to the current owner, and those of a machine that is away for over 4 s, from its return. An owner cannot tell such a worker from one that it cannot reach. The crash of a leaving worker looks like its exit and limits nothing. Crashes under early starts whose record never became durable do not outlive their owner. Without faults all crashes limit at once.

Incarnations of a machine now increase also across its workers, as they do on the platform.

--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -47,6 +47,7 @@
 			break
 		}
 	}
+	w.drawDeadly(&a.Job)
 	w.jobs = append(w.jobs, a)
 	for _, o := range w.owners {
 		// A replaced owner may not learn of new jobs.
@@ -139,7 +140,7 @@
 		w.finishMaintenance(c)
 		return
 	}
-	if c.worker.cut {
+	if c.worker.unreachable() {
 		w.unanswered(c)
 		return
 	}
@@ -175,6 +176,7 @@
 		o.Stopped(c.worker.id, c.stop.Task, c.stop.Run, outcome.Clock)
 	default:
 		o.Reported(w.now, c.worker.id, report)
+		w.crashReported(c)
 		if w.omit == omitAckDurable {
 			o.Committed(w.now, o.TakeRecords(100))
 		}
@@ -212,7 +214,7 @@
 		return
 	case c.maintenance != nil:
 		w.maintenance(c.owner, c.maintenance)
-	case !c.worker.cut:
+	case !c.worker.unreachable():
 		// The owner gets no answer, so the start counts as an uncertain one.
 		answered := c.answered
 		c.answered = true
@@ -276,6 +278,7 @@
 	w.writtenAt = w.now
 	for _, r := range commit.jobs {
 		w.store[r.Job] = r
+		w.noteDurable(commit.epoch, r)
 	}
 	for _, r := range commit.waves {
 		w.storeWaves[r.Wave] = r
@@ -283,17 +286,24 @@
 	w.storeEarlyStartWorkers = commit.earlyStartWorkers
 }
 
-// restart begins a new incarnation of a worker under the same ID.
+// restart crashes a worker, which is back at once under the same ID.
 func (w *simulation) restart() {
 	s := w.anyWorker()
-	if s.replaced {
+	if s.replaced || s.dead {
 		return
 	}
-	s.incarnation++
+	w.noteCrash(s, true, 0)
+	w.beginIncarnation(s)
+}
+
+// beginIncarnation begins a new incarnation of a worker under the same ID.
+func (w *simulation) beginIncarnation(s *simWorker) {
+	s.machine.incarnation++
+	s.incarnation = s.machine.incarnation
 	s.since = w.now
 	s.fence, s.deadline, s.ended = 0, 0, 0
 	s.runs, s.highest, s.ends = make(map[workload.TaskID]*simRun), make(map[workload.TaskID]int), nil
-	s.leaving, s.toldToLeave = false, false
+	s.leaving, s.toldToLeave, s.lapsed = false, false, false
 	// Of the calls in flight only stops may still reach the new incarnation:
 	// docs/ASSUMPTIONS.md says why.
 	kept := w.calls[:0]
@@ -328,11 +338,11 @@
 
 func (w *simulation) leave() {
 	s := w.anyWorker()
-	if s.replaced {
+	if s.replaced || s.dead {
 		return
 	}
 	s.leaving = !s.leaving
-	s.toldToLeave = true
+	s.toldToLeave, s.lapsed = true, false
 	w.owner().cell.Register(w.now, w.registration(s))
 }
 
@@ -361,12 +371,15 @@
 func (w *simulation) finishJobs() {
 	w.startLimit = max(w.startLimit, 1)
 	for _, s := range w.live() {
-		s.cut, s.leaving = false, false
+		if s.dead {
+			continue
+		}
+		s.cut, s.leaving, s.lapsed = false, false, false
 		w.owner().cell.Register(w.now, w.registration(s))
 	}
-	for range 900 {
+	for range w.stepsToFinish() {
 		w.stepWithoutFaults()
-		if w.allEnded() {
+		if w.allEnded() || w.violation != "" {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/cell/deadly_test.go
@@ -0,0 +1,98 @@
+package cell_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestDeadlyTaskStartsAtMostTwiceAfterThreeCrashes guards against a task that
+// crashes each worker that starts it and is started again and again.
+func TestDeadlyTaskStartsAtMostTwiceAfterThreeCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSimulation(t, omitNothing, rapid.Bool().Draw(t, "unfenced"))
+		w.slow = rapid.Bool().Draw(t, "slow")
+		w.crashes.drawDeadly, w.crashes.prompt = true, true
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(*rapid.T) { w.submit() },
+			"cancel": func(*rapid.T) { w.cancel() },
+			"go on":  func(*rapid.T) { w.stepWithoutFaults() },
+			"wait":   func(*rapid.T) { w.stepsWithoutFaults() },
+			"crash":  func(*rapid.T) { w.crashSometimes() },
+			"wave":   func(*rapid.T) { w.announceWave() },
+			"":       func(*rapid.T) { w.check() },
+		})
+		if w.finishJobs(); w.violation != "" {
+			t.Fatal(w.violation)
+		}
+	})
+}
+
+// TestDeadlyTaskStartsAtMostTwiceDespiteFaults guards against crashes that are
+// not counted because the owner changes, or because calls, answers or commits
+// are lost.
+func TestDeadlyTaskStartsAtMostTwiceDespiteFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, false, true) })
+}
+
+// TestDeadlyTaskStartsAtMostTwiceWithoutFences does the same with workers that
+// check no fencing token.
+func TestDeadlyTaskStartsAtMostTwiceWithoutFences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, true, true) })
+}
+
+// TestCrashesOfOthersDoNotFailAJob guards against jobs that are shown as failed
+// although fewer than two workers have crashed under any of their tasks:
+// workers leave, lapse from the list, are partitioned and go down for
+// maintenance, and crash just before a start arrives.
+func TestCrashesOfOthersDoNotFailAJob(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, false, false) })
+}
+
+// TestCrashesOfOthersDoNotFailAJobWithoutFences does the same with workers that
+// check no fencing token.
+func TestCrashesOfOthersDoNotFailAJobWithoutFences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, true, false) })
+}
+
+// checkCrashes plays jobs, some with deadly tasks, with faults and crashes.
+func checkCrashes(t *rapid.T, unfenced, deadly bool) {
+	w := newSimulation(t, omitNothing, unfenced)
+	w.slow = rapid.Bool().Draw(t, "slow")
+	w.crashes.drawDeadly = deadly
+	t.Repeat(w.crashActions())
+	if w.violation == "" {
+		w.finishJobs()
+	}
+	if w.violation != "" {
+		t.Fatal(w.violation)
+	}
+}
+
+// crashActions are the actions of a simulation with faults and crashes.
+func (w *simulation) crashActions() map[string]func(*rapid.T) {
+	actions := w.faultActions()
+	actions["crash"] = func(*rapid.T) { w.crashAny() }
+	actions["exit"] = func(*rapid.T) { w.exit() }
+	actions["go on"] = func(*rapid.T) { w.stepsWithoutFaults() }
+	// TestWaveLimitHoldsAlthoughEntriesLapse has both.
+	if rapid.Bool().Draw(w.t, "lapses") {
+		actions["lapse"] = func(*rapid.T) { w.lapse() }
+		delete(actions, "wave")
+	}
+	return actions
+}
+
+// crashSometimes crashes a worker in one of a few calls.
+func (w *simulation) crashSometimes() {
+	if rapid.IntRange(0, 2).Draw(w.t, "crash") == 0 {
+		w.crashAny()
+	}
+}
+
+// stepsWithoutFaults lets several seconds pass without any fault but crashes.
+func (w *simulation) stepsWithoutFaults() {
+	for range rapid.IntRange(10, 40).Draw(w.t, "steps") {
+		w.stepWithoutFaults()
+	}
+}
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -81,12 +81,13 @@
 		w.endGang(present, cell.EndGangBroken)
 	case g.began.IsZero() && len(present) == w.step(present[0].id).Tasks:
 		g.began = w.now
-		g.until = w.now.Add(w.drawRunTime())
+		g.until = w.now.Add(w.drawRunTime(present[0].id))
 		g.fails = w.drawFailure()
 	case g.began.IsZero():
 		w.timeOutGang(g, present)
 	case !w.now.Before(g.until) && g.fails:
 		g.ended = true
+		w.noteFailed(present[0].id, present[0].run)
 		present[0].worker.end(present[0].id, present[0].run, cell.EndFailed)
 		w.endGang(present[1:], cell.EndGangBroken)
 	case !w.now.Before(g.until):
@@ -122,7 +123,12 @@
 	}
 }
 
-func (w *simulation) drawRunTime() time.Duration {
+// drawRunTime draws how long a run takes. A task that crashes its worker never
+// ends otherwise, nor does its gang.
+func (w *simulation) drawRunTime(id workload.TaskID) time.Duration {
+	if w.blocksEnd(id) {
+		return never
+	}
 	return time.Duration(rapid.IntRange(100, 4000).Draw(w.t, "took")) * time.Millisecond
 }
 
--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -59,7 +59,16 @@
 func runSimulation(t *rapid.T, omit omittedGuard, unfenced bool) string {
 	w := newSimulation(t, omit, unfenced)
 	w.slow = rapid.Bool().Draw(t, "slow")
-	actions := map[string]func(*rapid.T){
+	t.Repeat(w.faultActions())
+	if w.violation == "" {
+		w.finishJobs()
+	}
+	return w.violation
+}
+
+// faultActions are the actions of a simulation with faults.
+func (w *simulation) faultActions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
 		"submit":   func(*rapid.T) { w.submit() },
 		"cancel":   func(*rapid.T) { w.cancel() },
 		"hold":     func(*rapid.T) { w.anyHold() },
@@ -83,11 +92,6 @@
 		"wave":     func(*rapid.T) { w.announceWave() },
 		"":         func(*rapid.T) { w.check() },
 	}
-	t.Repeat(actions)
-	if w.violation == "" {
-		w.finishJobs()
-	}
-	return w.violation
 }
 
 // TestJobLifecycleWithoutFaults plays jobs without any fault: all members of a
@@ -134,7 +138,7 @@
 		id := w.jobs[i].Job.ID
 		w.checkShown(w.owner(), id)
 		state, _ := w.owner().cell.Status(id)
-		if !state.Final() && !w.jobs[i].Job.LongRunning() {
+		if !state.Final() && (!w.jobs[i].Job.LongRunning() || w.hasDeadlyTask(id)) {
 			open = append(open, fmt.Sprintf("%s %s", id, state))
 		}
 	}
--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -31,8 +31,8 @@
 	for _, dep := range step.After {
 		w.checkDone(a.Task, dep)
 	}
-	if limit := 2; !step.LongRunning && w.failedRuns[failureKey(step, a.Task)] >= limit {
-		w.fail("task %s starts after %d failed runs", a.Task, limit)
+	if !step.LongRunning && w.failedRuns[failureKey(step, a.Task)] >= maxAttempts {
+		w.fail("task %s starts after %d failed runs", a.Task, maxAttempts)
 	}
 	var taken job.Size
 	for _, r := range s.runs {
@@ -111,6 +111,7 @@
 	if state == workload.StateCompleted {
 		w.completed[id] = true
 	}
+	w.checkEnded(id, state)
 	if state == workload.StateCancelled && !w.cancelled[id] {
 		w.fail("job %s is shown as cancelled, and nobody cancelled it", id)
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -67,6 +67,11 @@
 	expiredLeases         int
 	// checkpoints maps each checkpoint to the task that wrote it.
 	checkpoints map[string]workload.TaskID
+	// failed holds the runs that have failed, acknowledged or not, by the task
+	// under which they count.
+	failed map[workload.TaskID]map[int]bool
+	// crashes holds what has crashed, and what crashes its worker.
+	crashes simCrashes
 	// violation is the first violation of an invariant.
 	violation string
 }
@@ -102,6 +107,8 @@
 
 type simCommit struct {
 	begun time.Time
+	// epoch is that of the owner.
+	epoch uint64
 	jobs  []cell.Record
 	waves []cell.WaveRecord
 	// earlyStartWorkers holds the workers that the owner's row names.
@@ -120,6 +127,12 @@
 	arrived time.Time
 	// uncertain is set if the owner got no answer to the start.
 	uncertain bool
+	// crashAt is when a deadly run crashes its worker; zero for all others.
+	crashAt time.Time
+	// epoch is that of the owner that sent the start, and durable is set once a
+	// record that covers the run is durable.
+	epoch   uint64
+	durable bool
 }
 
 // simWorker is a worker with the behaviour that the platform documents.
@@ -142,6 +155,10 @@
 	ends    []cell.Ended
 	ended   int64
 	cut     bool
+	// dead is set while the worker's process does not exist.
+	dead bool
+	// lapsed is set while the worker works without an entry in the list.
+	lapsed  bool
 	leaving bool
 	// toldToLeave is set once this incarnation was told to leave. Workers do
 	// not revoke that, but the simulation does, and stops from that time are
@@ -175,6 +192,7 @@
 	simWorkers   = 3
 	maxOldOwners = 2
 	maxJobSteps  = 3
+	maxAttempts  = 2
 )
 
 // simRenewInterval is the longest time between two commits of an owner whose
@@ -189,9 +207,10 @@
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
 		wavesDone: make(map[int]bool), down: make(map[workload.TaskID]bool),
 		gangs: make(map[gangKey]*simGang), checkpoints: make(map[string]workload.TaskID),
+		failed: make(map[workload.TaskID]map[int]bool), crashes: newSimCrashes(),
 		manifest: &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
-			{Name: "urgent", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
-			{Name: "plain", Service: "s", Priority: 2, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
+			{Name: "urgent", Service: "s", MaxAttempts: maxAttempts, SlackFactor: 2, TargetLatency: time.Second},
+			{Name: "plain", Service: "s", Priority: 2, MaxAttempts: maxAttempts, SlackFactor: 2, TargetLatency: time.Second},
 		}},
 	}
 	for i := range simWorkers {
@@ -218,6 +237,7 @@
 // for a while without knowing of it.
 func (w *simulation) takeOver() {
 	w.epoch++
+	w.loseEarlyRuns()
 	config := scriptConfig
 	config.Unfenced = w.unfenced
 	o := &simOwner{epoch: w.epoch, cell: cell.New(w.now, config, nopObserver{}, zap.NewNop())}
@@ -241,7 +261,9 @@
 		}
 	}
 	for _, s := range w.live() {
-		o.cell.Register(w.now, w.registration(s))
+		if !s.lapsed {
+			o.cell.Register(w.now, w.registration(s))
+		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(w.storeWaves)) {
 		o.cell.RestoreWave(w.storeWaves[number])
@@ -298,7 +320,7 @@
 	renewalDue := w.unfenced && w.now.Sub(o.confirmedAt) >= simRenewInterval
 	if o.commit == nil && (o.cell.HasRecords() || w.slow != o.slow || renewalDue) {
 		o.slow = w.slow
-		o.commit = &simCommit{begun: w.now, jobs: o.cell.TakeRecords(100), waves: o.cell.WaveRecords()}
+		o.commit = &simCommit{begun: w.now, epoch: o.epoch, jobs: o.cell.TakeRecords(100), waves: o.cell.WaveRecords()}
 		o.commit.earlyStartWorkers = o.cell.EarlyStartWorkers(w.now)
 	}
 }
@@ -335,6 +357,7 @@
 			w.expire(s)
 		}
 		w.advanceGangs()
+		w.crashDeadly()
 		w.returnMachines()
 		for _, o := range w.owners {
 			o.stopped = o.stopped || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > replacedOwnerLifetime
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -22,7 +22,7 @@
 	s.fence = max(s.fence, c.owner.epoch)
 	switch {
 	case c.start != nil:
-		outcome = w.start(s, c.start)
+		outcome = w.start(s, c)
 		if r, ok := s.runs[c.start.Task]; ok && c.answered {
 			r.uncertain = true
 		}
@@ -35,8 +35,8 @@
 	return outcome, report, false
 }
 
-func (w *simulation) start(s *simWorker, a *cell.SendStart) cell.StartOutcome {
-	clock := s.clock(w.now)
+func (w *simulation) start(s *simWorker, c *simCall) cell.StartOutcome {
+	a, clock := c.start, s.clock(w.now)
 	s.extend(a.Deadline, clock)
 	if r, ok := s.runs[a.Task]; ok {
 		if r.number == a.Run {
@@ -51,18 +51,20 @@
 		return cell.StartOutcome{Refused: cell.RefusedLate, Clock: clock}
 	}
 	w.checkStart(s, a)
+	w.noteStart(s, a)
 	step := w.step(a.Task)
 	r := &simRun{
 		number: a.Run, size: step.Reserved(), longRunning: step.LongRunning, gang: step.Gang,
-		checkpoints: step.Checkpoints, arrived: w.now,
+		checkpoints: step.Checkpoints, arrived: w.now, epoch: c.owner.epoch,
 	}
+	r.crashAt = w.drawCrash(a.Task)
 	s.runs[a.Task] = r
 	delete(w.down, a.Task)
 	if step.Gang {
 		w.joinGang(a)
 		w.advanceGangs()
 	} else {
-		r.until = w.now.Add(w.drawRunTime())
+		r.until = w.now.Add(w.drawRunTime(a.Task))
 		r.fails = w.drawFailure()
 	}
 	return cell.StartOutcome{Clock: clock}
@@ -147,6 +149,7 @@
 			s.end(id, r, cell.EndLeaseExpired)
 		case r.gang:
 		case !r.longRunning && !w.now.Before(r.until) && r.fails:
+			w.noteFailed(id, r)
 			s.end(id, r, cell.EndFailed)
 		case !r.longRunning && !w.now.Before(r.until):
 			w.everDone[id] = true
--- a/internal/cell/wave_test.go
+++ b/internal/cell/wave_test.go
@@ -26,11 +26,16 @@
 	name         string
 	label        string
 	incarnations int
+	// incarnation is that of the machine's latest worker.
+	incarnation cell.Incarnation
 	// fence is the highest fencing token of an order.
 	fence uint64
 	// back is when the machine will be up again; zero while it is up.
 	back   time.Time
 	downBy *simWave
+	// restarting is the worker that comes back under its ID; nil if a new one
+	// does.
+	restarting *simWorker
 }
 
 // announceWave has the operator request a wave.
@@ -148,17 +153,23 @@
 			continue
 		}
 		m.back, m.downBy = time.Time{}, nil
+		if m.restarting != nil {
+			w.restartCrashed(m)
+			continue
+		}
 		s := w.startWorker(m)
 		for _, o := range w.owners {
 			o.cell.Register(w.now, w.registration(s))
 		}
+		w.unlistCrashed(m, s)
 	}
 }
 
 func (w *simulation) startWorker(m *simMachine) *simWorker {
 	m.incarnations++
+	m.incarnation++
 	s := &simWorker{
-		id: cell.WorkerID(fmt.Sprintf("%s.%d", m.name, m.incarnations)), machine: m, label: m.label, incarnation: 1, since: w.now,
+		id: cell.WorkerID(fmt.Sprintf("%s.%d", m.name, m.incarnations)), machine: m, label: m.label, incarnation: m.incarnation, since: w.now,
 		rate: 1 - float64(len(w.workers)%3)*0.01,
 		runs: make(map[workload.TaskID]*simRun), highest: make(map[workload.TaskID]int),
 	}
