Let scripts name machines and lives of workers

A script can now have a worker come back on its machine under another ID or in a later life (machine=, life=), and let time pass while a worker sends the same report each second (keep). Workers are registered in life 1, as their reports say.

--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -108,6 +108,8 @@
 		// A report answers a hold call, which grants the lease.
 		s.cell.NextHold(s.now, cell.WorkerID(first(0)))
 		s.cell.Reported(s.now, cell.WorkerID(first(0)), report(t, arg, d.Input))
+	case "keep":
+		return s.keep(t, cell.WorkerID(first(0)), arg, d.Input)
 	case "advised":
 		s.advised(t, first(0), arg)
 	case "started":
@@ -154,10 +156,32 @@
 	return s.actions()
 }
 
+// keep lets time pass while a worker sends the same report every second.
+func (s *script) keep(t *testing.T, id cell.WorkerID, arg func(string) string, input string) string {
+	r := report(t, arg, input)
+	var out strings.Builder
+	for end := s.now.Add(parseDuration(t, arg("for"))); s.now.Before(end); {
+		s.now = s.now.Add(time.Second)
+		s.cell.Tick(s.now)
+		r.Clock += time.Second
+		s.cell.NextHold(s.now, id)
+		s.cell.Reported(s.now, id, r)
+		out.WriteString(s.actions())
+	}
+	return out.String()
+}
+
 func registration(t *testing.T, id string, arg func(string) string, flag func(string) bool) cell.Registration {
 	out := cell.Registration{
 		ID: cell.WorkerID(id), Machine: "m-" + id, Service: "s", Capacity: job.Size{MilliCores: 8000, MemoryMB: 8000}, Leaving: flag("leaving"),
 	}
+	out.Incarnation = 1
+	if v := arg("life"); v != "" {
+		out.Incarnation = cell.Incarnation(parseInt(t, v))
+	}
+	if v := arg("machine"); v != "" {
+		out.Machine = v
+	}
 	if v := arg("cores"); v != "" {
 		out.Capacity.MilliCores = int64(parseInt(t, v)) * 1000
 	}
