Start no gang on a worker that may still take a predecessor's early starts

Cause: a new owner waits for the workers that may have had early starts, but gangs and long-running tasks did not wait, since they never start early themselves. They were placed by the capacity that the worker's first report showed. Without a fence the worker may accept an early start of the predecessor after that report, so the two together exceeded its capacity.

What callers saw: nothing at once; the worker runs more than it has room for (LIMIT), up to 1.5 s after a takeover on a slow store, on deployments whose workers check no fencing token.

Now an awaited worker gets no start at all. With fences a worker is no longer awaited as soon as it has reported, so nothing changes there.

--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -24,11 +24,11 @@
 //
 // While commits to the store are slow, starts may be sent early. The owner's
 // row then names the workers that may get early starts. A new owner starts
-// nothing, apart from gangs and long-running tasks, which never start early,
-// until each of these workers has reported to it or has certainly lost its
-// lease, because a task that is waiting according to its record may be running
-// there. A task has at most one unrecorded run, so the number of that run is
-// known.
+// nothing, apart from gangs and long-running tasks on other workers, which never
+// start early, until each of these workers has reported to it or has certainly
+// lost its lease, because a task that is waiting according to its record may be
+// running there. A task has at most one unrecorded run, so the number of that run
+// is known.
 type earlyStartState struct {
 	// enabled is set while starts should not wait for their record.
 	enabled bool
@@ -152,6 +152,9 @@
 		return
 	}
 	delete(c.earlyStarts.awaited, id)
+	if w, known := c.workers[id]; known {
+		c.capacityFreed(w)
+	}
 	c.placementPending = true
 	if !c.awaitingWorkers() {
 		c.markAllSteps()
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -276,7 +276,7 @@
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedGrace
-	if !listed || w.registration.Leaving || !c.inContact(now, w) {
+	if !listed || w.registration.Leaving || !c.inContact(now, w) || c.earlyStarts.awaited[w.id] {
 		return false
 	}
 	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
