Judge crashes in the simulation by what an owner can know

Corrections to the tests of, found by running them against a throwaway counter of crashes:

- The limit of starts after three crashes is checked for deadly tasks only, as the rule says.
A task that merely shared workers with one may start again as often as its runs end for other reasons.
- Without faults too, the crash of a machine that is away for over 4 s limits starts only from its return.
A gang may start several times within a second, and the lease has expired by then.
- A run whose end no report had listed when its worker crashed may be blamed: no owner can know that it had ended.
- A worker that restarts under its ID no longer drops the calls that an owner makes while it learns of the failed ones.
They never got an outcome, and a run stayed sent for good.
Nothing depended on it before.

--- a/internal/cell/simcrash_test.go
+++ b/internal/cell/simcrash_test.go
@@ -13,8 +13,7 @@
 	// drawDeadly is set if some of the submitted jobs have deadly tasks: tasks
 	// that crash each worker that starts them.
 	drawDeadly bool
-	// prompt is set if owners lose no call and no answer, so that a crash
-	// counts from the moment when it happens.
+	// prompt is set if owners lose no call and no answer.
 	prompt bool
 	deadly map[workload.JobID]deadlyStep
 	// history holds the accepted starts of each task and the crashes under it.
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -154,7 +154,9 @@
 	highest map[workload.TaskID]int
 	ends    []cell.Ended
 	ended   int64
-	cut     bool
+	// reportedEnds is the number of the last end that a report has listed.
+	reportedEnds int64
+	cut          bool
 	// dead is set while the worker's process does not exist.
 	dead bool
 	// lapsed is set while the worker works without an entry in the list.
