--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -53,9 +53,26 @@
 	StageJob Stage = "job"
 )
 
-// Observer receives the duration of each stage.
+// Counter is a kind of event that is counted.
+type Counter string
+
+const (
+	// CountWorkerCrash counts the workers that ended without being told to.
+	CountWorkerCrash Counter = "worker_crashes"
+	// CountTaskCrash counts the runs that were at work on them.
+	CountTaskCrash Counter = "task_crashes"
+	// CountIsolation counts the starts for which a worker was kept free.
+	CountIsolation Counter = "isolated_starts"
+	// CountFailedAttempts counts the jobs that failed with CauseAttempts.
+	CountFailedAttempts Counter = "jobs_failed_attempts"
+	// CountFailedCrashes counts the jobs that failed with CauseCrashes.
+	CountFailedCrashes Counter = "jobs_failed_crashes"
+)
+
+// Observer receives the duration of each stage, and counts events.
 type Observer interface {
 	Observe(stage Stage, queue string, took time.Duration)
+	Count(counter Counter)
 }
 
 // minClockRate is the lowest rate at which a worker's clock may run, relative
@@ -87,6 +104,15 @@
 	workers map[WorkerID]*worker
 	// sortedWorkers holds the workers, sorted by ID.
 	sortedWorkers []*worker
+	// onMachine holds the workers that have registered on each machine.
+	onMachine map[string][]*worker
+	// lostRuns holds the tasks with lost runs on each machine.
+	lostRuns map[string][]*task
+	// isolatedWorkers counts the workers that are kept for suspects, and
+	// awaitingIsolation holds the steps with suspects that wait until there are
+	// fewer.
+	isolatedWorkers   int
+	awaitingIsolation map[workload.StepID]*stepState
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[workload.JobID]*jobState
 	// openSteps holds the steps that have tasks to place.
@@ -135,8 +161,10 @@
 func New(now time.Time, config Config, observer Observer, log *zap.Logger) *Cell {
 	c := &Cell{
 		config: config, observer: observer, log: log.Named("cell"), ownedSince: now,
-		jobs:            make(map[workload.JobID]*jobState),
-		workers:         make(map[WorkerID]*worker),
+		jobs:      make(map[workload.JobID]*jobState),
+		workers:   make(map[WorkerID]*worker),
+		onMachine: make(map[string][]*worker),
+		lostRuns:  make(map[string][]*task), awaitingIsolation: make(map[workload.StepID]*stepState),
 		scheduled:       make(map[workload.JobID]*jobState),
 		openSteps:       make(map[workload.StepID]*stepState),
 		pending:         make(map[string]int),
--- /dev/null
+++ b/internal/cell/crash.go
@@ -0,0 +1,306 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// Crash is a crash of a worker that a run of a task may have caused.
+type Crash struct {
+	// Run is the number of the run.
+	Run int
+	// JustStarted is set if the run had been at work for less than
+	// settledAfter when the worker last reported.
+	JustStarted bool
+	// Alone is set if the worker ran nothing else, and its machine had not
+	// crashed recently.
+	Alone bool
+	// Accepted is set if the worker was known to have accepted the start.
+	Accepted bool
+}
+
+// LostRun is a run whose worker stopped answering until its lease expired. Only
+// what is heard of the machine later tells whether the worker crashed.
+type LostRun struct {
+	// Crash is counted if the worker crashed.
+	Crash       Crash
+	Machine     string
+	Incarnation Incarnation
+}
+
+const (
+	// settledAfter is how long a run has to be at work before a crash of its
+	// worker is more likely due to another run.
+	settledAfter = 500 * time.Millisecond
+	// isolatedCrashLimit is how many workers may crash under a task, if all had
+	// accepted it and it was alone on the last of them, before its job fails. The
+	// first may have crashed by chance, and the second too on a day with many
+	// crashes.
+	isolatedCrashLimit = 3
+	// crashLimit is the same if other runs were on them, and if
+	// minAcceptedCrashes of them had accepted the task. Others may have crashed
+	// before it arrived, or when it had just ended.
+	crashLimit         = 4
+	minAcceptedCrashes = 2
+	// unansweredCrashLimit is the same in any case.
+	unansweredCrashLimit = 5
+	// maxStartsAfterCrashes is how often a task is started after
+	// isolatedCrashLimit crashes, if no further crash decides.
+	maxStartsAfterCrashes = 1
+	// lostRunWait is how long a task that is close to a limit waits for what is
+	// heard of the machine of a lost run.
+	lostRunWait = 5 * time.Second
+	// crashAmnesty is how long a run of a long-running task has to be at work
+	// until the earlier crashes of the task no longer count. Over a long life
+	// a task sees crashes that it did not cause.
+	crashAmnesty = time.Minute
+)
+
+// superseded reports whether a worker's process has certainly ended, because a
+// later worker runs on its machine.
+func (c *Cell) superseded(now time.Time, w *worker) bool {
+	return w.laterOnMachine && !c.inContact(now, w)
+}
+
+// noteLaterWorkers records on which workers of a machine a later one has followed.
+// The incarnation is a time of day, which may jump, so the later one must not have
+// registered before the other.
+func (c *Cell) noteLaterWorkers(machine string) {
+	for _, w := range c.onMachine[machine] {
+		if w.registration.Incarnation == 0 {
+			continue
+		}
+		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool {
+			return later.registration.Incarnation > w.registration.Incarnation && !later.registeredAt.Before(w.registeredAt)
+		})
+	}
+}
+
+// setRegistration sets the registration of a worker and keeps the index of the
+// workers by machine.
+func (c *Cell) setRegistration(w *worker, r Registration) {
+	if w.registration.Machine != r.Machine {
+		c.removeFromMachine(w)
+		if r.Machine != "" {
+			c.onMachine[r.Machine] = append(c.onMachine[r.Machine], w)
+		}
+	}
+	w.registration = r
+}
+
+func (c *Cell) removeFromMachine(w *worker) {
+	machine := w.registration.Machine
+	left := slices.DeleteFunc(c.onMachine[machine], func(o *worker) bool { return o == w })
+	if len(left) == 0 {
+		delete(c.onMachine, machine)
+		return
+	}
+	c.onMachine[machine] = left
+}
+
+// endedAsOrdered reports whether a worker may have ended because it was told to,
+// so that its end is no crash. A worker that is only drained for maintenance was
+// not told to.
+func (c *Cell) endedAsOrdered(w *worker) bool {
+	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
+}
+
+// workerCrashed ends the runs of a worker that a later worker has superseded.
+// They need not wait for the lease to expire.
+func (c *Cell) workerCrashed(now time.Time, w *worker) {
+	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
+		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
+		zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
+	if !ordered {
+		c.observer.Count(CountWorkerCrash)
+		for _, o := range c.onMachine[w.registration.Machine] {
+			o.machineCrashedAt = now
+		}
+	}
+	c.dropUnrecorded(w, nil)
+	c.stopAwaiting(w.id)
+	for _, r := range w.runs.all() {
+		crash, blamed := r.crash(alone), r.phase != runPlanned && !ordered
+		c.release(now, r, EndLeaseExpired)
+		if blamed {
+			c.countCrash(now, r, crash)
+		}
+	}
+}
+
+// alone reports whether the one run that may be at work on a worker would be the
+// likely cause of its crash: nothing else runs there, and the machine has not
+// crashed recently.
+func (w *worker) alone(now time.Time) bool {
+	if now.Sub(w.machineCrashedAt) < recentCrash {
+		return false
+	}
+	n := 0
+	for _, r := range w.runs.list {
+		if r.phase != runPlanned {
+			n++
+		}
+	}
+	return n <= 1 && w.unknownReserved == job.Size{}
+}
+
+// crash returns what is counted if the worker of a run has crashed.
+func (r *run) crash(alone bool) Crash {
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: r.phase == runStarted}
+}
+
+// justStarted reports whether the last report of the worker did not show the run
+// at work for settledAfter.
+func (r *run) justStarted() bool {
+	if r.sentAt.IsZero() {
+		return !r.progressKnown
+	}
+	return r.worker.lastReport.Sub(r.sentAt) < settledAfter
+}
+
+// countCrash counts a crash against the task of a run. The number of the run
+// ensures that two owners count it once.
+func (c *Cell) countCrash(now time.Time, r *run, crash Crash) {
+	c.countTaskCrash(now, r.task, crash, r.worker.id)
+}
+
+func (c *Cell) countTaskCrash(now time.Time, t *task, crash Crash, worker WorkerID) {
+	j := t.step.job
+	known := slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run })
+	if known || t.phase == phaseDone || j.state.Final() {
+		return
+	}
+	t.crashes = append(t.crashes, crash)
+	c.recordChanged(j)
+	c.observer.Count(CountTaskCrash)
+	c.log.Warn("worker crashed under a run", jobField(j), zap.String("Task", t.id.String()), zap.Int("Run", crash.Run),
+		zap.String("Worker", string(worker)), zap.Bool("JustStarted", crash.JustStarted), zap.Bool("Alone", crash.Alone),
+		zap.Bool("Accepted", crash.Accepted), zap.Int("Crashes", len(t.crashes)))
+	if t.crashesItsWorkers() {
+		c.log.Warn("job fails, since a task crashes its workers", jobField(j), zap.String("Task", t.id.String()),
+			zap.Int("Crashes", len(t.crashes)))
+		c.fail(now, j, workload.CauseCrashes)
+		return
+	}
+	c.awaitIsolation(now, t)
+}
+
+// crashesItsWorkers reports whether the crashes under a task show that it causes
+// them.
+func (t *task) crashesItsWorkers() bool {
+	n, accepted := len(t.crashes), t.acceptedCrashes()
+	switch {
+	case n >= unansweredCrashLimit:
+		return true
+	case n >= crashLimit:
+		return accepted >= minAcceptedCrashes
+	}
+	return n >= isolatedCrashLimit && accepted >= isolatedCrashLimit && t.crashes[n-1].Alone
+}
+
+// acceptedCrashes returns how many of the workers that crashed had accepted the
+// task.
+func (t *task) acceptedCrashes() int {
+	accepted := 0
+	for _, crash := range t.crashes {
+		if crash.Accepted {
+			accepted++
+		}
+	}
+	return accepted
+}
+
+// mayStartAgain reports whether a task may be started once more after the crashes
+// under it. Runs that were stopped or lost count too.
+func (t *task) mayStartAgain() bool {
+	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() < minAcceptedCrashes {
+		return true
+	}
+	runs := make([]int, len(t.crashes))
+	for i, crash := range t.crashes {
+		runs[i] = crash.Run
+	}
+	slices.Sort(runs)
+	return t.lastRun-runs[isolatedCrashLimit-1] < maxStartsAfterCrashes
+}
+
+// failIfExhausted ends the job of a step with a task that may not be started again,
+// and reports whether it did.
+func (c *Cell) failIfExhausted(now time.Time, s *stepState) bool {
+	for _, t := range s.tasks {
+		if t.phase == phaseWaiting && !t.mayStartAgain() {
+			c.log.Warn("job fails, since a task crashes its workers", jobField(s.job), zap.String("Task", t.id.String()),
+				zap.Int("Crashes", len(t.crashes)), zap.Int("LastRun", t.lastRun))
+			c.fail(now, s.job, workload.CauseCrashes)
+			return true
+		}
+	}
+	return false
+}
+
+// noteLostRun records that a run has ended with the lease of its worker, before
+// the run is released.
+func (c *Cell) noteLostRun(r *run, alone bool) {
+	t, machine := r.task, r.worker.registration.Machine
+	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker) {
+		return
+	}
+	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
+	c.watchLostRuns(t, machine)
+}
+
+// watchLostRuns has the lost runs of a task on a machine resolved once the
+// machine is heard of.
+func (c *Cell) watchLostRuns(t *task, machine string) {
+	if !slices.Contains(c.lostRuns[machine], t) {
+		c.lostRuns[machine] = append(c.lostRuns[machine], t)
+	}
+}
+
+// resolveLostRuns resolves the lost runs on a machine when a worker there has
+// registered or answered. Those of an earlier worker were lost in a crash. Those
+// of a worker that answers again, or that leaves, were not; its registration alone
+// does not show that, since it outlives the worker.
+func (c *Cell) resolveLostRuns(now time.Time, w *worker, incarnation Incarnation, alive bool) {
+	machine := w.registration.Machine
+	watched := c.lostRuns[machine]
+	delete(c.lostRuns, machine)
+	for _, t := range watched {
+		lost := t.lost
+		t.lost = nil
+		for _, l := range lost {
+			switch {
+			case l.Machine == machine && l.Incarnation < incarnation:
+				c.countTaskCrash(now, t, l.Crash, "")
+			case l.Machine == machine && l.Incarnation == incarnation && alive:
+			default:
+				t.lost = append(t.lost, l)
+			}
+		}
+		if len(t.lost) < len(lost) {
+			c.recordChanged(t.step.job)
+		}
+		for _, l := range t.lost {
+			c.watchLostRuns(t, l.Machine)
+		}
+	}
+}
+
+// forgiveCrashes forgets the crashes of a long-running task whose run has been
+// at work for crashAmnesty.
+func (c *Cell) forgiveCrashes(now time.Time, r *run) {
+	t := r.task
+	if len(t.crashes)+len(t.lost) == 0 || !t.step.spec.LongRunning {
+		return
+	}
+	if worked, timed := r.elapsed(now); timed && worked > crashAmnesty {
+		t.crashes, t.lost = nil, nil
+		c.recordChanged(t.step.job)
+	}
+}
--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -132,6 +132,9 @@
 	if !c.earlyStarts.enabled || spec.Gang || spec.LongRunning || !c.earlyStarts.allowed[r.worker.id] {
 		return false
 	}
+	if len(t.crashes)+len(t.lost) > 0 {
+		return false // the count has to survive this owner
+	}
 	return t.numberRevision <= t.step.job.durable
 }
 
@@ -246,7 +249,7 @@
 func (c *Cell) adopt(now time.Time, t *task, u *unrecordedRun) {
 	step := t.step
 	r := &run{
-		task: t, number: u.reported.Run, worker: u.worker, phase: runStarted, startedClock: u.worker.clock,
+		task: t, number: u.reported.Run, worker: u.worker, incarnation: u.worker.incarnation, phase: runStarted, startedClock: u.worker.clock,
 		progressAt: now, pace: inheritedPace(step.spec), percent: u.reported.Percent, progressKnown: true,
 	}
 	t.lastRun = max(t.lastRun, r.number)
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -38,7 +38,7 @@
 		}
 		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtSweep })
 		for _, t := range s.tasks {
-			if t.phase == phaseWaiting && c.earlyStarts.unrecorded[t.id] == nil && c.choose(now, s, eligible, t.avoidWorker) != nil {
+			if t.phase == phaseWaiting && c.earlyStarts.unrecorded[t.id] == nil && c.workerFor(now, t, eligible) != nil {
 				out = append(out, s.id)
 				break
 			}
--- /dev/null
+++ b/internal/cell/isolate.go
@@ -0,0 +1,143 @@
+package cell
+
+import (
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/job"
+)
+
+// A suspect is a task that may have crashed a worker. Its next run is started
+// alone on a worker, which shows whether it crashes this worker too, and costs
+// the other tasks nothing if it does.
+
+const (
+	// isolationWait is how long a suspect waits for a worker that runs nothing.
+	// Once isolatedCrashLimit workers have crashed under it, its next run should
+	// decide, so that it waits for decisionWait.
+	isolationWait = 1 * time.Second
+	decisionWait  = 5 * time.Second
+	// isolationTime is how long the worker of a suspect gets no other starts.
+	isolationTime = 3 * time.Second
+	// maxIsolatedShare is the divisor of the number of workers that gives how
+	// many may be kept for suspects at a time.
+	maxIsolatedShare = 4
+	// recentCrash is how long after a crash a machine counts as unreliable, so
+	// that another crash there tells little about a task.
+	recentCrash = 10 * time.Second
+)
+
+// suspect reports whether a task may have crashed a worker: it had just started
+// there, or it was there repeatedly.
+func (t *task) suspect() bool {
+	for _, crash := range t.crashes {
+		if crash.JustStarted {
+			return true
+		}
+	}
+	return len(t.crashes) > 1
+}
+
+// mayIsolate reports whether one more worker may be kept for a suspect.
+func (c *Cell) mayIsolate() bool {
+	return c.isolatedWorkers < max(len(c.sortedWorkers)/maxIsolatedShare, 1)
+}
+
+// awaitIsolation has a waiting suspect evaluated when its wait for a worker that
+// runs nothing ends.
+func (c *Cell) awaitIsolation(now time.Time, t *task) {
+	if t.phase == phaseWaiting && t.suspect() {
+		c.setTimer(now, t.step, t.waitingSince.Add(t.isolationWait()))
+		c.setTimer(now, t.step, t.waitingSince.Add(lostRunWait))
+		c.markStep(t.step)
+	}
+}
+
+// isolationWait returns how long a suspect waits for a worker that runs nothing.
+func (t *task) isolationWait() time.Duration {
+	if len(t.crashes) >= isolatedCrashLimit {
+		return decisionWait
+	}
+	return isolationWait
+}
+
+// workerForSuspect returns the worker for a suspect: one that runs nothing, or
+// after its isolationWait the one with the fewest runs. It returns nil if the
+// suspect should wait.
+func (c *Cell) workerForSuspect(now time.Time, t *task, eligible []*worker) *worker {
+	waited := now.Sub(t.waitingSince)
+	if len(t.lost) > 0 && len(t.crashes)+len(t.lost) > isolatedCrashLimit && waited < lostRunWait {
+		return nil
+	}
+	avoid := t.avoidWorker
+	if waited > avoidDuration {
+		avoid = ""
+	}
+	var best *worker
+	for _, w := range eligible {
+		if w.id != avoid && t.step.hasRoom(w) && (best == nil || w.saferFor(now, t.step, best)) {
+			best = w
+		}
+	}
+	switch {
+	case best == nil || waited >= t.isolationWait():
+		return best
+	case best.idle() && c.mayIsolate():
+		return best
+	case best.idle():
+		c.awaitingIsolation[t.step.id] = t.step
+	}
+	return nil
+}
+
+// saferFor reports whether a crash on the worker would cost less than one on
+// another, or tell more.
+func (w *worker) saferFor(now time.Time, s *stepState, other *worker) bool {
+	if loss, otherLoss := w.crashLoss(), other.crashLoss(); loss != otherLoss {
+		return loss < otherLoss
+	}
+	if recent := now.Sub(w.machineCrashedAt) < recentCrash; recent != (now.Sub(other.machineCrashedAt) < recentCrash) {
+		return !recent
+	}
+	return s.score(w) > s.score(other)
+}
+
+// longRunLoss is the loss by the end of a run that is expensive to repeat,
+// compared with that of another run.
+const longRunLoss = 4
+
+// crashLoss returns what a crash of the worker would cost.
+func (w *worker) crashLoss() int {
+	loss := 0
+	for _, r := range w.runs.list {
+		if spec := r.task.step.spec; spec.LongRunning || spec.Gang {
+			loss += longRunLoss
+			continue
+		}
+		loss++
+	}
+	return loss
+}
+
+// idle reports whether a worker runs nothing.
+func (w *worker) idle() bool { return w.runs.len() == 0 && w.unknownReserved == job.Size{} }
+
+// isolate keeps the worker of a suspect's run free of other starts, if not too
+// many workers are kept already.
+func (c *Cell) isolate(r *run) {
+	if r.worker.isolated == nil && r.task.suspect() && c.mayIsolate() {
+		r.worker.isolated = r
+		c.isolatedWorkers++
+		c.observer.Count(CountIsolation)
+	}
+}
+
+// endIsolation makes a worker available to other tasks again.
+func (c *Cell) endIsolation(w *worker) {
+	w.isolated = nil
+	c.isolatedWorkers--
+	c.capacityFreed(w)
+	for _, s := range c.awaitingIsolation {
+		c.markStep(s)
+	}
+	clear(c.awaitingIsolation)
+}
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -24,7 +26,9 @@
 	// visibleState is the state shown to the clients that submit jobs. A final
 	// state becomes visible only once it is durable.
 	visibleState workload.State
-	acceptedAt   time.Time
+	// cause tells why the job has failed.
+	cause      workload.Cause
+	acceptedAt time.Time
 	// leftPending is set once the job no longer counts as pending: a worker has
 	// accepted a start of one of its tasks, or the job has ended.
 	leftPending bool
@@ -96,6 +100,10 @@
 	// failedRuns has the numbers of the failed runs. A run is listed once,
 	// however often and however late workers report its end.
 	failedRuns []int
+	// crashes has the crashes of workers under runs of the task, and lost the
+	// runs for which it is not known yet.
+	crashes    []Crash
+	lost       []LostRun
 	checkpoint string
 	current    *run
 	// avoidWorker is the worker to avoid: that of the last run that failed or was
@@ -128,7 +136,9 @@
 	task   *task
 	number int
 	worker *worker
-	phase  runPhase
+	// incarnation is that of the worker when the run was placed; 0 if unknown.
+	incarnation Incarnation
+	phase       runPhase
 	// queued is set while the start is in the dispatch queue, and early if it
 	// need not wait for its record.
 	queued   bool
@@ -138,8 +148,10 @@
 	// run was planned.
 	urgent bool
 	// sentBeforeRestart is set when the worker began a new incarnation while
-	// the start was in flight.
+	// the start was in flight. restartCrash is counted if the earlier
+	// incarnation had accepted the start; nil if its end was no crash.
 	sentBeforeRestart bool
+	restartCrash      *Crash
 	// revision is the revision of the record that names the run.
 	revision uint64
 	ticket   string
@@ -305,6 +317,20 @@
 	}
 }
 
+// fail ends a job that cannot be done.
+func (c *Cell) fail(now time.Time, j *jobState, cause workload.Cause) {
+	if j.state.Final() {
+		return
+	}
+	j.cause = cause
+	if cause == workload.CauseCrashes {
+		c.observer.Count(CountFailedCrashes)
+	} else {
+		c.observer.Count(CountFailedAttempts)
+	}
+	c.finish(now, j, workload.StateFailed)
+}
+
 // finish gives a job its final state and stops what is still running.
 func (c *Cell) finish(now time.Time, j *jobState, state workload.State) {
 	if j.state.Final() {
@@ -325,7 +351,7 @@
 	}
 	c.finalRecordChanged(j)
 	c.observe(StageJob, j, now.Sub(j.acceptedAt))
-	c.log.Info("job ended", jobField(j), stateField(state))
+	c.log.Info("job ended", jobField(j), stateField(state), zap.String("Cause", string(j.cause)))
 }
 
 func (c *Cell) observe(stage Stage, j *jobState, took time.Duration) {
--- a/internal/cell/offer.go
+++ b/internal/cell/offer.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	for _, t := range s.tasks {
-		if t.phase == phaseWaiting && t.avoidWorker == w.id {
+		if t.phase == phaseWaiting && (t.avoidWorker == w.id || t.suspect()) {
 			return false
 		}
 	}
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -34,6 +34,9 @@
 	// WorkerQuarantined workers have failed runs or stragglers and temporarily
 	// get no starts.
 	WorkerQuarantined WorkerState = "Quarantined"
+	// WorkerIsolated workers run a task that may have crashed a worker, and get
+	// no other starts.
+	WorkerIsolated WorkerState = "Isolated"
 	// WorkerUnlisted workers are not in the list of workers.
 	WorkerUnlisted WorkerState = "Unlisted"
 )
@@ -64,6 +67,8 @@
 	ID    workload.JobID
 	Queue string
 	State workload.State
+	// Cause tells why the job has failed.
+	Cause workload.Cause
 	// Age is how long this owner has known the job.
 	Age   time.Duration
 	Steps []StepView
@@ -125,6 +130,8 @@
 		return WorkerMaintenance
 	case w.health.quarantined(now):
 		return WorkerQuarantined
+	case w.isolated != nil:
+		return WorkerIsolated
 	}
 	return WorkerReady
 }
@@ -136,7 +143,7 @@
 	if !known {
 		return JobView{}, false
 	}
-	out := JobView{ID: id, Queue: j.job.Queue, State: j.visibleState, Age: now.Sub(j.acceptedAt)}
+	out := JobView{ID: id, Queue: j.job.Queue, State: j.visibleState, Cause: c.FailureCause(id), Age: now.Sub(j.acceptedAt)}
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
 			out.Steps = append(out.Steps, s.view())
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -113,6 +113,9 @@
 	if c.awaitingWorkers() && !s.spec.Gang && !s.spec.LongRunning {
 		return
 	}
+	if c.failIfExhausted(now, s) {
+		return
+	}
 	q := c.queueOf(s.job)
 	eligible := c.eligible(now, s, q, usable)
 	if s.spec.Gang {
@@ -190,11 +193,8 @@
 		if c.dispatch.full(now, c.urgent(s)) {
 			break
 		}
-		w := c.choose(now, s, eligible, t.avoidWorker)
-		if w == nil && t.avoidWorker != "" && now.Sub(t.waitingSince) > avoidDuration {
-			w = c.choose(now, s, eligible, "")
-		}
-		if w == nil && t.avoidWorker == "" {
+		w := c.workerFor(now, t, eligible)
+		if w == nil && t.avoidWorker == "" && !t.suspect() {
 			break
 		}
 		if w == nil {
@@ -211,6 +211,18 @@
 	}
 }
 
+// workerFor returns the best worker for a task, or nil.
+func (c *Cell) workerFor(now time.Time, t *task, eligible []*worker) *worker {
+	if t.suspect() {
+		return c.workerForSuspect(now, t, eligible)
+	}
+	w := c.choose(now, t.step, eligible, t.avoidWorker)
+	if w == nil && t.avoidWorker != "" && now.Sub(t.waitingSince) > avoidDuration {
+		w = c.choose(now, t.step, eligible, "")
+	}
+	return w
+}
+
 // placeGang places all tasks of a gang or none.
 func (c *Cell) placeGang(now time.Time, s *stepState, eligible []*worker) {
 	number := 0
@@ -251,12 +263,8 @@
 func (c *Cell) choose(now time.Time, s *stepState, eligible []*worker, exclude WorkerID) *worker {
 	var best *worker
 	var bestScore float64
-	need := s.spec.Reserved()
 	for _, w := range eligible {
-		if w.id == exclude || !need.Fits(w.freeCapacity()) {
-			continue
-		}
-		if s.spec.MaxPerWorker > 0 && w.tasksOf(s.id) >= s.spec.MaxPerWorker {
+		if w.id == exclude || !s.hasRoom(w) {
 			continue
 		}
 		if score := c.config.Policy.scoreAt(now, s, w); best == nil || score > bestScore {
@@ -266,6 +274,14 @@
 	return best
 }
 
+// hasRoom reports whether one more task of a step may be placed on a worker.
+func (s *stepState) hasRoom(w *worker) bool {
+	if w.isolated != nil || !s.spec.Reserved().Fits(w.freeCapacity()) {
+		return false
+	}
+	return s.spec.MaxPerWorker == 0 || w.tasksOf(s.id) < s.spec.MaxPerWorker
+}
+
 // tasksOf returns how many tasks of a step are on the worker.
 func (w *worker) tasksOf(step workload.StepID) int {
 	n := 0
@@ -281,7 +297,7 @@
 // durable, or before that if it may start early.
 func (c *Cell) planRun(now time.Time, t *task, w *worker, number int) {
 	s := t.step
-	r := &run{task: t, number: number, worker: w, phase: runPlanned, progressAt: now, pace: fullPace}
+	r := &run{task: t, number: number, worker: w, incarnation: w.incarnation, phase: runPlanned, progressAt: now, pace: fullPace}
 	if granted, ok := s.advice.allowed[w.id]; ok {
 		r.ticket = granted.value
 	}
@@ -299,6 +315,7 @@
 	s.job.planned = append(s.job.planned, r)
 	r.urgent = c.urgent(s)
 	r.early = c.mayStartEarly(r)
+	c.isolate(r)
 	t.numberRevision = r.revision
 	if r.early {
 		c.enqueueStart(now, r)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -32,6 +32,9 @@
 // preemptAt stops runs on one worker and returns for how many tasks of the step
 // this will free capacity.
 func (c *Cell) preemptAt(now time.Time, s *stepState, w *worker, wanted int) int {
+	if w.isolated != nil {
+		return 0
+	}
 	need := s.spec.Reserved()
 	free := w.freeCapacity().Add(w.preempted)
 	gained := 0
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -46,6 +46,10 @@
 	if e.Checkpoint != "" {
 		r.task.checkpoint = e.Checkpoint
 	}
+	c.forgiveCrashes(now, r)
+	if worked, _ := r.elapsed(now); r.worker.isolated == r && worked > isolationTime {
+		c.endIsolation(r.worker)
+	}
 	if !c.config.Policy.NoReschedule && c.stalled(now, r) {
 		c.reschedule(now, r)
 	}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -14,6 +14,8 @@
 	// Revision counts the records of a job under one owner.
 	Revision uint64
 	State    workload.State
+	// Cause tells why the job has failed.
+	Cause workload.Cause
 	// Occurrences holds the steps of each occurrence created so far.
 	Occurrences [][]StepRecord
 }
@@ -34,9 +36,17 @@
 	FailedRuns []int
 	Checkpoint string
 	// Worker is where the task may be running, and Run the number of that run;
-	// an empty Worker means that it is not running.
-	Worker WorkerID
-	Run    int
+	// an empty Worker means that it is not running. Machine and Incarnation are
+	// those of the worker's process, to recognize that it has crashed; a worker
+	// that is leaving has none.
+	Worker      WorkerID
+	Run         int
+	Machine     string
+	Incarnation Incarnation
+	// Crashes has the crashes of workers under the task, and Lost the runs whose
+	// worker may have crashed.
+	Crashes []Crash
+	Lost    []LostRun
 }
 
 // TakeRecords returns up to limit records to make durable next. A job whose
@@ -102,7 +112,7 @@
 }
 
 func (j *jobState) record() Record {
-	rec := Record{Job: j.job.ID, Revision: j.revision, State: j.state}
+	rec := Record{Job: j.job.ID, Revision: j.revision, State: j.state, Cause: j.cause}
 	rec.Occurrences = make([][]StepRecord, len(j.occurrences))
 	for k, steps := range j.occurrences {
 		rec.Occurrences[k] = make([]StepRecord, len(steps))
@@ -118,11 +128,13 @@
 	for i, t := range s.tasks {
 		rec.Tasks[i] = TaskRecord{
 			Done: t.phase == phaseDone, LastRun: t.lastRun, FailedRuns: slices.Clone(t.failedRuns),
-			Checkpoint: t.checkpoint,
+			Checkpoint: t.checkpoint, Crashes: slices.Clone(t.crashes), Lost: slices.Clone(t.lost),
 		}
-		if t.current != nil {
-			rec.Tasks[i].Worker = t.current.worker.id
-			rec.Tasks[i].Run = t.current.number
+		if r := t.current; r != nil {
+			rec.Tasks[i].Worker, rec.Tasks[i].Run = r.worker.id, r.number
+			if !r.worker.registration.Leaving {
+				rec.Tasks[i].Machine, rec.Tasks[i].Incarnation = r.worker.registration.Machine, r.incarnation
+			}
 		}
 	}
 	return rec
@@ -163,7 +175,7 @@
 	}
 	delete(c.scheduled, j.job.ID)
 	c.markStarted(j)
-	j.state = rec.State
+	j.state, j.cause = rec.State, rec.Cause
 	j.visibleState = rec.State
 	c.endedJobs = append(c.endedJobs, endedJob{id: j.job.ID, at: now})
 	c.unfinishedJobs--
@@ -183,6 +195,11 @@
 
 func (c *Cell) restoreTask(t *task, rec TaskRecord) {
 	t.lastRun, t.failedRuns, t.checkpoint = rec.LastRun, rec.FailedRuns, rec.Checkpoint
+	t.crashes, t.lost = rec.Crashes, rec.Lost
+	for _, l := range t.lost {
+		c.watchLostRuns(t, l.Machine)
+	}
+	c.awaitIsolation(t.waitingSince, t)
 	if rec.Worker != "" {
 		c.inherit(t, rec)
 	}
@@ -200,7 +217,12 @@
 	if !known {
 		w = c.addWorker(rec.Worker)
 	}
-	r := &run{task: t, number: rec.Run, worker: w, phase: runInherited, pace: inheritedPace(t.step.spec)}
+	if w.registration.Machine == "" {
+		c.setRegistration(w, Registration{ID: rec.Worker, Machine: rec.Machine, Incarnation: rec.Incarnation})
+	}
+	r := &run{
+		task: t, number: rec.Run, worker: w, phase: runInherited, incarnation: rec.Incarnation, pace: inheritedPace(t.step.spec),
+	}
 	t.phase = phaseActive
 	t.current = r
 	t.step.waiting--
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -24,6 +24,10 @@
 		return // a later answer was handled first
 	}
 	first := !w.reported
+	if first {
+		c.endInheritedOfEarlier(now, w, report)
+	}
+	c.resolveLostRuns(now, w, report.Incarnation, true)
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
@@ -70,7 +74,8 @@
 // this owner sent before it learned of the restart may have reached the new
 // incarnation.
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
-	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()))
+	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
 	// lease.
@@ -79,13 +84,24 @@
 	w.health = health{}
 	c.dropUnrecorded(w, nil)
 	w.cordonedBy = nil
+	if !ordered {
+		c.observer.Count(CountWorkerCrash)
+		w.machineCrashedAt = now
+	}
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
+		crash := r.crash(alone)
+		blamed := !ordered && r.phase != runPlanned
 		switch {
 		case report.lists(r):
+			blamed = false
 		case r.phase == runSent && !r.stopping:
 			// The answer tells which incarnation has accepted the start.
 			r.sentBeforeRestart, r.deadline = true, noDeadline
+			if blamed {
+				r.restartCrash = &crash
+			}
+			blamed = false
 		case r.phase == runSent || r.phase == runUncertain:
 			// The deadline is meaningless on the clock of the new incarnation.
 			r.phase, r.deadline = runUncertain, noDeadline
@@ -94,6 +110,28 @@
 		default:
 			c.release(now, r, EndLeaseExpired)
 		}
+		if blamed {
+			c.countCrash(now, r, crash)
+		}
+	}
+}
+
+// endInheritedOfEarlier ends the runs that a predecessor recorded on an earlier
+// incarnation of a worker, when the worker first reports. Without a fence, a start
+// of the predecessor may still reach this incarnation, so the run is only counted.
+func (c *Cell) endInheritedOfEarlier(now time.Time, w *worker, report Report) {
+	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	for _, r := range w.runs.all() {
+		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation {
+			continue
+		}
+		crash := r.crash(alone)
+		if !c.config.Unfenced {
+			c.release(now, r, EndLeaseExpired)
+		}
+		if !ordered {
+			c.countCrash(now, r, crash)
+		}
 	}
 }
 
@@ -286,6 +324,9 @@
 	}
 	r.worker.reserved = r.worker.reserved.Sub(s.spec.Reserved())
 	r.worker.preemptedReleased(r, s.spec.Reserved())
+	if r.worker.isolated == r {
+		c.endIsolation(r.worker)
+	}
 	c.dispatch.remove(r)
 	c.capacityFreed(r.worker)
 	if t.current != r {
@@ -309,6 +350,7 @@
 	if t.avoidWorker != "" {
 		c.setTimer(now, s, now.Add(avoidDuration+justAfter))
 	}
+	c.awaitIsolation(now, t)
 	if s.spec.Gang && !s.job.state.Final() {
 		c.stopStep(now, s)
 	}
@@ -340,7 +382,7 @@
 	}
 	c.log.Info("task has exhausted its attempts", zap.String("Job", string(t.id.Job)), zap.String("Task", t.id.String()),
 		zap.Int("Run", number), zap.String("Worker", string(worker)), zap.Int("Attempts", len(*failedRuns)))
-	c.finish(now, s.job, workload.StateFailed)
+	c.fail(now, s.job, workload.CauseAttempts)
 }
 
 // completeTask marks a task as done; for a gang, all of its tasks.
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -55,6 +55,9 @@
 // Observe does nothing.
 func (nopObserver) Observe(cell.Stage, string, time.Duration) {}
 
+// Count does nothing.
+func (nopObserver) Count(cell.Counter) {}
+
 func newScript(*testing.T) *script {
 	s := &script{now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), waves: make(map[int]cell.WaveRecord)}
 	s.manifest = &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -61,6 +61,10 @@
 		c.refused(now, r, outcome.Refused)
 	case r.sentBeforeRestart && outcome.Clock > r.worker.clockNow(now)+leaseSlack:
 		c.release(now, r, EndLeaseExpired) // the earlier incarnation had accepted it
+		if r.restartCrash != nil {
+			r.restartCrash.Accepted = true
+			c.countCrash(now, r, *r.restartCrash)
+		}
 	default:
 		c.markStarted(r.task.step.job)
 		r.phase = runStarted
@@ -158,13 +162,19 @@
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
+	if (w.runs.len() > 0 || c.earlyStarts.awaited[w.id]) && c.superseded(now, w) {
+		c.workerCrashed(now, w)
+		return
+	}
 	if len(c.earlyStarts.unrecorded) > 0 && c.leaseExpired(now, w) {
 		c.dropUnrecorded(w, nil)
 	}
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
 		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
 			zap.Duration("Silent", now.Sub(w.lastReport)))
+		alone := w.alone(now)
 		for _, r := range w.runs.all() {
+			c.noteLostRun(r, alone)
 			c.release(now, r, EndLeaseExpired)
 		}
 		return
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -15,6 +15,16 @@
 	return j.visibleState, true
 }
 
+// FailureCause tells why a job has failed. It is workload.CauseNone as long as
+// that is not durable.
+func (c *Cell) FailureCause(id workload.JobID) workload.Cause {
+	j, known := c.jobs[id]
+	if !known || j.visibleState != workload.StateFailed {
+		return workload.CauseNone
+	}
+	return j.cause
+}
+
 // QueueName returns the name of a job's queue, or "" if the job is unknown.
 func (c *Cell) QueueName(id workload.JobID) string {
 	j, known := c.jobs[id]
--- a/internal/cell/waverecord.go
+++ b/internal/cell/waverecord.go
@@ -55,6 +55,22 @@
 	return false
 }
 
+// maintenanceOrdered reports whether an order to take a machine down has been sent
+// and not settled. A machine that mayGoDown may only wait for its order.
+func (c *Cell) maintenanceOrdered(machine string) bool {
+	for _, w := range c.waves {
+		if at := w.ordered[machine]; !at.IsZero() && !w.settled[machine] {
+			return true
+		}
+	}
+	for number, rec := range c.waveRecords {
+		if _, known := c.waves[number]; !known && slices.Contains(rec.Ordered, machine) {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *waveState) record() WaveRecord {
 	rec := WaveRecord{Wave: w.wave.Number, Revision: w.revision}
 	for _, machine := range w.wave.Machines {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -18,6 +18,10 @@
 	// listed is set while the worker is in the list of workers.
 	listed     bool
 	unlistedAt time.Time
+	// registeredAt is when this owner first saw the registration.
+	registeredAt time.Time
+	// laterOnMachine is set once a later worker has registered on the machine.
+	laterOnMachine bool
 	// incarnation is the latest incarnation that the worker reported to this
 	// owner.
 	incarnation Incarnation
@@ -35,6 +39,12 @@
 	// preempted is the part of the reserved capacity held by runs that are
 	// being preempted.
 	preempted job.Size
+	// isolated is the run of a suspect for which the worker gets no other
+	// starts; nil if there is none.
+	isolated *run
+	// machineCrashedAt is when a worker on the same machine was last found to
+	// have crashed.
+	machineCrashedAt time.Time
 	// unknownReserved is the capacity held by the unknown runs: those that the
 	// worker reports and that this owner does not track.
 	unknownReserved job.Size
@@ -82,8 +92,12 @@
 	return w.clock + now.Sub(w.clockAt)
 }
 
-// freeCapacity returns the capacity that no run holds.
+// freeCapacity returns the capacity that no run holds. A worker that is kept for
+// a suspect has none.
 func (w *worker) freeCapacity() job.Size {
+	if w.isolated != nil {
+		return job.Size{}
+	}
 	return w.registration.Capacity.Sub(w.reserved).Sub(w.unknownReserved)
 }
 
@@ -101,15 +115,24 @@
 	w, known := c.workers[r.ID]
 	if !known {
 		w = c.addWorker(r.ID)
-		c.log.Info("worker registered", workerField(w), zap.Stringer("Addr", r.Addr), zap.String("Service", r.Service))
+		c.log.Info("worker registered", workerField(w), zap.Stringer("Addr", r.Addr), zap.String("Service", r.Service),
+			zap.String("Machine", r.Machine), zap.Int64("Incarnation", int64(r.Incarnation)))
 	}
 	if known && r.Leaving && !w.registration.Leaving {
 		c.log.Info("worker is leaving", workerField(w), zap.Duration("TimeLeft", r.TimeLeft))
+		for _, run := range w.runs.list {
+			c.recordChanged(run.task.step.job) // no crash if it is gone later
+		}
 		defer c.drainWorker(now, w)
 	}
-	w.registration = r
+	c.setRegistration(w, r)
+	if w.registeredAt.IsZero() {
+		w.registeredAt = now
+	}
 	w.listed = true
+	c.noteLaterWorkers(r.Machine)
 	c.capacityFreed(w)
+	c.resolveLostRuns(now, w, r.Incarnation, r.Leaving)
 }
 
 // Addr returns the address at which a worker takes calls.
@@ -276,7 +299,7 @@
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedGrace
-	if !listed || w.registration.Leaving || !c.inContact(now, w) || c.earlyStarts.awaited[w.id] {
+	if !listed || w.registration.Leaving || w.laterOnMachine || !c.inContact(now, w) || c.earlyStarts.awaited[w.id] {
 		return false
 	}
 	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
@@ -288,6 +311,7 @@
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(w *worker) bool {
 		gone := !w.listed && w.runs.len() == 0 && !c.earlyStarts.awaited[w.id] && now.Sub(w.lastReport) > c.config.MaxLease
 		if gone {
+			c.removeFromMachine(w)
 			delete(c.workers, w.id)
 		}
 		return gone
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -136,6 +136,9 @@
 // Observe does nothing.
 func (noopObserver) Observe(cell.Stage, string, time.Duration) {}
 
+// Count does nothing.
+func (noopObserver) Count(cell.Counter) {}
+
 // addInitialEvents adds the workers, and the events of the ticks and of all
 // submissions.
 func (s *simulation) addInitialEvents() {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -79,9 +79,13 @@
 }
 
 func TestRecordsAreReadAsWritten(t *testing.T) {
-	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
+	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning, Cause: workload.CauseCrashes}
+	crash := cell.Crash{Run: 2, JustStarted: true, Accepted: true}
+	lost := cell.LostRun{Crash: cell.Crash{Run: 4, Alone: true}, Machine: "m1", Incarnation: 7}
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
-		{Done: true, LastRun: 1}, {LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3},
+		{Done: true, LastRun: 1},
+		{LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3, Machine: "m", Incarnation: 8},
+		{LastRun: 5, Crashes: []cell.Crash{crash}, Lost: []cell.LostRun{lost}},
 	}}}}
 	value, err := ledger.EncodeRecord(r)
 	if err != nil {
@@ -96,6 +100,41 @@
 	}
 }
 
+// An earlier release decodes only the first value of a row.
+func TestEarlierReleasesReadRecordsWithASupplement(t *testing.T) {
+	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
+	r.Occurrences = [][]cell.StepRecord{{{Tasks: []cell.TaskRecord{{LastRun: 1, Worker: "w", Run: 1, Machine: "m", Incarnation: 8}}}}}
+	value, err := ledger.EncodeRecord(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields []any
+	if err := msgpack.Unmarshal(value, &fields); err != nil || len(fields) != 4 {
+		t.Fatalf("%d fields, %v", len(fields), err)
+	}
+	if task := fields[3].([]any)[0].([]any)[0].([]any)[1].([]any)[0].([]any); len(task) != 6 {
+		t.Errorf("a task has %d fields", len(task))
+	}
+}
+
+// An earlier release wrote neither the machine of a run nor crashes.
+func TestRecordsOfEarlierReleasesAreRead(t *testing.T) {
+	task := []any{false, 4, []int{1, 3}, "c", "w", 3}
+	step := []any{[]int{2}, []any{task}}
+	value, err := msgpack.Marshal([]any{"00000000000000a1", 9, "Running", []any{[]any{step}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := ledger.DecodeRecord(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := cell.TaskRecord{LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3}
+	if got := read.Occurrences[0][0].Tasks[0]; !reflect.DeepEqual(got, want) || read.Revision != 9 {
+		t.Errorf("read %+v", read)
+	}
+}
+
 func TestMalformedRowsAreRefused(t *testing.T) {
 	for _, value := range []string{"", "x", "\x93\x01\x02\x03"} {
 		if _, err := ledger.DecodeJob([]byte(value)); !fault.Is(err, ledger.KindMalformed) {
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
@@ -34,6 +36,8 @@
 
 // EncodeRecord encodes the progress record of a job. The record of a job in a
 // final state holds no occurrences.
+//
+// What earlier releases do not know follows in a second value, which they ignore.
 func EncodeRecord(r cell.Record) ([]byte, error) {
 	w := recordWire{Job: string(r.Job), Revision: r.Revision, State: string(r.State)}
 	if !r.State.Final() {
@@ -42,7 +46,11 @@
 	for k := range w.Occurrences {
 		w.Occurrences[k] = encodeSteps(r.Occurrences[k])
 	}
-	return msgpack.Marshal(&w)
+	value, err := msgpack.Marshal(&w)
+	if err != nil {
+		return nil, err
+	}
+	return appendSupplement(value, r)
 }
 
 func encodeSteps(steps []cell.StepRecord) []stepRecordWire {
@@ -62,7 +70,9 @@
 // DecodeRecord decodes the progress record of a job.
 func DecodeRecord(value []byte) (cell.Record, error) {
 	var w recordWire
-	if err := msgpack.Unmarshal(value, &w); err != nil {
+	rest := bytes.NewReader(value)
+	decoder := msgpack.NewDecoder(rest)
+	if err := decoder.Decode(&w); err != nil {
 		return cell.Record{}, fault.New("decode record", KindMalformed, "%w", err)
 	}
 	r := cell.Record{Job: workload.JobID(w.Job), Revision: w.Revision, State: workload.State(w.State)}
@@ -70,6 +80,12 @@
 	for k, steps := range w.Occurrences {
 		r.Occurrences[k] = decodeSteps(steps)
 	}
+	if rest.Len() == 0 {
+		return r, nil
+	}
+	if err := decodeSupplement(decoder, &r); err != nil {
+		return cell.Record{}, err
+	}
 	return r, nil
 }
 
--- /dev/null
+++ b/internal/ledger/supplement.go
@@ -0,0 +1,149 @@
+package ledger
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// supplementWire is the part of a progress record that releases before it do not
+// know. It has an entry for each task to which it adds something.
+type supplementWire struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Cause    string
+	Tasks    []taskSupplementWire
+}
+
+type taskSupplementWire struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Occurrence, Step and Task are the indexes of the task in the record.
+	Occurrence  int
+	Step        int
+	Task        int
+	Machine     string
+	Incarnation int64
+	Crashes     []crashWire
+	Lost        []lostRunWire
+}
+
+type crashWire struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Run         int
+	JustStarted bool
+	Alone       bool
+	Accepted    bool
+}
+
+type lostRunWire struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Crash       crashWire
+	Machine     string
+	Incarnation int64
+}
+
+// appendSupplement appends the supplement of a record to its encoded value, if it
+// has any content. A record in a final state has only the cause.
+func appendSupplement(value []byte, r cell.Record) ([]byte, error) {
+	w := supplementWire{Cause: string(r.Cause)}
+	if !r.State.Final() {
+		w.Tasks = supplementTasks(r)
+	}
+	if w.Cause == "" && len(w.Tasks) == 0 {
+		return value, nil
+	}
+	supplement, err := msgpack.Marshal(&w)
+	if err != nil {
+		return nil, err
+	}
+	return append(value, supplement...), nil
+}
+
+func supplementTasks(r cell.Record) []taskSupplementWire {
+	var out []taskSupplementWire
+	for k, steps := range r.Occurrences {
+		for i, s := range steps {
+			for n, t := range s.Tasks {
+				if t.Machine == "" && len(t.Crashes) == 0 && len(t.Lost) == 0 {
+					continue
+				}
+				out = append(out, taskSupplementWire{
+					Occurrence: k, Step: i, Task: n, Machine: t.Machine, Incarnation: int64(t.Incarnation),
+					Crashes: encodeCrashes(t.Crashes), Lost: encodeLostRuns(t.Lost),
+				})
+			}
+		}
+	}
+	return out
+}
+
+// decodeSupplement decodes the supplement of a record and adds it to the record.
+func decodeSupplement(decoder *msgpack.Decoder, r *cell.Record) error {
+	var w supplementWire
+	if err := decoder.Decode(&w); err != nil {
+		return fault.New("decode record", KindMalformed, "supplement: %w", err)
+	}
+	r.Cause = workload.Cause(w.Cause)
+	for _, s := range w.Tasks {
+		t, err := taskOf(r, s)
+		if err != nil {
+			return err
+		}
+		t.Machine, t.Incarnation = s.Machine, cell.Incarnation(s.Incarnation)
+		t.Crashes, t.Lost = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost)
+	}
+	return nil
+}
+
+// taskOf returns the task of a record that an entry of the supplement is about.
+func taskOf(r *cell.Record, s taskSupplementWire) (*cell.TaskRecord, error) {
+	if s.Occurrence < 0 || s.Occurrence >= len(r.Occurrences) {
+		return nil, fault.New("decode record", KindMalformed, "supplement: occurrence %d", s.Occurrence)
+	}
+	steps := r.Occurrences[s.Occurrence]
+	if s.Step < 0 || s.Step >= len(steps) || s.Task < 0 || s.Task >= len(steps[s.Step].Tasks) {
+		return nil, fault.New("decode record", KindMalformed, "supplement: step %d, task %d", s.Step, s.Task)
+	}
+	return &steps[s.Step].Tasks[s.Task], nil
+}
+
+func encodeCrashes(crashes []cell.Crash) []crashWire {
+	var out []crashWire
+	for _, c := range crashes {
+		out = append(out, encodeCrash(c))
+	}
+	return out
+}
+
+func encodeCrash(c cell.Crash) crashWire {
+	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted}
+}
+
+func encodeLostRuns(lost []cell.LostRun) []lostRunWire {
+	var out []lostRunWire
+	for _, l := range lost {
+		out = append(out, lostRunWire{Crash: encodeCrash(l.Crash), Machine: l.Machine, Incarnation: int64(l.Incarnation)})
+	}
+	return out
+}
+
+func decodeCrashes(crashes []crashWire) []cell.Crash {
+	var out []cell.Crash
+	for _, c := range crashes {
+		out = append(out, decodeCrash(c))
+	}
+	return out
+}
+
+func decodeCrash(c crashWire) cell.Crash {
+	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted}
+}
+
+func decodeLostRuns(lost []lostRunWire) []cell.LostRun {
+	var out []cell.LostRun
+	for _, l := range lost {
+		out = append(out, cell.LostRun{Crash: decodeCrash(l.Crash), Machine: l.Machine, Incarnation: cell.Incarnation(l.Incarnation)})
+	}
+	return out
+}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -51,6 +51,9 @@
 	h.RecordDuration(took)
 }
 
+// Count counts an event of the cell.
+func (m *ownerMetrics) Count(counter cell.Counter) { m.scope.Counter(string(counter)).Inc(1) }
+
 func (m *ownerMetrics) backlog(b cell.Backlog) {
 	m.scope.Gauge("jobs_open").Update(float64(b.Jobs))
 	m.scope.Gauge("steps_waiting").Update(float64(b.Steps))
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -134,12 +134,32 @@
 	StateRunning State = "Running"
 	// StateCompleted means that all tasks are done.
 	StateCompleted State = "Completed"
-	// StateFailed means that a task has used up its attempts.
+	// StateFailed means that a task has used up its attempts or crashes its
+	// workers; the cause tells which.
 	StateFailed State = "Failed"
 	// StateCancelled means that the client cancelled the job.
 	StateCancelled State = "Cancelled"
 )
 
+// Cause tells why a job has failed.
+type Cause string
+
+const (
+	// CauseNone is the cause of a job that has not failed.
+	CauseNone Cause = ""
+	// CauseAttempts means that a task has failed as often as its queue allows.
+	CauseAttempts Cause = "Attempts"
+	// CauseCrashes means that workers have crashed while they ran a task.
+	CauseCrashes Cause = "Crashes"
+)
+
+// Status is the state of a job as shown to its client.
+type Status struct {
+	State State
+	// Cause tells why the job has failed.
+	Cause Cause
+}
+
 // Final reports whether a job in this state can no longer change.
 func (s State) Final() bool {
 	return s == StateCompleted || s == StateFailed || s == StateCancelled
