Tell clients why a job has failed

A job that fails because a task crashes its workers looked like one that used up its attempts: the client read 'failed', and the operator's view the same. A repeat of the submission finds the failed job as before.

Tests: TestClientsLearnWhyAJobFailed, TestEarlierReleasesReadTheStateOfAFailedJob.

--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -46,6 +46,8 @@
 	ID    string
 	Queue string
 	State string
+	// Cause tells why the job has failed; it is empty for all others.
+	Cause string
 	// Age is the time since the owner learned of the job.
 	Age   string
 	Steps []CellStep
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -113,6 +113,9 @@
 	}
 	return result{JSON: document, Text: func(w io.Writer) {
 		row(w, "Job", p.ID, "Queue", p.Queue, "State", p.State, "Age", p.Age)
+		if p.Cause != "" {
+			row(w, "Cause", p.Cause)
+		}
 		for _, s := range p.Steps {
 			row(w, "Step", s.Step, "Ready", s.Ready, "Tasks", s.Tasks, "Waiting", s.Waiting, "Done", s.Done)
 			for _, r := range s.Runs {
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -110,7 +110,7 @@
 	if q.Queue != "" && job.Queue != q.Queue {
 		job = owner.JobState{}
 	}
-	return message.EncodeJobLookupReply(message.JobLookupReply{Known: job.Known, State: job.State}), nil
+	return message.EncodeJobLookupReply(message.JobLookupReply{Known: job.Known, State: job.State, Cause: job.Cause}), nil
 }
 
 func (h *Host) lookUpQueue(ctx context.Context, q message.QueueLookup) (peer.Message, error) {
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -62,30 +62,30 @@
 	return fault.New(op, KindUnknown, "%w", err)
 }
 
-// State returns the state of a job of a queue. An unknown job, or one of another
+// Status returns the state of a job of a queue. An unknown job, or one of another
 // queue, gives KindNoJob.
-func (h *Host) State(ctx context.Context, queue string, id workload.JobID) (workload.State, error) {
+func (h *Host) Status(ctx context.Context, queue string, id workload.JobID) (workload.Status, error) {
 	reply, err := askOwner(ctx, h, call{
 		message: message.EncodeJobLookup(message.JobLookup{ID: id, Queue: queue}),
 		earlier: message.EncodeJobLookup(message.JobLookup{ID: id}),
 	}, message.DecodeJobLookupReply)
 	if err != nil {
-		return "", err
+		return workload.Status{}, err
 	}
 	if reply.Known {
-		return reply.State, nil
+		return workload.Status{State: reply.State, Cause: reply.Cause}, nil
 	}
 	// The job may be durable although the owner has not received it yet.
 	found, err := h.intake.Find(ctx, id)
 	switch {
 	case err != nil:
-		return "", requestError("state", err)
+		return workload.Status{}, requestError("state", err)
 	case !found.BelongsTo(queue):
-		return "", fault.New("state", KindNoJob, "job %s", id)
+		return workload.Status{}, fault.New("state", KindNoJob, "job %s", id)
 	case found.Cancelled:
-		return workload.StateCancelled, nil
+		return workload.Status{State: workload.StateCancelled}, nil
 	}
-	return workload.StateQueued, nil
+	return workload.Status{State: workload.StateQueued}, nil
 }
 
 // Pending returns the number of accepted jobs of a queue that have not started a
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -80,7 +80,7 @@
 
 func encodeJobView(v cell.JobView) api.CellJob {
 	out := api.CellJob{
-		ID: string(v.ID), Queue: v.Queue, State: string(v.State), Age: v.Age.Round(time.Millisecond).String(),
+		ID: string(v.ID), Queue: v.Queue, State: string(v.State), Cause: string(v.Cause), Age: v.Age.Round(time.Millisecond).String(),
 		Steps: make([]api.CellStep, len(v.Steps)),
 	}
 	for i, s := range v.Steps {
--- a/internal/message/celllookup.go
+++ b/internal/message/celllookup.go
@@ -1,6 +1,11 @@
 package message
 
 import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -16,6 +21,9 @@
 type JobLookupReply struct {
 	Known bool
 	State workload.State
+	// Cause tells why the job has failed. Hosts of earlier releases neither send
+	// nor expect it.
+	Cause workload.Cause
 }
 
 // QueueLookup asks the owner for the number of waiting jobs of a queue.
@@ -85,13 +93,42 @@
 	},
 }
 
-// EncodeJobLookupReply returns the encoded message.
-func EncodeJobLookupReply(m JobLookupReply) peer.Message { return jobLookupReplyCodec.encode(m) }
+// EncodeJobLookupReply returns the encoded message. The cause is a second value,
+// which hosts of earlier releases ignore.
+func EncodeJobLookupReply(m JobLookupReply) peer.Message {
+	p := jobLookupReplyCodec.encode(m)
+	if m.Cause == workload.CauseNone {
+		return p
+	}
+	cause, err := msgpack.Marshal(string(m.Cause))
+	if err != nil {
+		panic(err) // a string can always be encoded
+	}
+	p.Body = append(p.Body, cause...)
+	return p
+}
 
 // DecodeJobLookupReply decodes the message. It fails if p is of another kind or
 // its body is malformed.
 func DecodeJobLookupReply(p peer.Message) (JobLookupReply, error) {
-	return jobLookupReplyCodec.decode(p)
+	m, err := jobLookupReplyCodec.decode(p)
+	if err != nil {
+		return JobLookupReply{}, err
+	}
+	rest := bytes.NewReader(p.Body)
+	decoder := msgpack.NewDecoder(rest)
+	if err := decoder.Skip(); err != nil {
+		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
+	}
+	if rest.Len() == 0 {
+		return m, nil
+	}
+	cause, err := decoder.DecodeString()
+	if err != nil {
+		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: cause: %w", p.Kind, err)
+	}
+	m.Cause = workload.Cause(cause)
+	return m, nil
 }
 
 type queueLookupWire struct {
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -96,6 +96,8 @@
 type JobState struct {
 	Known bool
 	State workload.State
+	// Cause tells why the job has failed.
+	Cause workload.Cause
 	// Queue is the name of the job's queue.
 	Queue string
 }
@@ -107,7 +109,7 @@
 
 func (e jobStateQuery) apply(o *Owner, _ time.Time) {
 	state, known := o.cell.Status(e.id)
-	e.reply <- JobState{Known: known, State: state, Queue: o.cell.QueueName(e.id)}
+	e.reply <- JobState{Known: known, State: state, Cause: o.cell.FailureCause(e.id), Queue: o.cell.QueueName(e.id)}
 }
 
 // Job returns the durable state of a job.
