Answer unknown when the handler of a request panics

handleError set the outcome not-run for every error, also for a panic after the request had been forwarded. The header then said that the request had not run, and the body said unknown. A caller that trusts the header would send it again.

Requests that echo refuses itself (no such path, method, too large) keep not-run: no handler has forwarded them.

TestPanicAfterForwardingIsUnknown failed before: status 500, outcome "not-run"; want "unknown"

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,18 +241,19 @@
 }
 
 // handleError answers requests that echo refuses and handlers that return an
-// error.
+// error. The outcome of a handler that failed or panicked is unknown, since it may
+// have forwarded the request before.
 func (g *Gateway) handleError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
 	var he *echo.HTTPError
-	status, text := http.StatusInternalServerError, "internal error"
+	status, text, outcome := http.StatusInternalServerError, "internal error", message.OutcomeUnknown
 	if errors.As(err, &he) {
-		status, text = he.Code, http.StatusText(he.Code)
+		status, text, outcome = he.Code, http.StatusText(he.Code), message.OutcomeNotRun
 	} else {
 		g.log.Error("request failed", zap.String("Path", c.Path()), zap.Error(err))
 	}
-	c.Response().Header().Set(api.HeaderOutcome, string(message.OutcomeNotRun))
+	c.Response().Header().Set(api.HeaderOutcome, string(outcome))
 	_ = c.JSON(status, api.Error{Kind: errorKind(status), Message: text})
 }
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -24,10 +24,15 @@
 type fakeRequests struct {
 	answer message.Answer
 	last   *message.Request
+	// panics is set when Do panics after it has got the request.
+	panics bool
 }
 
 func (r *fakeRequests) Do(_ context.Context, m message.Request) message.Answer {
 	r.last = &m
+	if r.panics {
+		panic("scripted")
+	}
 	return r.answer
 }
 
@@ -180,6 +185,21 @@
 	}
 }
 
+// A request that was forwarded before its handler panicked may have run.
+func TestPanicAfterForwardingIsUnknown(t *testing.T) {
+	r, base := serve(t)
+	r.panics = true
+	resp, _ := send(t, http.MethodPost, base+"/v1/services/escrow-desk/check", nil, "deposit")
+	if got := resp.Header.Get(api.HeaderOutcome); got != string(message.OutcomeUnknown) || r.last == nil {
+		t.Errorf("status %d, outcome %q; want %q", resp.StatusCode, got, message.OutcomeUnknown)
+	}
+	r.panics = false
+	resp, _ = send(t, http.MethodPost, base+"/v1/services/escrow-desk/check", nil, "deposit")
+	if resp.StatusCode != http.StatusTeapot {
+		t.Errorf("the next request got status %d", resp.StatusCode)
+	}
+}
+
 func TestBurnReportFormats(t *testing.T) {
 	_, base := serve(t)
 	for format, want := range map[string]string{
