Keep a key shard until its idempotent repeats have ended

KeyOwner.Do counted a request as in progress only if it was the first of its key. An idempotent request whose key an earlier owner may have run is sent too, but was not counted, so Release returned while it ran. A host that stopped gracefully could hand the shard over, and end, with such a request in progress: its caller got unknown.

Ruled out: a second run of a non-idempotent request, which is never sent when its outcome is unknown.

TestReleaseWaitsForRepeatOfUnknownOutcome failed before: the shard was released while its request was in progress

--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -68,6 +68,7 @@
 	case repeat.DecisionUnknown:
 	}
 	if r.Idempotent {
+		defer k.active.Done()
 		return run(ctx)
 	}
 	return message.Answer{
@@ -83,7 +84,8 @@
 		return 0, message.Answer{}, fault.New("begin", KindMoved, "the key moves to another owner")
 	}
 	decision, known, err := k.table.Begin(r.Key, requestDigest(r), k.timers.Now(), joined)
-	if err == nil && decision == repeat.DecisionRun {
+	runs := decision == repeat.DecisionRun || decision == repeat.DecisionUnknown && r.Idempotent
+	if err == nil && runs {
 		k.active.Add(1)
 	}
 	return decision, known, err
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -84,3 +84,28 @@
 		}
 	})
 }
+
+// A shard must not be handed over while a request that this owner sent still runs.
+func TestReleaseWaitsForRepeatOfUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key := uuid.Must(uuid.NewV7()).String()
+		time.Sleep(time.Second)
+		k := NewKeyOwner(lease.Gained{}, time.Time{}, allowAll{}, timer.NewSystem())
+		r := keyed("repeat", key, 5*time.Second)
+		r.Idempotent = true
+		ended := make(chan struct{})
+		go k.Do(t.Context(), r, func(context.Context) message.Answer {
+			time.Sleep(time.Second)
+			close(ended)
+			return message.Answer{Outcome: message.OutcomeAnswered}
+		})
+		synctest.Wait()
+		k.Release()
+		select {
+		case <-ended:
+		default:
+			t.Error("the shard was released while its request was in progress")
+		}
+		<-ended
+	})
+}
