End a compaction that its writer has not begun when it stops

The channel that Compact returns was closed only after the compaction had run. If the writer was closed or deposed while the compaction was queued, it stayed open. Its only reader, the handover of a pool, has a timeout of its own, so a handover waited for that timeout in vain and nothing was lost.

TestCompactionEndsWithTheWriter failed before: the compaction has not ended with the writer

--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -5,7 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync/atomic"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -46,7 +46,6 @@
 	// the number of records in them.
 	rows    []string
 	records int
-	done    chan struct{}
 }
 
 // compactor stores the snapshots of a Writer, one at a time.
@@ -56,8 +55,13 @@
 	current    pointer
 	version    uint64
 	garbage    []string
-	busy       atomic.Bool
 	in         chan *compaction
+
+	mu sync.Mutex
+	// done is closed when the compaction that is queued or in progress ends; it is
+	// nil if there is none.
+	done    chan struct{}
+	stopped bool
 }
 
 func newCompactor(objects Objects, dataCentre string, w *Writer, h History) *compactor {
@@ -80,7 +84,7 @@
 // SnapshotDue reports whether a snapshot is due, given the number of tasks that
 // it would hold and the number of acceptance rows that it would replace.
 func (w *Writer) SnapshotDue(tasks, acceptRows int) bool {
-	if w.compactor.busy.Load() {
+	if w.compactor.busy() {
 		return false
 	}
 	w.mu.Lock()
@@ -97,19 +101,57 @@
 
 // Compact replaces everything that was appended before by a snapshot. acceptKeys
 // are the keys of the acceptance rows whose jobs the snapshot holds. done is closed
-// when the compaction has ended, successfully or not; it is never closed if the
-// writer stops before the compaction has begun. Compact reports false when another
-// compaction is in progress, the queue is full or the writer is closed.
+// when the compaction has ended, successfully or not, or the writer has stopped.
+// Compact reports false when another compaction is in progress, the queue is full or
+// the writer is closed.
 func (w *Writer) Compact(s pool.Snapshot, acceptKeys []string) (done <-chan struct{}, ok bool) {
-	if !w.compactor.busy.CompareAndSwap(false, true) {
+	done, ok = w.compactor.begin()
+	if !ok {
 		return nil, false
 	}
-	c := &compaction{snapshot: s, acceptKeys: acceptKeys, done: make(chan struct{})}
+	c := &compaction{snapshot: s, acceptKeys: acceptKeys}
 	if !w.Append(Batch{compaction: c}) {
-		w.compactor.busy.Store(false)
+		w.compactor.end()
+		return nil, false
+	}
+	return done, true
+}
+
+// busy reports whether a compaction is queued or in progress.
+func (p *compactor) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done != nil
+}
+
+// begin returns the channel that is closed when a new compaction ends. It reports
+// false if there is one already or the writer has stopped.
+func (p *compactor) begin() (done <-chan struct{}, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.done != nil || p.stopped {
 		return nil, false
 	}
-	return c.done, true
+	p.done = make(chan struct{})
+	return p.done, true
+}
+
+// end records that the compaction has ended.
+func (p *compactor) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.done != nil {
+		close(p.done)
+		p.done = nil
+	}
+}
+
+// stop ends a compaction that was not finished and refuses further ones.
+func (p *compactor) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.end()
 }
 
 // startCompaction passes a compaction to the compactor once everything appended
@@ -126,8 +168,7 @@
 		select {
 		case c := <-w.compactor.in:
 			w.compact(c)
-			w.compactor.busy.Store(false)
-			close(c.done)
+			w.compactor.end()
 		case <-w.ctx.Done():
 			return
 		}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -108,6 +108,7 @@
 	go func() {
 		defer close(w.done)
 		w.loops.Wait()
+		w.compactor.stop()
 	}()
 	return w
 }
--- a/internal/journal/writer_test.go
+++ b/internal/journal/writer_test.go
@@ -288,3 +288,27 @@
 		}
 	})
 }
+
+// A pool that waits for its snapshot must not wait forever when the writer stops.
+func TestCompactionEndsWithTheWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStores(t)
+		w, _ := s.takeOver()
+		s.table.SetDown(true)
+		w.Append(journal.Batch{Records: accepted(1)})
+		synctest.Wait()
+		done, ok := w.Compact(pool.Snapshot{}, nil)
+		if !ok {
+			t.Fatal("the writer refused the snapshot")
+		}
+		w.Close()
+		select {
+		case <-done:
+		default:
+			t.Error("the compaction has not ended with the writer")
+		}
+		if _, ok := w.Compact(pool.Snapshot{}, nil); ok {
+			t.Error("a closed writer took a snapshot")
+		}
+	})
+}
