Send no trial request to a store with an overdue call

While a call was overdue, one request per trialInterval was let through as a trial. Its outcome would be unknown if the store does not answer, which is why no trial is sent once a call has ended without an answer. The same holds while it is overdue. A client could get unknown where another host would have taken its request at once.

TestStoreHealth asked that one of two requests be refused while a call is overdue. It now asks that both are. It failed before: request 1 is sent to a store with an overdue call

--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -68,22 +68,21 @@
 }
 
 // unavailable reports whether no request should be sent to the store, since it
-// rejects calls, a call is overdue, or a call has ended without an answer. Unless a
-// call has ended without an answer, it returns false once per trialInterval, so
-// that one request finds out whether the store has recovered. After a call without
-// an answer no request is sent as a trial, since the outcome of the request would
-// be unknown.
+// rejects calls, a call is overdue, or a call has ended without an answer. If it
+// only rejects calls, unavailable returns false once per trialInterval, so that one
+// request finds out whether the store has recovered. While calls get no answer no
+// request is sent as a trial, since the outcome of the request would be unknown.
 func (h *storeHealth) unavailable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	failing := h.unanswered || h.rejections >= rejectionLimit
+	silent := h.unanswered
 	for _, since := range h.open {
-		failing = failing || now.Sub(since) > unavailableAfter
+		silent = silent || now.Sub(since) > unavailableAfter
 	}
-	if !failing {
-		return false
+	if silent || h.rejections < rejectionLimit {
+		return silent
 	}
-	if now.Sub(h.lastTrialAt) >= trialInterval && !h.unanswered {
+	if now.Sub(h.lastTrialAt) >= trialInterval {
 		h.lastTrialAt = now
 		return false
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestStoreHealth checks that, once a call has had no answer, no request is sent
-// to the store until a probe has been answered, since the outcome of the request
+// TestStoreHealth checks that, while a call is overdue and once one has had no
+// answer, no request is sent to the store until a probe has been answered, since the outcome of the request
 // would be unknown. A store that rejects calls gets one request per trialInterval
 // as a trial.
 func TestStoreHealth(t *testing.T) {
@@ -197,9 +197,10 @@
 	if h.unavailable(now.Add(unavailableAfter)) {
 		t.Error("unavailable although no call is overdue")
 	}
-	// While the call is overdue but pending, one of the two requests is a trial.
-	if !h.unavailable(now.Add(unavailableAfter+time.Millisecond)) && !h.unavailable(now.Add(unavailableAfter+2*time.Millisecond)) {
-		t.Error("available although a call is overdue")
+	for i := range 2 {
+		if !h.unavailable(now.Add(unavailableAfter + time.Duration(i+1)*time.Millisecond)) {
+			t.Errorf("request %d is sent to a store with an overdue call", i+1)
+		}
 	}
 	h.end(call, noAnswer)
 	for i := range 5 {
