Log a failed step of a graceful stop as failed

The stopper logged "requests in progress are finished" and "everything owned is handed over" also when the step had failed, with the error as a field. An operator who looks for the line took the stop for complete. The lines of a complete stop are unchanged.

TestFailedStopIsNotLoggedAsCompleted failed before, in both cases of a failure: logged ["requests in progress are finished" "everything owned is handed over"]; want ["requests in progress were interrupted" "everything owned is handed over"]

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -77,9 +77,11 @@
 	shutdownCtx, cancel := context.WithTimeout(p.endCtx, p.maxDeadline)
 	defer cancel()
 	shutdownErr := p.gateway.Shutdown(shutdownCtx)
-	// This line and the one on the handoff are also logged after a failure, with
-	// its error.
-	p.log.Info("requests in progress are finished", zap.Error(shutdownErr))
+	if shutdownErr == nil {
+		p.log.Info("requests in progress are finished")
+	} else {
+		p.log.Warn("requests in progress were interrupted", zap.Error(shutdownErr))
+	}
 	handoffCtx, cancelHandoff := context.WithTimeout(p.endCtx, handoffTimeout)
 	defer cancelHandoff()
 	err := p.host.Stop(handoffCtx)
@@ -87,7 +89,11 @@
 		// A peer has already taken over everything that this host owned.
 		err = nil
 	}
-	p.log.Info("everything owned is handed over", zap.Error(err))
+	if err == nil {
+		p.log.Info("everything owned is handed over")
+	} else {
+		p.log.Warn("the handoff to other hosts did not complete", zap.Error(err))
+	}
 	if shutdownErr != nil {
 		return fault.New("stop", KindInterrupted, "requests in progress were interrupted: %w", shutdownErr)
 	}
