Test that a commit names the workers of records it leaves out

The order in which a commit encodes its records and names the workers of early starts had no test in owner. The two steps are now in nextBatch, which the test calls: twenty jobs of 8,000 tasks have one early start each, their records do not fit into one transaction, and early starts have been disabled meanwhile.

The behaviour does not change.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -38,17 +38,11 @@
 	if o.committing || now.Before(o.retryAt) || !due {
 		return
 	}
-	b := batch{deletes: o.deletesForCommit()}
-	b.waves = o.cell.WaveRecords()
-	b.waves = b.waves[:min(len(b.waves), maxWavesPerCommit)]
-	b.records = o.cell.TakeRecords(maxEntriesPerCommit - len(b.deletes) - len(b.waves))
-	writes, err := o.encodeRecords(&b)
+	b, writes, err := o.nextBatch(now)
 	if err != nil {
 		o.end(fault.New("commit", KindStore, "%w", err))
 		return
 	}
-	// The row names the workers of early runs whose record is not in this commit.
-	b.earlyStartWorkers = o.cell.EarlyStartWorkers(now)
 	o.transactionNumber++
 	number := o.transactionNumber
 	t, err := o.transaction(now, b, writes)
@@ -69,6 +63,19 @@
 	})
 }
 
+// nextBatch returns what the next commit writes, with the writes of its records.
+func (o *Owner) nextBatch(now time.Time) (batch, []rowstore.Write, error) {
+	b := batch{deletes: o.deletesForCommit()}
+	b.waves = o.cell.WaveRecords()
+	b.waves = b.waves[:min(len(b.waves), maxWavesPerCommit)]
+	b.records = o.cell.TakeRecords(maxEntriesPerCommit - len(b.deletes) - len(b.waves))
+	writes, err := o.encodeRecords(&b)
+	// The row names the workers of early runs whose record is not in this commit,
+	// which is known once the records are encoded.
+	b.earlyStartWorkers = o.cell.EarlyStartWorkers(now)
+	return b, writes, err
+}
+
 // transaction returns the transaction that writes a batch, under the condition
 // that the owner's row is unchanged since this owner last wrote it. So nothing is
 // written once another host has taken over, and a commit whose response was lost
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -1,11 +1,18 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -70,3 +77,38 @@
 		}
 	})
 }
+
+// A commit that leaves out the record of an early start must name its worker, since a
+// successor would not wait for it otherwise.
+func TestRowNamesWorkersOfRecordsLeftOut(t *testing.T) {
+	const jobs, tasks = 20, 8000
+	now := time.Unix(1_700_000_000, 0)
+	o := &Owner{recordParts: make(map[workload.JobID]int)}
+	o.cell = cell.New(now, cell.Config{ContactTimeout: time.Second}, newOwnerMetrics(tally.NoopScope), zap.NewNop())
+	queue := manifest.Queue{Name: queueUrgent, Service: "s", MaxAttempts: 1, SlackFactor: 2, TargetLatency: time.Second}
+	o.cell.SetManifest(&manifest.Manifest{Version: 1, Queues: []manifest.Queue{queue}})
+	o.cell.Register(now, cell.Registration{ID: "w", Machine: "m", Service: "s", Capacity: job.Size{MilliCores: 100_000, MemoryMB: 1000}})
+	o.cell.Reported(now, "w", cell.Report{Incarnation: 1, Clock: time.Second})
+	o.cell.SetEarlyStarts(true)
+	o.cell.EarlyStartWorkersCommitted([]cell.WorkerID{"w"})
+	for i := range jobs {
+		step := workload.Step{Tasks: tasks, Size: job.Size{MilliCores: 1000}, Estimate: time.Second, MaxPerWorker: 1}
+		o.cell.Accept(now, cell.AcceptedJob{
+			Job: workload.Job{ID: jobID(i), Queue: queueUrgent, Steps: []workload.Step{step}}, Queue: queue,
+		})
+	}
+	started := make(map[workload.JobID]bool)
+	for _, a := range o.cell.TakeActions(now) {
+		if s, ok := a.(cell.SendStart); ok {
+			started[s.Task.Job] = true
+		}
+	}
+	o.cell.SetEarlyStarts(false)
+	b, _, err := o.nextBatch(now)
+	if err != nil || len(started) < jobs || len(b.records) == jobs {
+		t.Fatalf("%d early starts and %d records in the commit of %d jobs, %v", len(started), len(b.records), jobs, err)
+	}
+	if !slices.Equal(b.earlyStartWorkers, []cell.WorkerID{"w"}) {
+		t.Errorf("the row names %v; want w, which runs tasks whose records are left out", b.earlyStartWorkers)
+	}
+}
