End the call of a stop or a maintenance order with the authority

Where workers check no fencing token, an owner may send a stop or a maintenance order until 2 s after the beginning of its last commit. That was checked right before the call, but the call had its own timeout only: while it waited for its connection, the order could be sent up to 0.35 s (stop) or 2 s (maintenance) after the authority had timed out. A maintenance order 4 s after the last commit comes later than the first of a successor, which waits 3.5 s, so two owners could order one machine. The call's context now ends with the authority.

Not solved: a process that is paused between the check and the call. Its context has ended when it wakes, but the call may be faster than the timer. The machine service knows no deadline, so docs/design/unfenced.md still lists that.

--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
@@ -15,11 +16,19 @@
 	return o.timers.Latest().Sub(o.confirmedAt)
 }
 
-// checkAuthority returns an error if an order must not be sent now, although it was
-// allowed when it was decided. Workers that check fencing tokens refuse it themselves.
-func (o *Owner) checkAuthority(op string) error {
-	if since := o.sinceConfirmed(); o.config.Cell.Unfenced && since >= cell.AuthorityTimeout {
-		return fault.New(op, KindReplaced, "the ownership of epoch %d was last confirmed %v ago", o.Epoch(), since)
+// withAuthority returns a context for an order, which ends when the authority of this
+// owner does, so that an order that waits for its connection is not sent afterwards. It
+// returns an error if the order must not be sent now, although it was allowed when it
+// was decided. Workers that check fencing tokens refuse it themselves.
+func (o *Owner) withAuthority(ctx context.Context, op string) (context.Context, context.CancelFunc, error) {
+	if !o.config.Cell.Unfenced {
+		return ctx, func() {}, nil
 	}
-	return nil
+	since := o.sinceConfirmed()
+	if since >= cell.AuthorityTimeout {
+		err := fault.New(op, KindReplaced, "the ownership of epoch %d was last confirmed %v ago", o.Epoch(), since)
+		return ctx, func() {}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cell.AuthorityTimeout-since)
+	return ctx, cancel, nil
 }
--- a/internal/owner/authority_test.go
+++ b/internal/owner/authority_test.go
@@ -8,6 +8,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 // suspendableTimers is a timer service whose process can be suspended: Latest then
@@ -62,6 +63,34 @@
 	}
 }
 
+// An order that waits for its connection must not be sent once the authority has
+// timed out, since the owner may have been replaced.
+func TestWaitingOrdersEndWithTheAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const left = 100 * time.Millisecond
+		p := newFakePlatform(1)
+		p.runTakes = time.Minute
+		config := fakeConfig()
+		config.Cell.Unfenced = true
+		o := p.startOwnerWith(config, timer.NewSystem())
+		defer o.Close()
+		accept(o, 1, 1)
+		time.Sleep(2 * time.Second)
+		p.hang(true)
+		p.connectTakes = 2 * left
+		time.Sleep(cell.AuthorityTimeout - left - o.sinceConfirmed())
+		task := workload.TaskID{StepID: workload.StepID{Job: jobID(0)}}
+		o.put(loopFunc(func(o *Owner) {
+			o.maintenance(cell.Maintenance{Machine: "m", Wave: 1})
+			o.stop(cell.SendStop{Worker: "w00", Task: task, Run: 1})
+		}))
+		time.Sleep(4 * left)
+		if _, stops, orders := p.sent(); stops != 0 || orders != 0 {
+			t.Errorf("after the authority: %d stops, %d maintenance orders; want none", stops, orders)
+		}
+	})
+}
+
 func (p *fakePlatform) hang(hang bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -38,6 +38,9 @@
 	runTakes   time.Duration
 	// stopTakes is the latency of a stop.
 	stopTakes time.Duration
+	// connectTakes is the time until a stop, a change of pace or a maintenance
+	// order arrives.
+	connectTakes time.Duration
 	// paceTakes is the latency of a change to each pace, and paces holds those that
 	// arrived.
 	paceTakes map[int]time.Duration
@@ -260,6 +263,9 @@
 
 // Stop counts the stops of each run and ends the run.
 func (p *fakePlatform) Stop(ctx context.Context, _ netip.AddrPort, s cell.SendStop, _ uint64) (time.Duration, error) {
+	if err := sleep(ctx, p.connectTakes); err != nil {
+		return 0, err
+	}
 	p.mu.Lock()
 	p.stops[fmt.Sprint(s.Task, " ", s.Run)]++
 	p.mu.Unlock()
@@ -279,7 +285,7 @@
 
 // SetPace records the pace when the call arrives.
 func (p *fakePlatform) SetPace(ctx context.Context, _ netip.AddrPort, order cell.SetPace, _ uint64) error {
-	if err := sleep(ctx, p.paceTakes[order.Percent]); err != nil {
+	if err := sleep(ctx, p.connectTakes+p.paceTakes[order.Percent]); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -305,7 +311,10 @@
 }
 
 // Maintenance counts the orders and carries none out.
-func (p *fakePlatform) Maintenance(context.Context, cell.Maintenance, uint64) (cell.MaintenanceOutcome, error) {
+func (p *fakePlatform) Maintenance(ctx context.Context, _ cell.Maintenance, _ uint64) (cell.MaintenanceOutcome, error) {
+	if err := sleep(ctx, p.connectTakes); err != nil {
+		return cell.MaintenanceRetry, err
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.maintained++
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -51,7 +51,8 @@
 		ctx, cancel := context.WithTimeout(o.ctx, maintenanceTimeout)
 		defer cancel()
 		outcome := cell.MaintenanceRetry
-		err := o.checkAuthority("maintenance")
+		ctx, release, err := o.withAuthority(ctx, "maintenance")
+		defer release()
 		if err == nil {
 			outcome, err = o.ports.Machines.Maintenance(ctx, order, o.Epoch())
 		}
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -73,7 +73,8 @@
 	o.pendingStops[key] = true
 	o.order(orderStop, func(ctx context.Context) {
 		var clock time.Duration
-		err := o.checkAuthority("stop")
+		ctx, release, err := o.withAuthority(ctx, "stop")
+		defer release()
 		if err == nil {
 			clock, err = o.workers.Stop(ctx, addr, s, o.Epoch())
 		}
