Bound the raises of a replaced owner's pace, and repeat the successor's

Where workers check no fencing token, a pace that a replaced owner set after its successor had set another stayed until the next change: a best-effort task at full speed beside a task near its latency target, or one that stands still.

An owner without authority now raises no pace, checked with the decision and right before the call, which ends with the authority. It still cuts to 0, since that must work while the store is unavailable.

--- a/internal/cell/pace.go
+++ b/internal/cell/pace.go
@@ -36,8 +36,10 @@
 
 // adjustPace throttles the best-effort tasks of a worker as soon as the latency
 // of a serving task comes near its target, and raises their pace slowly. On
-// workers without serving tasks they run at full pace.
+// workers without serving tasks they run at full pace. An owner without authority
+// raises no pace, since its successor may have reduced it.
 func (c *Cell) adjustPace(now time.Time, w *worker) {
+	c.repeatPaces(now, w)
 	worst, serving := w.worstLatency()
 	restore := worst < restoreThreshold && now.Sub(w.pacedAt) >= restoreInterval
 	for _, r := range w.runs.list {
@@ -53,7 +55,7 @@
 		case restore:
 			pace = min(max(r.pace, 0)+paceStep, fullPace)
 		}
-		if pace != r.pace {
+		if pace != r.pace && (pace == 0 || c.mayOrder(now)) {
 			w.pacedAt = now
 			c.setPace(r, pace)
 		}
@@ -78,6 +80,22 @@
 	c.emit(SetPace{Worker: r.worker.id, Task: r.task.id, Run: r.number, Percent: percent})
 }
 
+// repeatPaces sends the paces of the runs that a predecessor started once more when
+// the authority of the predecessor has timed out, since a worker without fences may
+// have obeyed it last.
+func (c *Cell) repeatPaces(now time.Time, w *worker) {
+	if !c.config.Unfenced || w.pacesRepeated || c.predecessorAuthority(now, AuthorityTimeout) > 0 {
+		return
+	}
+	w.pacesRepeated = true
+	for _, r := range w.runs.list {
+		inherited := r.sentAt.IsZero() && r.phase == runStarted
+		if inherited && r.task.step.spec.BestEffort && r.pace != unknownPace {
+			c.setPace(r, r.pace)
+		}
+	}
+}
+
 // inheritedPace is the initial pace of a run that a predecessor started. Only
 // best-effort tasks are ever throttled.
 func inheritedPace(step *workload.Step) int {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -55,6 +55,8 @@
 	cordonedBy *waveState
 	// pacedAt is when the pace of best-effort tasks was last changed.
 	pacedAt time.Time
+	// pacesRepeated is set once the paces have been sent again after a takeover.
+	pacesRepeated bool
 
 	health health
 
--- a/internal/owner/authority_test.go
+++ b/internal/owner/authority_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -64,7 +65,7 @@
 }
 
 // An order that waits for its connection must not be sent once the authority has
-// timed out, since the owner may have been replaced.
+// timed out, since the owner may have been replaced. A cut of the pace may.
 func TestWaitingOrdersEndWithTheAuthority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const left = 100 * time.Millisecond
@@ -83,10 +84,12 @@
 		o.put(loopFunc(func(o *Owner) {
 			o.maintenance(cell.Maintenance{Machine: "m", Wave: 1})
 			o.stop(cell.SendStop{Worker: "w00", Task: task, Run: 1})
+			o.setPace(cell.SetPace{Worker: "w00", Task: task, Run: 1, Percent: 20})
+			o.setPace(cell.SetPace{Worker: "w00", Task: task, Run: 2, Percent: 0})
 		}))
 		time.Sleep(4 * left)
-		if _, stops, orders := p.sent(); stops != 0 || orders != 0 {
-			t.Errorf("after the authority: %d stops, %d maintenance orders; want none", stops, orders)
+		if _, stops, orders := p.sent(); stops != 0 || orders != 0 || !slices.Equal(p.paces, []int{0}) {
+			t.Errorf("after the authority: %d stops, %d maintenance orders, paces %v; want none but the pace 0", stops, orders, p.paces)
 		}
 	})
 }
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -100,7 +100,16 @@
 		return
 	}
 	o.order(orderPace, func(ctx context.Context) {
-		err := o.workers.SetPace(ctx, addr, p, o.Epoch())
+		var err error
+		if p.Percent > 0 {
+			// Reducing the pace to 0 must also work while the store is unavailable.
+			var release context.CancelFunc
+			ctx, release, err = o.withAuthority(ctx, "set pace")
+			defer release()
+		}
+		if err == nil {
+			err = o.workers.SetPace(ctx, addr, p, o.Epoch())
+		}
 		if err != nil {
 			o.handleFailure("set pace", p.Worker, err, zap.String("Job", string(p.Task.Job)), zap.Stringer("Task", p.Task))
 		}
