Derive the authority for early starts from the other two limits

1.3 s had been chosen as twice a commit on a slow store. It is the authority for other orders less the validity of an early start and the slack of the clocks: the last early start of a replaced owner has expired when its other orders end, so a successor waits for neither longer than AuthorityTimeout after the last commit. The value is the same and so is the behaviour.

The script unfenced-early-start-wait holds this: a start 2 s after the takeover and none at 1.9 s. It passes before and after; without leaseSlack in the derivation it fails, with no start at 2 s ("starts go ahead at [w1]" only).

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -7,9 +7,10 @@
 	// that it owns the cell: a commit that took effect. It is measured from the
 	// beginning of that commit.
 	AuthorityTimeout = 2 * time.Second
-	// earlyStartAuthority is the same for early starts. It is shorter, since a
-	// successor places no tasks until it has passed.
-	earlyStartAuthority = 1300 * time.Millisecond
+	// earlyStartAuthority is the same for early starts. It is shorter, so that the
+	// last early start has expired at its worker when AuthorityTimeout is over, and
+	// a successor waits no longer for early starts than for other orders.
+	earlyStartAuthority = AuthorityTimeout - earlyStartValidity - leaseSlack
 	// earlyStartValidity is how long a worker that checks no fencing token
 	// accepts an early start.
 	earlyStartValidity = 500 * time.Millisecond
