Accept peers again after a failed accept

One error of Accept, such as EMFILE while the process has no file descriptor left, ended the loop that accepts peers, without a log line. Done was closed and nobody waits for it, so the host went on as healthy: it served callers and called peers, but none could connect to it until it was started again.

The loop now logs the error and accepts again after 50 ms, and ends only when the transport or its listener is closed. So Err, which never reported the error, has none to report.

TestAcceptErrorDoesNotEndTheTransport failed before: a call after a failed accept: call: not sent: [...] i/o timeout

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -36,6 +38,10 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// acceptBackoff is the wait after a failed accept, for instance while the process has
+// no file descriptor left.
+const acceptBackoff = 50 * time.Millisecond
+
 // maxServing bounds the number of peers' calls that are served at the same time.
 const maxServing = 1024
 
@@ -110,12 +116,21 @@
 	return t
 }
 
+// accept serves incoming connections until the transport or its listener is closed.
 func (t *Transport) accept() {
 	for {
 		raw, err := t.listen.Accept()
-		if err != nil {
+		if t.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			if err == nil {
+				_ = raw.Close()
+			}
 			return
 		}
+		if err != nil {
+			t.log.Warn("accepting a connection failed", zap.Error(err))
+			t.sleep(acceptBackoff)
+			continue
+		}
 		t.background.Go(func() {
 			c, r, err := t.handshake(t.ctx, raw)
 			if err != nil {
@@ -130,6 +145,13 @@
 	}
 }
 
+// sleep waits for a duration or until the transport is closed.
+func (t *Transport) sleep(d time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // Call sends a message to the host at an address and returns its answer. The
 // kind of the error tells whether the call may have taken effect.
 func (t *Transport) Call(ctx context.Context, to netip.AddrPort, m Message) (Message, error) {
@@ -283,11 +305,10 @@
 }
 
 // Done returns a channel that is closed when the transport no longer accepts
-// connections, after Close or after an error of the listener.
+// connections, after it or its listener has been closed.
 func (t *Transport) Done() <-chan struct{} { return t.done }
 
-// Err returns nil. An error of the listener, which also ends the transport, is not
-// reported.
+// Err returns nil, since only a close ends the transport.
 func (t *Transport) Err() error { return nil }
 
 // Close closes all connections and waits for the calls that are being served.
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
@@ -296,3 +298,33 @@
 		}
 	})
 }
+
+// failingListener fails to accept once, as when the process has no file descriptor
+// left.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// A host must not stay unreachable after one failed accept.
+func TestAcceptErrorDoesNotEndTheTransport(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := Host{Name: "server", DataCentre: "centro-a", Incarnation: "server-1"}
+	server := New(self, &failingListener{Listener: raw}, &net.Dialer{}, handlerFunc(echo), tally.NoopScope, zap.NewNop())
+	t.Cleanup(server.Close)
+	client, _ := start(t, "client", echo)
+	addr := netip.MustParseAddrPort(raw.Addr().String())
+	if _, err := client.Call(t.Context(), addr, Message{Kind: 7}); err != nil {
+		t.Errorf("a call after a failed accept: %v", err)
+	}
+}
