Fail the process tests at once when a host ends by itself

TestSoak noticed that a host had ended only after a minute, by "all hosts are healthy again", and did not say how it had ended. A host that ends without having been told to now fails the test when it ends, with its status and the end of its log.

A suspended process ends by SIGKILL only, unless its exit had begun before.

Who sent a signal, or why an exit began at that moment, is not shown.

--- a/cmd/cicadabarrow/fleet_test.go
+++ b/cmd/cicadabarrow/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +54,8 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	healthy  bool
+	// stopping is set before the test ends the process.
+	stopping atomic.Bool
 }
 
 // fleet holds the entry hosts of a deployment of internal/standin, which run as
@@ -102,6 +105,7 @@
 		cancel()
 		watch.Wait()
 		for _, p := range f.processes {
+			p.stopping.Store(true)
 			_ = p.cmd.Process.Kill()
 			<-p.exited
 		}
@@ -167,7 +171,7 @@
 }
 
 // start runs the test binary with runVariable set, so that it acts as the
-// product's binary.
+// product's binary. The test fails if the process ends by itself.
 func (f *fleet) start(p *entryProcess) {
 	binary, err := os.Executable()
 	if err != nil {
@@ -188,9 +192,13 @@
 	f.mu.Lock()
 	p.cmd, p.exited = cmd, exited
 	f.mu.Unlock()
+	p.stopping.Store(false)
 	go func() {
 		defer close(exited)
 		_ = cmd.Wait()
+		if !p.stopping.Load() {
+			f.t.Errorf("%s ended by itself, %v; its log ends with:\n%s", p.host.Name, cmd.ProcessState, f.logTail(p))
+		}
 	}()
 }
 
@@ -202,6 +210,7 @@
 
 // killAndRestart kills a process and restarts it, as a supervisor does.
 func (f *fleet) killAndRestart(p *entryProcess) {
+	p.stopping.Store(true)
 	f.signal(p, syscall.SIGKILL)
 	<-p.exited
 	f.start(p)
@@ -209,6 +218,7 @@
 
 // terminate stops a process gracefully and checks its exit status.
 func (f *fleet) terminate(p *entryProcess) {
+	p.stopping.Store(true)
 	f.signal(p, syscall.SIGTERM)
 	select {
 	case <-p.exited:
