Keep a host running when the handler of a peer's call panics

A panic in a handler of peers' calls ended the whole process, since no one recovered it; net/http does so for clients' requests. A message that makes the handler panic and is sent to one host after the other would end them all.

The panic is now logged with its stack, and the connection is closed, so the caller's calls on it are unknown: the handler may have taken effect before. Answering with an error would claim that it had not.

Panics in the event loops of the owner still end the process.

TestPanicOfAHandlerEndsOnlyItsCall ended the test process before: panic: scripted [recovered, repanicked]

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 )
 
@@ -99,7 +101,16 @@
 	}
 }
 
+// serve handles a call of the peer. If the handler panics, the connection is closed,
+// so that the peer does not know whether the call took effect.
 func (c *conn) serve(ctx context.Context, e envelope) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.transport.log.Error("the handler of a call panicked", zap.String("Peer", c.remote.Name),
+				zap.Uint8("Kind", e.Kind), zap.Any("Panic", v), zap.Stack("Stack"))
+			c.close()
+		}
+	}()
 	reply, err := c.transport.handler.Handle(ctx, c.remote, Message{Kind: e.Kind, Body: e.Body})
 	out := envelope{Call: e.Call, Answer: true, Kind: reply.Kind, Body: reply.Body}
 	if err != nil && ctx.Err() != nil {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -328,3 +328,21 @@
 		t.Errorf("a call after a failed accept: %v", err)
 	}
 }
+
+// A message on which a handler panics must not end the process, and may have taken
+// effect.
+func TestPanicOfAHandlerEndsOnlyItsCall(t *testing.T) {
+	_, addr := start(t, "server", func(_ context.Context, _ Host, m Message) (Message, error) {
+		if m.Kind == 1 {
+			panic("scripted")
+		}
+		return m, nil
+	})
+	client, _ := start(t, "client", echo)
+	if _, err := client.Call(t.Context(), addr, Message{Kind: 1}); !fault.Is(err, KindUnknown) {
+		t.Errorf("the call whose handler panicked gives %v; want %q", err, KindUnknown)
+	}
+	if _, err := client.Call(t.Context(), addr, Message{Kind: 2}); err != nil {
+		t.Errorf("the next call gives %v", err)
+	}
+}
