--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -73,7 +73,8 @@
 	o.pendingStops[key] = true
 	o.order(orderStop, func(ctx context.Context) {
 		var clock time.Duration
-		err := o.checkAuthority("stop")
+		ctx, release, err := o.withAuthority(ctx, "stop")
+		defer release()
 		if err == nil {
 			clock, err = o.workers.Stop(ctx, addr, s, o.Epoch())
 		}
@@ -99,7 +100,16 @@
 		return
 	}
 	o.order(orderPace, func(ctx context.Context) {
-		err := o.workers.SetPace(ctx, addr, p, o.Epoch())
+		var err error
+		if p.Percent > 0 {
+			// Reducing the pace to 0 must also work while the store is unavailable.
+			var release context.CancelFunc
+			ctx, release, err = o.withAuthority(ctx, "set pace")
+			defer release()
+		}
+		if err == nil {
+			err = o.workers.SetPace(ctx, addr, p, o.Epoch())
+		}
 		if err != nil {
 			o.handleFailure("set pace", p.Worker, err, zap.String("Job", string(p.Task.Job)), zap.Stringer("Task", p.Task))
 		}
