Log what a long-running task waits for between its runs

Between the last end of a long-running task and its next start no line named the task: neither that a run on a silent worker still held it, nor for how long, nor whether it waited for advice or capacity. 'worker lease expired' gave 292 years of silence for a worker that had never answered the new owner.

No figure was measured.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -129,6 +129,8 @@
 	placementPending bool
 	// stepsEvaluated counts the steps that decisions have evaluated.
 	stepsEvaluated int
+	// longWaitsCheckedAt is when long waits were last looked for.
+	longWaitsCheckedAt time.Time
 }
 
 // New returns an empty cell that takes over at the given time.
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -105,6 +105,7 @@
 	// little progress.
 	reschedules  int
 	waitingSince time.Time
+	loggedWait   loggedWait
 }
 
 type runPhase uint8
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
@@ -42,6 +44,8 @@
 	unfenced bool
 	// authorized is set while commits confirm that the owner owns the cell.
 	authorized bool
+	// waits holds the log lines about long-running tasks that are not at work.
+	waits *observer.ObservedLogs
 }
 
 var scriptConfig = cell.Config{
@@ -72,7 +76,9 @@
 func (s *script) restart() {
 	config := scriptConfig
 	config.Unfenced = s.unfenced
-	s.cell = cell.New(s.now, config, nopObserver{}, zap.NewNop())
+	core, logs := observer.New(zap.InfoLevel)
+	s.waits = logs
+	s.cell = cell.New(s.now, config, nopObserver{}, zap.New(core))
 	s.cell.SetManifest(s.manifest)
 }
 
@@ -129,6 +135,12 @@
 	case "plan":
 		p, ok := s.cell.NextHold(s.now, cell.WorkerID(first(0)))
 		return fmt.Sprintf("call=%v deadline=%v acknowledged=%d wait=%v\n", ok, p.Deadline, p.Acknowledged, p.Wait)
+	case "waits":
+		lines := s.longWaits()
+		if flag("count") {
+			return fmt.Sprintln(strings.Count(lines, "\n"))
+		}
+		return lines
 	case "status":
 		state, known := s.cell.Status(workload.JobID(first(0)))
 		return fmt.Sprintf("%v %v\n", known, state)
@@ -329,6 +341,22 @@
 	}
 }
 
+// longWaits formats the log lines about long-running tasks that are not at work.
+func (s *script) longWaits() string {
+	var out strings.Builder
+	for _, e := range s.waits.TakeAll() {
+		if e.Message != "long-running task is not at work" {
+			continue
+		}
+		fields := e.ContextMap()
+		for _, name := range slices.Sorted(maps.Keys(fields)) {
+			fmt.Fprintf(&out, "%s=%v ", name, fields[name])
+		}
+		out.WriteString("\n")
+	}
+	return out.String()
+}
+
 // actions takes the cell's actions and formats them in a fixed order.
 func (s *script) actions() string {
 	var lines []string
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -155,6 +155,7 @@
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
 	c.sweep(now)
+	c.logLongWaits(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
@@ -163,7 +164,7 @@
 	}
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
 		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
-			zap.Duration("Silent", now.Sub(w.lastReport)))
+			zap.Duration("Silent", now.Sub(c.silentSince(w))))
 		for _, r := range w.runs.all() {
 			c.release(now, r, EndLeaseExpired)
 		}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -220,17 +220,29 @@
 
 // leaseExpired reports whether everything that ran on the worker has certainly
 // ended because its lease expired.
-func (c *Cell) leaseExpired(now time.Time, w *worker) bool {
+func (c *Cell) leaseExpired(now time.Time, w *worker) bool { return now.After(c.leaseEnd(w)) }
+
+// leaseEnd returns when the worker's lease has certainly expired.
+func (c *Cell) leaseEnd(w *worker) time.Time {
+	inherited := c.ownedSince.Add(c.inheritedWait())
+	if !w.reported {
+		return inherited
+	}
+	end := w.clockAt.Add(localDuration(w.deadline-w.clock) + leaseSlack)
 	// Without a fence, a predecessor extends leases also after the first report.
-	inherited := !w.reported || c.config.Unfenced && !c.predecessorEnded
-	if inherited && now.Sub(c.ownedSince) <= c.inheritedWait() {
-		return false
+	if c.config.Unfenced && !c.predecessorEnded && inherited.After(end) {
+		return inherited
 	}
+	return end
+}
+
+// silentSince returns when the worker last answered, or the time of the takeover
+// if it has not answered this owner.
+func (c *Cell) silentSince(w *worker) time.Time {
 	if !w.reported {
-		return true
+		return c.ownedSince
 	}
-	left := w.deadline - w.clock
-	return now.Sub(w.clockAt) > localDuration(left)+leaseSlack
+	return w.lastReport
 }
 
 // PredecessorEnded records that the process of the predecessor has certainly
