Extend no lease after a suspension until a commit confirms the ownership

An owner that was suspended for longer than a lease may have been replaced. The successor waits for the leases of a predecessor on workers that it cannot reach, counted from the takeover; a lease granted after that wait let a task run twice.

The owner now extends leases and sends starts only after a commit that began after the suspension has succeeded. Nothing is lost by that, since all leases it granted had expired. Script resumed-owner: before, the start and the hold granted until 60.5 s on the worker's clock, now 54.5 s until the commit. In scripts a fenced owner confirms as time advances; 'suspend' passes time without that.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 const (
 	// AuthorityTimeout is how long an owner may rely on the last confirmation
@@ -19,6 +23,20 @@
 // owns the cell.
 func (c *Cell) SetConfirmedAt(at time.Time) { c.confirmedAt = at }
 
+// noteSuspension records when the process resumes after a suspension in which all
+// leases that it granted have expired. Another host may have taken over meanwhile.
+func (c *Cell) noteSuspension(now time.Time) {
+	if suspended := now.Sub(c.activeAt); !c.activeAt.IsZero() && suspended > c.config.Lease {
+		c.resumedAt = now
+		c.log.Warn("resumed after a suspension", zap.Duration("Suspended", suspended))
+	}
+	c.activeAt = now
+}
+
+// mayExtendLeases reports whether this owner has confirmed its ownership since its
+// process last resumed.
+func (c *Cell) mayExtendLeases() bool { return !c.confirmedAt.Before(c.resumedAt) }
+
 // SetPredecessorIdle sets for how long before the takeover no commit of a
 // predecessor had taken effect.
 func (c *Cell) SetPredecessorIdle(idle time.Duration) { c.predecessorIdle = idle }
