Wait after a takeover for the lease that owners grant, not the longest one

Workers had crashed for good while the owner was lost without a sign that its process had ended (power, freeze, cut). The new owner could not tell a crashed worker from one that only its predecessor reaches, and waited for the longest lease that a worker accepts (hold_max_ms) and 2 s. That lease is 6 s on the other sites and 10 s on this one, but all owners grant 3.2 s, so the wait was 12.2 s here and 8.1 s elsewhere for the same danger. With the takeover and the advice the task was down for 15 s.

The wait is now the lease that owners grant and 4.8 s.

--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -40,6 +40,7 @@
 	accepted          []cell.AcceptedJob
 	// waiting holds records that were taken and neither committed nor failed.
 	waiting []cell.Record
+	config  cell.Config
 	// unfenced is set if workers check no fencing token.
 	unfenced bool
 	// authorized is set while commits confirm that the owner owns the cell.
@@ -60,7 +61,7 @@
 func (nopObserver) Observe(cell.Stage, string, time.Duration) {}
 
 func newScript(*testing.T) *script {
-	s := &script{now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), waves: make(map[int]cell.WaveRecord)}
+	s := &script{now: time.Unix(1_700_000_000, 0), config: scriptConfig, store: make(map[workload.JobID]cell.Record), waves: make(map[int]cell.WaveRecord)}
 	s.manifest = &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
 		{Name: "plain", Service: "s", Priority: 1, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "urgent", Service: "s", MaxAttempts: 2, SlackFactor: 1.5, TargetLatency: 500 * time.Millisecond},
@@ -74,7 +75,7 @@
 }
 
 func (s *script) restart() {
-	config := scriptConfig
+	config := s.config
 	config.Unfenced = s.unfenced
 	core, logs := observer.New(zap.InfoLevel)
 	s.waits = logs
@@ -100,6 +101,9 @@
 	case "unfenced":
 		s.unfenced, s.authorized = true, true
 		s.restart()
+	case "lease":
+		s.config.Lease, s.config.MaxLease = parseDuration(t, first(0)), parseDuration(t, arg("max"))
+		s.restart()
 	case "confirmed":
 		s.cell.SetConfirmedAt(s.now)
 	case "authorized":
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -256,7 +256,7 @@
 	if c.predecessorEnded {
 		return localDuration(c.config.Lease) + endedOwnerSlack
 	}
-	return localDuration(c.config.MaxLease) + replacedOwnerSlack
+	return localDuration(c.config.Lease) + replacedOwnerSlack
 }
 
 // localDuration returns how long a duration on the slowest worker clock lasts
@@ -271,9 +271,9 @@
 	// endedOwnerSlack covers the calls that an ended owner had in flight. Their
 	// deadlines are fixed, so they grant little more than its last call.
 	endedOwnerSlack = 1 * time.Second
-	// replacedOwnerSlack is how long a replaced owner may still call a worker
-	// that this owner cannot reach.
-	replacedOwnerSlack = 2 * time.Second
+	// replacedOwnerSlack is how long after a takeover a replaced owner may still
+	// extend the lease of a worker that its successor cannot reach.
+	replacedOwnerSlack = 4800 * time.Millisecond
 	// unlistedGrace is how long a worker that still answers is used after its
 	// registration has lapsed: a store that was unavailable may have dropped
 	// it.
