--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -113,6 +113,7 @@
 	// little progress.
 	reschedules  int
 	waitingSince time.Time
+	loggedWait   loggedWait
 }
 
 type runPhase uint8
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -159,6 +159,7 @@
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
 	c.sweep(now)
+	c.logLongWaits(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
@@ -171,7 +172,7 @@
 	}
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
 		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
-			zap.Duration("Silent", now.Sub(w.lastReport)))
+			zap.Duration("Silent", now.Sub(c.silentSince(w))))
 		alone := w.alone(now)
 		for _, r := range w.runs.all() {
 			c.noteLostRun(r, alone)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -210,7 +210,7 @@
 		hold.Wait = min(hold.Wait, max(w.earlyStartsUntil-w.clockNow(now), 0))
 	}
 	hold.Deadline = w.deadline
-	if now.Sub(w.lastReport) <= c.config.ContactTimeout {
+	if now.Sub(w.lastReport) <= c.config.ContactTimeout && c.mayExtendLeases() {
 		hold.Deadline = w.extendLease(now, c.config.Lease)
 	}
 	return hold, true
@@ -245,17 +245,29 @@
 
 // leaseExpired reports whether everything that ran on the worker has certainly
 // ended because its lease expired.
-func (c *Cell) leaseExpired(now time.Time, w *worker) bool {
+func (c *Cell) leaseExpired(now time.Time, w *worker) bool { return now.After(c.leaseEnd(w)) }
+
+// leaseEnd returns when the worker's lease has certainly expired.
+func (c *Cell) leaseEnd(w *worker) time.Time {
+	inherited := c.ownedSince.Add(c.inheritedWait())
+	if !w.reported {
+		return inherited
+	}
+	end := w.clockAt.Add(localDuration(w.deadline-w.clock) + leaseSlack)
 	// Without a fence, a predecessor extends leases also after the first report.
-	inherited := !w.reported || c.config.Unfenced && !c.predecessorEnded
-	if inherited && now.Sub(c.ownedSince) <= c.inheritedWait() {
-		return false
+	if c.config.Unfenced && !c.predecessorEnded && inherited.After(end) {
+		return inherited
 	}
+	return end
+}
+
+// silentSince returns when the worker last answered, or the time of the takeover
+// if it has not answered this owner.
+func (c *Cell) silentSince(w *worker) time.Time {
 	if !w.reported {
-		return true
+		return c.ownedSince
 	}
-	left := w.deadline - w.clock
-	return now.Sub(w.clockAt) > localDuration(left)+leaseSlack
+	return w.lastReport
 }
 
 // PredecessorEnded records that the process of the predecessor has certainly
@@ -269,7 +281,7 @@
 	if c.predecessorEnded {
 		return localDuration(c.config.Lease) + endedOwnerSlack
 	}
-	return localDuration(c.config.MaxLease) + replacedOwnerSlack
+	return localDuration(c.config.Lease) + replacedOwnerSlack
 }
 
 // localDuration returns how long a duration on the slowest worker clock lasts
@@ -284,9 +296,9 @@
 	// endedOwnerSlack covers the calls that an ended owner had in flight. Their
 	// deadlines are fixed, so they grant little more than its last call.
 	endedOwnerSlack = 1 * time.Second
-	// replacedOwnerSlack is how long a replaced owner may still call a worker
-	// that this owner cannot reach.
-	replacedOwnerSlack = 2 * time.Second
+	// replacedOwnerSlack is how long after a takeover a replaced owner may still
+	// extend the lease of a worker that its successor cannot reach.
+	replacedOwnerSlack = 4800 * time.Millisecond
 	// unlistedGrace is how long a worker that still answers is used after its
 	// registration has lapsed: a store that was unavailable may have dropped
 	// it.
