--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -147,6 +147,8 @@
 		ids := s.cell.Expired(s.now, 10)
 		s.cell.Forget(ids)
 		return fmt.Sprintln(ids)
+	case "limit":
+		s.cell.LimitStarts(parseInt(t, first(0)))
 	case "take":
 	default:
 		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
@@ -161,6 +163,9 @@
 	if v := arg("cores"); v != "" {
 		out.Capacity.MilliCores = int64(parseInt(t, v)) * 1000
 	}
+	if v := arg("accelerators"); v != "" {
+		out.Capacity.Accelerators = int64(parseInt(t, v))
+	}
 	if v := arg("service"); v != "" {
 		out.Service = v
 	}
@@ -195,6 +200,8 @@
 		step.Tasks = parseInt(t, value)
 	case "cores":
 		step.Size.MilliCores = int64(parseInt(t, value)) * 1000
+	case "accelerators":
+		step.Size.Accelerators = int64(parseInt(t, value))
 	case "after":
 		step.After = append(step.After, parseInt(t, value))
 	case "gang":
