Count no tasks into capacity that is negative in a resource they do not need

Cause: fitCount looked only at the resources that a task needs, while a task is placed only if every resource of the worker has room for it. The two differ as soon as a worker's registration shows less of a resource than its runs hold, or for best-effort tasks on a worker whose cores have shrunk. A step that is allowed on such a worker then counted it as capacity enough for all its tasks and asked about no other worker, and a worker's free capacity was offered to steps that could not use it.

Callers saw a job on a queue with advice stay queued while other workers were idle, until the run that held too much had ended.

Ruled out: placing such a task, since it needs nothing of the resource that is short. The worker is over its capacity then, and a start would find it so.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -164,8 +164,11 @@
 }
 
 // fitCount returns how many tasks of size need fit into the given free
-// capacity.
+// capacity. None fit while it is negative in a resource, needed or not.
 func fitCount(free, need job.Size) int64 {
+	if !need.Fits(free) {
+		return 0
+	}
 	n := int64(math.MaxInt32)
 	if need.MilliCores > 0 {
 		n = min(n, free.MilliCores/need.MilliCores)
@@ -176,5 +179,5 @@
 	if need.Accelerators > 0 {
 		n = min(n, free.Accelerators/need.Accelerators)
 	}
-	return max(n, 0)
+	return n
 }
