Let a run of an unknown job hold the whole worker after its capacity grows

Cause: a run whose job this owner does not know was taken to hold the capacity that its worker had when the run was reported. If the capacity grew before the next report, the difference counted as free, although the run may have begun when the worker was larger still.

Callers saw nothing: a task started beside a run that a predecessor had left there, on a worker that was then over its capacity, for about a second until the next report.

Such runs are now counted, and while there is one, no capacity of the worker is free, whatever its size.

Evidence: script unknown-job-on-a-growing-worker failed before with "expected: (nothing), found: record a Queued, start a.0.0.0 run 1 at w1".

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -20,7 +20,8 @@
 		}
 		w := t.current.worker
 		c.log.Info("giving up a start that no longer fits on its worker", append(runFields(t.current),
-			zap.Any("Capacity", w.registration.Capacity), zap.Any("Reserved", w.reserved), zap.Any("Unknown", w.unknownReserved))...)
+			zap.Any("Capacity", w.registration.Capacity), zap.Any("Reserved", w.reserved), zap.Any("Unknown", w.unknownReserved),
+			zap.Int("Unsized", w.unsizedRuns))...)
 		return false
 	}
 	return true
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -120,8 +120,8 @@
 // unrecorded run is an unknown run that a predecessor may have started early.
 func (c *Cell) reconcile(now time.Time, w *worker, report Report) {
 	listed := make(map[workload.TaskID]int, len(report.Running))
-	reservedBefore := w.unknownReserved
-	w.unknownReserved = job.Size{}
+	reservedBefore, unsizedBefore := w.unknownReserved, w.unsizedRuns
+	w.unknownReserved, w.unsizedRuns = job.Size{}, 0
 	for i := range report.Running {
 		e := &report.Running[i]
 		listed[e.Task] = e.Run
@@ -133,7 +133,7 @@
 		c.updateProgress(now, r, e)
 	}
 	c.dropUnrecorded(w, listed)
-	if w.unknownReserved != reservedBefore {
+	if w.unknownReserved != reservedBefore || w.unsizedRuns != unsizedBefore {
 		c.capacityFreed(w)
 	}
 	if report.EndsTruncated {
@@ -152,7 +152,7 @@
 // unrecorded run is not stopped here as long as it may still be adopted, that
 // is become the current run of its task.
 func (c *Cell) stopUnknownRun(now time.Time, w *worker, e *Running) {
-	w.unknownReserved = w.unknownReserved.Add(c.capacityOfUnknownRun(w, e.Task))
+	c.reserveForUnknownRun(w, e.Task)
 	if s := c.unrecordedRunOf(w, e); s != nil && !s.stopping {
 		s.reported = *e
 		return
@@ -165,13 +165,13 @@
 	c.emit(SendStop{Worker: w.id, Task: e.Task, Run: e.Run})
 }
 
-// capacityOfUnknownRun returns the capacity that an unknown run occupies. A task of
-// an unknown job is assumed to occupy the whole worker.
-func (c *Cell) capacityOfUnknownRun(w *worker, id workload.TaskID) job.Size {
+// reserveForUnknownRun reserves the capacity that an unknown run occupies.
+func (c *Cell) reserveForUnknownRun(w *worker, id workload.TaskID) {
 	if j, known := c.jobs[id.Job]; known && id.Step < len(j.job.Steps) {
-		return j.job.Steps[id.Step].Reserved()
+		w.unknownReserved = w.unknownReserved.Add(j.job.Steps[id.Step].Reserved())
+		return
 	}
-	return w.registration.Capacity
+	w.unsizedRuns++
 }
 
 // handleAbsentRun resolves a run that the worker lists neither as running nor
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -163,6 +163,9 @@
 	if v := arg("cores"); v != "" {
 		out.Capacity.MilliCores = int64(parseInt(t, v)) * 1000
 	}
+	if v := arg("mb"); v != "" {
+		out.Capacity.MemoryMB = int64(parseInt(t, v))
+	}
 	if v := arg("accelerators"); v != "" {
 		out.Capacity.Accelerators = int64(parseInt(t, v))
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -35,9 +35,14 @@
 	// preempted is the part of the reserved capacity held by runs that are
 	// being preempted.
 	preempted job.Size
-	// unknownReserved is the capacity held by the unknown runs: those that the
-	// worker reports and that this owner does not track.
+	// unknownReserved is the capacity held by the unknown runs of known jobs.
+	// Unknown runs are those that the worker reports and that this owner does
+	// not track.
 	unknownReserved job.Size
+	// unsizedRuns counts the unknown runs whose job this owner does not know.
+	// Their size is unknown, so they are assumed to occupy the whole worker,
+	// whatever its capacity is at the time.
+	unsizedRuns int
 	// earlyStartsUntil is when, on the worker's clock, the last early start of a
 	// predecessor has expired.
 	earlyStartsUntil time.Duration
@@ -84,7 +89,11 @@
 
 // freeCapacity returns the capacity that no run holds.
 func (w *worker) freeCapacity() job.Size {
-	return w.registration.Capacity.Sub(w.reserved).Sub(w.unknownReserved)
+	free := w.registration.Capacity.Sub(w.reserved).Sub(w.unknownReserved)
+	if w.unsizedRuns > 0 {
+		free = free.Sub(w.registration.Capacity)
+	}
+	return free
 }
 
 // addWorker adds a worker to the cell.
