Use no worker whose entry in the list of workers is malformed

Cause: a malformed entry was handled as an entry that has lapsed. A worker whose entry has lapsed is used for three more seconds, since a store that was unavailable may have dropped it. With a malformed entry, for example one without a capacity, it was used for that time with the capacity that it had before.

Callers saw nothing: tasks started on a worker whose capacity was not known.

The worker now gets no starts until a valid entry follows. Its runs keep their lease: calls to it go on at its last address.

Evidence: TestWorkerWithMalformedEntryIsNotUsed failed before with "a worker with a malformed entry is Ready, want Unlisted", and script malformed-entry with "found: record b Queued, start b.0.0.0 run 1 at w1".

--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -100,6 +100,8 @@
 		s.cell.Register(s.now, registration(t, first(0), arg, flag))
 	case "unlist":
 		s.cell.Unlist(s.now, cell.WorkerID(first(0)))
+	case "malformed-entry":
+		s.cell.RejectEntry(s.now, cell.WorkerID(first(0)))
 	case "job":
 		s.accept(t, first(0), first(1), d.Input)
 	case "cancel":
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -142,6 +142,16 @@
 	c.log.Info("worker is no longer registered", workerField(w), zap.Int("Runs", w.runs.len()))
 }
 
+// RejectEntry records that a worker's entry in the list of workers is malformed.
+// The worker gets no starts until a valid entry follows, since its capacity is
+// unknown. Its runs keep their lease.
+func (c *Cell) RejectEntry(now time.Time, id WorkerID) {
+	c.Unlist(now, id)
+	if w, known := c.workers[id]; known {
+		w.unlistedAt = time.Time{} // no unlistedGrace
+	}
+}
+
 // HoldRequest is the content of the next hold call to a worker.
 type HoldRequest struct {
 	Worker WorkerID
--- /dev/null
+++ b/internal/owner/registrations_test.go
@@ -0,0 +1,48 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
+)
+
+// registrationsWithMalformed decodes entries as fakeRegistrations does, except
+// those with the value "malformed".
+type registrationsWithMalformed struct{ fakeRegistrations }
+
+func (r registrationsWithMalformed) Decode(row rowstore.Row) (cell.Registration, error) {
+	if string(row.Value) == "malformed" {
+		return cell.Registration{}, fault.New("decode worker", KindStore, "no capacity")
+	}
+	return r.fakeRegistrations.Decode(row)
+}
+
+func TestWorkerWithMalformedEntryIsNotUsed(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	o := &Owner{
+		registrations: registrationsWithMalformed{}, log: zap.NewNop(), timers: timer.NewSystem(),
+		cell: cell.New(now, fakeConfig().Cell, newOwnerMetrics(tally.NoopScope), zap.NewNop()),
+	}
+	state := func(value string) cell.WorkerState {
+		row := rowstore.Row{Key: rowstore.Key{Table: tableWorkers, Name: "w1"}, Value: []byte(value)}
+		workersChanged([]rowstore.Row{row}, false).apply(o, now)
+		return o.cell.Overview(now).Workers[0].State
+	}
+	state("valid")
+	o.cell.Reported(now, "w1", cell.Report{Incarnation: 1, Clock: time.Second})
+	for _, step := range []struct {
+		value string
+		want  cell.WorkerState
+	}{{"valid", cell.WorkerReady}, {"malformed", cell.WorkerUnlisted}, {"malformed", cell.WorkerUnlisted}, {"valid", cell.WorkerReady}} {
+		if got := state(step.value); got != step.want {
+			t.Errorf("a worker with a %s entry is %s, want %s", step.value, got, step.want)
+		}
+	}
+}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -184,7 +184,7 @@
 		s, err := l.registrations.Decode(row)
 		if err != nil {
 			l.log.Warn("the registration of a worker cannot be decoded", zap.String("Entry", row.Name), zap.Error(err))
-			l.cell.Unlist(now, cell.WorkerID(row.Name))
+			l.cell.RejectEntry(now, cell.WorkerID(row.Name))
 			continue
 		}
 		l.cell.Register(now, s)
