Play workers whose capacity shrinks and grows in the simulation

The simulated worker's capacity changes at any time. Its entry shows that later, and the owner is told at the latest 5.5 s after the change. A start may fill what its owner was told last before it sent the start, or what the worker has had since then, and no more. The oracle is the same as before everywhere else, since capacities change only in the new tests: TestJobLifecycleWithCapacityChanges, with and without fences, and TestCapacityChangesWithoutFaults, in which no gang may end because members did not start.

Tried and dropped: the same actions in all simulations.

--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -360,6 +360,7 @@
 // have ended, which they have to.
 func (w *simulation) finishJobs() {
 	w.startLimit = max(w.startLimit, 1)
+	w.growAll()
 	for _, s := range w.live() {
 		s.cut, s.leaving = false, false
 		w.owner().cell.Register(w.now, w.registration(s))
--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -42,9 +43,9 @@
 }
 
 // detected runs simulations until the oracle finds a violation.
-func detected(t *testing.T, omit omittedGuard) bool {
+func detected(t *testing.T, omit omittedGuard, further ...simActions) bool {
 	const plays = 20000
-	play := rapid.Custom(func(t *rapid.T) string { return runSimulation(t, omit, false) })
+	play := rapid.Custom(func(t *rapid.T) string { return runSimulation(t, omit, false, further...) })
 	for seed := range plays {
 		if violation := play.Example(seed); violation != "" {
 			t.Logf("seen in play %d: %.200s", seed+1, violation)
@@ -54,9 +55,12 @@
 	return false
 }
 
+// simActions returns further actions of a simulation, by name.
+type simActions func(*simulation) map[string]func(*rapid.T)
+
 // runSimulation runs one simulation and returns the first violation of an
 // invariant.
-func runSimulation(t *rapid.T, omit omittedGuard, unfenced bool) string {
+func runSimulation(t *rapid.T, omit omittedGuard, unfenced bool, further ...simActions) string {
 	w := newSimulation(t, omit, unfenced)
 	w.slow = rapid.Bool().Draw(t, "slow")
 	actions := map[string]func(*rapid.T){
@@ -83,6 +87,9 @@
 		"wave":     func(*rapid.T) { w.announceWave() },
 		"":         func(*rapid.T) { w.check() },
 	}
+	for _, f := range further {
+		maps.Copy(actions, f(w))
+	}
 	t.Repeat(actions)
 	if w.violation == "" {
 		w.finishJobs()
--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -38,7 +38,7 @@
 	for _, r := range s.runs {
 		taken = taken.Add(r.size)
 	}
-	if taken = taken.Add(step.Reserved()); !taken.Fits(workerCapacity) {
+	if taken = taken.Add(step.Reserved()); !taken.Fits(w.capacityLimit(s, a)) {
 		w.fail("task %s exceeds the capacity of %s: %+v\n%s", a.Task, s.id, taken, w.owner().cell.Describe())
 	}
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -67,6 +67,8 @@
 	expiredLeases         int
 	// checkpoints maps each checkpoint to the task that wrote it.
 	checkpoints map[string]workload.TaskID
+	// sent holds what was known when each start was sent.
+	sent map[*cell.SendStart]sentStart
 	// violation is the first violation of an invariant.
 	violation string
 }
@@ -83,6 +85,8 @@
 	omitWaveRecord     omittedGuard = "orders for maintenance are sent before they are on record"
 	omitEarlyStart     omittedGuard = "a new owner does not wait for starts ahead of their record"
 	omitUncertainStart omittedGuard = "a start without an answer counts as not sent"
+	// omitSmallerCapacity keeps owners from learning that a worker has shrunk.
+	omitSmallerCapacity omittedGuard = "a smaller capacity is ignored"
 )
 
 // simOwner is one owner with its commit in flight.
@@ -143,6 +147,8 @@
 	ended   int64
 	cut     bool
 	leaving bool
+	// capacity changes while the worker runs.
+	capacity simCapacity
 	// toldToLeave is set once this incarnation was told to leave. Workers do
 	// not revoke that, but the simulation does, and stops from that time are
 	// repeated.
@@ -189,6 +195,7 @@
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
 		wavesDone: make(map[int]bool), down: make(map[workload.TaskID]bool),
 		gangs: make(map[gangKey]*simGang), checkpoints: make(map[string]workload.TaskID),
+		sent: make(map[*cell.SendStart]sentStart),
 		manifest: &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
 			{Name: "urgent", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 			{Name: "plain", Service: "s", Priority: 2, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
@@ -259,7 +266,7 @@
 
 func (w *simulation) registration(s *simWorker) cell.Registration {
 	return cell.Registration{
-		ID: s.id, Incarnation: s.incarnation, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Capacity: workerCapacity, Leaving: s.leaving,
+		ID: s.id, Incarnation: s.incarnation, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Capacity: w.tell(s), Leaving: s.leaving,
 	}
 }
 
@@ -273,6 +280,7 @@
 	for _, a := range o.cell.TakeActions(w.now) {
 		switch a := a.(type) {
 		case cell.SendStart:
+			w.noteSent(o, &a)
 			w.calls = append(w.calls, &simCall{owner: o, worker: w.worker(a.Worker), start: &a})
 		case cell.SendStop:
 			s := w.worker(a.Worker)
@@ -336,6 +344,7 @@
 		}
 		w.advanceGangs()
 		w.returnMachines()
+		w.tellLateCapacities()
 		for _, o := range w.owners {
 			o.stopped = o.stopped || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > replacedOwnerLifetime
 			if !o.stopped {
--- a/internal/cell/wave_test.go
+++ b/internal/cell/wave_test.go
@@ -159,7 +159,7 @@
 	m.incarnations++
 	s := &simWorker{
 		id: cell.WorkerID(fmt.Sprintf("%s.%d", m.name, m.incarnations)), machine: m, label: m.label, incarnation: 1, since: w.now,
-		rate: 1 - float64(len(w.workers)%3)*0.01,
+		rate: 1 - float64(len(w.workers)%3)*0.01, capacity: newSimCapacity(),
 		runs: make(map[workload.TaskID]*simRun), highest: make(map[workload.TaskID]int),
 	}
 	w.workers = append(w.workers, s)
