Preempt again when the capacity that was preempted for a task does not come

Cause: a step of the highest priority counts the tasks for which other runs are being preempted, and preempts for the rest only. The count went down only when a task was placed. If the worker's capacity shrank before the preempted run had ended, or others took the capacity, the task counted as served for good.

Callers saw an urgent job stay queued until a worker had free capacity by itself.

The count of what is preempted on a worker now ends with the last of the preempted runs there, and the step is evaluated at once: it is placed on that worker, or preempts elsewhere.

Evidence: script preempts-again-after-shrink failed before with "expected: stop a.0.0.1 run 1 at w2, found:" (nothing).

Ruled out: taking the count back when a registration shows less capacity. It leaves the case in which others take it.

--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,6 +55,9 @@
 			s.preemptedFor++
 		}
 	}
+	if gained > 0 {
+		w.preemptions = append(w.preemptions, preemption{step: s, tasks: gained})
+	}
 	return gained
 }
 
@@ -64,10 +68,29 @@
 		r.phase == runStarted && c.queueOf(r.task.step.job).Priority > 0
 }
 
+// preemption is a number of tasks of a step for which runs on one worker are
+// being preempted.
+type preemption struct {
+	step  *stepState
+	tasks int
+}
+
 // preemptedReleased subtracts a preempted run that has ended from the capacity
-// that is about to become free.
-func (w *worker) preemptedReleased(r *run, freed job.Size) {
-	if r.preempted {
-		w.preempted = w.preempted.Sub(freed)
+// that is about to become free. Once the last one has ended, the steps that they
+// were preempted for are placed there, or preempt again: the worker's capacity
+// may have shrunk, or others may have taken it.
+func (c *Cell) preemptedReleased(r *run, freed job.Size) {
+	if !r.preempted {
+		return
+	}
+	w := r.worker
+	w.preempted = w.preempted.Sub(freed)
+	if slices.ContainsFunc(w.runs.list, func(r *run) bool { return r.preempted }) {
+		return
+	}
+	for _, p := range w.preemptions {
+		p.step.preemptedFor = max(p.step.preemptedFor-p.tasks, 0)
+		c.markStep(p.step)
 	}
+	w.preemptions = nil
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -285,7 +285,7 @@
 		return // released with another member of its gang
 	}
 	r.worker.reserved = r.worker.reserved.Sub(s.spec.Reserved())
-	r.worker.preemptedReleased(r, s.spec.Reserved())
+	c.preemptedReleased(r, s.spec.Reserved())
 	c.dispatch.remove(r)
 	c.capacityFreed(r.worker)
 	if t.current != r {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -35,6 +35,8 @@
 	// preempted is the part of the reserved capacity held by runs that are
 	// being preempted.
 	preempted job.Size
+	// preemptions holds what these runs are preempted for.
+	preemptions []preemption
 	// unknownReserved is the capacity held by the unknown runs of known jobs.
 	// Unknown runs are those that the worker reports and that this owner does
 	// not track.
