Preempt runs only where that frees enough for a task

Cause: preemption stopped the runs of a worker one by one until a task would fit, and did not ask first whether it fits once all of them are stopped. On a worker whose capacity has shrunk below what runs there, or where most is held by runs that cannot be preempted, all others were stopped for nothing. They were placed again, and stopped again at the next evaluation of the urgent step.

Callers saw a job with checkpoints make no progress beside an urgent job that could not run there either.

Evidence: script preempts-only-if-enough failed before with "expected: (nothing), found: stop a.0.1.0 run 1 at w1, stop a.0.1.1 run 1 at w1". Its second half was and is right: with one core more the two runs are stopped and the urgent task starts.

--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -35,6 +35,9 @@
 func (c *Cell) preemptAt(now time.Time, s *stepState, w *worker, wanted int) int {
 	need := s.spec.Reserved()
 	free := w.freeCapacity().Add(w.preempted)
+	if !need.Fits(free.Add(c.preemptibleCapacity(w))) {
+		return 0
+	}
 	gained := 0
 	for _, r := range w.runs.all() {
 		if gained >= wanted {
@@ -61,6 +64,18 @@
 	return gained
 }
 
+// preemptibleCapacity returns the capacity held by the runs on a worker that can
+// be preempted.
+func (c *Cell) preemptibleCapacity(w *worker) job.Size {
+	var held job.Size
+	for _, r := range w.runs.list {
+		if c.preemptible(r) {
+			held = held.Add(r.task.step.spec.Reserved())
+		}
+	}
+	return held
+}
+
 // preemptible reports whether a run can be stopped at little cost.
 func (c *Cell) preemptible(r *run) bool {
 	spec := r.task.step.spec
