Count a worker above its capacity as having no free cores in the backlog

Cause: a worker whose capacity has shrunk below what its runs hold has negative free capacity, and the sum in the log line and the gauge milli_cores_free took it from what other workers had free. An operator saw less than there was.

Evidence: TestBacklogCountsFreeCoresBesideAShrunkenWorker failed before with "-2000 thousandths of a core are free, want 4000".

--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -61,7 +61,7 @@
 	for _, w := range c.sortedWorkers {
 		if c.usable(now, w) {
 			b.Workers++
-			b.FreeMilliCores += w.freeCapacity().MilliCores
+			b.FreeMilliCores += max(w.freeCapacity().MilliCores, 0)
 		}
 	}
 	return b
