--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -26,7 +26,9 @@
 	State string
 	Runs  int
 	Room  Size
-	Free  Size
+	// Free is negative in a resource if the worker's capacity has shrunk below
+	// what its runs hold.
+	Free Size
 	// Slowness is the ratio of the run time of tasks on this worker to that on
 	// others, minus 1.
 	Slowness float64
--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -6,6 +6,12 @@
 	"cicadabarrow.example/cicadabarrow/internal/job"
 )
 
+// logCapacityChange logs a worker's new capacity, and what its runs hold.
+func (c *Cell) logCapacityChange(w *worker, capacity job.Size) {
+	c.log.Info("worker's capacity changed", workerField(w), zap.Any("From", w.registration.Capacity), zap.Any("To", capacity),
+		zap.Any("Reserved", w.reserved), zap.Any("Unknown", w.unknownReserved), zap.Int("Runs", w.runs.len()))
+}
+
 // stillFits reports whether a run that was planned still fits on its worker.
 // Since then the worker's capacity may have shrunk, or runs that this owner does
 // not know may have appeared there. A gang fits only as a whole.
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -118,6 +118,9 @@
 		c.log.Info("worker is leaving", workerField(w), zap.Duration("TimeLeft", r.TimeLeft))
 		defer c.drainWorker(now, w)
 	}
+	if was := w.registration.Capacity; !was.IsZero() && r.Capacity != was {
+		c.logCapacityChange(w, r.Capacity)
+	}
 	w.registration = r
 	w.listed = true
 	c.capacityFreed(w)
