Start no gang on a worker that may still take early starts of a predecessor

Cause: after a takeover, gangs and long-running tasks were placed at once, since they never start early. If workers check no fencing token, a predecessor's early start may still be carried out on a worker that has already reported. The gang took the capacity that the early start then took as well. Fenced workers were not affected: there the first report settles it.

Callers saw nothing; the worker ran more than its capacity.

A worker that is still awaited now gets no start of any kind. Gangs and long-running tasks still start elsewhere without waiting.

--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -27,7 +27,8 @@
 // nothing, apart from gangs and long-running tasks, which never start early,
 // until each of these workers has reported to it or has certainly lost its
 // lease, because a task that is waiting according to its record may be running
-// there. A task has at most one unrecorded run, so the number of that run is
+// there. On such a worker it starts nothing at all, since it does not know how
+// much capacity is taken. A task has at most one unrecorded run, so the number of that run is
 // known.
 type earlyStartState struct {
 	// enabled is set while starts should not wait for their record.
@@ -152,6 +153,9 @@
 		return
 	}
 	delete(c.earlyStarts.awaited, id)
+	if w, known := c.workers[id]; known {
+		c.capacityFreed(w)
+	}
 	c.placementPending = true
 	if !c.awaitingWorkers() {
 		c.markAllSteps()
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -303,6 +303,10 @@
 	if !listed || w.registration.Leaving || !c.inContact(now, w) {
 		return false
 	}
+	// Early starts of a predecessor may still arrive and take capacity.
+	if c.earlyStarts.awaited[w.id] {
+		return false
+	}
 	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
 }
 
