--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -147,7 +146,7 @@
 			n++
 		}
 	}
-	return n <= 1 && w.unknownReserved == job.Size{}
+	return n <= 1 && !w.hasUnknownRuns()
 }
 
 // crash returns what is counted if the worker of a run has crashed.
--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -119,7 +119,11 @@
 }
 
 // idle reports whether a worker runs nothing.
-func (w *worker) idle() bool { return w.runs.len() == 0 && w.unknownReserved == job.Size{} }
+func (w *worker) idle() bool { return w.runs.len() == 0 && !w.hasUnknownRuns() }
+
+// hasUnknownRuns reports whether the worker runs something that this owner does
+// not track.
+func (w *worker) hasUnknownRuns() bool { return w.unsizedRuns > 0 || w.unknownReserved != job.Size{} }
 
 // isolate keeps the worker of a suspect's run free of other starts, if not too
 // many workers are kept already.
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -72,6 +72,8 @@
 	failed map[workload.TaskID]map[int]bool
 	// crashes holds what has crashed, and what crashes its worker.
 	crashes simCrashes
+	// sent holds what was known when each start was sent.
+	sent map[*cell.SendStart]sentStart
 	// violation is the first violation of an invariant.
 	violation string
 }
@@ -88,6 +90,8 @@
 	omitWaveRecord     omittedGuard = "orders for maintenance are sent before they are on record"
 	omitEarlyStart     omittedGuard = "a new owner does not wait for starts ahead of their record"
 	omitUncertainStart omittedGuard = "a start without an answer counts as not sent"
+	// omitSmallerCapacity keeps owners from learning that a worker has shrunk.
+	omitSmallerCapacity omittedGuard = "a smaller capacity is ignored"
 )
 
 // simOwner is one owner with its commit in flight.
@@ -162,6 +166,8 @@
 	// lapsed is set while the worker works without an entry in the list.
 	lapsed  bool
 	leaving bool
+	// capacity changes while the worker runs.
+	capacity simCapacity
 	// toldToLeave is set once this incarnation was told to leave. Workers do
 	// not revoke that, but the simulation does, and stops from that time are
 	// repeated.
@@ -210,6 +216,7 @@
 		wavesDone: make(map[int]bool), down: make(map[workload.TaskID]bool),
 		gangs: make(map[gangKey]*simGang), checkpoints: make(map[string]workload.TaskID),
 		failed: make(map[workload.TaskID]map[int]bool), crashes: newSimCrashes(),
+		sent: make(map[*cell.SendStart]sentStart),
 		manifest: &manifest.Manifest{Version: 1, Queues: []manifest.Queue{
 			{Name: "urgent", Service: "s", MaxAttempts: maxAttempts, SlackFactor: 2, TargetLatency: time.Second},
 			{Name: "plain", Service: "s", Priority: 2, MaxAttempts: maxAttempts, SlackFactor: 2, TargetLatency: time.Second},
@@ -283,7 +290,7 @@
 
 func (w *simulation) registration(s *simWorker) cell.Registration {
 	return cell.Registration{
-		ID: s.id, Incarnation: s.incarnation, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Capacity: workerCapacity, Leaving: s.leaving,
+		ID: s.id, Incarnation: s.incarnation, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Capacity: w.tell(s), Leaving: s.leaving,
 	}
 }
 
@@ -297,6 +304,7 @@
 	for _, a := range o.cell.TakeActions(w.now) {
 		switch a := a.(type) {
 		case cell.SendStart:
+			w.noteSent(o, &a)
 			w.calls = append(w.calls, &simCall{owner: o, worker: w.worker(a.Worker), start: &a})
 		case cell.SendStop:
 			s := w.worker(a.Worker)
@@ -361,6 +369,7 @@
 		w.advanceGangs()
 		w.crashDeadly()
 		w.returnMachines()
+		w.tellLateCapacities()
 		for _, o := range w.owners {
 			o.stopped = o.stopped || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > replacedOwnerLifetime
 			if !o.stopped {
--- a/internal/cell/wave_test.go
+++ b/internal/cell/wave_test.go
@@ -170,7 +170,7 @@
 	m.incarnation++
 	s := &simWorker{
 		id: cell.WorkerID(fmt.Sprintf("%s.%d", m.name, m.incarnations)), machine: m, label: m.label, incarnation: m.incarnation, since: w.now,
-		rate: 1 - float64(len(w.workers)%3)*0.01,
+		rate: 1 - float64(len(w.workers)%3)*0.01, capacity: newSimCapacity(),
 		runs: make(map[workload.TaskID]*simRun), highest: make(map[workload.TaskID]int),
 	}
 	w.workers = append(w.workers, s)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -45,9 +45,16 @@
 	// machineCrashedAt is when a worker on the same machine was last found to
 	// have crashed.
 	machineCrashedAt time.Time
-	// unknownReserved is the capacity held by the unknown runs: those that the
-	// worker reports and that this owner does not track.
+	// preemptions holds what these runs are preempted for.
+	preemptions []preemption
+	// unknownReserved is the capacity held by the unknown runs of known jobs.
+	// Unknown runs are those that the worker reports and that this owner does
+	// not track.
 	unknownReserved job.Size
+	// unsizedRuns counts the unknown runs whose job this owner does not know.
+	// Their size is unknown, so they are assumed to occupy the whole worker,
+	// whatever its capacity is at the time.
+	unsizedRuns int
 	// earlyStartsUntil is when, on the worker's clock, the last early start of a
 	// predecessor has expired.
 	earlyStartsUntil time.Duration
@@ -94,13 +101,23 @@
 	return w.clock + now.Sub(w.clockAt)
 }
 
-// freeCapacity returns the capacity that no run holds. A worker that is kept for
-// a suspect has none.
+// freeCapacity returns the capacity that further runs may take. A worker that is
+// kept for a suspect has none.
 func (w *worker) freeCapacity() job.Size {
 	if w.isolated != nil {
 		return job.Size{}
 	}
-	return w.registration.Capacity.Sub(w.reserved).Sub(w.unknownReserved)
+	return w.unreserved()
+}
+
+// unreserved returns the capacity that no run holds. It is negative if the
+// capacity has shrunk below what runs hold.
+func (w *worker) unreserved() job.Size {
+	free := w.registration.Capacity.Sub(w.reserved).Sub(w.unknownReserved)
+	if w.unsizedRuns > 0 {
+		free = free.Sub(w.registration.Capacity)
+	}
+	return free
 }
 
 // addWorker adds a worker to the cell.
@@ -127,6 +144,9 @@
 		}
 		defer c.drainWorker(now, w)
 	}
+	if was := w.registration.Capacity; !was.IsZero() && r.Capacity != was {
+		c.logCapacityChange(w, r.Capacity)
+	}
 	c.setRegistration(w, r)
 	if w.registeredAt.IsZero() {
 		w.registeredAt = now
@@ -158,6 +178,16 @@
 	c.log.Info("worker is no longer registered", workerField(w), zap.Int("Runs", w.runs.len()))
 }
 
+// RejectEntry records that a worker's entry in the list of workers is malformed.
+// The worker gets no starts until a valid entry follows, since its capacity is
+// unknown. Its runs keep their lease.
+func (c *Cell) RejectEntry(now time.Time, id WorkerID) {
+	c.Unlist(now, id)
+	if w, known := c.workers[id]; known {
+		w.unlistedAt = time.Time{} // no unlistedGrace
+	}
+}
+
 // HoldRequest is the content of the next hold call to a worker.
 type HoldRequest struct {
 	Worker WorkerID
@@ -313,7 +343,11 @@
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedGrace
-	if !listed || w.registration.Leaving || w.laterOnMachine || !c.inContact(now, w) || c.earlyStarts.awaited[w.id] {
+	if !listed || w.registration.Leaving || w.laterOnMachine || !c.inContact(now, w) {
+		return false
+	}
+	// Early starts of a predecessor may still arrive and take capacity.
+	if c.earlyStarts.awaited[w.id] {
 		return false
 	}
 	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
