Keep a draining machine in its wave although its worker's entry lapses

What the operator saw: a wave takes down one machine more than it allows (LIMIT). Cause: a machine counts as in progress through its worker, and only workers in the list were looked for. A draining worker whose entry had lapsed made room for the next machine, and went on when the entry came back.

A worker that is being drained now stays the worker of its machine without an entry, until a later one registers there or it is gone.

--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -277,11 +277,15 @@
 	}
 }
 
-// workerOn returns the worker on a machine, or nil.
+// workerOn returns the worker on a machine, or nil. A worker that is being drained
+// stays there although its entry in the list lapses, since the entry may come back.
 func (c *Cell) workerOn(machine string) *worker {
-	i := slices.IndexFunc(c.sortedWorkers, func(w *worker) bool { return w.listed && w.registration.Machine == machine })
-	if i < 0 {
-		return nil
+	workers := c.onMachine[machine]
+	if i := slices.IndexFunc(workers, func(w *worker) bool { return w.listed }); i >= 0 {
+		return workers[i]
 	}
-	return c.sortedWorkers[i]
+	if i := slices.IndexFunc(workers, func(w *worker) bool { return w.cordonedBy != nil && !w.laterOnMachine }); i >= 0 {
+		return workers[i]
+	}
+	return nil
 }
