Notice also a suspension that the monotonic clock does not count

The cell measured a suspension by the monotonic clock of the owner's loop, which stands still while a machine is suspended (DEPLOY.md). An owner that resumed after any real suspension noticed none of it, and with the first answer of a worker extended that worker's lease. Its successor, which waits for such leases from the takeover on, could then start a task that still ran: callers would have seen TWICE.

The owner now measures the time between its decisions by the clock that includes suspensions, as checkAuthority does, also while it reads the store, and compares the last confirmed commit by the same clock. The cell is told the outcome.

Suspensions of less than a lease, and an owner that was never suspended, keep extending leases while the store is away. In scripts the owner's part is now the commands suspend and confirmed; a fenced script needs no confirmation as time advances any more.

Remains: a time of day that jumps ahead by more than a lease looks like a suspension. With the store at hand that delays leases by one commit; while the store is away, it drops the work until the store is back.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -1,10 +1,6 @@
 package cell
 
-import (
-	"time"
-
-	"go.uber.org/zap"
-)
+import "time"
 
 const (
 	// AuthorityTimeout is how long an owner may rely on the last confirmation
@@ -23,19 +19,9 @@
 // owns the cell.
 func (c *Cell) SetConfirmedAt(at time.Time) { c.confirmedAt = at }
 
-// noteSuspension records when the process resumes after a suspension in which all
-// leases that it granted have expired. Another host may have taken over meanwhile.
-func (c *Cell) noteSuspension(now time.Time) {
-	if suspended := now.Sub(c.activeAt); !c.activeAt.IsZero() && suspended > c.config.Lease {
-		c.resumedAt = now
-		c.log.Warn("resumed after a suspension", zap.Duration("Suspended", suspended))
-	}
-	c.activeAt = now
-}
-
-// mayExtendLeases reports whether this owner has confirmed its ownership since its
-// process last resumed.
-func (c *Cell) mayExtendLeases() bool { return !c.confirmedAt.Before(c.resumedAt) }
+// SetUnconfirmed sets whether another host may have taken over while the process
+// was suspended. The owner then extends no lease and starts nothing.
+func (c *Cell) SetUnconfirmed(unconfirmed bool) { c.unconfirmed = unconfirmed }
 
 // SetPredecessorIdle sets for how long before the takeover no commit of a
 // predecessor had taken effect.
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -78,10 +78,8 @@
 	// predecessor had taken effect.
 	confirmedAt     time.Time
 	predecessorIdle time.Duration
-	// activeAt is when the last decision was made, and resumedAt when the process
-	// last resumed after a suspension.
-	activeAt  time.Time
-	resumedAt time.Time
+	// unconfirmed is set while another host may have taken over during a suspension.
+	unconfirmed bool
 	// commitsBegun counts the commits, and commitsDone has the number of the
 	// last one that succeeded.
 	commitsBegun uint64
@@ -167,7 +165,6 @@
 // TakeActions places tasks and returns the actions to carry out now. Each
 // action is returned once.
 func (c *Cell) TakeActions(now time.Time) []Action {
-	c.noteSuspension(now)
 	c.dispatchStarts(now)
 	if c.placementPending && !c.dispatch.full(now, true) {
 		c.placementPending = false
--- a/internal/cell/dispatch.go
+++ b/internal/cell/dispatch.go
@@ -107,7 +107,7 @@
 // dispatchStarts sends as many queued starts as the limit allows. A run whose
 // start would be refused or is no longer wanted is given up unsent.
 func (c *Cell) dispatchStarts(now time.Time) {
-	if !c.mayOrder(now) || !c.mayExtendLeases() {
+	if !c.mayOrder(now) || c.unconfirmed {
 		return
 	}
 	for c.dispatch.limit > 0 {
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -106,6 +106,7 @@
 		s.restart()
 	case "confirmed":
 		s.cell.SetConfirmedAt(s.now)
+		s.cell.SetUnconfirmed(false)
 	case "authorized":
 		s.authorized = first(0) == "on"
 	case "worker":
@@ -128,12 +129,10 @@
 		s.cell.Stopped(cell.WorkerID(first(0)), parseTaskID(t, first(1)), parseInt(t, first(2)), parseDuration(t, arg("clock")))
 	case "advance":
 		s.now = s.now.Add(parseDuration(t, first(0)))
-		if !s.unfenced {
-			s.cell.SetConfirmedAt(s.now) // the owner has renewed its row meanwhile
-		}
 		s.cell.Tick(s.now)
 	case "suspend":
 		s.now = s.now.Add(parseDuration(t, first(0)))
+		s.cell.SetUnconfirmed(true)
 	case "commit":
 		return s.commit()
 	case "records":
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -185,7 +185,7 @@
 		hold.Wait = min(hold.Wait, max(w.earlyStartsUntil-w.clockNow(now), 0))
 	}
 	hold.Deadline = w.deadline
-	if now.Sub(w.lastReport) <= c.config.ContactTimeout && c.mayExtendLeases() {
+	if now.Sub(w.lastReport) <= c.config.ContactTimeout && !c.unconfirmed {
 		hold.Deadline = w.extendLease(now, c.config.Lease)
 	}
 	return hold, true
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -50,6 +50,8 @@
 	readTakes time.Duration
 	// commitsHang is set while commits get no response.
 	commitsHang bool
+	// leaseUntil is the latest lease deadline of the hold calls.
+	leaseUntil time.Duration
 	// maintained counts the maintenance orders.
 	maintained int
 }
@@ -216,6 +218,7 @@
 func (p *fakePlatform) report(request cell.HoldRequest) (cell.Report, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leaseUntil = max(p.leaseUntil, request.Deadline)
 	w := p.workers[request.Worker]
 	w.ended = slices.DeleteFunc(w.ended, func(e cell.Ended) bool { return e.Number <= request.Acknowledged })
 	out := cell.Report{Incarnation: 1, Clock: p.clock()}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -171,6 +171,10 @@
 	isolation isolation
 	slowStore slowStore
 	load      load
+	// activeAt is when the event loop last decided, and resumedAt when it last resumed
+	// after a suspension, by a clock that includes suspensions.
+	activeAt  time.Time
+	resumedAt time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -207,6 +211,7 @@
 		holdLoops:  make(map[cell.WorkerID]*holdLoop),
 		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
+		activeAt: timers.Latest(),
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
@@ -353,7 +358,9 @@
 // hold calls. While the store is being read, or when the owner releases the cell,
 // it only commits.
 func (o *Owner) decide() {
+	// A suspension after this reading of the clock is noted, or extends no lease.
 	now := o.timers.Now()
+	o.noteActivity(now)
 	if o.release.requested || o.recovery.active {
 		o.commit(now)
 		return
