Grant a restarted worker the usual lease, not the longest one

A late call to the earlier incarnation of a worker may grant the new one the longest lease that workers accept, so the owner counts with that after a restart under the same ID. A successor waits for the granted lease, and if the process of its predecessor has ended only 1 s longer (4.3 s), so a task on such a worker that it cannot reach could be started elsewhere while it still ran.

The bound has a field of its own now, which no call carries. How long the owner waits for a restarted worker that falls silent is unchanged.

Evidence: script restarted-worker-lease: before, the hold after a restart granted until 6.1 s on the worker's clock, now 4.6 s (lease 4.5 s, longest 6 s). Script wave had the same in its golden: the start on a worker that returned with a new incarnation carried 7 s, now 5.6 s.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -74,7 +74,7 @@
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
 	// lease.
-	w.clock, w.deadline = 0, report.Clock+c.config.MaxLease
+	w.clock, w.deadline, w.lateDeadline = 0, 0, report.Clock+c.config.MaxLease
 	w.endsSeen, w.pendingEnds = 0, nil
 	w.health = health{}
 	c.dropUnrecorded(w, nil)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -29,6 +29,9 @@
 	clockAt time.Time
 	// deadline is the latest lease deadline that was sent to the worker.
 	deadline time.Duration
+	// lateDeadline is the lease that a late call to an earlier incarnation may have
+	// granted to this one; 0 if there was none.
+	lateDeadline time.Duration
 
 	runs     runSet
 	reserved job.Size
@@ -228,7 +231,7 @@
 	if !w.reported {
 		return inherited
 	}
-	end := w.clockAt.Add(localDuration(w.deadline-w.clock) + leaseSlack)
+	end := w.clockAt.Add(localDuration(max(w.deadline, w.lateDeadline)-w.clock) + leaseSlack)
 	// Without a fence, a predecessor extends leases also after the first report.
 	if c.config.Unfenced && !c.predecessorEnded && inherited.After(end) {
 		return inherited
