Count suspensions before an owner that is cut off stops extending leases

An owner that is cut off ends when it has not renewed its row for 3 s by the monotonic clock, which does not count suspensions, and the hosts that it heard within 3 s were counted by the same clock. The renewal was also counted from the response of the last commit, which may come after the takeover, and not from its beginning.

An owner now extends no lease and starts nothing while its last confirmed commit began 3 s ago or more, suspensions included, and it has heard since its last suspension from no more than half of the other hosts. It does not end by that clock, as a time of day that jumps ahead looks the same; such an owner goes on as soon as hosts answer. One whose store is away and that hears from most hosts keeps extending leases.

Evidence: TestCutOffOwnerSuspendedSeveralTimesExtendsNoLease fails without the check ('cut off from the store and the hosts': two suspensions of 2 s, lease extended); its case 'only the store is away' passes with and without.

--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -9,6 +9,10 @@
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 )
 
+// maxDecisionInterval is the interval between two decisions above which the process is
+// taken to have been suspended. What it heard of other hosts before may be out of date.
+const maxDecisionInterval = 500 * time.Millisecond
+
 // sinceConfirmed returns how long ago the last commit began that confirmed that this
 // owner owns the cell. It includes the time in which the process was suspended.
 func (o *Owner) sinceConfirmed() time.Duration {
@@ -21,15 +25,30 @@
 // that it granted have expired, another host may have taken over.
 func (o *Owner) noteActivity(now time.Time) {
 	active := o.timers.Latest()
-	if suspended := active.Sub(o.activeAt); suspended > o.config.Cell.Lease {
+	suspended := active.Sub(o.activeAt)
+	o.activeAt = active
+	if suspended > maxDecisionInterval {
+		o.hearingSince = now
+	}
+	if suspended > o.config.Cell.Lease {
 		o.resumedAt = active
 		o.renewAt = now
 		o.log.Warn("resumed after a suspension", zap.Duration("Suspended", suspended))
 	}
-	o.activeAt = active
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.cell.SetUnconfirmed(o.confirmedAt.Before(o.resumedAt))
+	confirmedAt := o.confirmedAt
+	o.mu.Unlock()
+	o.cell.SetUnconfirmed(confirmedAt.Before(o.resumedAt) || o.cutOff(now, active.Sub(confirmedAt)))
+}
+
+// cutOff reports whether the owner may have been replaced without knowing, since it
+// has neither confirmed its ownership for isolationTimeout nor heard from most hosts
+// since it was last suspended. Unlike endIfIsolated it counts the time of suspensions.
+func (o *Owner) cutOff(now time.Time, sinceConfirmed time.Duration) bool {
+	if sinceConfirmed < isolationTimeout {
+		return false
+	}
+	return o.isolation.hearsFew(o.advice.countActive(min(isolationTimeout, now.Sub(o.hearingSince))))
 }
 
 // checkAuthority returns an error if an order must not be sent now, although it was
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -52,6 +52,10 @@
 	commitsHang bool
 	// leaseUntil is the latest lease deadline of the hold calls.
 	leaseUntil time.Duration
+	// otherHosts is the number of other hosts. heardAt is when the owner last heard
+	// from all of them, by the monotonic clock, or zero if it does all the time.
+	otherHosts int
+	heardAt    time.Time
 	// maintained counts the maintenance orders.
 	maintained int
 }
@@ -114,9 +118,19 @@
 
 func (p *fakePlatform) startOwnerWith(config Config, timers timer.Service) *Owner {
 	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1}
-	initial := InitialState{Row: me, PredecessorsEnded: true}
+	initial := InitialState{Row: me, PredecessorsEnded: true, OtherHosts: p.otherHosts}
 	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
-	return New(config, initial, fakeManifest, ports, noHosts{}, timers, tally.NoopScope, zap.NewNop())
+	return New(config, initial, fakeManifest, ports, noHosts{p.otherHostsHeard}, timers, tally.NoopScope, zap.NewNop())
+}
+
+// otherHostsHeard returns the number of hosts that the owner heard within a time.
+func (p *fakePlatform) otherHostsHeard(within time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.heardAt.IsZero() && time.Since(p.heardAt) > within {
+		return 0
+	}
+	return p.otherHosts
 }
 
 // accept notifies the owner of accepted jobs with one step each.
@@ -330,11 +344,11 @@
 	}, nil
 }
 
-// noHosts is the RemoteAdvisors of a cell with only one host.
-type noHosts struct{}
+// noHosts is the RemoteAdvisors of an owner whose other hosts give no advice.
+type noHosts struct{ heard func(time.Duration) int }
 
-func (noHosts) List() []netip.AddrPort        { return nil }
-func (noHosts) CountActive(time.Duration) int { return 0 }
+func (noHosts) List() []netip.AddrPort                 { return nil }
+func (h noHosts) CountActive(within time.Duration) int { return h.heard(within) }
 func (noHosts) Advise(context.Context, netip.AddrPort, workload.StepID, []cell.WorkerID) (cell.Advice, error) {
 	return cell.Advice{}, fault.New("advise", KindClosed, "there is no other host")
 }
--- a/internal/owner/isolation.go
+++ b/internal/owner/isolation.go
@@ -36,9 +36,12 @@
 	if sinceRenewal < recentRenewal && known > 0 {
 		i.otherHosts = known
 	}
-	return sinceRenewal >= isolationTimeout && i.otherHosts > 0 && 2*active <= i.otherHosts
+	return sinceRenewal >= isolationTimeout && i.hearsFew(active)
 }
 
+// hearsFew reports whether the active hosts are not more than half of the others.
+func (i *isolation) hearsFew(active int) bool { return i.otherHosts > 0 && 2*active <= i.otherHosts }
+
 // endIfIsolated ends an owner that may have been replaced. Its host takes over again
 // once it reaches the store, unless another host has.
 func (o *Owner) endIfIsolated() {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -175,6 +175,9 @@
 	// after a suspension, by a clock that includes suspensions.
 	activeAt  time.Time
 	resumedAt time.Time
+	// hearingSince is when the event loop last resumed after any suspension, by the
+	// monotonic clock.
+	hearingSince time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/owner/suspension_test.go
+++ b/internal/owner/suspension_test.go
@@ -61,3 +61,42 @@
 	defer p.mu.Unlock()
 	return p.leaseUntil
 }
+
+// An owner that is cut off and suspended several times, each time for less than a lease,
+// must not extend leases in between for longer than its successor waits.
+func TestCutOffOwnerSuspendedSeveralTimesExtendsNoLease(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		cut     bool
+		extends bool
+	}{
+		{"cut off from the store and the hosts", true, false},
+		{"only the store is away", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFakePlatform(1)
+				p.otherHosts = 7
+				timers := &suspendableTimers{System: timer.NewSystem()}
+				o := p.startOwnerWith(fakeConfig(), timers)
+				defer o.Close()
+				time.Sleep(2 * time.Second)
+				p.hang(true)
+				if c.cut {
+					p.mu.Lock()
+					p.heardAt = time.Now()
+					p.mu.Unlock()
+				}
+				for range 2 {
+					timers.suspended.Add(int64(2 * time.Second))
+					time.Sleep(500 * time.Millisecond)
+				}
+				before := p.longestLease()
+				time.Sleep(1500 * time.Millisecond)
+				if extended := p.longestLease() > before; extended != c.extends {
+					t.Errorf("lease extended: %v", extended)
+				}
+			})
+		})
+	}
+}
