Send no lease deadline after a failed call, since the worker may have restarted

A worker that starts again under its ID counts its clock from zero. The owner accounts for that once it learns of the restart; a successor does not, and waits for the granted lease and 4.8 s, or 1 s if the process of the predecessor has ended. A task on such a worker that the successor cannot reach could be started elsewhere while it ran.

After a call without an answer the owner now only reads the clock, with a hold that does not wait; the answer shows the incarnation, and the hold after it extends the lease.

Evidence: script hold-after-failure: before, the hold carried 484.5 s, now none. Ruled out as cause: the constant of 4.8 s.

Remains: a start sent between the restart and the first failed call does the same; it needs a task placed within about 0.1 s.

--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -142,6 +142,8 @@
 		s.waiting = nil
 	case "takeover":
 		s.takeover(flag("ended"))
+	case "hold-failed":
+		s.cell.HoldFailed(cell.WorkerID(first(0)))
 	case "plan":
 		p, ok := s.cell.NextHold(s.now, cell.WorkerID(first(0)))
 		return fmt.Sprintf("call=%v deadline=%v acknowledged=%d wait=%v\n", ok, p.Deadline, p.Acknowledged, p.Wait)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -173,7 +173,9 @@
 	if w.incarnationUnsure {
 		hold.Acknowledged = 0
 	}
-	if !w.reported {
+	// A deadline by the clock of an earlier incarnation could grant a new one the
+	// longest lease.
+	if !w.reported || w.incarnationUnsure {
 		hold.Wait = 0
 		return hold, true
 	}
