Wait for the record before a task is started again after an expired lease

An owner that is replaced without knowing, with early starts on (slow store), may count a worker's lease as expired while its successor reaches that worker, learns that the run ended done, and acknowledges the end. The replaced owner then started the task once more, without a record, on a worker that only it reaches. Callers would have seen TWICE (a start after a run has ended done); no play has shown it. Fencing tokens do not help on a worker that the successor cannot reach.

After an expired lease the next start of the task waits until the release of the run is on record. A replaced owner makes nothing durable, so it starts no such task. An owner whose store is away starts these tasks only when it is back.

The simulation: takeovers where only earlier owners reach one of the workers, which they go on to hold, and takeovers after processes that are known to have ended; lease 3.2 s and longest lease 10 s, as far apart as on one site (4.5 s and 6 s before). With the earlier faults a cut worker was cut from all owners, so nothing tested how long a successor waits. TestReplacedOwnersExtendLeases lets replaced owners extend leases for 4.7 s, without early starts.

--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -94,18 +94,17 @@
 
 // holdAll has the current owner call all workers before any other call arrives.
 func (w *simulation) holdAll() {
-	others := w.calls
-	w.calls = nil
 	for _, s := range w.live() {
-		w.hold(w.owner(), s)
-	}
-	holds := w.calls
-	w.calls = others
-	for _, c := range holds {
-		w.finish(c)
+		w.holdNow(w.owner(), s)
 	}
 }
 
+// reaches reports whether a call reaches its worker.
+func (c *simCall) reaches() bool {
+	from := c.worker.cutFromEpoch
+	return !c.worker.cut && (from == 0 || c.owner.epoch < from)
+}
+
 // takeCall removes a random call that is in flight.
 func (w *simulation) takeCall() *simCall {
 	if len(w.calls) == 0 {
@@ -139,7 +138,7 @@
 		w.finishMaintenance(c)
 		return
 	}
-	if c.worker.cut {
+	if !c.reaches() {
 		w.unanswered(c)
 		return
 	}
@@ -212,7 +211,7 @@
 		return
 	case c.maintenance != nil:
 		w.maintenance(c.owner, c.maintenance)
-	case !c.worker.cut:
+	case c.reaches():
 		// The owner gets no answer, so the start counts as an uncertain one.
 		answered := c.answered
 		c.answered = true
@@ -321,8 +320,50 @@
 	w.holdAll()
 }
 
+// failOverEnded is failOver where the processes of all earlier owners have ended,
+// and their successor knows it.
+func (w *simulation) failOverEnded() {
+	w.deliverAll()
+	w.anyWorker().cut = true
+	for _, o := range w.owners {
+		o.stopped = true
+	}
+	w.takeOver()
+	w.owner().cell.PredecessorEnded()
+	for until := w.now.Add(w.drawDuration("ended", 100, 9000)); w.now.Before(until); {
+		w.stepWithoutFaults()
+	}
+}
+
+// failOverStranded is failOver where only the earlier owners reach the worker. The
+// last of them goes on with it.
+func (w *simulation) failOverStranded() {
+	w.deliverAll()
+	old, s := w.owner(), w.anyWorker()
+	s.cutFromEpoch = w.epoch + 1
+	w.takeOver()
+	w.holdAll()
+	for until := w.now.Add(w.drawDuration("stranded", 100, 9000)); w.now.Before(until); {
+		w.holdNow(old, s)
+		w.stepWithoutFaults()
+	}
+}
+
+// holdNow has an owner call a worker before any other call arrives.
+func (w *simulation) holdNow(o *simOwner, s *simWorker) {
+	others := w.calls
+	w.calls = nil
+	w.hold(o, s)
+	holds := w.calls
+	w.calls = others
+	for _, c := range holds {
+		w.finish(c)
+	}
+}
+
 func (w *simulation) cut() {
 	s := w.anyWorker()
+	s.cutFromEpoch = 0
 	s.cut = s.replaced || !s.cut
 }
 
@@ -361,7 +402,7 @@
 func (w *simulation) finishJobs() {
 	w.startLimit = max(w.startLimit, 1)
 	for _, s := range w.live() {
-		s.cut, s.leaving = false, false
+		s.cut, s.cutFromEpoch, s.leaving = false, 0, false
 		w.owner().cell.Register(w.now, w.registration(s))
 	}
 	for range 900 {
--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -29,6 +29,23 @@
 	})
 }
 
+// TestReplacedOwnersExtendLeases lets replaced owners go on for almost as long as
+// their successor allows for: no task may run twice by a lease that they extend.
+func TestReplacedOwnersExtendLeases(t *testing.T) {
+	for _, unfenced := range []bool{false, true} {
+		t.Run(fmt.Sprint("unfenced=", unfenced), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := newSimulation(t, omitNothing, unfenced)
+				w.replacedOwnerLifetime = longestReplacedOwnerLifetime
+				w.earlyStartsOff = true
+				if violation := w.play(t); violation != "" {
+					t.Fatal(violation)
+				}
+			})
+		})
+	}
+}
+
 // TestJobLifecycleDetectsOmittedGuards omits each guard once. If the oracle
 // does not detect that, the other tests prove nothing.
 func TestJobLifecycleDetectsOmittedGuards(t *testing.T) {
@@ -59,6 +76,11 @@
 func runSimulation(t *rapid.T, omit omittedGuard, unfenced bool) string {
 	w := newSimulation(t, omit, unfenced)
 	w.slow = rapid.Bool().Draw(t, "slow")
+	return w.play(t)
+}
+
+// play plays random actions and returns the first violation of an invariant.
+func (w *simulation) play(t *rapid.T) string {
 	actions := map[string]func(*rapid.T){
 		"submit":   func(*rapid.T) { w.submit() },
 		"cancel":   func(*rapid.T) { w.cancel() },
@@ -75,10 +97,12 @@
 		"long":     func(*rapid.T) { w.advance(w.drawDuration("long", 1000, 9000)) },
 		"takeover": func(*rapid.T) { w.takeOver() },
 		"failover": func(*rapid.T) { w.failOver() },
+		"ended":    func(*rapid.T) { w.failOverEnded() },
+		"stranded": func(*rapid.T) { w.failOverStranded() },
 		"restart":  func(*rapid.T) { w.restart() },
 		"cut":      func(*rapid.T) { w.cut() },
 		"leave":    func(*rapid.T) { w.leave() },
-		"slow":     func(*rapid.T) { w.slow = !w.slow },
+		"slow":     func(*rapid.T) { w.slow = !w.slow && !w.earlyStartsOff },
 		"limit":    func(*rapid.T) { w.startLimit = w.limit() },
 		"wave":     func(*rapid.T) { w.announceWave() },
 		"":         func(*rapid.T) { w.check() },
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -300,6 +300,11 @@
 		c.completeTask(now, t)
 		return
 	}
+	if how == EndLeaseExpired {
+		// A successor may know another end of this run, so the next one waits for its
+		// record.
+		t.numberRevision = s.job.revision
+	}
 	t.phase = phaseWaiting
 	t.waitingSince = now
 	s.waiting++
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -35,6 +35,8 @@
 	writtenAt time.Time
 	// slow is set while owners send starts before their record is durable.
 	slow bool
+	// earlyStartsOff is set if slow stays unset.
+	earlyStartsOff bool
 	// startLimit is how many starts owners may send at a time.
 	startLimit int
 	epoch      uint64
@@ -45,6 +47,8 @@
 	omit omittedGuard
 	// unfenced is set if workers check no fencing token, and owners know it.
 	unfenced bool
+	// replacedOwnerLifetime is how long a replaced owner continues.
+	replacedOwnerLifetime time.Duration
 
 	// done holds the tasks with a successful run whose end was acknowledged.
 	done map[workload.TaskID]bool
@@ -142,7 +146,10 @@
 	ends    []cell.Ended
 	ended   int64
 	cut     bool
-	leaving bool
+	// cutFromEpoch is the first epoch whose owner cannot reach the worker, and none
+	// after it can; 0 if all can.
+	cutFromEpoch uint64
+	leaving      bool
 	// toldToLeave is set once this incarnation was told to leave. Workers do
 	// not revoke that, but the simulation does, and stops from that time are
 	// repeated.
@@ -167,9 +174,21 @@
 // remaining ones.
 var workerLabels = []string{"big", "small"}
 
-// replacedOwnerLifetime is how long a replaced owner may continue without
-// learning that it was replaced.
-const replacedOwnerLifetime = 3 * time.Second
+const (
+	// replacedOwnerLifetime is how long a replaced owner may continue without
+	// learning that it was replaced.
+	replacedOwnerLifetime = 3 * time.Second
+	// longestReplacedOwnerLifetime is almost as long as its successor allows for.
+	longestReplacedOwnerLifetime = 4700 * time.Millisecond
+)
+
+// simConfig is the configuration of simulated owners. Workers accept a far longer
+// lease than owners grant.
+func simConfig() cell.Config {
+	config := scriptConfig
+	config.Lease, config.MaxLease = 3200*time.Millisecond, 10*time.Second
+	return config
+}
 
 const (
 	simWorkers   = 3
@@ -184,7 +203,7 @@
 func newSimulation(t *rapid.T, omit omittedGuard, unfenced bool) *simulation {
 	w := &simulation{
 		t: t, unfenced: unfenced, now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), omit: omit,
-		storeWaves: make(map[int]cell.WaveRecord), startLimit: math.MaxInt,
+		storeWaves: make(map[int]cell.WaveRecord), startLimit: math.MaxInt, replacedOwnerLifetime: replacedOwnerLifetime,
 		cancelled: make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool), everDone: make(map[workload.TaskID]bool),
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
 		wavesDone: make(map[int]bool), down: make(map[workload.TaskID]bool),
@@ -218,7 +237,7 @@
 // for a while without knowing of it.
 func (w *simulation) takeOver() {
 	w.epoch++
-	config := scriptConfig
+	config := simConfig()
 	config.Unfenced = w.unfenced
 	o := &simOwner{epoch: w.epoch, cell: cell.New(w.now, config, nopObserver{}, zap.NewNop())}
 	o.cell.SetManifest(w.manifest)
@@ -337,7 +356,7 @@
 		w.advanceGangs()
 		w.returnMachines()
 		for _, o := range w.owners {
-			o.stopped = o.stopped || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > replacedOwnerLifetime
+			o.stopped = o.stopped || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > w.replacedOwnerLifetime
 			if !o.stopped {
 				o.cell.Tick(w.now)
 				w.act(o)
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -69,7 +69,7 @@
 }
 
 func (s *simWorker) extend(deadline, clock time.Duration) {
-	s.deadline = max(s.deadline, min(deadline, clock+scriptConfig.MaxLease))
+	s.deadline = max(s.deadline, min(deadline, clock+simConfig().MaxLease))
 }
 
 func (w *simulation) stop(s *simWorker, c *simCall) {
