--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -30,6 +30,23 @@
 	})
 }
 
+// TestReplacedOwnersExtendLeases lets replaced owners go on for almost as long as
+// their successor allows for: no task may run twice by a lease that they extend.
+func TestReplacedOwnersExtendLeases(t *testing.T) {
+	for _, unfenced := range []bool{false, true} {
+		t.Run(fmt.Sprint("unfenced=", unfenced), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := newSimulation(t, omitNothing, unfenced)
+				w.replacedOwnerLifetime = longestReplacedOwnerLifetime
+				w.earlyStartsOff = true
+				if violation := w.play(t); violation != "" {
+					t.Fatal(violation)
+				}
+			})
+		})
+	}
+}
+
 // TestJobLifecycleDetectsOmittedGuards omits each guard once. If the oracle
 // does not detect that, the other tests prove nothing.
 func TestJobLifecycleDetectsOmittedGuards(t *testing.T) {
@@ -63,6 +80,11 @@
 func runSimulation(t *rapid.T, omit omittedGuard, unfenced bool, further ...simActions) string {
 	w := newSimulation(t, omit, unfenced)
 	w.slow = rapid.Bool().Draw(t, "slow")
+	return w.play(t, further...)
+}
+
+// play plays random actions and returns the first violation of an invariant.
+func (w *simulation) play(t *rapid.T, further ...simActions) string {
 	actions := w.faultActions()
 	for _, f := range further {
 		maps.Copy(actions, f(w))
@@ -92,10 +114,12 @@
 		"long":     func(*rapid.T) { w.advance(w.drawDuration("long", 1000, 9000)) },
 		"takeover": func(*rapid.T) { w.takeOver() },
 		"failover": func(*rapid.T) { w.failOver() },
+		"ended":    func(*rapid.T) { w.failOverEnded() },
+		"stranded": func(*rapid.T) { w.failOverStranded() },
 		"restart":  func(*rapid.T) { w.restart() },
 		"cut":      func(*rapid.T) { w.cut() },
 		"leave":    func(*rapid.T) { w.leave() },
-		"slow":     func(*rapid.T) { w.slow = !w.slow },
+		"slow":     func(*rapid.T) { w.slow = !w.slow && !w.earlyStartsOff },
 		"limit":    func(*rapid.T) { w.startLimit = w.limit() },
 		"wave":     func(*rapid.T) { w.announceWave() },
 		"":         func(*rapid.T) { w.check() },
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -79,7 +79,7 @@
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
 	// lease.
-	w.clock, w.deadline = 0, report.Clock+c.config.MaxLease
+	w.clock, w.deadline, w.lateDeadline = 0, 0, report.Clock+c.config.MaxLease
 	w.endsSeen, w.pendingEnds = 0, nil
 	w.health = health{}
 	c.dropUnrecorded(w, nil)
@@ -341,6 +341,11 @@
 		c.completeTask(now, t)
 		return
 	}
+	if how == EndLeaseExpired {
+		// A successor may know another end of this run, so the next one waits for its
+		// record.
+		t.numberRevision = s.job.revision
+	}
 	t.phase = phaseWaiting
 	t.waitingSince = now
 	s.waiting++
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -33,6 +33,9 @@
 	clockAt time.Time
 	// deadline is the latest lease deadline that was sent to the worker.
 	deadline time.Duration
+	// lateDeadline is the lease that a late call to an earlier incarnation may have
+	// granted to this one; 0 if there was none.
+	lateDeadline time.Duration
 
 	runs     runSet
 	reserved job.Size
@@ -225,7 +228,9 @@
 	if w.incarnationUnsure {
 		hold.Acknowledged = 0
 	}
-	if !w.reported {
+	// A deadline by the clock of an earlier incarnation could grant a new one the
+	// longest lease.
+	if !w.reported || w.incarnationUnsure {
 		hold.Wait = 0
 		return hold, true
 	}
@@ -240,7 +245,7 @@
 		hold.Wait = min(hold.Wait, max(w.earlyStartsUntil-w.clockNow(now), 0))
 	}
 	hold.Deadline = w.deadline
-	if now.Sub(w.lastReport) <= c.config.ContactTimeout && c.mayExtendLeases() {
+	if now.Sub(w.lastReport) <= c.config.ContactTimeout && !c.unconfirmed {
 		hold.Deadline = w.extendLease(now, c.config.Lease)
 	}
 	return hold, true
@@ -283,7 +288,7 @@
 	if !w.reported {
 		return inherited
 	}
-	end := w.clockAt.Add(localDuration(w.deadline-w.clock) + leaseSlack)
+	end := w.clockAt.Add(localDuration(max(w.deadline, w.lateDeadline)-w.clock) + leaseSlack)
 	// Without a fence, a predecessor extends leases also after the first report.
 	if c.config.Unfenced && !c.predecessorEnded && inherited.After(end) {
 		return inherited
