--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -416,10 +416,11 @@
 	w.startLimit = max(w.startLimit, 1)
 	w.growAll()
 	for _, s := range w.live() {
+		s.cut, s.cutFromEpoch = false, 0
 		if s.dead {
 			continue
 		}
-		s.cut, s.cutFromEpoch, s.leaving, s.lapsed = false, 0, false, false
+		s.leaving, s.lapsed = false, false
 		w.owner().cell.Register(w.now, w.registration(s))
 	}
 	for range w.stepsToFinish() {
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -218,7 +218,7 @@
 // mayStartAgain reports whether a task may be started once more after the crashes
 // under it. Runs that were stopped or lost count too.
 func (t *task) mayStartAgain() bool {
-	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() < minAcceptedCrashes {
+	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() == 0 {
 		return true
 	}
 	runs := make([]int, len(t.crashes))
