Keep the tasks that a restarted worker runs over a takeover

A worker restarts under its own ID. Before its owner has learned of that, the owner places tasks on it, whose durable records name the earlier incarnation, and their starts reach the new one. If the owner is then replaced, its successor compared the recorded incarnation with the reported one, ended these runs as lost, counted a crash under each task, and stopped them as unknown runs, although the same report listed them at work. It had no bound: both tasks of a long-running step of which one may be away were stopped by one owner in one decision (AVAIL).

A run that the first report lists, as running or as ended, is now kept, as restarted() keeps it for an owner that has not changed (start-meets-new-life). A run that is listed takes the incarnation of its worker, in the record too: without that, a later loss of contact would be counted as a crash once the worker answers again. Where fences are not checked, such a run was not stopped but a crash was counted under it; this is gone too.

What callers saw: work stopped and begun again, a crash counted against a task that crashed nothing.

The script command "crashes" shows the crashes that the durable record of a job counts.

--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -40,6 +40,10 @@
 	if !r.progressKnown || e.Percent != r.percent {
 		r.progressAt = now
 	}
+	if r.incarnation != 0 && r.incarnation < r.worker.incarnation {
+		r.incarnation = r.worker.incarnation // it was placed before the restart was known
+		c.recordChanged(r.task.step.job)
+	}
 	r.progressKnown = true
 	r.percent = e.Percent
 	r.load = e.Load
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -117,12 +117,14 @@
 }
 
 // endInheritedOfEarlier ends the runs that a predecessor recorded on an earlier
-// incarnation of a worker, when the worker first reports. Without a fence, a start
-// of the predecessor may still reach this incarnation, so the run is only counted.
+// incarnation of a worker, when the worker first reports. A run that the report
+// lists was started before the predecessor had learned of this incarnation.
+// Without a fence, a start of the predecessor may still reach this incarnation, so
+// the run is only counted.
 func (c *Cell) endInheritedOfEarlier(now time.Time, w *worker, report Report) {
 	ordered, alone := c.endedAsOrdered(w), w.alone(now)
 	for _, r := range w.runs.all() {
-		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation {
+		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation || report.lists(r) {
 			continue
 		}
 		crash := r.crash(alone)
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -163,6 +163,8 @@
 	case "status":
 		state, known := s.cell.Status(workload.JobID(first(0)))
 		return fmt.Sprintf("%v %v\n", known, state)
+	case "crashes":
+		return s.crashes(workload.JobID(first(0)))
 	case "pace-failed":
 		s.cell.PaceFailed(cell.WorkerID(first(0)), parseTaskID(t, first(1)), parseInt(t, first(2)))
 	case "slow":
@@ -372,6 +374,19 @@
 	return out.String() + s.actions()
 }
 
+// crashes formats the crashes that the durable record of a job counts.
+func (s *script) crashes(id workload.JobID) string {
+	var out strings.Builder
+	for _, steps := range s.store[id].Occurrences {
+		for i, step := range steps {
+			for k, t := range step.Tasks {
+				fmt.Fprintf(&out, "step %d task %d crashes=%d lost=%d\n", i, k, len(t.Crashes), len(t.Lost))
+			}
+		}
+	}
+	return out.String()
+}
+
 // takeover creates a new cell from the durable state.
 func (s *script) takeover(ended bool) {
 	s.restart()
