Stop an unknown run only after a commit that began later than its report

Where workers check no fences, a replaced owner with authority (2 s after its last commit) stopped each run that it did not know, also those that its successor had just started: lost work, and for a long-running step more tasks at once than may be away (AVAIL). It took a run for stale because it did not know it.

An owner that may have been replaced cannot tell a stale run from one of its successor, but a commit can: if a commit that began after the report takes effect, no successor had taken over when the run was already there. The stop now waits for that commit, as the acknowledgement of an unknown end does (confirmingCommit). Runs of a job that has ended and whose end is durable are stopped at once, as before; so is everything where fences are checked. A stale run ends later by one commit and one report; the hold waits 0.3 s at most meanwhile.

Ruled out: checkAuthority, which drops orders after 2 s; these came after 1.0 s.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -170,9 +170,11 @@
 			c.stopUnknownRun(now, w, e)
 			continue
 		}
+		delete(w.unknownRuns, e.Task)
 		c.updateProgress(now, r, e)
 	}
 	c.dropUnrecorded(w, listed)
+	w.forgetUnknownRuns(listed)
 	if w.unknownReserved != reservedBefore || w.unsizedRuns != unsizedBefore {
 		c.capacityFreed(w)
 	}
@@ -187,33 +189,6 @@
 	}
 }
 
-// stopUnknownRun stops an unknown run: a stale start that was carried out late,
-// or a run of an ended job. The run occupies capacity until it is gone. An
-// unrecorded run is not stopped here as long as it may still be adopted, that
-// is become the current run of its task.
-func (c *Cell) stopUnknownRun(now time.Time, w *worker, e *Running) {
-	c.reserveForUnknownRun(w, e.Task)
-	if s := c.unrecordedRunOf(w, e); s != nil && !s.stopping {
-		s.reported = *e
-		return
-	}
-	if !c.mayOrder(now) {
-		return // a successor may have started it
-	}
-	c.log.Info("stopping an unknown run",
-		zap.String("Job", string(e.Task.Job)), zap.String("Task", e.Task.String()), zap.Int("Run", e.Run), workerField(w))
-	c.emit(SendStop{Worker: w.id, Task: e.Task, Run: e.Run})
-}
-
-// reserveForUnknownRun reserves the capacity that an unknown run occupies.
-func (c *Cell) reserveForUnknownRun(w *worker, id workload.TaskID) {
-	if j, known := c.jobs[id.Job]; known && id.Step < len(j.job.Steps) {
-		w.unknownReserved = w.unknownReserved.Add(j.job.Steps[id.Step].Reserved())
-		return
-	}
-	w.unsizedRuns++
-}
-
 // handleAbsentRun resolves a run that the worker lists neither as running nor
 // as ended.
 func (c *Cell) handleAbsentRun(now time.Time, r *run, clock time.Duration) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 // worker is the state of one worker.
@@ -58,6 +59,9 @@
 	// Their size is unknown, so they are assumed to occupy the whole worker,
 	// whatever its capacity is at the time.
 	unsizedRuns int
+	// unknownRuns holds the unknown runs that the last report listed and that a
+	// successor may have started.
+	unknownRuns map[workload.TaskID]unknownRun
 	// earlyStartsUntil is when, on the worker's clock, the last early start of a
 	// predecessor has expired.
 	earlyStartsUntil time.Duration
@@ -125,7 +129,7 @@
 
 // addWorker adds a worker to the cell.
 func (c *Cell) addWorker(id WorkerID) *worker {
-	w := &worker{id: id, runs: newRunSet()}
+	w := &worker{id: id, runs: newRunSet(), unknownRuns: make(map[workload.TaskID]unknownRun)}
 	c.workers[id] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, id, func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) })
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -213,6 +217,9 @@
 	// sharedHoldWait is the wait at a worker where best-effort tasks run beside
 	// tasks with a latency target, whose tail latencies have to be monitored.
 	sharedHoldWait = 300 * time.Millisecond
+	// unknownRunHoldWait is the wait while a commit decides whether a run is to be
+	// stopped, which happens with the next report.
+	unknownRunHoldWait = 300 * time.Millisecond
 )
 
 // NextHold returns the next hold call to a worker, and false if the worker
@@ -241,6 +248,9 @@
 	if w.hasMixedLoad() {
 		hold.Wait = min(hold.Wait, sharedHoldWait)
 	}
+	if len(w.unknownRuns) > 0 {
+		hold.Wait = min(hold.Wait, unknownRunHoldWait)
+	}
 	if c.earlyStarts.awaited[id] {
 		hold.Wait = min(hold.Wait, max(w.earlyStartsUntil-w.clockNow(now), 0))
 	}
