Start nothing at a worker after a failed call until it answers

After a failed call a worker may have restarted under its ID, with a clock from zero. A start with a deadline by the earlier clock grants it the longest lease, 10 s in place of 3.2 s.

A worker is not usable between a failed call and its next answer, also for starts that are planned. The owner calls it again after 0.1 to 0.4 s. What remains: a start that is sent after the restart and before the first failed call.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -31,7 +31,10 @@
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
-	w.incarnationUnsure = false
+	if w.incarnationUnsure {
+		w.incarnationUnsure = false
+		c.capacityFreed(w)
+	}
 	w.clock, w.clockAt = report.Clock, now
 	if first {
 		// A predecessor may have granted the worker a lease shortly before this
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -361,6 +361,11 @@
 	if !listed || w.registration.Leaving || w.laterOnMachine || !c.inContact(now, w) {
 		return false
 	}
+	// A start with a deadline by the clock of an earlier incarnation could grant a
+	// new one the longest lease, unknown to a successor.
+	if w.incarnationUnsure {
+		return false
+	}
 	// Early starts of a predecessor may still arrive and take capacity.
 	if c.earlyStarts.awaited[w.id] {
 		return false
