Run the simulations of internal/cell in parallel

Each has its own generator, seeded by a flag, and shares no variable with another, so their draws and verdicts stay the same.

The gain on an idle machine was not measured for this commit.

--- a/internal/cell/deadly_test.go
+++ b/internal/cell/deadly_test.go
@@ -9,6 +9,7 @@
 // TestDeadlyTaskStartsAtMostTwiceAfterThreeCrashes guards against a task that
 // crashes each worker that starts it and is started again and again.
 func TestDeadlyTaskStartsAtMostTwiceAfterThreeCrashes(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t, omitNothing, rapid.Bool().Draw(t, "unfenced"))
 		w.slow = rapid.Bool().Draw(t, "slow")
@@ -32,12 +33,14 @@
 // not counted because the owner changes, or because calls, answers or commits
 // are lost.
 func TestDeadlyTaskStartsAtMostTwiceDespiteFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, false, true) })
 }
 
 // TestDeadlyTaskStartsAtMostTwiceWithoutFences does the same with workers that
 // check no fencing token.
 func TestDeadlyTaskStartsAtMostTwiceWithoutFences(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, true, true) })
 }
 
@@ -46,12 +49,14 @@
 // workers leave, lapse from the list, are partitioned and go down for
 // maintenance, and crash just before a start arrives.
 func TestCrashesOfOthersDoNotFailAJob(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, false, false) })
 }
 
 // TestCrashesOfOthersDoNotFailAJobWithoutFences does the same with workers that
 // check no fencing token.
 func TestCrashesOfOthersDoNotFailAJobWithoutFences(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, true, false) })
 }
 
--- a/internal/cell/evalqueue_test.go
+++ b/internal/cell/evalqueue_test.go
@@ -15,6 +15,7 @@
 // TestDecisionsMissNoPlaceableStep plays steps that need advice, and compares
 // each decision with one that evaluates every step.
 func TestDecisionsMissNoPlaceableStep(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		p := &advisedBacklog{backlog: newBacklog(t, 6, 0, whyUnanswered), t: t}
 		p.cell.SetAdviceHosts(3)
--- a/internal/cell/lapse_test.go
+++ b/internal/cell/lapse_test.go
@@ -10,6 +10,7 @@
 // for maintenance beyond the limit of its wave: the entry of its worker lapsed
 // while the worker was drained, another machine was next, and the entry came back.
 func TestWaveLimitHoldsAlthoughEntriesLapse(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t, omitNothing, false)
 		t.Repeat(map[string]func(*rapid.T){
--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -13,6 +13,7 @@
 // TestJobLifecycle plays jobs from acceptance to their end, with takeovers,
 // lost and late calls, and workers that restart, are partitioned and leave.
 func TestJobLifecycle(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		if violation := runSimulation(t, omitNothing, false); violation != "" {
 			t.Fatal(violation)
@@ -23,6 +24,7 @@
 // TestJobLifecycleWithoutFences does the same with workers that check no fencing
 // token, so that they obey replaced owners too.
 func TestJobLifecycleWithoutFences(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		if violation := runSimulation(t, omitNothing, true); violation != "" {
 			t.Fatal(violation)
@@ -33,8 +35,10 @@
 // TestReplacedOwnersExtendLeases lets replaced owners go on for almost as long as
 // their successor allows for: no task may run twice by a lease that they extend.
 func TestReplacedOwnersExtendLeases(t *testing.T) {
+	t.Parallel()
 	for _, unfenced := range []bool{false, true} {
 		t.Run(fmt.Sprint("unfenced=", unfenced), func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
 				w := newSimulation(t, omitNothing, unfenced)
 				w.replacedOwnerLifetime = longestReplacedOwnerLifetime
@@ -50,6 +54,7 @@
 // TestJobLifecycleDetectsOmittedGuards omits each guard once. If the oracle
 // does not detect that, the other tests prove nothing.
 func TestJobLifecycleDetectsOmittedGuards(t *testing.T) {
+	t.Parallel()
 	for _, omit := range []omittedGuard{omitDurable, omitAckDurable, omitFence, omitUncertainStart, omitWaveRecord, omitEarlyStart} {
 		t.Run(strings.ReplaceAll(string(omit), " ", "-"), func(t *testing.T) {
 			if !detected(t, omit) {
@@ -129,6 +134,7 @@
 // TestJobLifecycleWithoutFaults plays jobs without any fault: all members of a
 // gang have to start in time, and no run may lose its lease.
 func TestJobLifecycleWithoutFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t, omitNothing, rapid.Bool().Draw(t, "unfenced"))
 		w.slow = rapid.Bool().Draw(t, "slow")
--- a/internal/cell/simcapacity_test.go
+++ b/internal/cell/simcapacity_test.go
@@ -143,6 +143,7 @@
 // TestJobLifecycleWithCapacityChanges is TestJobLifecycle with workers whose
 // capacity changes, with and without fencing tokens.
 func TestJobLifecycleWithCapacityChanges(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		unfenced := rapid.Bool().Draw(t, "unfenced")
 		if violation := runSimulation(t, omitNothing, unfenced, (*simulation).capacityActions); violation != "" {
@@ -160,6 +161,7 @@
 // TestCapacityChangesWithoutFaults plays jobs on workers whose capacity changes,
 // without any other fault: no gang may end because members did not start.
 func TestCapacityChangesWithoutFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t, omitNothing, rapid.Bool().Draw(t, "unfenced"))
 		w.slow = rapid.Bool().Draw(t, "slow")
