Believe no start time of a worker's entry that was there at the takeover

Cause: of two entries that an owner found on one machine when it took over, the one with the later start time counted as the later worker, although that time is a time of day. After a step back of the machine's clock this was the entry of the earlier worker. The runs of the real one were then given up as soon as it had been silent for the contact timeout (1.5 s), and started elsewhere beside it.

Callers would have seen a task that runs twice.

Now the later of two such workers must have answered this owner, which only the later one can, since a machine has one worker at a time. Workers that registered one after the other under one owner count as before. A crash that happened just before a takeover is still known at once, with the first answer of the new worker.

Ruled out: the count itself (an innocent run was counted once, which fails no job).

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -67,19 +67,26 @@
 }
 
 // noteLaterWorkers records on which workers of a machine a later one has followed.
-// The incarnation is a time of day, which may jump, so the later one must not have
-// registered before the other.
 func (c *Cell) noteLaterWorkers(machine string) {
 	for _, w := range c.onMachine[machine] {
 		if w.registration.Incarnation == 0 {
 			continue
 		}
-		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool {
-			return later.registration.Incarnation > w.registration.Incarnation && !later.registeredAt.Before(w.registeredAt)
-		})
+		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
 	}
 }
 
+// follows reports whether a worker has certainly followed another on their machine.
+// The incarnation is a time of day, which may jump, so it does not show that alone. Of
+// two workers that this owner found registered when it took over, only the later one
+// can still answer.
+func (w *worker) follows(earlier *worker) bool {
+	if w.registration.Incarnation <= earlier.registration.Incarnation {
+		return false
+	}
+	return w.registeredAt.After(earlier.registeredAt) || w.reported && w.registeredAt.Equal(earlier.registeredAt)
+}
+
 // setRegistration sets the registration of a worker and keeps the index of the
 // workers by machine.
 func (c *Cell) setRegistration(w *worker, r Registration) {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -39,6 +39,7 @@
 		w.deadline = max(w.deadline, report.Clock+c.config.Lease)
 		c.capacityFreed(w)
 		w.earlyStartsUntil = c.lastEarlyStart(now, report.Clock)
+		c.noteLaterWorkers(w.registration.Machine)
 	}
 	c.trackEarlyStarts(w, report)
 	for _, e := range report.Ended {
