Fail no job because a takeover has skipped a run number

Cause: a new owner skips one run number of each task while workers may have early starts of its predecessor. After three crashes a task gets one more start, which is counted by run numbers, so the skipped number was taken for that start: the job failed, although none of the limits for crashes was reached.

Evidence: script third-crash-beside-a-takeover. The owner is lost while the store is slow, and its successor finds the third crash under an inherited run (two accepted, so not decisive). Before: the job fails at once. After: run 4 starts, and the fourth crash decides.

A task with crashes or lost runs gets no early start, so its number need not be skipped. For this the record must still have them when an early start is possible again: once the lost runs of a task have been resolved, it waits for the record without them (script early-start-after-a-lost-run; before, run 2 started at once, while the record had the lost run).

Ruled out: a second start under a number of an early start. A record with crashes or lost runs has the number of every start that was sent before it became durable.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -210,6 +210,9 @@
 	return n >= isolatedCrashLimit && accepted >= isolatedCrashLimit && t.crashes[n-1].Alone
 }
 
+// hasCrashes reports whether workers have crashed, or may have, under the task.
+func (t *task) hasCrashes() bool { return len(t.crashes)+len(t.lost) > 0 }
+
 // acceptedCrashes returns how many of the workers that crashed had accepted the
 // task.
 func (t *task) acceptedCrashes() int {
@@ -291,6 +294,7 @@
 		}
 		if len(t.lost) < len(lost) {
 			c.recordChanged(t.step.job)
+			t.numberRevision = t.step.job.revision // no early start while the record has lost runs
 		}
 		for _, l := range t.lost {
 			c.watchLostRuns(t, l.Machine)
@@ -302,7 +306,7 @@
 // at work for crashAmnesty.
 func (c *Cell) forgiveCrashes(now time.Time, r *run) {
 	t := r.task
-	if len(t.crashes)+len(t.lost) == 0 || !t.step.spec.LongRunning {
+	if !t.hasCrashes() || !t.step.spec.LongRunning {
 		return
 	}
 	if worked, timed := r.elapsed(now); timed && worked > crashAmnesty {
--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -133,15 +133,17 @@
 	if !c.earlyStarts.enabled || spec.Gang || spec.LongRunning || !c.earlyStarts.allowed[r.worker.id] {
 		return false
 	}
-	if len(t.crashes)+len(t.lost) > 0 {
+	if t.hasCrashes() {
 		return false // the count has to survive this owner
 	}
 	return t.numberRevision <= t.step.job.durable
 }
 
-// skipRunNumber skips a run number that a predecessor may have used.
+// skipRunNumber skips a run number that a predecessor may have used for an early
+// start. A task with crashes gets none, and a skipped number would count as its start
+// after the last crash.
 func (c *Cell) skipRunNumber(t *task) {
-	if spec := t.step.spec; spec.Gang || spec.LongRunning || t.phase == phaseDone {
+	if spec := t.step.spec; spec.Gang || spec.LongRunning || t.phase == phaseDone || t.hasCrashes() {
 		return
 	}
 	t.lastRun++
