Forget the crashes of a long-running task also when another owner started its run

Cause: the crashes of a long-running task are forgotten once a run of it has been at work for a minute. That time was counted from the owner's own start, so it never passed for a run that a predecessor had started. Crashes before a takeover then added up with others months later, until the job failed.

Evidence: script crashes-far-apart-over-takeovers. A task works for 70 s before each of four crashes, and the owner changes each time after its start. Before: the job fails after the third crash. After: it goes on, five runs in all. Callers saw a service as failed that did not crash its workers.

The time is now counted from the first report that shows the run to this owner, for all runs.

Ruled out: forgiving too soon.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -303,13 +303,10 @@
 }
 
 // forgiveCrashes forgets the crashes of a long-running task whose run has been
-// at work for crashAmnesty.
+// at work for crashAmnesty, as far as this owner has seen.
 func (c *Cell) forgiveCrashes(now time.Time, r *run) {
 	t := r.task
-	if !t.hasCrashes() || !t.step.spec.LongRunning {
-		return
-	}
-	if worked, timed := r.elapsed(now); timed && worked > crashAmnesty {
+	if t.hasCrashes() && t.step.spec.LongRunning && now.Sub(r.firstReportAt) > crashAmnesty {
 		t.crashes, t.lost = nil, nil
 		c.recordChanged(t.step.job)
 	}
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -179,6 +179,8 @@
 	// fresh runs began without a checkpoint.
 	fresh         bool
 	progressKnown bool
+	// firstReportAt is when a report first showed the run to this owner.
+	firstReportAt time.Time
 	pace          int
 	// load is Running.Load as last reported: a latency in milliseconds or a CPU
 	// use in millicores, depending on the task.
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -40,6 +40,9 @@
 	if !r.progressKnown || e.Percent != r.percent {
 		r.progressAt = now
 	}
+	if r.firstReportAt.IsZero() {
+		r.firstReportAt = now
+	}
 	r.progressKnown = true
 	r.percent = e.Percent
 	r.load = e.Load
