Count no start that was not sent as the one after the third crash

Cause: after three crashes a task gets one more start, counted by run numbers. A run that was planned and given up unsent (its worker leaves, goes down or is out of contact, its capacity has shrunk, its ticket has run out), or that was refused, used up this start, so the job failed although no limit for crashes was reached.

Evidence: script third-crash-before-an-unsent-start. Before: the job fails once the planned run is given up. After: the next start is refused, the one after it is sent, and that decides.

The task now remembers the numbers of the runs that certainly did not start. They are not in the record: a new owner cannot tell an unsent start from one without an answer.

Ruled out: more starts for a task that crashes its workers. Starts without an answer count as before.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -226,7 +226,8 @@
 }
 
 // mayStartAgain reports whether a task may be started once more after the crashes
-// under it. Runs that were stopped or lost count too.
+// under it. Runs that were stopped or lost count too, but not those that certainly did
+// not start.
 func (t *task) mayStartAgain() bool {
 	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() == 0 {
 		return true
@@ -236,7 +237,22 @@
 		runs[i] = crash.Run
 	}
 	slices.Sort(runs)
-	return t.lastRun-runs[isolatedCrashLimit-1] < maxStartsAfterCrashes
+	last := runs[isolatedCrashLimit-1]
+	starts := t.lastRun - last
+	for _, number := range t.notStarted {
+		if number > last {
+			starts--
+		}
+	}
+	return starts < maxStartsAfterCrashes
+}
+
+// noteNotStarted records that a run certainly did not start: its start was not sent, or
+// refused.
+func (r *run) noteNotStarted() {
+	if t := r.task; t.current == r && t.hasCrashes() {
+		t.notStarted = append(t.notStarted, r.number)
+	}
 }
 
 // failIfExhausted ends the job of a step with a task that may not be started again,
@@ -307,7 +323,7 @@
 func (c *Cell) forgiveCrashes(now time.Time, r *run) {
 	t := r.task
 	if t.hasCrashes() && t.step.spec.LongRunning && now.Sub(r.firstReportAt) > crashAmnesty {
-		t.crashes, t.lost = nil, nil
+		t.crashes, t.lost, t.notStarted = nil, nil, nil
 		c.recordChanged(t.step.job)
 	}
 }
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -102,8 +102,11 @@
 	failedRuns []int
 	// crashes has the crashes of workers under runs of the task, and lost the
 	// runs for which it is not known yet.
-	crashes    []Crash
-	lost       []LostRun
+	crashes []Crash
+	lost    []LostRun
+	// notStarted has the numbers of runs since the first of them that certainly
+	// did not start.
+	notStarted []int
 	checkpoint string
 	current    *run
 	// avoidWorker is the worker to avoid: that of the last run that failed or was
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -323,6 +323,9 @@
 	if !r.worker.runs.remove(r) {
 		return // released with another member of its gang
 	}
+	if r.phase == runPlanned {
+		r.noteNotStarted()
+	}
 	r.worker.reserved = r.worker.reserved.Sub(s.spec.Reserved())
 	c.preemptedReleased(r, s.spec.Reserved())
 	if r.worker.isolated == r {
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -56,6 +56,7 @@
 		c.stop(now, r)
 	case outcome.NotSent:
 		r.worker.health.refused(now)
+		r.noteNotStarted()
 		c.release(now, r, EndStopped)
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
@@ -82,6 +83,7 @@
 		r.worker.health.refused(now)
 	case RefusedFence, RefusedStale, RefusedLate:
 	}
+	r.noteNotStarted()
 	c.release(now, r, EndStopped)
 }
 
