Count a crash also if the start in flight across it is never answered

Cause: a worker that restarts under its ID, and whose report arrives before the call that sent a start ends, leaves open which incarnation has the start. The crash was kept for the answer, and forgotten if the call ended without one. In the other order, call first, the same crash was counted. A task that crashes its workers before they answer could so be started without limit where the return of the worker is heard of first.

Evidence: script crash-before-an-unanswered-start. Before: six starts, none counted.

Ruled out: counting a start that the later incarnation has answered or refused.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -170,6 +170,15 @@
 	return r.worker.lastReport.Sub(r.sentAt) < settledAfter
 }
 
+// countRestartCrash counts the crash of a worker that restarted under its ID while a
+// start was in flight, unless the later incarnation has refused or accepted the start.
+func (c *Cell) countRestartCrash(now time.Time, r *run, accepted bool) {
+	if r.restartCrash != nil {
+		r.restartCrash.Accepted = accepted
+		c.countCrash(now, r, *r.restartCrash)
+	}
+}
+
 // countCrash counts a crash against the task of a run. The number of the run
 // ensures that two owners count it once.
 func (c *Cell) countCrash(now time.Time, r *run, crash Crash) {
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -152,8 +152,8 @@
 	// run was planned.
 	urgent bool
 	// sentBeforeRestart is set when the worker began a new incarnation while
-	// the start was in flight. restartCrash is counted if the earlier
-	// incarnation had accepted the start; nil if its end was no crash.
+	// the start was in flight. restartCrash is counted unless the later
+	// incarnation answers the start; nil if the end of the earlier one was no crash.
 	sentBeforeRestart bool
 	restartCrash      *Crash
 	// revision is the revision of the record that names the run.
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -54,6 +54,7 @@
 		r.phase = runUncertain
 		c.log.Warn("start was not answered", runFields(r)...)
 		c.stop(now, r)
+		c.countRestartCrash(now, r, false)
 	case outcome.NotSent:
 		r.worker.health.refused(now)
 		r.noteNotStarted()
@@ -62,10 +63,7 @@
 		c.refused(now, r, outcome.Refused)
 	case r.sentBeforeRestart && outcome.Clock > r.worker.clockNow(now)+leaseSlack:
 		c.release(now, r, EndLeaseExpired) // the earlier incarnation had accepted it
-		if r.restartCrash != nil {
-			r.restartCrash.Accepted = true
-			c.countCrash(now, r, *r.restartCrash)
-		}
+		c.countRestartCrash(now, r, true)
 	default:
 		c.markStarted(r.task.step.job)
 		r.phase = runStarted
