Preempt nothing for a suspect that waits for a worker that runs nothing

Cause: a step of the highest priority whose tasks wait preempts other runs, without a look at why they wait. A task that may have crashed a worker waits up to a second (five after the third crash) for a worker that runs nothing, so it had runs of others stopped although there was room for it beside them. With each preempted run that ended, the step was evaluated and preempted again.

Evidence: script suspect-preempts-nothing. Before: p.0.0.0 is told to stop twice within the wait, on a worker with two free cores, and the suspect then takes these. After: no stop, and the suspect starts after its second as before.

A suspect for which no worker has room still preempts.

Ruled out: steps whose other tasks wait for capacity; they preempt as before.

--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -37,6 +37,17 @@
 	return len(t.crashes) > 1
 }
 
+// waitingSuspects returns how many suspects of a step have no run.
+func (s *stepState) waitingSuspects() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.phase == phaseWaiting && t.suspect() {
+			n++
+		}
+	}
+	return n
+}
+
 // mayIsolate reports whether one more worker may be kept for a suspect.
 func (c *Cell) mayIsolate() bool {
 	return c.isolatedWorkers < max(len(c.sortedWorkers)/maxIsolatedShare, 1)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -22,6 +22,9 @@
 		return
 	}
 	wanted := s.waiting - s.preemptedFor
+	if suspects := s.waitingSuspects(); suspects > 0 && slices.ContainsFunc(eligible, s.hasRoom) {
+		wanted -= suspects // they wait for a worker that runs nothing
+	}
 	for _, w := range eligible {
 		if wanted <= 0 {
 			return
