Remember a machine's crash that is known only after the lease

Cause: a crash that becomes known after the lease has expired was counted for the tasks, but the machine was not marked as recently crashed, and worker_crashes did not count it. Whether the machine had crashed within the last ten seconds was also measured from when the crash became known, not from when the worker last answered, so a machine that is away for longer than the rest of these ten seconds never counted as unreliable. A task on a machine that crashes again and again for its own reasons was taken to be alone each time.

Evidence: script crashes-of-one-machine-after-the-lease: three crashes of one machine, six seconds apart. Before: the job fails after the third. Callers could see the job of an innocent task as failed, and suspects were started on machines that had just crashed.

Not counted as a worker crash, as before: the crash of a worker that ran nothing.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -119,15 +119,13 @@
 // workerCrashed ends the runs of a worker that a later worker has superseded.
 // They need not wait for the lease to expire.
 func (c *Cell) workerCrashed(now time.Time, w *worker) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
 		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
 		zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	if !ordered {
 		c.observer.Count(CountWorkerCrash)
-		for _, o := range c.onMachine[w.registration.Machine] {
-			o.machineCrashedAt = now
-		}
+		c.noteMachineCrash(now, w.registration.Machine)
 	}
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
@@ -140,11 +138,18 @@
 	}
 }
 
+// noteMachineCrash records that a worker has crashed on a machine.
+func (c *Cell) noteMachineCrash(now time.Time, machine string) {
+	for _, w := range c.onMachine[machine] {
+		w.machineCrashedAt = now
+	}
+}
+
 // alone reports whether the one run that may be at work on a worker would be the
-// likely cause of its crash: nothing else runs there, and the machine has not
-// crashed recently.
-func (w *worker) alone(now time.Time) bool {
-	if now.Sub(w.machineCrashedAt) < recentCrash {
+// likely cause of its crash: nothing else runs there, and the machine had not
+// crashed recently when the worker last answered. The crash may become known much later.
+func (c *Cell) alone(w *worker) bool {
+	if c.silentSince(w).Sub(w.machineCrashedAt) < recentCrash {
 		return false
 	}
 	n := 0
@@ -305,12 +310,14 @@
 	machine := w.registration.Machine
 	watched := c.lostRuns[machine]
 	delete(c.lostRuns, machine)
+	crashed := false
 	for _, t := range watched {
 		lost := t.lost
 		t.lost = nil
 		for _, l := range lost {
 			switch {
 			case l.Machine == machine && l.Incarnation < incarnation:
+				crashed = true
 				c.countTaskCrash(now, t, l.Crash, "")
 			case l.Machine == machine && l.Incarnation == incarnation && alive:
 			default:
@@ -325,6 +332,13 @@
 			c.watchLostRuns(t, l.Machine)
 		}
 	}
+	if !crashed {
+		return
+	}
+	c.noteMachineCrash(now, machine)
+	if w.incarnation == 0 { // a worker that restarts under its ID is counted when it reports
+		c.observer.Count(CountWorkerCrash)
+	}
 }
 
 // forgiveCrashes forgets the crashes of a long-running task whose run has been
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -173,7 +173,7 @@
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
 		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
 			zap.Duration("Silent", now.Sub(c.silentSince(w))))
-		alone := w.alone(now)
+		alone := c.alone(w)
 		for _, r := range w.runs.all() {
 			c.noteLostRun(r, alone)
 			c.release(now, r, EndLeaseExpired)
