Keep the progress of a job whose crashes cannot be decoded

Cause: the crashes follow in a record as a second value. If that could not be decoded, the whole record was refused, and a new owner started the job anew, with the tasks that were done. A later release that adds a field to this value would cause that as soon as this release takes over from it.

Callers would have seen done tasks run again during an upgrade.

Without its second value a record is now read as one of an earlier release: the counts, the machines of the runs and the cause of a failure are missing, which is logged.

A record whose first value cannot be decoded is refused as before.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,6 +24,9 @@
 const (
 	// KindMalformed means that a row cannot be decoded.
 	KindMalformed Kind = "malformed row"
+	// KindSupplement means that only the supplement of a progress record cannot be
+	// decoded.
+	KindSupplement Kind = "malformed supplement"
 )
 
 // Error is returned for a row that cannot be decoded.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -135,6 +136,29 @@
 	}
 }
 
+// The progress of a job must not be lost to a supplement of a later release.
+func TestRecordsWithAnUnreadableSupplementKeepTheirProgress(t *testing.T) {
+	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
+	r.Occurrences = [][]cell.StepRecord{{{Tasks: []cell.TaskRecord{{Done: true, LastRun: 1}, {LastRun: 2, Worker: "w", Run: 2}}}}}
+	value, err := ledger.EncodeRecord(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	valid := []any{0, 0, 1, "m", 8, []any{}, []any{}}
+	for _, supplement := range []any{
+		"unknown", []any{"", []any{append(slices.Clone(valid), "more")}}, []any{"", []any{valid, []any{0, 0, 2, "m", 8, []any{}, []any{}}}},
+	} {
+		second, err := msgpack.Marshal(supplement)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := ledger.DecodeRecord(append(slices.Clone(value), second...))
+		if !fault.Is(err, ledger.KindSupplement) || !reflect.DeepEqual(read, r) {
+			t.Errorf("supplement %v: read %+v, %v", supplement, read, err)
+		}
+	}
+}
+
 func TestMalformedRowsAreRefused(t *testing.T) {
 	for _, value := range []string{"", "x", "\x93\x01\x02\x03"} {
 		if _, err := ledger.DecodeJob([]byte(value)); !fault.Is(err, ledger.KindMalformed) {
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -67,7 +67,8 @@
 	return out
 }
 
-// DecodeRecord decodes the progress record of a job.
+// DecodeRecord decodes the progress record of a job. With an error of KindSupplement it
+// returns the record without its supplement, which may be of a later release.
 func DecodeRecord(value []byte) (cell.Record, error) {
 	var w recordWire
 	rest := bytes.NewReader(value)
@@ -83,10 +84,7 @@
 	if rest.Len() == 0 {
 		return r, nil
 	}
-	if err := decodeSupplement(decoder, &r); err != nil {
-		return cell.Record{}, err
-	}
-	return r, nil
+	return r, decodeSupplement(decoder, &r)
 }
 
 func decodeSteps(steps []stepRecordWire) []cell.StepRecord {
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -78,34 +78,38 @@
 	return out
 }
 
-// decodeSupplement decodes the supplement of a record and adds it to the record.
+// decodeSupplement decodes the supplement of a record and adds it to the record. On an
+// error the record is unchanged.
 func decodeSupplement(decoder *msgpack.Decoder, r *cell.Record) error {
 	var w supplementWire
 	if err := decoder.Decode(&w); err != nil {
-		return fault.New("decode record", KindMalformed, "supplement: %w", err)
+		return fault.New("decode record", KindSupplement, "%w", err)
 	}
-	r.Cause = workload.Cause(w.Cause)
-	for _, s := range w.Tasks {
-		t, err := taskOf(r, s)
-		if err != nil {
-			return err
+	tasks := make([]*cell.TaskRecord, len(w.Tasks))
+	for i, s := range w.Tasks {
+		if tasks[i] = taskOf(r, s); tasks[i] == nil {
+			return fault.New("decode record", KindSupplement, "no task %d of step %d in occurrence %d", s.Task, s.Step, s.Occurrence)
 		}
+	}
+	r.Cause = workload.Cause(w.Cause)
+	for i, s := range w.Tasks {
+		t := tasks[i]
 		t.Machine, t.Incarnation = s.Machine, cell.Incarnation(s.Incarnation)
 		t.Crashes, t.Lost = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost)
 	}
 	return nil
 }
 
-// taskOf returns the task of a record that an entry of the supplement is about.
-func taskOf(r *cell.Record, s taskSupplementWire) (*cell.TaskRecord, error) {
+// taskOf returns the task of a record that an entry of the supplement is about, or nil.
+func taskOf(r *cell.Record, s taskSupplementWire) *cell.TaskRecord {
 	if s.Occurrence < 0 || s.Occurrence >= len(r.Occurrences) {
-		return nil, fault.New("decode record", KindMalformed, "supplement: occurrence %d", s.Occurrence)
+		return nil
 	}
 	steps := r.Occurrences[s.Occurrence]
 	if s.Step < 0 || s.Step >= len(steps) || s.Task < 0 || s.Task >= len(steps[s.Step].Tasks) {
-		return nil, fault.New("decode record", KindMalformed, "supplement: step %d, task %d", s.Step, s.Task)
+		return nil
 	}
-	return &steps[s.Step].Tasks[s.Task], nil
+	return &steps[s.Step].Tasks[s.Task]
 }
 
 func encodeCrashes(crashes []cell.Crash) []crashWire {
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -155,6 +155,10 @@
 		if err == nil {
 			r, err = ledger.DecodeRecord(value)
 		}
+		if fault.Is(err, ledger.KindSupplement) {
+			l.log.Error("the crashes in a progress record cannot be decoded", zap.String("Job", string(id)), zap.Error(err))
+			err = nil
+		}
 		if err != nil {
 			l.log.Error("the progress record of a job cannot be decoded", zap.String("Job", string(id)), zap.Error(err))
 			continue
