Count a crash although the machine's next worker goes down for a wave

Cause: whether a worker may have ended as ordered was asked when its silence was noticed, 1.5 s after its last answer. By then the next worker of the machine may have registered and, being empty, its maintenance may have been ordered. That order was taken for the end of the earlier worker, so its crash was not counted.

A task that crashes its workers could get one start more for each such wave.

The question is now asked when the later worker is first known: an order that has not been sent by then cannot have ended the earlier one.

The scripts get a command that prints how many crashes and lost runs of a task the store has.

Ruled out: an order that was sent before the later worker was known. It still counts as the cause, since it may be.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -72,7 +72,11 @@
 		if w.registration.Incarnation == 0 {
 			continue
 		}
+		known := w.laterOnMachine
 		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
+		if w.laterOnMachine && !known {
+			w.maintenanceBeforeLater = c.maintenanceOrdered(machine)
+		}
 	}
 }
 
@@ -113,6 +117,9 @@
 // so that its end is no crash. A worker that is only drained for maintenance was
 // not told to.
 func (c *Cell) endedAsOrdered(w *worker) bool {
+	if w.laterOnMachine {
+		return w.registration.Leaving || w.maintenanceBeforeLater
+	}
 	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
 }
 
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -163,6 +163,10 @@
 	case "status":
 		state, known := s.cell.Status(workload.JobID(first(0)))
 		return fmt.Sprintf("%v %v\n", known, state)
+	case "crashes":
+		id := parseTaskID(t, first(0))
+		r := s.store[id.Job].Occurrences[id.Occurrence][id.Step].Tasks[id.Index]
+		return fmt.Sprintf("crashes=%d lost=%d\n", len(r.Crashes), len(r.Lost))
 	case "pace-failed":
 		s.cell.PaceFailed(cell.WorkerID(first(0)), parseTaskID(t, first(1)), parseInt(t, first(2)))
 	case "slow":
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -22,6 +22,9 @@
 	registeredAt time.Time
 	// laterOnMachine is set once a later worker has registered on the machine.
 	laterOnMachine bool
+	// maintenanceBeforeLater is set if the maintenance of the machine had been
+	// ordered by then. A later order ends the later worker.
+	maintenanceBeforeLater bool
 	// incarnation is the latest incarnation that the worker reported to this
 	// owner.
 	incarnation Incarnation
