Take down no machine for a wave while its worker without a valid entry runs something

Cause: a machine without a listed worker counts as one without a worker, and its maintenance is ordered after 30 s to learn whether it still exists. A worker whose entry is malformed or has lapsed is not listed either, although it answers and its runs have their lease, so the order ended them without the look at how many tasks of a step may be away.

Evidence: script wave-beside-a-malformed-entry: a task at work of a step of which none may be away. Before: the maintenance of its machine is ordered after 30 s. After: it is not, and the wave goes on with the machine once the entry is valid. Callers would have seen a service interrupted that must not be.

Such a machine waits until its worker is listed again, or its lease has expired.

Ruled out: machines that are gone. Nothing runs there once the lease has expired, and the 30 s count from then.

--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -189,6 +189,10 @@
 		delete(w.missingSince, machine)
 		return worker.cordonedBy == nil
 	}
+	if c.hasRunsOn(machine) {
+		delete(w.missingSince, machine)
+		return false
+	}
 	since, missing := w.missingSince[machine]
 	if !missing {
 		w.missingSince[machine] = now
@@ -196,6 +200,12 @@
 	return missing && now.Sub(since) > maxMaintenance
 }
 
+// hasRunsOn reports whether something may be running on a machine, also by a worker
+// whose entry in the list has lapsed or is malformed.
+func (c *Cell) hasRunsOn(machine string) bool {
+	return slices.ContainsFunc(c.onMachine[machine], func(w *worker) bool { return !w.idle() })
+}
+
 // advanceMachine drains a machine, and orders its maintenance once it is empty
 // and the record of the order is durable.
 func (c *Cell) advanceMachine(now time.Time, w *waveState, machine string) {
