--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -67,19 +67,30 @@
 }
 
 // noteLaterWorkers records on which workers of a machine a later one has followed.
-// The incarnation is a time of day, which may jump, so the later one must not have
-// registered before the other.
 func (c *Cell) noteLaterWorkers(machine string) {
 	for _, w := range c.onMachine[machine] {
 		if w.registration.Incarnation == 0 {
 			continue
 		}
-		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool {
-			return later.registration.Incarnation > w.registration.Incarnation && !later.registeredAt.Before(w.registeredAt)
-		})
+		known := w.laterOnMachine
+		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
+		if w.laterOnMachine && !known {
+			w.maintenanceBeforeLater = c.maintenanceOrdered(machine)
+		}
 	}
 }
 
+// follows reports whether a worker has certainly followed another on their machine.
+// The incarnation is a time of day, which may jump, so it does not show that alone. Of
+// two workers that this owner found registered when it took over, only the later one
+// can still answer.
+func (w *worker) follows(earlier *worker) bool {
+	if w.registration.Incarnation <= earlier.registration.Incarnation {
+		return false
+	}
+	return w.registeredAt.After(earlier.registeredAt) || w.reported && w.registeredAt.Equal(earlier.registeredAt)
+}
+
 // setRegistration sets the registration of a worker and keeps the index of the
 // workers by machine.
 func (c *Cell) setRegistration(w *worker, r Registration) {
@@ -106,21 +117,22 @@
 // so that its end is no crash. A worker that is only drained for maintenance was
 // not told to.
 func (c *Cell) endedAsOrdered(w *worker) bool {
+	if w.laterOnMachine {
+		return w.registration.Leaving || w.maintenanceBeforeLater
+	}
 	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
 }
 
 // workerCrashed ends the runs of a worker that a later worker has superseded.
 // They need not wait for the lease to expire.
 func (c *Cell) workerCrashed(now time.Time, w *worker) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
 		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
 		zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	if !ordered {
 		c.observer.Count(CountWorkerCrash)
-		for _, o := range c.onMachine[w.registration.Machine] {
-			o.machineCrashedAt = now
-		}
+		c.noteMachineCrash(now, w.registration.Machine)
 	}
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
@@ -133,11 +145,18 @@
 	}
 }
 
+// noteMachineCrash records that a worker has crashed on a machine.
+func (c *Cell) noteMachineCrash(now time.Time, machine string) {
+	for _, w := range c.onMachine[machine] {
+		w.machineCrashedAt = now
+	}
+}
+
 // alone reports whether the one run that may be at work on a worker would be the
-// likely cause of its crash: nothing else runs there, and the machine has not
-// crashed recently.
-func (w *worker) alone(now time.Time) bool {
-	if now.Sub(w.machineCrashedAt) < recentCrash {
+// likely cause of its crash: nothing else runs there, and the machine had not
+// crashed recently when the worker last answered. The crash may become known much later.
+func (c *Cell) alone(w *worker) bool {
+	if c.silentSince(w).Sub(w.machineCrashedAt) < recentCrash {
 		return false
 	}
 	n := 0
@@ -163,6 +182,15 @@
 	return r.worker.lastReport.Sub(r.sentAt) < settledAfter
 }
 
+// countRestartCrash counts the crash of a worker that restarted under its ID while a
+// start was in flight, unless the later incarnation has refused or accepted the start.
+func (c *Cell) countRestartCrash(now time.Time, r *run, accepted bool) {
+	if r.restartCrash != nil {
+		r.restartCrash.Accepted = accepted
+		c.countCrash(now, r, *r.restartCrash)
+	}
+}
+
 // countCrash counts a crash against the task of a run. The number of the run
 // ensures that two owners count it once.
 func (c *Cell) countCrash(now time.Time, r *run, crash Crash) {
@@ -203,6 +231,9 @@
 	return n >= isolatedCrashLimit && accepted >= isolatedCrashLimit && t.crashes[n-1].Alone
 }
 
+// hasCrashes reports whether workers have crashed, or may have, under the task.
+func (t *task) hasCrashes() bool { return len(t.crashes)+len(t.lost) > 0 }
+
 // acceptedCrashes returns how many of the workers that crashed had accepted the
 // task.
 func (t *task) acceptedCrashes() int {
@@ -216,7 +247,8 @@
 }
 
 // mayStartAgain reports whether a task may be started once more after the crashes
-// under it. Runs that were stopped or lost count too.
+// under it. Runs that were stopped or lost count too, but not those that certainly did
+// not start.
 func (t *task) mayStartAgain() bool {
 	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() == 0 {
 		return true
@@ -226,7 +258,22 @@
 		runs[i] = crash.Run
 	}
 	slices.Sort(runs)
-	return t.lastRun-runs[isolatedCrashLimit-1] < maxStartsAfterCrashes
+	last := runs[isolatedCrashLimit-1]
+	starts := t.lastRun - last
+	for _, number := range t.notStarted {
+		if number > last {
+			starts--
+		}
+	}
+	return starts < maxStartsAfterCrashes
+}
+
+// noteNotStarted records that a run certainly did not start: its start was not sent, or
+// refused.
+func (r *run) noteNotStarted() {
+	if t := r.task; t.current == r && t.hasCrashes() {
+		t.notStarted = append(t.notStarted, r.number)
+	}
 }
 
 // failIfExhausted ends the job of a step with a task that may not be started again,
@@ -270,12 +317,14 @@
 	machine := w.registration.Machine
 	watched := c.lostRuns[machine]
 	delete(c.lostRuns, machine)
+	crashed := false
 	for _, t := range watched {
 		lost := t.lost
 		t.lost = nil
 		for _, l := range lost {
 			switch {
 			case l.Machine == machine && l.Incarnation < incarnation:
+				crashed = true
 				c.countTaskCrash(now, t, l.Crash, "")
 			case l.Machine == machine && l.Incarnation == incarnation && alive:
 			default:
@@ -284,22 +333,27 @@
 		}
 		if len(t.lost) < len(lost) {
 			c.recordChanged(t.step.job)
+			t.numberRevision = t.step.job.revision // no early start while the record has lost runs
 		}
 		for _, l := range t.lost {
 			c.watchLostRuns(t, l.Machine)
 		}
 	}
+	if !crashed {
+		return
+	}
+	c.noteMachineCrash(now, machine)
+	if w.incarnation == 0 { // a worker that restarts under its ID is counted when it reports
+		c.observer.Count(CountWorkerCrash)
+	}
 }
 
 // forgiveCrashes forgets the crashes of a long-running task whose run has been
-// at work for crashAmnesty.
+// at work for crashAmnesty, as far as this owner has seen.
 func (c *Cell) forgiveCrashes(now time.Time, r *run) {
 	t := r.task
-	if len(t.crashes)+len(t.lost) == 0 || !t.step.spec.LongRunning {
-		return
-	}
-	if worked, timed := r.elapsed(now); timed && worked > crashAmnesty {
-		t.crashes, t.lost = nil, nil
+	if t.hasCrashes() && t.step.spec.LongRunning && now.Sub(r.firstReportAt) > crashAmnesty {
+		t.crashes, t.lost, t.notStarted = nil, nil, nil
 		c.recordChanged(t.step.job)
 	}
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -39,6 +39,7 @@
 		w.deadline = max(w.deadline, report.Clock+c.config.Lease)
 		c.capacityFreed(w)
 		w.earlyStartsUntil = c.lastEarlyStart(now, report.Clock)
+		c.noteLaterWorkers(w.registration.Machine)
 	}
 	c.trackEarlyStarts(w, report)
 	for _, e := range report.Ended {
@@ -74,7 +75,7 @@
 // this owner sent before it learned of the restart may have reached the new
 // incarnation.
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
@@ -120,7 +121,7 @@
 // incarnation of a worker, when the worker first reports. Without a fence, a start
 // of the predecessor may still reach this incarnation, so the run is only counted.
 func (c *Cell) endInheritedOfEarlier(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	for _, r := range w.runs.all() {
 		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation {
 			continue
@@ -322,6 +323,9 @@
 	if !r.worker.runs.remove(r) {
 		return // released with another member of its gang
 	}
+	if r.phase == runPlanned {
+		r.noteNotStarted()
+	}
 	r.worker.reserved = r.worker.reserved.Sub(s.spec.Reserved())
 	c.preemptedReleased(r, s.spec.Reserved())
 	if r.worker.isolated == r {
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -54,17 +54,16 @@
 		r.phase = runUncertain
 		c.log.Warn("start was not answered", runFields(r)...)
 		c.stop(now, r)
+		c.countRestartCrash(now, r, false)
 	case outcome.NotSent:
 		r.worker.health.refused(now)
+		r.noteNotStarted()
 		c.release(now, r, EndStopped)
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
 	case r.sentBeforeRestart && outcome.Clock > r.worker.clockNow(now)+leaseSlack:
 		c.release(now, r, EndLeaseExpired) // the earlier incarnation had accepted it
-		if r.restartCrash != nil {
-			r.restartCrash.Accepted = true
-			c.countCrash(now, r, *r.restartCrash)
-		}
+		c.countRestartCrash(now, r, true)
 	default:
 		c.markStarted(r.task.step.job)
 		r.phase = runStarted
@@ -82,6 +81,7 @@
 		r.worker.health.refused(now)
 	case RefusedFence, RefusedStale, RefusedLate:
 	}
+	r.noteNotStarted()
 	c.release(now, r, EndStopped)
 }
 
@@ -173,7 +173,7 @@
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
 		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
 			zap.Duration("Silent", now.Sub(c.silentSince(w))))
-		alone := w.alone(now)
+		alone := c.alone(w)
 		for _, r := range w.runs.all() {
 			c.noteLostRun(r, alone)
 			c.release(now, r, EndLeaseExpired)
