Give up a task that may not be started again only after two accepted crashes

What callers saw: a job was shown as failed by crashes although one worker had crashed under its task.

Trace: two workers crash after their last report and before the start of the task arrives. Neither start is answered, the later incarnations show the crashes, and both are counted against the task. The third worker accepts the task and crashes: three crashes, one accepted. The task starts once more and that run ends as failed by itself, with the worker at work. The task would need another start, and the limit of starts after the third crash fails its job. It is a fault of the count, and not of the oracle: a start that never reached its worker was blamed as much as an accepted one.

What a new owner does not know it is told now: once workers have crashed or were lost under a task, an owner records that a worker has accepted its start. The value follows the supplement of the record, which earlier releases ignore.

Ruled out: forgetting the crashes when a run ends by itself. A run that is stopped leads to the same fault, and a task under which three workers have crashed must not be started three times more.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -49,7 +49,8 @@
 	// unansweredCrashLimit is the same in any case.
 	unansweredCrashLimit = 5
 	// maxStartsAfterCrashes is how often a task is started after
-	// isolatedCrashLimit crashes, if no further crash decides.
+	// isolatedCrashLimit crashes, if no further crash decides and
+	// minAcceptedCrashes of the workers had accepted the task.
 	maxStartsAfterCrashes = 1
 	// lostRunWait is how long a task that is close to a limit waits for what is
 	// heard of the machine of a lost run.
@@ -151,9 +152,25 @@
 
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: r.phase == runStarted}
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: r.wasAccepted()}
 }
 
+// wasAccepted reports whether the worker of a run is known to have accepted its
+// start, to this owner or to a predecessor.
+func (r *run) wasAccepted() bool { return r.phase == runStarted || r.acceptedOnRecord }
+
+// accepted records that the worker of a run has accepted its start. If workers have
+// crashed under the task before, a successor has to know that too.
+func (c *Cell) accepted(r *run) {
+	r.phase = runStarted
+	if r.task.mayCrashWorkers() {
+		c.recordChanged(r.task.step.job)
+	}
+}
+
+// mayCrashWorkers reports whether workers have crashed or were lost under a task.
+func (t *task) mayCrashWorkers() bool { return len(t.crashes)+len(t.lost) > 0 }
+
 // justStarted reports whether the last report of the worker did not show the run
 // at work for settledAfter.
 func (r *run) justStarted() bool {
@@ -216,9 +233,10 @@
 }
 
 // mayStartAgain reports whether a task may be started once more after the crashes
-// under it. Runs that were stopped or lost count too.
+// under it. Runs that were stopped or lost count too. Workers that had not accepted
+// the task may have crashed before it arrived, so its job does not fail by these.
 func (t *task) mayStartAgain() bool {
-	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() == 0 {
+	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() < minAcceptedCrashes {
 		return true
 	}
 	runs := make([]int, len(t.crashes))
@@ -295,7 +313,7 @@
 // at work for crashAmnesty.
 func (c *Cell) forgiveCrashes(now time.Time, r *run) {
 	t := r.task
-	if len(t.crashes)+len(t.lost) == 0 || !t.step.spec.LongRunning {
+	if !t.mayCrashWorkers() || !t.step.spec.LongRunning {
 		return
 	}
 	if worked, timed := r.elapsed(now); timed && worked > crashAmnesty {
--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -133,7 +133,7 @@
 	if !c.earlyStarts.enabled || spec.Gang || spec.LongRunning || !c.earlyStarts.allowed[r.worker.id] {
 		return false
 	}
-	if len(t.crashes)+len(t.lost) > 0 {
+	if t.mayCrashWorkers() {
 		return false // the count has to survive this owner
 	}
 	return t.numberRevision <= t.step.job.durable
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -140,6 +140,9 @@
 	// incarnation is that of the worker when the run was placed; 0 if unknown.
 	incarnation Incarnation
 	phase       runPhase
+	// acceptedOnRecord is set if a predecessor recorded that the worker had
+	// accepted the start.
+	acceptedOnRecord bool
 	// queued is set while the start is in the dispatch queue, and early if it
 	// need not wait for its record.
 	queued   bool
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -34,7 +34,7 @@
 	c.markStarted(r.task.step.job)
 	if r.phase != runStarted {
 		c.dispatch.remove(r)
-		r.phase = runStarted
+		c.accepted(r)
 		r.startedClock = r.worker.clock
 	}
 	if !r.progressKnown || e.Percent != r.percent {
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -43,6 +43,9 @@
 	Run         int
 	Machine     string
 	Incarnation Incarnation
+	// Accepted is set if the worker has accepted the start, and workers have
+	// crashed under the task before.
+	Accepted bool
 	// Crashes has the crashes of workers under the task, and Lost the runs whose
 	// worker may have crashed.
 	Crashes []Crash
@@ -132,6 +135,7 @@
 		}
 		if r := t.current; r != nil {
 			rec.Tasks[i].Worker, rec.Tasks[i].Run = r.worker.id, r.number
+			rec.Tasks[i].Accepted = t.mayCrashWorkers() && r.wasAccepted()
 			if !r.worker.registration.Leaving {
 				rec.Tasks[i].Machine, rec.Tasks[i].Incarnation = r.worker.registration.Machine, r.incarnation
 			}
@@ -222,6 +226,7 @@
 	}
 	r := &run{
 		task: t, number: rec.Run, worker: w, phase: runInherited, incarnation: rec.Incarnation, pace: inheritedPace(t.step.spec),
+		acceptedOnRecord: rec.Accepted,
 	}
 	t.phase = phaseActive
 	t.current = r
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -67,7 +67,7 @@
 		}
 	default:
 		c.markStarted(r.task.step.job)
-		r.phase = runStarted
+		c.accepted(r)
 		r.startedClock = outcome.Clock
 		r.progressAt = now
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,8 +1,11 @@
 package ledger_test
 
 import (
+	"bytes"
+	"errors"
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -85,7 +88,8 @@
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
 		{Done: true, LastRun: 1},
 		{LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3, Machine: "m", Incarnation: 8},
-		{LastRun: 5, Crashes: []cell.Crash{crash}, Lost: []cell.LostRun{lost}},
+		{LastRun: 6, Crashes: []cell.Crash{{Run: 1}, crash}, Lost: []cell.LostRun{lost}},
+		{LastRun: 2, Worker: "w", Run: 2, Machine: "m", Incarnation: 8, Accepted: true, Crashes: []cell.Crash{{Run: 1}}},
 	}}}}
 	value, err := ledger.EncodeRecord(r)
 	if err != nil {
@@ -117,6 +121,49 @@
 	}
 }
 
+// An earlier release decodes only the supplement of what follows the first value.
+func TestEarlierReleasesReadTheSupplementBeforeStarts(t *testing.T) {
+	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
+	task := cell.TaskRecord{LastRun: 3, Worker: "w", Run: 3, Machine: "m", Incarnation: 8, Accepted: true}
+	task.Crashes = []cell.Crash{{Run: 2}}
+	r.Occurrences = [][]cell.StepRecord{{{Tasks: []cell.TaskRecord{task}}}}
+	value, err := ledger.EncodeRecord(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoder := msgpack.NewDecoder(bytes.NewReader(value))
+	var first, supplement []any
+	if err := errors.Join(decoder.Decode(&first), decoder.Decode(&supplement)); err != nil || len(supplement) != 2 {
+		t.Fatalf("%d fields, %v", len(supplement), err)
+	}
+	fields := supplement[1].([]any)[0].([]any)
+	if crash := fields[5].([]any)[0].([]any); len(fields) != 7 || len(crash) != 4 {
+		t.Errorf("a task has %d fields and a crash %d", len(fields), len(crash))
+	}
+}
+
+// The release before wrote no starts after the supplement.
+func TestRecordsWithoutStartsAreRead(t *testing.T) {
+	task := []any{false, 3, []int{}, "", "w", 3}
+	record, err := msgpack.Marshal([]any{"00000000000000a1", 9, "Running", []any{[]any{[]any{[]int{}, []any{task}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	crash := []any{2, true, false, true}
+	supplement, err := msgpack.Marshal([]any{"", []any{[]any{0, 0, 0, "m", 8, []any{crash}, []any{}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := ledger.DecodeRecord(slices.Concat(record, supplement))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []cell.Crash{{Run: 2, JustStarted: true, Accepted: true}}
+	if got := read.Occurrences[0][0].Tasks[0]; !reflect.DeepEqual(got.Crashes, want) || got.Accepted {
+		t.Errorf("read %+v", got)
+	}
+}
+
 // An earlier release wrote neither the machine of a run nor crashes.
 func TestRecordsOfEarlierReleasesAreRead(t *testing.T) {
 	task := []any{false, 4, []int{1, 3}, "c", "w", 3}
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -86,6 +86,12 @@
 	if err := decodeSupplement(decoder, &r); err != nil {
 		return cell.Record{}, err
 	}
+	if rest.Len() == 0 {
+		return r, nil
+	}
+	if err := decodeStarts(decoder, &r); err != nil {
+		return cell.Record{}, err
+	}
 	return r, nil
 }
 
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -43,12 +43,25 @@
 	Incarnation int64
 }
 
+// startsWire is what a record holds of the starts of a task under which workers
+// have crashed. The starts of all such tasks follow the supplement as a list, which
+// releases that know only the supplement ignore.
+type startsWire struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Occurrence int
+	Step       int
+	Task       int
+	// Accepted is set if the worker has accepted the current run.
+	Accepted bool
+}
+
 // appendSupplement appends the supplement of a record to its encoded value, if it
 // has any content. A record in a final state has only the cause.
 func appendSupplement(value []byte, r cell.Record) ([]byte, error) {
 	w := supplementWire{Cause: string(r.Cause)}
+	var starts []startsWire
 	if !r.State.Final() {
-		w.Tasks = supplementTasks(r)
+		w.Tasks, starts = supplementTasks(r), encodeStarts(r)
 	}
 	if w.Cause == "" && len(w.Tasks) == 0 {
 		return value, nil
@@ -57,7 +70,46 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(value, supplement...), nil
+	value = append(value, supplement...)
+	if len(starts) == 0 {
+		return value, nil
+	}
+	encoded, err := msgpack.Marshal(starts)
+	if err != nil {
+		return nil, err
+	}
+	return append(value, encoded...), nil
+}
+
+func encodeStarts(r cell.Record) []startsWire {
+	var out []startsWire
+	for k, steps := range r.Occurrences {
+		for i, s := range steps {
+			for n, t := range s.Tasks {
+				if t.Accepted {
+					out = append(out, startsWire{Occurrence: k, Step: i, Task: n, Accepted: true})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// decodeStarts decodes the starts that follow the supplement of a record and adds
+// them to the record.
+func decodeStarts(decoder *msgpack.Decoder, r *cell.Record) error {
+	var starts []startsWire
+	if err := decoder.Decode(&starts); err != nil {
+		return fault.New("decode record", KindMalformed, "starts: %w", err)
+	}
+	for _, s := range starts {
+		t, err := taskOf(r, s.Occurrence, s.Step, s.Task)
+		if err != nil {
+			return err
+		}
+		t.Accepted = s.Accepted
+	}
+	return nil
 }
 
 func supplementTasks(r cell.Record) []taskSupplementWire {
@@ -86,7 +138,7 @@
 	}
 	r.Cause = workload.Cause(w.Cause)
 	for _, s := range w.Tasks {
-		t, err := taskOf(r, s)
+		t, err := taskOf(r, s.Occurrence, s.Step, s.Task)
 		if err != nil {
 			return err
 		}
@@ -96,16 +148,16 @@
 	return nil
 }
 
-// taskOf returns the task of a record that an entry of the supplement is about.
-func taskOf(r *cell.Record, s taskSupplementWire) (*cell.TaskRecord, error) {
-	if s.Occurrence < 0 || s.Occurrence >= len(r.Occurrences) {
-		return nil, fault.New("decode record", KindMalformed, "supplement: occurrence %d", s.Occurrence)
+// taskOf returns the task of a record that a part after its first value is about.
+func taskOf(r *cell.Record, occurrence, step, task int) (*cell.TaskRecord, error) {
+	if occurrence < 0 || occurrence >= len(r.Occurrences) {
+		return nil, fault.New("decode record", KindMalformed, "supplement: occurrence %d", occurrence)
 	}
-	steps := r.Occurrences[s.Occurrence]
-	if s.Step < 0 || s.Step >= len(steps) || s.Task < 0 || s.Task >= len(steps[s.Step].Tasks) {
-		return nil, fault.New("decode record", KindMalformed, "supplement: step %d, task %d", s.Step, s.Task)
+	steps := r.Occurrences[occurrence]
+	if step < 0 || step >= len(steps) || task < 0 || task >= len(steps[step].Tasks) {
+		return nil, fault.New("decode record", KindMalformed, "supplement: step %d, task %d", step, task)
 	}
-	return &steps[s.Step].Tasks[s.Task], nil
+	return &steps[step].Tasks[task], nil
 }
 
 func encodeCrashes(crashes []cell.Crash) []crashWire {
