Don't give a task up for crashes under starts that were never sent

What callers saw: a job was shown as failed after five counted crashes with no more than one worker crashed under its task.

A crash now says whether the start was known to be sent, which an owner knows of its own starts and of those that were accepted. After five crashes a job fails if three of the starts were sent. A task that crashes its workers before they answer is still given up after five, also if two of the runs are known from a record only.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -21,6 +21,9 @@
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
+	// Sent is set if the start was known to be sent. One that a predecessor has
+	// planned may not have been.
+	Sent bool
 }
 
 // LostRun is a run whose worker stopped answering until its lease expired. Only
@@ -46,8 +49,10 @@
 	// before it arrived, or when it had just ended.
 	crashLimit         = 4
 	minAcceptedCrashes = 2
-	// unansweredCrashLimit is the same in any case.
+	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent,
+	// answered or not. A task may crash its workers before they answer.
 	unansweredCrashLimit = 5
+	minSentCrashes       = 3
 	// maxStartsAfterCrashes is how often a task is started after
 	// isolatedCrashLimit crashes, if no further crash decides and
 	// minAcceptedCrashes of the workers had accepted the task.
@@ -152,7 +157,8 @@
 
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: r.wasAccepted()}
+	accepted := r.wasAccepted()
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero()}
 }
 
 // wasAccepted reports whether the worker of a run is known to have accepted its
@@ -197,7 +203,7 @@
 	c.observer.Count(CountTaskCrash)
 	c.log.Warn("worker crashed under a run", jobField(j), zap.String("Task", t.id.String()), zap.Int("Run", crash.Run),
 		zap.String("Worker", string(worker)), zap.Bool("JustStarted", crash.JustStarted), zap.Bool("Alone", crash.Alone),
-		zap.Bool("Accepted", crash.Accepted), zap.Int("Crashes", len(t.crashes)))
+		zap.Bool("Accepted", crash.Accepted), zap.Bool("Sent", crash.Sent), zap.Int("Crashes", len(t.crashes)))
 	if t.crashesItsWorkers() {
 		c.log.Warn("job fails, since a task crashes its workers", jobField(j), zap.String("Task", t.id.String()),
 			zap.Int("Crashes", len(t.crashes)))
@@ -212,10 +218,10 @@
 func (t *task) crashesItsWorkers() bool {
 	n, accepted := len(t.crashes), t.acceptedCrashes()
 	switch {
-	case n >= unansweredCrashLimit:
+	case n >= crashLimit && accepted >= minAcceptedCrashes:
+		return true
+	case n >= unansweredCrashLimit && t.sentCrashes() >= minSentCrashes:
 		return true
-	case n >= crashLimit:
-		return accepted >= minAcceptedCrashes
 	}
 	return n >= isolatedCrashLimit && accepted >= isolatedCrashLimit && t.crashes[n-1].Alone
 }
@@ -232,6 +238,18 @@
 	return accepted
 }
 
+// sentCrashes returns for how many of the workers that crashed the start of the
+// task was sent.
+func (t *task) sentCrashes() int {
+	sent := 0
+	for _, crash := range t.crashes {
+		if crash.Sent || crash.Accepted {
+			sent++
+		}
+	}
+	return sent
+}
+
 // mayStartAgain reports whether a task may be started once more after the crashes
 // under it. Runs that were stopped or lost count too. Workers that had not accepted
 // the task may have crashed before it arrived, so its job does not fail by these.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -83,12 +83,13 @@
 
 func TestRecordsAreReadAsWritten(t *testing.T) {
 	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning, Cause: workload.CauseCrashes}
-	crash := cell.Crash{Run: 2, JustStarted: true, Accepted: true}
+	crash := cell.Crash{Run: 2, JustStarted: true, Accepted: true, Sent: true}
 	lost := cell.LostRun{Crash: cell.Crash{Run: 4, Alone: true}, Machine: "m1", Incarnation: 7}
+	sent := cell.LostRun{Crash: cell.Crash{Run: 6, Sent: true}, Machine: "m2", Incarnation: 9}
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
 		{Done: true, LastRun: 1},
 		{LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3, Machine: "m", Incarnation: 8},
-		{LastRun: 6, Crashes: []cell.Crash{{Run: 1}, crash}, Lost: []cell.LostRun{lost}},
+		{LastRun: 6, Crashes: []cell.Crash{{Run: 1}, crash}, Lost: []cell.LostRun{lost, sent}},
 		{LastRun: 2, Worker: "w", Run: 2, Machine: "m", Incarnation: 8, Accepted: true, Crashes: []cell.Crash{{Run: 1}}},
 	}}}}
 	value, err := ledger.EncodeRecord(r)
@@ -125,7 +126,7 @@
 func TestEarlierReleasesReadTheSupplementBeforeStarts(t *testing.T) {
 	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
 	task := cell.TaskRecord{LastRun: 3, Worker: "w", Run: 3, Machine: "m", Incarnation: 8, Accepted: true}
-	task.Crashes = []cell.Crash{{Run: 2}}
+	task.Crashes = []cell.Crash{{Run: 2, Sent: true}}
 	r.Occurrences = [][]cell.StepRecord{{{Tasks: []cell.TaskRecord{task}}}}
 	value, err := ledger.EncodeRecord(r)
 	if err != nil {
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
@@ -53,6 +55,8 @@
 	Task       int
 	// Accepted is set if the worker has accepted the current run.
 	Accepted bool
+	// Sent has the numbers of the crashed and lost runs whose start was sent.
+	Sent []int
 }
 
 // appendSupplement appends the supplement of a record to its encoded value, if it
@@ -86,8 +90,8 @@
 	for k, steps := range r.Occurrences {
 		for i, s := range steps {
 			for n, t := range s.Tasks {
-				if t.Accepted {
-					out = append(out, startsWire{Occurrence: k, Step: i, Task: n, Accepted: true})
+				if sent := sentRuns(t); t.Accepted || len(sent) > 0 {
+					out = append(out, startsWire{Occurrence: k, Step: i, Task: n, Accepted: t.Accepted, Sent: sent})
 				}
 			}
 		}
@@ -95,6 +99,21 @@
 	return out
 }
 
+func sentRuns(t cell.TaskRecord) []int {
+	var out []int
+	for _, c := range t.Crashes {
+		if c.Sent {
+			out = append(out, c.Run)
+		}
+	}
+	for _, l := range t.Lost {
+		if l.Crash.Sent {
+			out = append(out, l.Crash.Run)
+		}
+	}
+	return out
+}
+
 // decodeStarts decodes the starts that follow the supplement of a record and adds
 // them to the record.
 func decodeStarts(decoder *msgpack.Decoder, r *cell.Record) error {
@@ -108,6 +127,12 @@
 			return err
 		}
 		t.Accepted = s.Accepted
+		for i := range t.Crashes {
+			t.Crashes[i].Sent = slices.Contains(s.Sent, t.Crashes[i].Run)
+		}
+		for i := range t.Lost {
+			t.Lost[i].Crash.Sent = slices.Contains(s.Sent, t.Lost[i].Crash.Run)
+		}
 	}
 	return nil
 }
