Count a crash although maintenance of the machine was ordered after it

What callers saw: a task that crashes its workers was started three times after three workers had crashed under it.

The later worker shows that the earlier one ended before the order. An order now excuses an end only if it was first sent by the time at which the later worker was seen, or by a predecessor, whose time is not known.

Script crash-before-ordered-maintenance-is-counted fails before (record a Running in place of Failed).

Not changed: a restart under the same ID, and a lease that expires, are judged by the orders known when they are noticed.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -75,14 +75,18 @@
 // noteLaterWorkers records on which workers of a machine a later one has followed.
 // The incarnation is a time of day, which may jump, so the later one must not have
 // registered before the other.
-func (c *Cell) noteLaterWorkers(machine string) {
+func (c *Cell) noteLaterWorkers(now time.Time, machine string) {
 	for _, w := range c.onMachine[machine] {
 		if w.registration.Incarnation == 0 {
 			continue
 		}
+		wasLater := w.laterOnMachine
 		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool {
 			return later.registration.Incarnation > w.registration.Incarnation && !later.registeredAt.Before(w.registeredAt)
 		})
+		if w.laterOnMachine && !wasLater {
+			w.laterSince = now
+		}
 	}
 }
 
@@ -108,17 +112,17 @@
 	c.onMachine[machine] = left
 }
 
-// endedAsOrdered reports whether a worker may have ended because it was told to,
-// so that its end is no crash. A worker that is only drained for maintenance was
-// not told to.
-func (c *Cell) endedAsOrdered(w *worker) bool {
-	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
+// endedAsOrdered reports whether a worker that had ended by the given time may have
+// ended because it was told to, so that its end is no crash. A worker that is only
+// drained for maintenance was not told to.
+func (c *Cell) endedAsOrdered(by time.Time, w *worker) bool {
+	return w.registration.Leaving || c.maintenanceOrdered(by, w.registration.Machine)
 }
 
 // workerCrashed ends the runs of a worker that a later worker has superseded.
 // They need not wait for the lease to expire.
 func (c *Cell) workerCrashed(now time.Time, w *worker) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w.laterSince, w), w.alone(now)
 	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
 		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
 		zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
@@ -281,9 +285,9 @@
 
 // noteLostRun records that a run has ended with the lease of its worker, before
 // the run is released.
-func (c *Cell) noteLostRun(r *run, alone bool) {
+func (c *Cell) noteLostRun(now time.Time, r *run, alone bool) {
 	t, machine := r.task, r.worker.registration.Machine
-	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker) {
+	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(now, r.worker) {
 		return
 	}
 	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -74,7 +74,7 @@
 // this owner sent before it learned of the restart may have reached the new
 // incarnation.
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(now, w), w.alone(now)
 	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
@@ -120,7 +120,7 @@
 // incarnation of a worker, when the worker first reports. Without a fence, a start
 // of the predecessor may still reach this incarnation, so the run is only counted.
 func (c *Cell) endInheritedOfEarlier(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(now, w), w.alone(now)
 	for _, r := range w.runs.all() {
 		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation {
 			continue
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -175,7 +175,7 @@
 			zap.Duration("Silent", now.Sub(c.silentSince(w))))
 		alone := w.alone(now)
 		for _, r := range w.runs.all() {
-			c.noteLostRun(r, alone)
+			c.noteLostRun(now, r, alone)
 			c.release(now, r, EndLeaseExpired)
 		}
 		return
--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -59,6 +59,9 @@
 	// owner or a predecessor, and after the final answer when that arrived. As
 	// long as the machine is not settled, the order may take it down at any time.
 	ordered map[string]time.Time
+	// firstOrdered has when this owner first ordered the maintenance of a machine; it
+	// has nothing for a machine whose order a predecessor may have sent.
+	firstOrdered map[string]time.Time
 	// missingSince has when a machine was first found without a worker.
 	missingSince map[string]time.Time
 	done         bool
@@ -92,7 +95,7 @@
 	}
 	w := &waveState{
 		wave: wave, since: now, settled: make(map[string]bool), ordered: make(map[string]time.Time),
-		missingSince: make(map[string]time.Time),
+		firstOrdered: make(map[string]time.Time), missingSince: make(map[string]time.Time),
 	}
 	w.restore(now, c.waveRecords[wave.Number])
 	c.waves[wave.Number] = w
@@ -214,6 +217,9 @@
 	if w.durable < w.revision || now.Sub(at) < maintenanceRetryInterval {
 		return
 	}
+	if ordered && at.IsZero() {
+		w.firstOrdered[machine] = now
+	}
 	w.ordered[machine] = now
 	c.log.Info("ordering maintenance", zap.String("Machine", machine), zap.Int("Wave", w.wave.Number))
 	c.emit(Maintenance{Machine: machine, Wave: w.wave.Number})
--- a/internal/cell/waverecord.go
+++ b/internal/cell/waverecord.go
@@ -55,11 +55,12 @@
 	return false
 }
 
-// maintenanceOrdered reports whether an order to take a machine down has been sent
-// and not settled. A machine that mayGoDown may only wait for its order.
-func (c *Cell) maintenanceOrdered(machine string) bool {
+// maintenanceOrdered reports whether an order to take a machine down may have been
+// sent by the given time and is not settled. A machine that mayGoDown may only wait
+// for its order.
+func (c *Cell) maintenanceOrdered(by time.Time, machine string) bool {
 	for _, w := range c.waves {
-		if at := w.ordered[machine]; !at.IsZero() && !w.settled[machine] {
+		if at := w.ordered[machine]; !at.IsZero() && !w.settled[machine] && !w.firstOrdered[machine].After(by) {
 			return true
 		}
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -20,8 +20,10 @@
 	unlistedAt time.Time
 	// registeredAt is when this owner first saw the registration.
 	registeredAt time.Time
-	// laterOnMachine is set once a later worker has registered on the machine.
+	// laterOnMachine is set once a later worker has registered on the machine, at
+	// laterSince.
 	laterOnMachine bool
+	laterSince     time.Time
 	// incarnation is the latest incarnation that the worker reported to this
 	// owner.
 	incarnation Incarnation
@@ -155,7 +157,7 @@
 		w.registeredAt = now
 	}
 	w.listed = true
-	c.noteLaterWorkers(r.Machine)
+	c.noteLaterWorkers(now, r.Machine)
 	c.capacityFreed(w)
 	c.resolveLostRuns(now, w, r.Incarnation, r.Leaving)
 }
