--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -66,7 +66,7 @@
 		c.countRestartCrash(now, r, true)
 	default:
 		c.markStarted(r.task.step.job)
-		r.phase = runStarted
+		c.accepted(r)
 		r.startedClock = outcome.Clock
 		r.progressAt = now
 	}
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -26,6 +26,8 @@
 	Incarnation int64
 	Crashes     []crashWire
 	Lost        []lostRunWire
+	// Accepted is set if the worker has accepted the current run.
+	Accepted bool
 }
 
 type crashWire struct {
@@ -34,6 +36,7 @@
 	JustStarted bool
 	Alone       bool
 	Accepted    bool
+	Sent        bool
 }
 
 type lostRunWire struct {
@@ -70,7 +73,7 @@
 				}
 				out = append(out, taskSupplementWire{
 					Occurrence: k, Step: i, Task: n, Machine: t.Machine, Incarnation: int64(t.Incarnation),
-					Crashes: encodeCrashes(t.Crashes), Lost: encodeLostRuns(t.Lost),
+					Crashes: encodeCrashes(t.Crashes), Lost: encodeLostRuns(t.Lost), Accepted: t.Accepted,
 				})
 			}
 		}
@@ -95,7 +98,7 @@
 	for i, s := range w.Tasks {
 		t := tasks[i]
 		t.Machine, t.Incarnation = s.Machine, cell.Incarnation(s.Incarnation)
-		t.Crashes, t.Lost = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost)
+		t.Crashes, t.Lost, t.Accepted = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost), s.Accepted
 	}
 	return nil
 }
@@ -121,7 +124,7 @@
 }
 
 func encodeCrash(c cell.Crash) crashWire {
-	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted}
+	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, Sent: c.Sent}
 }
 
 func encodeLostRuns(lost []cell.LostRun) []lostRunWire {
@@ -141,7 +144,7 @@
 }
 
 func decodeCrash(c crashWire) cell.Crash {
-	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted}
+	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, Sent: c.Sent}
 }
 
 func decodeLostRuns(lost []lostRunWire) []cell.LostRun {
