Evaluate a suspect's step once its lost run turns out to be no crash

What callers saw: a task that is close to the limit of crashes waits up to lostRunWait (5 s) for what is heard of the machine of a lost run.

A lost run that was a crash did queue the evaluation, through countTaskCrash.

Now resolveLostRuns queues it in each case, for waiting suspects. Marking the step of every task that had a lost run was tried: a task that is no suspect does not wait for the news, and it was then planned on a worker whose lease is not extended yet and released by the next tick, so that it used up a run number (script lapsed-run-is-no-crash).

Test: TestSuspectIsPlacedOnceItsLostRunIsNoCrash fails without the change ('placed on "", want "w1"'). Tick does the same in the same order.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -284,6 +284,7 @@
 		}
 		if len(t.lost) < len(lost) {
 			c.recordChanged(t.step.job)
+			c.awaitIsolation(now, t) // it may have waited for what is heard of the run
 		}
 		for _, l := range t.lost {
 			c.watchLostRuns(t, l.Machine)
--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -179,9 +179,8 @@
 	c.markAllSteps()
 }
 
-// sweep marks some steps for evaluation regardless of changes, and notes the
-// workers that have become usable since the last sweep.
-func (c *Cell) sweep(now time.Time) {
+// noteUsable offers the workers that have become usable since the last tick.
+func (c *Cell) noteUsable(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		usable := c.usable(now, w)
 		if usable && !w.usableAtSweep {
@@ -189,6 +188,10 @@
 		}
 		w.usableAtSweep = usable
 	}
+}
+
+// sweep marks some steps for evaluation regardless of changes.
+func (c *Cell) sweep() {
 	all := &c.evalQueue.all
 	if all.len() == 0 {
 		return
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -17,6 +17,13 @@
 	return c.hasNextStep() && !c.dispatch.full(now, false)
 }
 
+// TickWithoutSweep is Tick without its sweep, so that steps are evaluated only
+// after a change or when one of their timers is due.
+func (c *Cell) TickWithoutSweep(now time.Time) {
+	c.tickState(now)
+	c.placementPending = true
+}
+
 // TimerCount returns the number of step timers.
 func (c *Cell) TimerCount() int { return len(c.evalQueue.timers) }
 
--- /dev/null
+++ b/internal/cell/missed_test.go
@@ -0,0 +1,114 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// unsweptCell is a cell whose ticks sweep no steps.
+type unsweptCell struct {
+	t     *testing.T
+	now   time.Time
+	cell  *cell.Cell
+	began time.Time
+	// placed has the worker of each task that was placed.
+	placed map[workload.TaskID]cell.WorkerID
+}
+
+func newUnsweptCell(t *testing.T) *unsweptCell {
+	u := &unsweptCell{t: t, now: time.Unix(1_700_000_000, 0), placed: make(map[workload.TaskID]cell.WorkerID)}
+	u.began = u.now
+	u.cell = cell.New(u.now, scriptConfig, nopObserver{}, zap.NewNop())
+	u.cell.SetManifest(newScript(t).manifest)
+	return u
+}
+
+func (u *unsweptCell) register(id cell.WorkerID, milliCores int64, labels ...string) {
+	u.cell.Register(u.now, cell.Registration{
+		ID: id, Incarnation: 1, Machine: "m-" + string(id), Service: "s", Labels: labels, Capacity: job.Size{MilliCores: milliCores},
+	})
+}
+
+// report has a worker answer a hold call.
+func (u *unsweptCell) report(id cell.WorkerID, r cell.Report) {
+	r.Incarnation, r.Clock = 1, time.Minute+u.now.Sub(u.began)
+	u.cell.Reported(u.now, id, r)
+	u.cell.NextHold(u.now, id)
+}
+
+// accept accepts a job and restores the given tasks of its steps.
+func (u *unsweptCell) accept(id workload.JobID, queue string, steps []workload.Step, tasks ...cell.TaskRecord) {
+	for i := range steps {
+		steps[i].Tasks, steps[i].Estimate = 1, time.Second
+	}
+	u.cell.Accept(u.now, cell.AcceptedJob{Job: workload.Job{ID: id, Queue: queue, Spec: "spec", Steps: steps}})
+	if len(tasks) == 0 {
+		return
+	}
+	rec := cell.Record{Job: id, State: workload.StateRunning, Occurrences: [][]cell.StepRecord{nil}}
+	for _, task := range tasks {
+		rec.Occurrences[0] = append(rec.Occurrences[0], cell.StepRecord{Tasks: []cell.TaskRecord{task}})
+	}
+	u.cell.Restore(u.now, rec)
+}
+
+func (u *unsweptCell) decide() {
+	u.cell.TakeActions(u.now)
+	for _, rec := range u.cell.TakeRecords(100) {
+		for k, steps := range rec.Occurrences {
+			for i, s := range steps {
+				for n, task := range s.Tasks {
+					id := workload.TaskID{StepID: workload.StepID{Job: rec.Job, Occurrence: k, Step: i}, Index: n}
+					u.placed[id] = task.Worker
+				}
+			}
+		}
+		u.cell.Committed(u.now, []cell.Record{rec})
+	}
+}
+
+// pass lets time pass and then has workers that run nothing report.
+func (u *unsweptCell) pass(d time.Duration, idle ...cell.WorkerID) {
+	u.now = u.now.Add(d)
+	for _, id := range idle {
+		u.report(id, cell.Report{})
+	}
+	u.cell.TickWithoutSweep(u.now)
+	u.decide()
+}
+
+func (u *unsweptCell) check(id workload.JobID, want cell.WorkerID) {
+	u.t.Helper()
+	task := workload.TaskID{StepID: workload.StepID{Job: id}}
+	if on := u.placed[task]; on != want {
+		u.t.Errorf("task %s is placed on %q, want %q", task, on, want)
+	}
+}
+
+func step(milliCores int64) workload.Step {
+	return workload.Step{Size: job.Size{MilliCores: milliCores}}
+}
+
+// TestSuspectIsPlacedOnceItsLostRunIsNoCrash guards against a task that waits for
+// news of a lost run although it has arrived.
+func TestSuspectIsPlacedOnceItsLostRunIsNoCrash(t *testing.T) {
+	u := newUnsweptCell(t)
+	u.register("w1", 4000)
+	u.accept("a", "plain", []workload.Step{step(1000)}, cell.TaskRecord{
+		LastRun: 4, Crashes: []cell.Crash{{Run: 1, JustStarted: true}, {Run: 2}, {Run: 3}},
+		Lost: []cell.LostRun{{Crash: cell.Crash{Run: 4}, Machine: "m-w2", Incarnation: 1}},
+	})
+	u.report("w1", cell.Report{})
+	u.pass(0)
+	u.check("a", "")
+	u.register("w2", 1)
+	u.report("w2", cell.Report{})
+	u.decide()
+	u.check("a", "w1")
+}
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -147,6 +147,13 @@
 // repeats stops, creates due occurrences, advances waves, removes workers that
 // are gone and sweeps the open steps.
 func (c *Cell) Tick(now time.Time) {
+	c.tickState(now)
+	c.sweep()
+	c.logLongWaits(now)
+}
+
+// tickState does the periodic work that changes the state of jobs and workers.
+func (c *Cell) tickState(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		c.tickWorker(now, w)
 	}
@@ -158,8 +165,7 @@
 	c.tickEarlyStarts(now)
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
-	c.sweep(now)
-	c.logLongWaits(now)
+	c.noteUsable(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
