Place very late urgent steps while the starts of others wait

What callers saw: an urgent job that is later than three times its objective has the lowest rank. While starts that are not urgent waited in the dispatch queue for more than 250 ms, a decision stopped at the first step that is not urgent, and did not reach the urgent one after it, although urgent starts have a part of the queue of their own that was empty.

Trace: at 9.012 s after the takeover 4.0.0 (urgent, class 1000) waits with two empty workers; others have waited 9.012 s, none urgent; each decision stops at 6.1.0 (class 2), with 4.0.0 behind it in the pending list.

Now a step for which the dispatch queue is full stays in the pending list, and the decision takes the first step that may be placed. The list of deferred steps and the special case for long-running steps are gone. A step for which the queue is full is also no longer certain to use the capacity that a freed worker offers; it claimed it, so the urgent step was passed over.

Ruled out: continuing where the loop stopped, since 40 blocked steps would use up maxEvaluations in each decision.

--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,31 @@
 	u.decide()
 	u.check("a", "w1")
 }
+
+// TestVeryLateUrgentStepDoesNotWaitForOthers guards against an urgent step that
+// waits for the starts of others, because it has the lowest rank.
+func TestVeryLateUrgentStepDoesNotWaitForOthers(t *testing.T) {
+	for _, milliCores := range []int64{1000, 8000} {
+		t.Run(fmt.Sprint(milliCores), func(t *testing.T) {
+			u := newUnsweptCell(t)
+			u.register("w1", 8000)
+			late := step(milliCores)
+			late.Label = "big"
+			u.accept("late", "urgent", []workload.Step{late})
+			u.pass(10*time.Second, "w1")
+			u.cell.LimitStarts(0)
+			u.accept("queued", "plain", []workload.Step{step(8000)})
+			u.accept("waits", "plain", []workload.Step{step(8000)})
+			u.decide()
+			u.check("queued", "w1")
+			u.pass(time.Second)
+			u.register("w2", 8000, "big")
+			u.report("w2", cell.Report{})
+			for range 3 {
+				u.decide()
+			}
+			u.check("waits", "")
+			u.check("late", "w2")
+		})
+	}
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -20,43 +20,41 @@
 	}
 	c.evalQueue.round++
 	c.usableNow.begin(now)
-	var deferred []*stepState
-	for evaluated := 0; evaluated < maxEvaluations; evaluated++ {
-		if c.evalQueue.pending.len() == 0 || evaluated == 0 {
-			c.offerFreedWorkers(now)
-		}
-		s := c.nextStep()
+	c.offerFreedWorkers(now)
+	for range maxEvaluations {
+		s := c.nextStep(now)
 		if s == nil {
 			break
 		}
-		if c.dispatch.full(now, c.urgent(s)) {
-			deferred = append(deferred, s)
-			if s.spec.LongRunning {
-				continue // urgent steps may come after it
-			}
-			break
-		}
 		c.stepsEvaluated++
 		s.evaluatedIn = c.evalQueue.round
 		c.placeStep(now, s, &c.usableNow)
 	}
-	for _, s := range deferred {
-		c.evalQueue.pending.add(s)
-	}
 	c.placementPending = c.placementPending || c.hasNextStep()
 }
 
 // urgent reports whether a step has the highest priority.
 func (c *Cell) urgent(s *stepState) bool { return c.queueOf(s.job).Priority == 0 }
 
-// nextStep takes the next step to evaluate out of the queue, or returns nil.
-func (c *Cell) nextStep() *stepState {
-	if s := c.evalQueue.pending.pop(); s != nil {
+// nextStep takes the next step to evaluate out of the queue, or returns nil. A
+// step for which the dispatch queue is full stays in the queue: an urgent one may
+// come after it, since a job that is very late has the lowest rank.
+func (c *Cell) nextStep(now time.Time) *stepState {
+	full, fullForUrgent := c.dispatch.full(now, false), c.dispatch.full(now, true)
+	mayPlace := func(s *stepState) bool { return !full || !fullForUrgent && c.urgent(s) }
+	if s := c.evalQueue.pending.popFirst(mayPlace); s != nil {
+		return s
+	}
+	c.offerFreedWorkers(now)
+	if s := c.evalQueue.pending.popFirst(mayPlace); s != nil {
 		return s
 	}
 	for _, l := range c.questionLimiters() {
-		if l.ready() {
-			return l.waiting.pop()
+		if !l.ready() {
+			continue
+		}
+		if s := l.waiting.popFirst(mayPlace); s != nil {
+			return s
 		}
 	}
 	return nil
--- a/internal/cell/steplist.go
+++ b/internal/cell/steplist.go
@@ -50,13 +50,15 @@
 	return true
 }
 
-// pop removes and returns the first step, or returns nil.
-func (l *stepList) pop() *stepState {
-	if len(l.steps) == 0 {
+// popFirst removes and returns the first step that meets a condition, or returns
+// nil.
+func (l *stepList) popFirst(meets func(*stepState) bool) *stepState {
+	at := slices.IndexFunc(l.steps, meets)
+	if at < 0 {
 		return nil
 	}
-	first := l.steps[0]
-	l.steps = slices.Delete(l.steps, 0, 1)
+	first := l.steps[at]
+	l.steps = slices.Delete(l.steps, at, at+1)
 	return first
 }
 
