Offer what a job gives back when it fails during a decision

A job with a task that may not be started again fails when its step is evaluated. That releases its planned runs, but steps that the same decision had evaluated before were not evaluated again: offerSteps passes over them, since nothing else frees capacity within a decision.

Now the rest of the decision counts as a new round.

Test: TestCapacityOfAFailedJobHelpsStepsBeforeIt fails without the change ('placed on "", want "w1"').

--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -141,3 +141,23 @@
 		})
 	}
 }
+
+// TestCapacityOfAFailedJobHelpsStepsBeforeIt guards against a step that misses the
+// capacity that a job gives back when it fails later in the same decision.
+func TestCapacityOfAFailedJobHelpsStepsBeforeIt(t *testing.T) {
+	u := newUnsweptCell(t)
+	u.cell.RestoreEarlyStartWorkers([]cell.WorkerID{"w1"})
+	serving := step(8000)
+	serving.LongRunning = true
+	exhausted := cell.TaskRecord{LastRun: 4, Crashes: []cell.Crash{{Run: 1, Accepted: true}, {Run: 2}, {Run: 3}}}
+	u.accept("fails", "plain", []workload.Step{serving, step(1000)}, cell.TaskRecord{}, exhausted)
+	u.accept("urgent", "urgent", []workload.Step{step(8000)})
+	u.pass(700 * time.Millisecond)
+	u.register("w1", 8000)
+	u.report("w1", cell.Report{})
+	u.decide()
+	if state, _ := u.cell.Status("fails"); state == workload.StateRunning {
+		u.decide() // the state is visible once it is durable
+	}
+	u.check("urgent", "w1")
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -112,6 +112,8 @@
 		return
 	}
 	if c.failIfExhausted(now, s) {
+		// What its planned runs held may help steps that were evaluated before.
+		c.evalQueue.round++
 		return
 	}
 	q := c.queueOf(s.job)
