Count unknown runs in what a crash of a worker would cost

A suspect waits for an idle worker. The choice compared workers by the known runs there, so a worker with only unknown runs counted as empty like an idle one, and won by its better fit, or because the idle one's machine had crashed within the last ten seconds. It is not idle, so the suspect waited one second (five after three crashes) beside an idle worker, or until the ten seconds were over, whose end queues no evaluation.

Now unknown runs count as one loss, so that an idle worker is always the best, and the ten seconds decide only between workers, not whether there is one.

Test: TestSuspectTakesAnIdleWorkerBesideUnknownRuns fails without the change ('placed on "", want "w2"').

--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -108,6 +108,9 @@
 // crashLoss returns what a crash of the worker would cost.
 func (w *worker) crashLoss() int {
 	loss := 0
+	if w.hasUnknownRuns() {
+		loss++
+	}
 	for _, r := range w.runs.list {
 		if spec := r.task.step.spec; spec.LongRunning || spec.Gang {
 			loss += longRunLoss
--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -161,3 +161,19 @@
 	}
 	u.check("urgent", "w1")
 }
+
+// TestSuspectTakesAnIdleWorkerBesideUnknownRuns guards against a suspect that
+// waits, because a worker with unknown runs is a better fit than an idle one.
+func TestSuspectTakesAnIdleWorkerBesideUnknownRuns(t *testing.T) {
+	u := newUnsweptCell(t)
+	u.register("w1", 4000)
+	u.register("w2", 4000)
+	u.accept("ended", "plain", []workload.Step{step(1000)})
+	u.cell.Cancel(u.now, "ended")
+	u.report("w1", cell.Report{Running: []cell.Running{{Task: workload.TaskID{StepID: workload.StepID{Job: "ended"}}, Run: 1}}})
+	u.report("w2", cell.Report{})
+	u.pass(0)
+	u.accept("a", "plain", []workload.Step{step(1000)}, cell.TaskRecord{LastRun: 1, Crashes: []cell.Crash{{Run: 1, JustStarted: true}}})
+	u.decide()
+	u.check("a", "w2")
+}
