Evaluate suspects that wait to be isolated when workers are added

At most a quarter of the workers are kept for suspects at a time. A suspect that waits until there are fewer was evaluated when a worker was no longer kept, but not when a new worker raised the limit, unless that worker suits it itself.

Test: TestSuspectIsIsolatedOnceThereAreMoreWorkers fails without the change ('placed on "", want "w1"').

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -112,7 +112,7 @@
 	lostRuns map[string][]*task
 	// isolatedWorkers counts the workers that are kept for suspects, and
 	// awaitingIsolation holds the steps with suspects that wait until there are
-	// fewer.
+	// fewer, or more workers in total.
 	isolatedWorkers   int
 	awaitingIsolation map[workload.StepID]*stepState
 	// scheduled holds the jobs with occurrences that are not due yet.
--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -143,6 +143,12 @@
 	w.isolated = nil
 	c.isolatedWorkers--
 	c.capacityFreed(w)
+	c.isolationAllowed()
+}
+
+// isolationAllowed has the steps evaluated that wait until fewer workers are
+// kept, or until there are more workers.
+func (c *Cell) isolationAllowed() {
 	for _, s := range c.awaitingIsolation {
 		c.markStep(s)
 	}
--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -177,3 +177,25 @@
 	u.decide()
 	u.check("a", "w2")
 }
+
+// TestSuspectIsIsolatedOnceThereAreMoreWorkers guards against a suspect that waits
+// until another worker is no longer kept, although a new worker allows one more.
+func TestSuspectIsIsolatedOnceThereAreMoreWorkers(t *testing.T) {
+	u := newUnsweptCell(t)
+	small := step(1000)
+	small.Label = "big"
+	suspect := cell.TaskRecord{LastRun: 1, Crashes: []cell.Crash{{Run: 1, JustStarted: true}}}
+	for i := range 7 {
+		id := cell.WorkerID(fmt.Sprintf("w%d", i))
+		u.register(id, 4000, "big")
+		u.report(id, cell.Report{})
+	}
+	u.accept("a", "plain", []workload.Step{small}, suspect)
+	u.accept("b", "plain", []workload.Step{small}, suspect)
+	u.pass(0)
+	u.check("a", "w0")
+	u.check("b", "")
+	u.register("w7", 4000)
+	u.decide()
+	u.check("b", "w1")
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -137,6 +137,7 @@
 	w, known := c.workers[r.ID]
 	if !known {
 		w = c.addWorker(r.ID)
+		c.isolationAllowed()
 		c.log.Info("worker registered", workerField(w), zap.Stringer("Addr", r.Addr), zap.String("Service", r.Service),
 			zap.String("Machine", r.Machine), zap.Int64("Incarnation", int64(r.Incarnation)))
 	}
