Time the avoidance of a worker from when the task began to wait

A task avoids the worker of its last failed run for one second. The timer for the end was set when the run was released. None was set when the failure was that of an unknown run, such as a run of a predecessor, and a step that became ready later began to wait anew, without timers for its tasks.

Now setTaskTimers sets the timers of a task wherever it begins to wait or is told to avoid a worker.

Tests: TestAvoidedWorkerIsUsedAfterAnUnknownFailure and TestAvoidedWorkerIsUsedAfterTheStepBecomesReady fail without the respective half.

--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -141,6 +141,15 @@
 	c.setTimer(now, s, s.waitStart().Add(expiredFactor*Objective(s.job.job, q)+justAfter))
 }
 
+// setTaskTimers sets timers for the times from which a waiting task may use the
+// worker that it avoids, and from which a suspect is placed in other ways.
+func (c *Cell) setTaskTimers(now time.Time, t *task) {
+	if t.avoidWorker != "" {
+		c.setTimer(now, t.step, t.waitingSince.Add(avoidDuration+justAfter))
+	}
+	c.awaitIsolation(now, t)
+}
+
 // setTimer has a step evaluated at the given time, unless that is past.
 func (c *Cell) setTimer(now time.Time, s *stepState, at time.Time) {
 	if at.Before(now) {
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -263,6 +263,7 @@
 		s.readyAt = now
 		for _, t := range s.tasks {
 			t.waitingSince = now
+			c.setTaskTimers(now, t)
 		}
 		if s.waiting > 0 {
 			c.openStep(now, s)
--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -199,3 +199,38 @@
 	u.decide()
 	u.check("b", "w1")
 }
+
+// TestAvoidedWorkerIsUsedAfterAnUnknownFailure guards against a task that avoids
+// the worker of an unknown failed run for longer than its avoidDuration.
+func TestAvoidedWorkerIsUsedAfterAnUnknownFailure(t *testing.T) {
+	u := newUnsweptCell(t)
+	u.register("w1", 4000)
+	u.accept("a", "plain", []workload.Step{step(1000)}, cell.TaskRecord{LastRun: 1})
+	failed := cell.Ended{Number: 1, Task: workload.TaskID{StepID: workload.StepID{Job: "a"}}, Run: 1, Kind: cell.EndFailed}
+	u.report("w1", cell.Report{Ended: []cell.Ended{failed}})
+	u.pass(0)
+	u.check("a", "")
+	u.pass(1100*time.Millisecond, "w1")
+	u.check("a", "w1")
+}
+
+// TestAvoidedWorkerIsUsedAfterTheStepBecomesReady guards against the same for a
+// run that failed before the step was known to be ready.
+func TestAvoidedWorkerIsUsedAfterTheStepBecomesReady(t *testing.T) {
+	u := newUnsweptCell(t)
+	u.register("w1", 4000)
+	u.accept("a", "plain", []workload.Step{step(1000), {Size: job.Size{MilliCores: 1000}, After: []int{0}}},
+		cell.TaskRecord{LastRun: 1, Worker: "w1", Run: 1, Machine: "m-w1", Incarnation: 1}, cell.TaskRecord{LastRun: 1})
+	before, after := workload.TaskID{StepID: workload.StepID{Job: "a"}}, workload.TaskID{StepID: workload.StepID{Job: "a", Step: 1}}
+	ends := []cell.Ended{{Number: 1, Task: after, Run: 1, Kind: cell.EndFailed}, {Number: 2, Task: before, Run: 1, Kind: cell.EndDone}}
+	running := []cell.Running{{Task: before, Run: 1, Percent: 50}}
+	u.report("w1", cell.Report{Running: running, Ended: ends[:1]})
+	u.pass(500 * time.Millisecond)
+	u.report("w1", cell.Report{Ended: ends})
+	u.decide()
+	u.pass(600*time.Millisecond, "w1")
+	u.pass(500*time.Millisecond, "w1")
+	if on := u.placed[after]; on != "w1" {
+		t.Errorf("task %s is placed on %q, want w1", after, on)
+	}
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -352,10 +352,7 @@
 	if how == EndFailed {
 		c.countFailure(now, t, r.number, r.worker.id)
 	}
-	if t.avoidWorker != "" {
-		c.setTimer(now, s, now.Add(avoidDuration+justAfter))
-	}
-	c.awaitIsolation(now, t)
+	c.setTaskTimers(now, t)
 	if s.spec.Gang && !s.job.state.Final() {
 		c.stopStep(now, s)
 	}
@@ -368,6 +365,7 @@
 func (c *Cell) countFailure(now time.Time, t *task, number int, worker WorkerID) {
 	s := t.step
 	t.avoidWorker = worker
+	c.setTaskTimers(now, t)
 	c.markStep(s)
 	if s.spec.LongRunning {
 		return
