Offer a worker that answers again between two ticks

A worker that has been silent for longer than ContactTimeout gets no starts. When it answers again, the next tick offers it, if it was not usable at the last one. If the timeout passed after a tick and the answer came before the next, the ticks saw no change: steps that were evaluated in between had passed over the worker, and it was not offered to them.

Now an answer after a silence makes the next tick offer the worker.

MissedSteps leaves such a worker out until the next tick, as it does with others that have become usable since the last one.

--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -30,7 +30,7 @@
 // MissedSteps returns the steps that have a task which could be placed now, or
 // that could ask about more workers, although the last decision did neither. It
 // leaves out gangs, and workers that have become usable since the last tick
-// without having reported.
+// without having reported, or that answer again.
 func (c *Cell) MissedSteps(now time.Time) []workload.StepID {
 	var out []workload.StepID
 	usable := newUsableWorkers(c)
--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -214,6 +214,22 @@
 	u.check("a", "w1")
 }
 
+// TestSilentWorkerThatAnswersIsOffered guards against a worker that answers again
+// between two ticks and is offered to no step that was evaluated before.
+func TestSilentWorkerThatAnswersIsOffered(t *testing.T) {
+	u := newUnsweptCell(t)
+	u.register("w1", 4000)
+	u.report("w1", cell.Report{})
+	u.pass(scriptConfig.ContactTimeout)
+	u.now = u.now.Add(50 * time.Millisecond)
+	u.accept("a", "plain", []workload.Step{step(1000)})
+	u.decide()
+	u.check("a", "")
+	u.report("w1", cell.Report{})
+	u.pass(50 * time.Millisecond)
+	u.check("a", "w1")
+}
+
 // TestAvoidedWorkerIsUsedAfterTheStepBecomesReady guards against the same for a
 // run that failed before the step was known to be ready.
 func TestAvoidedWorkerIsUsedAfterTheStepBecomesReady(t *testing.T) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -84,7 +84,8 @@
 	allowedSteps stepList
 	// offerPending is set while the worker's free capacity waits to be offered.
 	offerPending bool
-	// usableAtSweep is set if the worker was usable at the last sweep or offer.
+	// usableAtSweep is set if the worker was usable at the last tick or offer, and
+	// has not been silent since.
 	usableAtSweep bool
 }
 
