--- a/internal/cell/evalqueue_test.go
+++ b/internal/cell/evalqueue_test.go
@@ -15,25 +15,35 @@
 // TestDecisionsMissNoPlaceableStep plays steps that need advice, and compares
 // each decision with one that evaluates every step.
 func TestDecisionsMissNoPlaceableStep(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		p := &advisedBacklog{backlog: newBacklog(t, 6, 0, whyUnanswered), t: t}
-		p.cell.SetAdviceHosts(3)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit":  func(*rapid.T) { p.submit() },
-			"answer":  func(*rapid.T) { p.answerOne() },
-			"answer2": func(*rapid.T) { p.answerOne() },
-			"end":     func(*rapid.T) { p.endOne() },
-			"end2":    func(*rapid.T) { p.endOne() },
-			"tick":    func(*rapid.T) { p.tick() },
-			"":        func(*rapid.T) { p.check() },
-		})
+	rapid.Check(t, func(t *rapid.T) { checkAdvisedBacklog(t, false) })
+}
+
+// TestDecisionsMissNoPlaceableStepWithoutSweep guards against a step that only a
+// sweep evaluates.
+func TestDecisionsMissNoPlaceableStepWithoutSweep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkAdvisedBacklog(t, true) })
+}
+
+func checkAdvisedBacklog(t *rapid.T, unswept bool) {
+	p := &advisedBacklog{backlog: newBacklog(t, 6, 0, whyUnanswered), t: t, unswept: unswept}
+	p.cell.SetAdviceHosts(3)
+	t.Repeat(map[string]func(*rapid.T){
+		"submit":  func(*rapid.T) { p.submit() },
+		"answer":  func(*rapid.T) { p.answerOne() },
+		"answer2": func(*rapid.T) { p.answerOne() },
+		"end":     func(*rapid.T) { p.endOne() },
+		"end2":    func(*rapid.T) { p.endOne() },
+		"tick":    func(*rapid.T) { p.tick() },
+		"":        func(*rapid.T) { p.check() },
 	})
 }
 
 // advisedBacklog is a cell whose questions are answered in random order.
 type advisedBacklog struct {
 	*backlog
-	t         *rapid.T
+	t *rapid.T
+	// unswept is set if ticks sweep no steps.
+	unswept   bool
 	jobs      int
 	questions []cell.AskAdvice
 }
@@ -88,6 +98,10 @@
 	for _, id := range p.workers {
 		p.report(id)
 	}
+	if p.unswept {
+		p.cell.TickWithoutSweep(p.now)
+		return
+	}
 	p.cell.Tick(p.now)
 }
 
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -33,6 +34,8 @@
 // without having reported, or that answer again.
 func (c *Cell) MissedSteps(now time.Time) []workload.StepID {
 	var out []workload.StepID
+	// workerFor adds to it, which would have later decisions evaluate the step.
+	defer func(awaiting map[workload.StepID]*stepState) { c.awaitingIsolation = awaiting }(maps.Clone(c.awaitingIsolation))
 	usable := newUsableWorkers(c)
 	usable.begin(now)
 	usable.of("")
--- a/internal/cell/missed_test.go
+++ b/internal/cell/missed_test.go
@@ -6,12 +6,27 @@
 	"time"
 
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
+// TestChangesAndTimersAloneMissNoStep guards against a step that becomes
+// placeable and that only a sweep evaluates: a sweep reaches few of many steps.
+func TestChangesAndTimersAloneMissNoStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSimulation(t, omitNothing, rapid.Bool().Draw(t, "unfenced"))
+		w.slow, w.unswept = rapid.Bool().Draw(t, "slow"), true
+		w.crashes.drawDeadly = rapid.Bool().Draw(t, "deadly")
+		t.Repeat(w.crashActions())
+		if w.missed != "" {
+			t.Fatal(w.missed)
+		}
+	})
+}
+
 // unsweptCell is a cell whose ticks sweep no steps.
 type unsweptCell struct {
 	t     *testing.T
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -37,6 +37,8 @@
 	slow bool
 	// earlyStartsOff is set if slow stays unset.
 	earlyStartsOff bool
+	// unswept is set if owners sweep no steps.
+	unswept bool
 	// startLimit is how many starts owners may send at a time.
 	startLimit int
 	epoch      uint64
@@ -78,6 +80,8 @@
 	crashes simCrashes
 	// sent holds what was known when each start was sent.
 	sent map[*cell.SendStart]sentStart
+	// missed describes the last steps that a decision missed.
+	missed string
 	// violation is the first violation of an invariant.
 	violation string
 }
@@ -337,7 +341,8 @@
 		}
 	}
 	if missed := o.cell.MissedSteps(w.now); len(missed) > 0 {
-		w.fail("a decision missed steps that could be placed: %v\n%s", missed, o.cell.Describe())
+		w.missed = fmt.Sprintf("a decision missed steps that could be placed: %v\n%s", missed, o.cell.Describe())
+		w.fail("%s", w.missed)
 	}
 	if w.omit == omitDurable {
 		o.cell.Committed(w.now, o.cell.TakeRecords(100))
@@ -392,7 +397,11 @@
 		for _, o := range w.owners {
 			o.stopped = o.stopped || !o.replacedAt.IsZero() && w.now.Sub(o.replacedAt) > w.replacedOwnerLifetime
 			if !o.stopped {
-				o.cell.Tick(w.now)
+				if w.unswept {
+					o.cell.TickWithoutSweep(w.now)
+				} else {
+					o.cell.Tick(w.now)
+				}
 				w.act(o)
 			}
 		}
