--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -366,7 +366,10 @@
 		}
 		if len(t.lost) < len(lost) {
 			c.recordChanged(t.step.job)
-			t.numberRevision = t.step.job.revision // no early start while the record has lost runs
+			// No early start while the record has lost runs.
+			t.numberRevision = t.step.job.revision
+			// It may have waited for what is heard of the run.
+			c.awaitIsolation(now, t)
 		}
 		for _, l := range t.lost {
 			c.watchLostRuns(t, l.Machine)
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -17,15 +18,24 @@
 	return c.hasNextStep() && !c.dispatch.full(now, false)
 }
 
+// TickWithoutSweep is Tick without its sweep, so that steps are evaluated only
+// after a change or when one of their timers is due.
+func (c *Cell) TickWithoutSweep(now time.Time) {
+	c.tickState(now)
+	c.placementPending = true
+}
+
 // TimerCount returns the number of step timers.
 func (c *Cell) TimerCount() int { return len(c.evalQueue.timers) }
 
 // MissedSteps returns the steps that have a task which could be placed now, or
 // that could ask about more workers, although the last decision did neither. It
 // leaves out gangs, and workers that have become usable since the last tick
-// without having reported.
+// without having reported, or that answer again.
 func (c *Cell) MissedSteps(now time.Time) []workload.StepID {
 	var out []workload.StepID
+	// workerFor adds to it, which would have later decisions evaluate the step.
+	defer func(awaiting map[workload.StepID]*stepState) { c.awaitingIsolation = awaiting }(maps.Clone(c.awaitingIsolation))
 	usable := newUsableWorkers(c)
 	usable.begin(now)
 	usable.of("")
--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -119,6 +119,9 @@
 // crashLoss returns what a crash of the worker would cost.
 func (w *worker) crashLoss() int {
 	loss := 0
+	if w.hasUnknownRuns() {
+		loss++
+	}
 	for _, r := range w.runs.list {
 		if spec := r.task.step.spec; spec.LongRunning || spec.Gang {
 			loss += longRunLoss
@@ -151,6 +154,12 @@
 	w.isolated = nil
 	c.isolatedWorkers--
 	c.capacityFreed(w)
+	c.isolationAllowed()
+}
+
+// isolationAllowed has the steps evaluated that wait until fewer workers are
+// kept, or until there are more workers.
+func (c *Cell) isolationAllowed() {
 	for _, s := range c.awaitingIsolation {
 		c.markStep(s)
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -28,6 +28,9 @@
 		c.endInheritedOfEarlier(now, w, report)
 	}
 	c.resolveLostRuns(now, w, report.Incarnation, true)
+	// A worker that was silent is offered by the next tick, although it may have
+	// been usable at the last one.
+	w.usableAtSweep = w.usableAtSweep && c.inContact(now, w)
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
@@ -333,10 +336,7 @@
 	if how == EndFailed {
 		c.countFailure(now, t, r.number, r.worker.id)
 	}
-	if t.avoidWorker != "" {
-		c.setTimer(now, s, now.Add(avoidDuration+justAfter))
-	}
-	c.awaitIsolation(now, t)
+	c.setTaskTimers(now, t)
 	if s.spec.Gang && !s.job.state.Final() {
 		c.stopStep(now, s)
 	}
@@ -349,6 +349,7 @@
 func (c *Cell) countFailure(now time.Time, t *task, number int, worker WorkerID) {
 	s := t.step
 	t.avoidWorker = worker
+	c.setTaskTimers(now, t)
 	c.markStep(s)
 	if s.spec.LongRunning {
 		return
