Ask for advice only about idle workers while a suspect waits to be isolated

A suspect waits for a worker that runs nothing, for up to 5 s after its third crash. The number of open questions that are not urgent is limited to the hosts that may ask them (5 of 8 there), and one takes 0.42 s and 6 ms for each worker. Callers saw jobs that did not run.

Now a step whose waiting tasks are all suspects that wait to be isolated asks only about idle workers, and asks nothing while no more workers may be isolated or while it waits for what is heard of a lost run. Other workers are asked about when the answer can come as the wait ends, so the wait itself is not longer.

Evidence: script advice-for-suspects: before, a question about an occupied worker at once after the third crash; now one 0.4 s before the 5 s end, and the start at 5 s.

Ruled out: a loss in the record or by the takeover (each task is waiting in the owner's state), and the ranks. Remains: newly idle workers are still asked about one by one, and an idle worker may be taken before the answer is there.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -31,6 +31,8 @@
 	// the share of the workers that is usually allowed.
 	wanted float64
 	share  float64
+	// idleOnly is set if only workers that run nothing help.
+	idleOnly bool
 }
 
 // enough reports whether the question names enough workers.
@@ -52,8 +54,12 @@
 // are set aside as the open questions already name; they are used only if there
 // are not enough without them.
 func (c *Cell) workersToAsk(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []WorkerID {
-	known, wanted := c.workersToRenew(now, s, q)
-	out := &candidates{step: s, ids: known, wanted: wanted, share: c.allowedShare(q)}
+	tasks, idleOnly := c.adviceDemand(now, s, q)
+	if tasks == 0 {
+		return nil
+	}
+	out := &candidates{step: s, wanted: float64(tasks) * capacityMargin, share: c.allowedShare(q), idleOnly: idleOnly}
+	c.addRenewals(now, out, q)
 	skip := c.limiterFor(q).workersNamed
 	var skipped []*worker
 	need := s.spec.Reserved()
@@ -61,7 +67,7 @@
 		if out.enough() {
 			break
 		}
-		if !need.Fits(w.freeCapacity()) || s.advice.isKnown(w.id) || !s.fits(w) {
+		if !need.Fits(w.freeCapacity()) || s.advice.isKnown(w.id) || !s.fits(w) || idleOnly && !w.idle() {
 			continue
 		}
 		if len(skipped) < skip {
@@ -75,8 +81,8 @@
 		// question.
 		out.add(skipped[(skip+i)%len(skipped)])
 	}
-	if len(out.ids) > 0 && !out.enough() {
-		c.addOccupied(now, out, q, usable)
+	if len(out.ids) > 0 && !out.enough() && !idleOnly {
+		c.addOccupied(now, out, float64(tasks)*spareCapacityMargin, q, usable)
 	}
 	return out.ids[:min(len(out.ids), maxWorkersAsked)]
 }
@@ -85,13 +91,12 @@
 // that the step can use what becomes free while the answer is valid. Each
 // question takes a fixed time, however few workers it names; the added workers
 // take at most as long again.
-func (c *Cell) addOccupied(now time.Time, n *candidates, q *manifest.Queue, usable *usableWorkers) {
+func (c *Cell) addOccupied(now time.Time, n *candidates, wanted float64, q *manifest.Queue, usable *usableWorkers) {
 	limit := maxWorkersAsked
 	if q.Advice.PerWorker > 0 {
 		limit = min(limit, int(q.Advice.Fixed/q.Advice.PerWorker))
 	}
 	s := n.step
-	wanted := float64(s.waiting) * spareCapacityMargin
 	named := make(map[WorkerID]bool, len(n.ids))
 	for _, id := range n.ids {
 		named[id] = true
@@ -116,14 +121,13 @@
 	}
 }
 
-// workersToRenew returns the allowed workers whose ticket has expired, as many
-// as are needed, and for how many tasks capacity is wanted beyond that of all
-// allowed workers.
-func (c *Cell) workersToRenew(now time.Time, s *stepState, q *manifest.Queue) (asked []WorkerID, wanted float64) {
-	wanted = float64(s.waiting) * capacityMargin
+// addRenewals names the allowed workers whose ticket has expired, as many as are
+// needed. All allowed workers count towards the capacity that is wanted.
+func (c *Cell) addRenewals(now time.Time, n *candidates, q *manifest.Queue) {
+	s := n.step
 	for _, id := range s.advice.allowedIDs {
 		w, known := c.workers[id]
-		if !known || w.registration.Service != q.Service || !s.fits(w) || !c.usable(now, w) {
+		if !known || w.registration.Service != q.Service || !s.fits(w) || !c.usable(now, w) || n.idleOnly && !w.idle() {
 			continue
 		}
 		tasks := s.capacityOn(w)
@@ -131,14 +135,13 @@
 			continue
 		}
 		if !s.advice.hasTicket(now, w) {
-			asked = append(asked, id)
+			n.ids = append(n.ids, id)
 		}
-		wanted -= float64(tasks)
-		if wanted <= 0 {
+		n.wanted -= float64(tasks)
+		if n.wanted <= 0 {
 			break
 		}
 	}
-	return asked, wanted
 }
 
 // isKnown reports whether an answer has allowed or denied a worker.
--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
 // A suspect is a task that may have crashed a worker. Its next run is started
@@ -46,8 +47,11 @@
 // runs nothing ends.
 func (c *Cell) awaitIsolation(now time.Time, t *task) {
 	if t.phase == phaseWaiting && t.suspect() {
-		c.setTimer(now, t.step, t.waitingSince.Add(t.isolationWait()))
-		c.setTimer(now, t.step, t.waitingSince.Add(lostRunWait))
+		lead := c.queueOf(t.step.job).Advice.Cost(1)
+		for _, wait := range []time.Duration{t.isolationWait(), lostRunWait} {
+			c.setTimer(now, t.step, t.waitingSince.Add(wait-lead))
+			c.setTimer(now, t.step, t.waitingSince.Add(wait))
+		}
 		c.markStep(t.step)
 	}
 }
@@ -65,7 +69,7 @@
 // suspect should wait.
 func (c *Cell) workerForSuspect(now time.Time, t *task, eligible []*worker) *worker {
 	waited := now.Sub(t.waitingSince)
-	if len(t.lost) > 0 && len(t.crashes)+len(t.lost) > isolatedCrashLimit && waited < lostRunWait {
+	if t.awaitsLostRun(waited) {
 		return nil
 	}
 	avoid := t.avoidWorker
@@ -89,6 +93,42 @@
 	return nil
 }
 
+// awaitsLostRun reports whether a task that is close to a limit still waits for
+// what is heard of the machine of a lost run.
+func (t *task) awaitsLostRun(waited time.Duration) bool {
+	return len(t.lost) > 0 && len(t.crashes)+len(t.lost) > isolatedCrashLimit && waited < lostRunWait
+}
+
+// adviceDemand returns for how many waiting tasks of a step advice is wanted now,
+// and whether only about workers that run nothing. The ticket of another worker
+// would expire while a suspect waits to be isolated, and the question would delay
+// those of other steps.
+func (c *Cell) adviceDemand(now time.Time, s *stepState, q *manifest.Queue) (tasks int, idleOnly bool) {
+	if s.spec.Gang {
+		return s.waiting, false
+	}
+	isolated, blocked := 0, 0
+	for _, t := range s.tasks {
+		if t.phase != phaseWaiting || !t.suspect() {
+			continue
+		}
+		// The answer comes after the cost of the question at the earliest.
+		waited := now.Sub(t.waitingSince) + q.Advice.Cost(1)
+		switch {
+		case t.awaitsLostRun(waited):
+			blocked++
+		case waited >= t.isolationWait():
+		case c.mayIsolate():
+			isolated++
+		default:
+			blocked++
+			c.awaitingIsolation[s.id] = s
+		}
+	}
+	tasks = s.waiting - blocked
+	return tasks, tasks > 0 && tasks == isolated
+}
+
 // saferFor reports whether a crash on the worker would cost less than one on
 // another, or tell more.
 func (w *worker) saferFor(now time.Time, s *stepState, other *worker) bool {
