--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -21,6 +21,9 @@
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
+	// Sent is set if the start was known to be sent. One that a predecessor has
+	// planned may not have been.
+	Sent bool
 }
 
 // LostRun is a run whose worker stopped answering until its lease expired. Only
@@ -46,10 +49,13 @@
 	// before it arrived, or when it had just ended.
 	crashLimit         = 4
 	minAcceptedCrashes = 2
-	// unansweredCrashLimit is the same in any case.
+	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent,
+	// answered or not. A task may crash its workers before they answer.
 	unansweredCrashLimit = 5
+	minSentCrashes       = 3
 	// maxStartsAfterCrashes is how often a task is started after
-	// isolatedCrashLimit crashes, if no further crash decides.
+	// isolatedCrashLimit crashes, if no further crash decides and
+	// minAcceptedCrashes of the workers had accepted the task.
 	maxStartsAfterCrashes = 1
 	// lostRunWait is how long a task that is close to a limit waits for what is
 	// heard of the machine of a lost run.
@@ -67,17 +73,28 @@
 }
 
 // noteLaterWorkers records on which workers of a machine a later one has followed.
-// The incarnation is a time of day, which may jump, so the later one must not have
-// registered before the other.
 func (c *Cell) noteLaterWorkers(machine string) {
 	for _, w := range c.onMachine[machine] {
 		if w.registration.Incarnation == 0 {
 			continue
 		}
-		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool {
-			return later.registration.Incarnation > w.registration.Incarnation && !later.registeredAt.Before(w.registeredAt)
-		})
+		known := w.laterOnMachine
+		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
+		if w.laterOnMachine && !known {
+			w.maintenanceBeforeLater = c.maintenanceOrdered(machine)
+		}
+	}
+}
+
+// follows reports whether a worker has certainly followed another on their machine.
+// The incarnation is a time of day, which may jump, so it does not show that alone. Of
+// two workers that this owner found registered when it took over, only the later one
+// can still answer.
+func (w *worker) follows(earlier *worker) bool {
+	if w.registration.Incarnation <= earlier.registration.Incarnation {
+		return false
 	}
+	return w.registeredAt.After(earlier.registeredAt) || w.reported && w.registeredAt.Equal(earlier.registeredAt)
 }
 
 // setRegistration sets the registration of a worker and keeps the index of the
@@ -106,21 +123,22 @@
 // so that its end is no crash. A worker that is only drained for maintenance was
 // not told to.
 func (c *Cell) endedAsOrdered(w *worker) bool {
+	if w.laterOnMachine {
+		return w.registration.Leaving || w.maintenanceBeforeLater
+	}
 	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
 }
 
 // workerCrashed ends the runs of a worker that a later worker has superseded.
 // They need not wait for the lease to expire.
 func (c *Cell) workerCrashed(now time.Time, w *worker) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
 		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
 		zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	if !ordered {
 		c.observer.Count(CountWorkerCrash)
-		for _, o := range c.onMachine[w.registration.Machine] {
-			o.machineCrashedAt = now
-		}
+		c.noteMachineCrash(now, w.registration.Machine)
 	}
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
@@ -133,11 +151,18 @@
 	}
 }
 
+// noteMachineCrash records that a worker has crashed on a machine.
+func (c *Cell) noteMachineCrash(now time.Time, machine string) {
+	for _, w := range c.onMachine[machine] {
+		w.machineCrashedAt = now
+	}
+}
+
 // alone reports whether the one run that may be at work on a worker would be the
-// likely cause of its crash: nothing else runs there, and the machine has not
-// crashed recently.
-func (w *worker) alone(now time.Time) bool {
-	if now.Sub(w.machineCrashedAt) < recentCrash {
+// likely cause of its crash: nothing else runs there, and the machine had not
+// crashed recently when the worker last answered. The crash may become known much later.
+func (c *Cell) alone(w *worker) bool {
+	if c.silentSince(w).Sub(w.machineCrashedAt) < recentCrash {
 		return false
 	}
 	n := 0
@@ -151,7 +176,21 @@
 
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: r.phase == runStarted}
+	accepted := r.wasAccepted()
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero()}
+}
+
+// wasAccepted reports whether the worker of a run is known to have accepted its
+// start, to this owner or to a predecessor.
+func (r *run) wasAccepted() bool { return r.phase == runStarted || r.acceptedOnRecord }
+
+// accepted records that the worker of a run has accepted its start. If workers have
+// crashed under the task before, a successor has to know that too.
+func (c *Cell) accepted(r *run) {
+	r.phase = runStarted
+	if r.task.hasCrashes() {
+		c.recordChanged(r.task.step.job)
+	}
 }
 
 // justStarted reports whether the last report of the worker did not show the run
@@ -163,6 +202,15 @@
 	return r.worker.lastReport.Sub(r.sentAt) < settledAfter
 }
 
+// countRestartCrash counts the crash of a worker that restarted under its ID while a
+// start was in flight, unless the later incarnation has refused or accepted the start.
+func (c *Cell) countRestartCrash(now time.Time, r *run, accepted bool) {
+	if r.restartCrash != nil {
+		r.restartCrash.Accepted = accepted
+		c.countCrash(now, r, *r.restartCrash)
+	}
+}
+
 // countCrash counts a crash against the task of a run. The number of the run
 // ensures that two owners count it once.
 func (c *Cell) countCrash(now time.Time, r *run, crash Crash) {
@@ -180,7 +228,7 @@
 	c.observer.Count(CountTaskCrash)
 	c.log.Warn("worker crashed under a run", jobField(j), zap.String("Task", t.id.String()), zap.Int("Run", crash.Run),
 		zap.String("Worker", string(worker)), zap.Bool("JustStarted", crash.JustStarted), zap.Bool("Alone", crash.Alone),
-		zap.Bool("Accepted", crash.Accepted), zap.Int("Crashes", len(t.crashes)))
+		zap.Bool("Accepted", crash.Accepted), zap.Bool("Sent", crash.Sent), zap.Int("Crashes", len(t.crashes)))
 	if t.crashesItsWorkers() {
 		c.log.Warn("job fails, since a task crashes its workers", jobField(j), zap.String("Task", t.id.String()),
 			zap.Int("Crashes", len(t.crashes)))
@@ -195,14 +243,17 @@
 func (t *task) crashesItsWorkers() bool {
 	n, accepted := len(t.crashes), t.acceptedCrashes()
 	switch {
-	case n >= unansweredCrashLimit:
+	case n >= crashLimit && accepted >= minAcceptedCrashes:
+		return true
+	case n >= unansweredCrashLimit && t.sentCrashes() >= minSentCrashes:
 		return true
-	case n >= crashLimit:
-		return accepted >= minAcceptedCrashes
 	}
 	return n >= isolatedCrashLimit && accepted >= isolatedCrashLimit && t.crashes[n-1].Alone
 }
 
+// hasCrashes reports whether workers have crashed, or may have, under the task.
+func (t *task) hasCrashes() bool { return len(t.crashes)+len(t.lost) > 0 }
+
 // acceptedCrashes returns how many of the workers that crashed had accepted the
 // task.
 func (t *task) acceptedCrashes() int {
@@ -215,10 +266,24 @@
 	return accepted
 }
 
+// sentCrashes returns for how many of the workers that crashed the start of the
+// task was sent.
+func (t *task) sentCrashes() int {
+	sent := 0
+	for _, crash := range t.crashes {
+		if crash.Sent || crash.Accepted {
+			sent++
+		}
+	}
+	return sent
+}
+
 // mayStartAgain reports whether a task may be started once more after the crashes
-// under it. Runs that were stopped or lost count too.
+// under it. Runs that were stopped or lost count too, but not those that certainly did
+// not start. Workers that had not accepted the task may have crashed before it arrived,
+// so its job does not fail by these.
 func (t *task) mayStartAgain() bool {
-	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() == 0 {
+	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() < minAcceptedCrashes {
 		return true
 	}
 	runs := make([]int, len(t.crashes))
@@ -226,7 +291,22 @@
 		runs[i] = crash.Run
 	}
 	slices.Sort(runs)
-	return t.lastRun-runs[isolatedCrashLimit-1] < maxStartsAfterCrashes
+	last := runs[isolatedCrashLimit-1]
+	starts := t.lastRun - last
+	for _, number := range t.notStarted {
+		if number > last {
+			starts--
+		}
+	}
+	return starts < maxStartsAfterCrashes
+}
+
+// noteNotStarted records that a run certainly did not start: its start was not sent, or
+// refused.
+func (r *run) noteNotStarted() {
+	if t := r.task; t.current == r && t.hasCrashes() {
+		t.notStarted = append(t.notStarted, r.number)
+	}
 }
 
 // failIfExhausted ends the job of a step with a task that may not be started again,
@@ -270,12 +350,14 @@
 	machine := w.registration.Machine
 	watched := c.lostRuns[machine]
 	delete(c.lostRuns, machine)
+	crashed := false
 	for _, t := range watched {
 		lost := t.lost
 		t.lost = nil
 		for _, l := range lost {
 			switch {
 			case l.Machine == machine && l.Incarnation < incarnation:
+				crashed = true
 				c.countTaskCrash(now, t, l.Crash, "")
 			case l.Machine == machine && l.Incarnation == incarnation && alive:
 			default:
@@ -284,22 +366,30 @@
 		}
 		if len(t.lost) < len(lost) {
 			c.recordChanged(t.step.job)
+			// No early start while the record has lost runs.
+			t.numberRevision = t.step.job.revision
+			// It may have waited for what is heard of the run.
+			c.awaitIsolation(now, t)
 		}
 		for _, l := range t.lost {
 			c.watchLostRuns(t, l.Machine)
 		}
 	}
+	if !crashed {
+		return
+	}
+	c.noteMachineCrash(now, machine)
+	if w.incarnation == 0 { // a worker that restarts under its ID is counted when it reports
+		c.observer.Count(CountWorkerCrash)
+	}
 }
 
 // forgiveCrashes forgets the crashes of a long-running task whose run has been
-// at work for crashAmnesty.
+// at work for crashAmnesty, as far as this owner has seen.
 func (c *Cell) forgiveCrashes(now time.Time, r *run) {
 	t := r.task
-	if len(t.crashes)+len(t.lost) == 0 || !t.step.spec.LongRunning {
-		return
-	}
-	if worked, timed := r.elapsed(now); timed && worked > crashAmnesty {
-		t.crashes, t.lost = nil, nil
+	if t.hasCrashes() && t.step.spec.LongRunning && now.Sub(r.firstReportAt) > crashAmnesty {
+		t.crashes, t.lost, t.notStarted = nil, nil, nil
 		c.recordChanged(t.step.job)
 	}
 }
--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -141,6 +141,15 @@
 	c.setTimer(now, s, s.waitStart().Add(expiredFactor*Objective(s.job.job, q)+justAfter))
 }
 
+// setTaskTimers sets timers for the times from which a waiting task may use the
+// worker that it avoids, and from which a suspect is placed in other ways.
+func (c *Cell) setTaskTimers(now time.Time, t *task) {
+	if t.avoidWorker != "" {
+		c.setTimer(now, t.step, t.waitingSince.Add(avoidDuration+justAfter))
+	}
+	c.awaitIsolation(now, t)
+}
+
 // setTimer has a step evaluated at the given time, unless that is past.
 func (c *Cell) setTimer(now time.Time, s *stepState, at time.Time) {
 	if at.Before(now) {
@@ -179,9 +188,8 @@
 	c.markAllSteps()
 }
 
-// sweep marks some steps for evaluation regardless of changes, and notes the
-// workers that have become usable since the last sweep.
-func (c *Cell) sweep(now time.Time) {
+// noteUsable offers the workers that have become usable since the last tick.
+func (c *Cell) noteUsable(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		usable := c.usable(now, w)
 		if usable && !w.usableAtSweep {
@@ -189,6 +197,10 @@
 		}
 		w.usableAtSweep = usable
 	}
+}
+
+// sweep marks some steps for evaluation regardless of changes.
+func (c *Cell) sweep() {
 	all := &c.evalQueue.all
 	if all.len() == 0 {
 		return
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -102,8 +102,11 @@
 	failedRuns []int
 	// crashes has the crashes of workers under runs of the task, and lost the
 	// runs for which it is not known yet.
-	crashes    []Crash
-	lost       []LostRun
+	crashes []Crash
+	lost    []LostRun
+	// notStarted has the numbers of runs since the first of them that certainly
+	// did not start.
+	notStarted []int
 	checkpoint string
 	current    *run
 	// avoidWorker is the worker to avoid: that of the last run that failed or was
@@ -140,6 +143,9 @@
 	// incarnation is that of the worker when the run was placed; 0 if unknown.
 	incarnation Incarnation
 	phase       runPhase
+	// acceptedOnRecord is set if a predecessor recorded that the worker had
+	// accepted the start.
+	acceptedOnRecord bool
 	// queued is set while the start is in the dispatch queue, and early if it
 	// need not wait for its record.
 	queued   bool
@@ -149,8 +155,8 @@
 	// run was planned.
 	urgent bool
 	// sentBeforeRestart is set when the worker began a new incarnation while
-	// the start was in flight. restartCrash is counted if the earlier
-	// incarnation had accepted the start; nil if its end was no crash.
+	// the start was in flight. restartCrash is counted unless the later
+	// incarnation answers the start; nil if the end of the earlier one was no crash.
 	sentBeforeRestart bool
 	restartCrash      *Crash
 	// revision is the revision of the record that names the run.
@@ -179,6 +185,8 @@
 	// fresh runs began without a checkpoint.
 	fresh         bool
 	progressKnown bool
+	// firstReportAt is when a report first showed the run to this owner.
+	firstReportAt time.Time
 	pace          int
 	// load is Running.Load as last reported: a latency in milliseconds or a CPU
 	// use in millicores, depending on the task.
@@ -263,6 +271,7 @@
 		s.readyAt = now
 		for _, t := range s.tasks {
 			t.waitingSince = now
+			c.setTaskTimers(now, t)
 		}
 		if s.waiting > 0 {
 			c.openStep(now, s)
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -34,12 +34,15 @@
 	c.markStarted(r.task.step.job)
 	if r.phase != runStarted {
 		c.dispatch.remove(r)
-		r.phase = runStarted
+		c.accepted(r)
 		r.startedClock = r.worker.clock
 	}
 	if !r.progressKnown || e.Percent != r.percent {
 		r.progressAt = now
 	}
+	if r.firstReportAt.IsZero() {
+		r.firstReportAt = now
+	}
 	if r.incarnation != 0 && r.incarnation < r.worker.incarnation {
 		r.incarnation = r.worker.incarnation // it was placed before the restart was known
 		c.recordChanged(r.task.step.job)
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -28,6 +28,9 @@
 		c.endInheritedOfEarlier(now, w, report)
 	}
 	c.resolveLostRuns(now, w, report.Incarnation, true)
+	// A worker that was silent is offered by the next tick, although it may have
+	// been usable at the last one.
+	w.usableAtSweep = w.usableAtSweep && c.inContact(now, w)
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
@@ -42,6 +45,7 @@
 		w.deadline = max(w.deadline, report.Clock+c.config.Lease)
 		c.capacityFreed(w)
 		w.earlyStartsUntil = c.lastEarlyStart(now, report.Clock)
+		c.noteLaterWorkers(w.registration.Machine)
 	}
 	c.trackEarlyStarts(w, report)
 	for _, e := range report.Ended {
@@ -77,7 +81,7 @@
 // this owner sent before it learned of the restart may have reached the new
 // incarnation.
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
@@ -125,7 +129,7 @@
 // Without a fence, a start of the predecessor may still reach this incarnation, so
 // the run is only counted.
 func (c *Cell) endInheritedOfEarlier(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), w.alone(now)
+	ordered, alone := c.endedAsOrdered(w), c.alone(w)
 	for _, r := range w.runs.all() {
 		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation || report.lists(r) {
 			continue
@@ -302,6 +306,9 @@
 	if !r.worker.runs.remove(r) {
 		return // released with another member of its gang
 	}
+	if r.phase == runPlanned {
+		r.noteNotStarted()
+	}
 	r.worker.reserved = r.worker.reserved.Sub(s.spec.Reserved())
 	c.preemptedReleased(r, s.spec.Reserved())
 	if r.worker.isolated == r {
@@ -332,10 +339,7 @@
 	if how == EndFailed {
 		c.countFailure(now, t, r.number, r.worker.id)
 	}
-	if t.avoidWorker != "" {
-		c.setTimer(now, s, now.Add(avoidDuration+justAfter))
-	}
-	c.awaitIsolation(now, t)
+	c.setTaskTimers(now, t)
 	if s.spec.Gang && !s.job.state.Final() {
 		c.stopStep(now, s)
 	}
@@ -348,6 +352,7 @@
 func (c *Cell) countFailure(now time.Time, t *task, number int, worker WorkerID) {
 	s := t.step
 	t.avoidWorker = worker
+	c.setTaskTimers(now, t)
 	c.markStep(s)
 	if s.spec.LongRunning {
 		return
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -54,20 +54,19 @@
 		r.phase = runUncertain
 		c.log.Warn("start was not answered", runFields(r)...)
 		c.stop(now, r)
+		c.countRestartCrash(now, r, false)
 	case outcome.NotSent:
 		r.worker.health.refused(now)
+		r.noteNotStarted()
 		c.release(now, r, EndStopped)
 	case outcome.Refused != "":
 		c.refused(now, r, outcome.Refused)
 	case r.sentBeforeRestart && outcome.Clock > r.worker.clockNow(now)+leaseSlack:
 		c.release(now, r, EndLeaseExpired) // the earlier incarnation had accepted it
-		if r.restartCrash != nil {
-			r.restartCrash.Accepted = true
-			c.countCrash(now, r, *r.restartCrash)
-		}
+		c.countRestartCrash(now, r, true)
 	default:
 		c.markStarted(r.task.step.job)
-		r.phase = runStarted
+		c.accepted(r)
 		r.startedClock = outcome.Clock
 		r.progressAt = now
 	}
@@ -82,6 +81,7 @@
 		r.worker.health.refused(now)
 	case RefusedFence, RefusedStale, RefusedLate:
 	}
+	r.noteNotStarted()
 	c.release(now, r, EndStopped)
 }
 
@@ -147,6 +147,13 @@
 // repeats stops, creates due occurrences, advances waves, removes workers that
 // are gone and sweeps the open steps.
 func (c *Cell) Tick(now time.Time) {
+	c.tickState(now)
+	c.sweep()
+	c.logLongWaits(now)
+}
+
+// tickState does the periodic work that changes the state of jobs and workers.
+func (c *Cell) tickState(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		c.tickWorker(now, w)
 	}
@@ -158,8 +165,7 @@
 	c.tickEarlyStarts(now)
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
-	c.sweep(now)
-	c.logLongWaits(now)
+	c.noteUsable(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
@@ -173,7 +179,7 @@
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
 		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
 			zap.Duration("Silent", now.Sub(c.silentSince(w))))
-		alone := w.alone(now)
+		alone := c.alone(w)
 		for _, r := range w.runs.all() {
 			c.noteLostRun(r, alone)
 			c.release(now, r, EndLeaseExpired)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -23,6 +23,9 @@
 	registeredAt time.Time
 	// laterOnMachine is set once a later worker has registered on the machine.
 	laterOnMachine bool
+	// maintenanceBeforeLater is set if the maintenance of the machine had been
+	// ordered by then. A later order ends the later worker.
+	maintenanceBeforeLater bool
 	// incarnation is the latest incarnation that the worker reported to this
 	// owner.
 	incarnation Incarnation
@@ -88,7 +91,8 @@
 	allowedSteps stepList
 	// offerPending is set while the worker's free capacity waits to be offered.
 	offerPending bool
-	// usableAtSweep is set if the worker was usable at the last sweep or offer.
+	// usableAtSweep is set if the worker was usable at the last tick or offer, and
+	// has not been silent since.
 	usableAtSweep bool
 }
 
@@ -141,6 +145,7 @@
 	w, known := c.workers[r.ID]
 	if !known {
 		w = c.addWorker(r.ID)
+		c.isolationAllowed()
 		c.log.Info("worker registered", workerField(w), zap.Stringer("Addr", r.Addr), zap.String("Service", r.Service),
 			zap.String("Machine", r.Machine), zap.Int64("Incarnation", int64(r.Incarnation)))
 	}
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -26,6 +26,8 @@
 	Incarnation int64
 	Crashes     []crashWire
 	Lost        []lostRunWire
+	// Accepted is set if the worker has accepted the current run.
+	Accepted bool
 }
 
 type crashWire struct {
@@ -34,6 +36,7 @@
 	JustStarted bool
 	Alone       bool
 	Accepted    bool
+	Sent        bool
 }
 
 type lostRunWire struct {
@@ -70,7 +73,7 @@
 				}
 				out = append(out, taskSupplementWire{
 					Occurrence: k, Step: i, Task: n, Machine: t.Machine, Incarnation: int64(t.Incarnation),
-					Crashes: encodeCrashes(t.Crashes), Lost: encodeLostRuns(t.Lost),
+					Crashes: encodeCrashes(t.Crashes), Lost: encodeLostRuns(t.Lost), Accepted: t.Accepted,
 				})
 			}
 		}
@@ -78,34 +81,38 @@
 	return out
 }
 
-// decodeSupplement decodes the supplement of a record and adds it to the record.
+// decodeSupplement decodes the supplement of a record and adds it to the record. On an
+// error the record is unchanged.
 func decodeSupplement(decoder *msgpack.Decoder, r *cell.Record) error {
 	var w supplementWire
 	if err := decoder.Decode(&w); err != nil {
-		return fault.New("decode record", KindMalformed, "supplement: %w", err)
+		return fault.New("decode record", KindSupplement, "%w", err)
 	}
-	r.Cause = workload.Cause(w.Cause)
-	for _, s := range w.Tasks {
-		t, err := taskOf(r, s)
-		if err != nil {
-			return err
+	tasks := make([]*cell.TaskRecord, len(w.Tasks))
+	for i, s := range w.Tasks {
+		if tasks[i] = taskOf(r, s); tasks[i] == nil {
+			return fault.New("decode record", KindSupplement, "no task %d of step %d in occurrence %d", s.Task, s.Step, s.Occurrence)
 		}
+	}
+	r.Cause = workload.Cause(w.Cause)
+	for i, s := range w.Tasks {
+		t := tasks[i]
 		t.Machine, t.Incarnation = s.Machine, cell.Incarnation(s.Incarnation)
-		t.Crashes, t.Lost = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost)
+		t.Crashes, t.Lost, t.Accepted = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost), s.Accepted
 	}
 	return nil
 }
 
-// taskOf returns the task of a record that an entry of the supplement is about.
-func taskOf(r *cell.Record, s taskSupplementWire) (*cell.TaskRecord, error) {
+// taskOf returns the task of a record that an entry of the supplement is about, or nil.
+func taskOf(r *cell.Record, s taskSupplementWire) *cell.TaskRecord {
 	if s.Occurrence < 0 || s.Occurrence >= len(r.Occurrences) {
-		return nil, fault.New("decode record", KindMalformed, "supplement: occurrence %d", s.Occurrence)
+		return nil
 	}
 	steps := r.Occurrences[s.Occurrence]
 	if s.Step < 0 || s.Step >= len(steps) || s.Task < 0 || s.Task >= len(steps[s.Step].Tasks) {
-		return nil, fault.New("decode record", KindMalformed, "supplement: step %d, task %d", s.Step, s.Task)
+		return nil
 	}
-	return &steps[s.Step].Tasks[s.Task], nil
+	return &steps[s.Step].Tasks[s.Task]
 }
 
 func encodeCrashes(crashes []cell.Crash) []crashWire {
@@ -117,7 +124,7 @@
 }
 
 func encodeCrash(c cell.Crash) crashWire {
-	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted}
+	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, Sent: c.Sent}
 }
 
 func encodeLostRuns(lost []cell.LostRun) []lostRunWire {
@@ -137,7 +144,7 @@
 }
 
 func decodeCrash(c crashWire) cell.Crash {
-	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted}
+	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, Sent: c.Sent}
 }
 
 func decodeLostRuns(lost []lostRunWire) []cell.LostRun {
