Send no start to a worker between a failed hold and its next report

Cause: after a hold call has failed, the worker may have restarted under its ID, with a clock from 0. Holds carry no deadline then (hold-after-failure), but starts were still sent with a deadline by the clock of the earlier incarnation, and a start extends the lease to its deadline. Trace of the shrunk play: the worker restarts at 2.301 s, its hold fails, owner 2 sends a start with the deadline 5.501 s, owner 3 starts run 2 there with the deadline 3.2 s, owner 4 cannot reach the worker, waits 4.27 s after the takeover (all earlier owners have ended) and starts run 3 at 7.801 s, when the worker's clock reads 5.500 s. The lease could be up to MaxLease, which also exceeds the wait for a replaced owner.

What callers saw: a task of a worker that restarts under its ID and is then cut off could run twice after a takeover.

Ruled out: the wait of the successor (inheritedWait), which is right for the lease that owners may grant; the simulated worker, which grants what the start says, up to MaxLease, as the protocol does.

Change: a worker that left its last hold unanswered is not usable until it reports.

The cost in delay was not measured.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -28,9 +28,9 @@
 		c.endInheritedOfEarlier(now, w, report)
 	}
 	c.resolveLostRuns(now, w, report.Incarnation, true)
-	// A worker that was silent is offered by the next tick, although it may have
-	// been usable at the last one.
-	w.usableAtSweep = w.usableAtSweep && c.inContact(now, w)
+	// A worker that was silent, or had left a call unanswered, is offered by the
+	// next tick, although it may have been usable at the last one.
+	w.usableAtSweep = w.usableAtSweep && c.inContact(now, w) && !w.incarnationUnsure
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -75,7 +75,7 @@
 	pendingEnds []pendingEnd
 
 	// incarnationUnsure is set after a call without an answer: the worker may
-	// have begun a new incarnation, whose ends are counted from 1 again.
+	// have begun a new incarnation, whose clock and count of ends start again.
 	incarnationUnsure bool
 	// cordonedBy is the maintenance wave for which the worker's machine goes
 	// down, so that the worker gets no starts; nil if there is none.
@@ -366,8 +366,9 @@
 	if !listed || w.registration.Leaving || w.laterOnMachine || !c.inContact(now, w) {
 		return false
 	}
-	// Early starts of a predecessor may still arrive and take capacity.
-	if c.earlyStarts.awaited[w.id] {
+	// Early starts of a predecessor may still arrive and take capacity. A start by the
+	// clock of an earlier incarnation grants a longer lease than a successor waits for.
+	if c.earlyStarts.awaited[w.id] || w.incarnationUnsure {
 		return false
 	}
 	return w.cordonedBy == nil && !w.health.quarantined(now) && !c.mayGoDown(w.registration.Machine)
