--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -75,7 +75,7 @@
 	pendingEnds []pendingEnd
 
 	// incarnationUnsure is set after a call without an answer: the worker may
-	// have begun a new incarnation, whose ends are counted from 1 again.
+	// have begun a new incarnation, whose clock and count of ends start again.
 	incarnationUnsure bool
 	// cordonedBy is the maintenance wave for which the worker's machine goes
 	// down, so that the worker gets no starts; nil if there is none.
