Don't count starts to workers in doubt as proof that a task crashes its workers

What callers saw: a job was shown as failed by crashes although one worker had crashed under its task.

Trace of the task 1.0.0.0, which is not deadly; all crashes of it that were counted: run 3 accepted by w0.3, which crashes 0.2 s later with three runs: the one crash under the task run 4 sent to w2.3 at 8.6 s, which had crashed at 7.4 s, and whose entry had left the list; not answered run 5 sent to w0.6 at 12.1 s, which had crashed at 11.6 s, and had not answered a hold since; not answered run 6 sent to w1.2 at 15.6 s, which crashes at 15.7 s before the start arrives; not answered run 7 sent to w1.3 at 17.2 s, which crashes at that time; not answered The later incarnations show all five crashes. One start was accepted and four were sent, so that the limit of five crashes with three starts that were sent gave the task up. The oracle is right: one worker has crashed under the task. It is a fault of the count: a start to a worker that probably no longer existed proved as much as one to a worker that had just answered.

A start now counts as sent only if its worker was not in doubt: no call to it had failed, and its entry had not left the list, since it last answered. After five crashes a job fails if four of the starts were sent in this sense (three before).

Script crashes-before-starts-in-doubt-do-not-fail-a-job fails before this change (record a Failed in place of the sixth start). All golden lines of the other scripts are the same; crashes-before-the-answer-are-counted still guards the bound of five starts over a change of the owner.

The cost: two changes of the owner between a start and its answer were allowed for among the five, and now one is.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -21,8 +21,8 @@
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
-	// Sent is set if the start was known to be sent. One that a predecessor has
-	// planned may not have been.
+	// Sent is set if the start was known to be sent, and the worker not in doubt by
+	// then. One that a predecessor has planned may not have been sent.
 	Sent bool
 }
 
@@ -49,10 +49,11 @@
 	// before it arrived, or when it had just ended.
 	crashLimit         = 4
 	minAcceptedCrashes = 2
-	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent,
-	// answered or not. A task may crash its workers before they answer.
+	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent to
+	// workers that were not in doubt, answered or not. A task may crash its workers
+	// before they answer.
 	unansweredCrashLimit = 5
-	minSentCrashes       = 3
+	minSentCrashes       = 4
 	// maxStartsAfterCrashes is how often a task is started after
 	// isolatedCrashLimit crashes, if no further crash decides and
 	// minAcceptedCrashes of the workers had accepted the task.
@@ -177,7 +178,7 @@
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
 	accepted := r.wasAccepted()
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero()}
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentInDoubt}
 }
 
 // wasAccepted reports whether the worker of a run is known to have accepted its
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -82,3 +82,9 @@
 	}
 	return h.slowness * math.Exp2(-float64(now.Sub(h.slownessAt))/float64(slownessHalfLife))
 }
+
+// inDoubt reports whether a worker may have crashed since it last answered: a call
+// has got no answer since, or its entry has left the list.
+func (w *worker) inDoubt() bool {
+	return w.incarnationUnsure || !w.listed && !w.lastReport.After(w.unlistedAt)
+}
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -158,7 +158,9 @@
 	// the start was in flight. restartCrash is counted unless the later
 	// incarnation answers the start; nil if the end of the earlier one was no crash.
 	sentBeforeRestart bool
-	restartCrash      *Crash
+	// sentInDoubt is set if the worker was in doubt when the start was sent.
+	sentInDoubt  bool
+	restartCrash *Crash
 	// revision is the revision of the record that names the run.
 	revision uint64
 	ticket   string
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -29,7 +29,7 @@
 	if r.revision > r.task.step.job.durable {
 		c.earlyStarts.undurable = append(c.earlyStarts.undurable, r)
 	}
-	r.sentAt = now
+	r.sentAt, r.sentInDoubt = now, r.worker.inDoubt()
 	r.fresh = r.task.checkpoint == ""
 	r.deadline = r.worker.extendLease(now, c.config.Lease)
 	if c.config.Unfenced && r.revision > r.task.step.job.durable {
