Count a crash although the worker's next incarnation was told to leave

What callers saw: a deadly task started three times after three workers had crashed under it.

Trace of the task 4.0.0.0: run 3 crashes w0.4, which restarts under its ID at once. One owner counts the crash and is replaced before its record is durable. The next one knows run 3 and its incarnation from the record, and the later incarnation from the list. Then w0.4 is told to leave and goes, without having reported, and w0.5 registers. The owner logs the end as ordered and counts nothing for run 3: it asked whether the worker was leaving, and not whether the incarnation of the run was. Runs 4 and 6 crash their workers too, and the real third crash is counted as the second.

An order to leave now concerns only the incarnation that the entry names. The crash of an earlier one is counted when a later worker supersedes it, when the worker reports first to a new owner, when it reports a restart, and after its lease.

The golden lines of all other scripts are the same.

Not covered: a start that is sent before its owner sees the entry of the later incarnation, whose run is then known to a successor only from the record. If that incarnation leaves before it reports, its exit is counted as one crash.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -124,10 +124,23 @@
 // so that its end is no crash. A worker that is only drained for maintenance was
 // not told to.
 func (c *Cell) endedAsOrdered(w *worker) bool {
+	return w.registration.Leaving || c.endedForMaintenance(w)
+}
+
+func (c *Cell) endedForMaintenance(w *worker) bool {
 	if w.laterOnMachine {
-		return w.registration.Leaving || w.maintenanceBeforeLater
+		return w.maintenanceBeforeLater
+	}
+	return c.maintenanceOrdered(w.registration.Machine)
+}
+
+// runEndedAsOrdered reports the same of the incarnation that had a run. A later one
+// under the same ID may have been told to leave, which did not end the run.
+func (c *Cell) runEndedAsOrdered(r *run) bool {
+	if r.incarnation != 0 && r.incarnation < r.worker.registration.Incarnation {
+		return c.endedForMaintenance(r.worker)
 	}
-	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
+	return c.endedAsOrdered(r.worker)
 }
 
 // workerCrashed ends the runs of a worker that a later worker has superseded.
@@ -144,7 +157,7 @@
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
 	for _, r := range w.runs.all() {
-		crash, blamed := r.crash(alone), r.phase != runPlanned && !ordered
+		crash, blamed := r.crash(alone), r.phase != runPlanned && !c.runEndedAsOrdered(r)
 		c.release(now, r, EndLeaseExpired)
 		if blamed {
 			c.countCrash(now, r, crash)
@@ -328,7 +341,7 @@
 // the run is released.
 func (c *Cell) noteLostRun(r *run, alone bool) {
 	t, machine := r.task, r.worker.registration.Machine
-	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker) {
+	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.runEndedAsOrdered(r) {
 		return
 	}
 	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -95,7 +95,7 @@
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
 		crash := r.crash(alone)
-		blamed := !ordered && r.phase != runPlanned
+		blamed := !c.runEndedAsOrdered(r) && r.phase != runPlanned
 		switch {
 		case report.lists(r):
 			blamed = false
@@ -126,16 +126,16 @@
 // Without a fence, a start of the predecessor may still reach this incarnation, so
 // the run is only counted.
 func (c *Cell) endInheritedOfEarlier(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), c.alone(w)
+	alone := c.alone(w)
 	for _, r := range w.runs.all() {
 		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation || report.lists(r) {
 			continue
 		}
-		crash := r.crash(alone)
+		crash, blamed := r.crash(alone), !c.runEndedAsOrdered(r)
 		if !c.config.Unfenced {
 			c.release(now, r, EndLeaseExpired)
 		}
-		if !ordered {
+		if blamed {
 			c.countCrash(now, r, crash)
 		}
 	}
