--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -21,8 +21,8 @@
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
-	// Sent is set if the start was known to be sent. One that a predecessor has
-	// planned may not have been.
+	// Sent is set if the start was known to be sent, and the worker not in doubt by
+	// then. One that a predecessor has planned may not have been sent.
 	Sent bool
 }
 
@@ -49,10 +49,11 @@
 	// before it arrived, or when it had just ended.
 	crashLimit         = 4
 	minAcceptedCrashes = 2
-	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent,
-	// answered or not. A task may crash its workers before they answer.
+	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent to
+	// workers that were not in doubt, answered or not. A task may crash its workers
+	// before they answer.
 	unansweredCrashLimit = 5
-	minSentCrashes       = 3
+	minSentCrashes       = 4
 	// maxStartsAfterCrashes is how often a task is started after
 	// isolatedCrashLimit crashes, if no further crash decides and
 	// minAcceptedCrashes of the workers had accepted the task.
@@ -123,10 +124,23 @@
 // so that its end is no crash. A worker that is only drained for maintenance was
 // not told to.
 func (c *Cell) endedAsOrdered(w *worker) bool {
+	return w.registration.Leaving || c.endedForMaintenance(w)
+}
+
+func (c *Cell) endedForMaintenance(w *worker) bool {
 	if w.laterOnMachine {
-		return w.registration.Leaving || w.maintenanceBeforeLater
+		return w.maintenanceBeforeLater
+	}
+	return c.maintenanceOrdered(w.registration.Machine)
+}
+
+// runEndedAsOrdered reports the same of the incarnation that had a run. A later one
+// under the same ID may have been told to leave, which did not end the run.
+func (c *Cell) runEndedAsOrdered(r *run) bool {
+	if r.incarnation != 0 && r.incarnation < r.worker.registration.Incarnation {
+		return c.endedForMaintenance(r.worker)
 	}
-	return w.registration.Leaving || c.maintenanceOrdered(w.registration.Machine)
+	return c.endedAsOrdered(r.worker)
 }
 
 // workerCrashed ends the runs of a worker that a later worker has superseded.
@@ -143,7 +157,7 @@
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
 	for _, r := range w.runs.all() {
-		crash, blamed := r.crash(alone), r.phase != runPlanned && !ordered
+		crash, blamed := r.crash(alone), r.phase != runPlanned && !c.runEndedAsOrdered(r)
 		c.release(now, r, EndLeaseExpired)
 		if blamed {
 			c.countCrash(now, r, crash)
@@ -177,7 +191,7 @@
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
 	accepted := r.wasAccepted()
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero()}
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentInDoubt}
 }
 
 // wasAccepted reports whether the worker of a run is known to have accepted its
@@ -327,7 +341,7 @@
 // the run is released.
 func (c *Cell) noteLostRun(r *run, alone bool) {
 	t, machine := r.task, r.worker.registration.Machine
-	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker) {
+	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.runEndedAsOrdered(r) {
 		return
 	}
 	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
