--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -194,12 +194,12 @@
 	w.isolated = nil
 	c.isolatedWorkers--
 	c.capacityFreed(w)
-	c.isolationAllowed()
+	c.markAwaitingIsolation()
 }
 
-// isolationAllowed has the steps evaluated that wait until fewer workers are
-// kept, or until there are more workers.
-func (c *Cell) isolationAllowed() {
+// markAwaitingIsolation marks the steps for evaluation that wait until fewer workers
+// are kept for suspects, or until there are more workers.
+func (c *Cell) markAwaitingIsolation() {
 	for _, s := range c.awaitingIsolation {
 		c.markStep(s)
 	}
