--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -21,8 +21,9 @@
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
-	// Sent is set if the start was known to be sent, and the worker not in doubt by
-	// then. One that a predecessor has planned may not have been sent.
+	// Sent is set if the start was known to be sent, while the worker was in the
+	// list of workers or had answered since it left the list. One that a predecessor
+	// has planned may not have been sent.
 	Sent bool
 }
 
@@ -49,9 +50,8 @@
 	// before it arrived, or when it had just ended.
 	crashLimit         = 4
 	minAcceptedCrashes = 2
-	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent to
-	// workers that were not in doubt, answered or not. A task may crash its workers
-	// before they answer.
+	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent
+	// (Crash.Sent), answered or not. A task may crash its workers before they answer.
 	unansweredCrashLimit = 5
 	minSentCrashes       = 4
 	// maxStartsAfterCrashes is how often a task is started after
@@ -191,7 +191,7 @@
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
 	accepted := r.wasAccepted()
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentInDoubt}
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentUnlisted}
 }
 
 // wasAccepted reports whether the worker of a run is known to have accepted its
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -83,8 +83,8 @@
 	return h.slowness * math.Exp2(-float64(now.Sub(h.slownessAt))/float64(slownessHalfLife))
 }
 
-// inDoubt reports whether a worker may have crashed since it last answered, because
-// its entry has left the list. One that left a call unanswered gets no starts at all.
-func (w *worker) inDoubt() bool {
+// unlistedSinceReport reports whether the entry of a worker has left the list since
+// the worker last answered, so that it may have crashed.
+func (w *worker) unlistedSinceReport() bool {
 	return !w.listed && !w.lastReport.After(w.unlistedAt)
 }
