--- a/internal/cell/deadly_test.go
+++ b/internal/cell/deadly_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -60,8 +61,37 @@
 	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, true, false) })
 }
 
-// checkCrashes plays jobs, some with deadly tasks, with faults and crashes.
+// TestCrashesOfOthersFailNoJobOfKnownSeeds plays the seeds that gave a job up without
+// cause when the cases were found.
+func TestCrashesOfOthersFailNoJobOfKnownSeeds(t *testing.T) {
+	for _, known := range []struct {
+		seed             int
+		unfenced, deadly bool
+	}{
+		{seed: 127217},
+		{seed: 4212754},
+		{seed: 29593657},
+		{seed: 79968404},
+		{seed: 34950683, unfenced: true, deadly: true},
+	} {
+		t.Run(fmt.Sprint(known.seed), func(t *testing.T) {
+			play := rapid.Custom(func(t *rapid.T) string { return playCrashes(t, known.unfenced, known.deadly) })
+			if violation := play.Example(known.seed); violation != "" {
+				t.Error(violation)
+			}
+		})
+	}
+}
+
 func checkCrashes(t *rapid.T, unfenced, deadly bool) {
+	if violation := playCrashes(t, unfenced, deadly); violation != "" {
+		t.Fatal(violation)
+	}
+}
+
+// playCrashes plays jobs, some with deadly tasks, with faults and crashes, and returns
+// the first violation of an invariant.
+func playCrashes(t *rapid.T, unfenced, deadly bool) string {
 	w := newSimulation(t, omitNothing, unfenced)
 	w.slow = rapid.Bool().Draw(t, "slow")
 	w.crashes.drawDeadly = deadly
@@ -69,9 +99,7 @@
 	if w.violation == "" {
 		w.finishJobs()
 	}
-	if w.violation != "" {
-		t.Fatal(w.violation)
-	}
+	return w.violation
 }
 
 // crashActions are the actions of a simulation with faults and crashes.
