Let no run that only a record names decide alone that a task crashes its workers

Cause: the task's run had ended done. The owner that heard so was replaced before its commit, and the worker restarted, which forgets its ends. The next owner knew from the record that the worker had accepted the run, which was alone there, and counted it as the third crash, which then decides. A record cannot show that a run has ended since.

Change: a crash under a run that this owner knows only from a record does not count as alone. It still counts, and four crashes decide, so that a deadly task is started at most once more; the limit of starts after the third crash holds as before. No golden line of a script changes.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -16,8 +16,8 @@
 	// JustStarted is set if the run had been at work for less than
 	// settledAfter when the worker last reported.
 	JustStarted bool
-	// Alone is set if the worker ran nothing else, and its machine had not
-	// crashed recently.
+	// Alone is set if the owner that counted the crash knew of the run's start, the
+	// worker ran nothing else, and its machine had not crashed recently.
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
@@ -191,6 +191,8 @@
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
 	accepted := r.wasAccepted()
+	// A run that only a record names may have ended before the crash.
+	alone = alone && r.phase != runInherited
 	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentUnlisted}
 }
 
