Start a task twice after three crashes if not all of its starts are known to be sent

Cause, from the log of the plays: three crashes were counted, two of them accepted and one under a run that only a record names, whose start may never have been sent (Sent=false). The one start that is allowed after the third crash ended for another reason, so the job was given up.

Change: where one of the starts is not known to have been sent, two more starts are allowed. The users' rule allows two starts after three crashes and is broken by the third.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -56,8 +56,10 @@
 	minSentCrashes       = 4
 	// maxStartsAfterCrashes is how often a task is started after
 	// isolatedCrashLimit crashes, if no further crash decides and
-	// minAcceptedCrashes of the workers had accepted the task.
-	maxStartsAfterCrashes = 1
+	// minAcceptedCrashes of the workers had accepted the task. One more start is
+	// allowed if some of the starts were not sent, as far as is known.
+	maxStartsAfterCrashes       = 1
+	maxStartsAfterUnsentCrashes = 2
 	// lostRunWait is how long a task that is close to a limit waits for what is
 	// heard of the machine of a lost run.
 	lostRunWait = 5 * time.Second
@@ -314,6 +316,9 @@
 			starts--
 		}
 	}
+	if t.sentCrashes() < isolatedCrashLimit {
+		return starts < maxStartsAfterUnsentCrashes
+	}
 	return starts < maxStartsAfterCrashes
 }
 
