Count no start that never arrived as the one after the third crash

A start without an answer whose deadline has passed, and that its worker does not list, was never carried out.

Script third-crash-before-a-start-that-never-arrives: before, the job fails once the worker reports; now run 5 starts. No golden line of another script changes. Ruled out: a start whose stop was answered, since the stop may have ended it.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -146,6 +146,9 @@
 		late := clock > r.deadline
 		rejected := r.stopAnswered && clock > r.stoppedClock
 		if late || rejected {
+			if late {
+				r.noteNotStarted()
+			}
 			c.release(now, r, EndStopped)
 		}
 	case runPlanned:
