Count no crash under a run that was placed on the worker's later incarnation

A worker that restarts under its ID may register before it reports; since a run that is placed then names the later incarnation. If its start got no answer, and the first report of that incarnation did not list it, the crash of the earlier one was counted under it, as sent, although that one had ended before the run was placed. A task could so be blamed for a crash that it cannot have caused (LOST, after several).

restarted() now compares the incarnation of the run with that of the report, as endInheritedOfEarlier() does. No golden line of another script changes.

--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -31,7 +31,7 @@
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
 		crash := r.crash(alone)
-		blamed := !c.runEndedAsOrdered(r) && r.phase != runPlanned
+		blamed := r.phase != runPlanned && r.incarnation < report.Incarnation && !c.runEndedAsOrdered(r)
 		switch {
 		case report.lists(r):
 			blamed = false
