Let no unconfirmed run decide alone where workers check no fences

Where workers check no fencing token, an inherited run that a report does not list changes its phase to uncertain, and could then decide alone again. Now the test is whether this owner has sent the start or seen the run in a report. By reading; no play or test has shown the difference.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -16,8 +16,9 @@
 	// JustStarted is set if the run had been at work for less than
 	// settledAfter when the worker last reported.
 	JustStarted bool
-	// Alone is set if the owner that counted the crash knew of the run's start, the
-	// worker ran nothing else, and its machine had not crashed recently.
+	// Alone is set if this owner had sent the start or seen the run in a report, the
+	// worker ran nothing else, and its machine had not crashed within recentCrash
+	// before its last answer.
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
@@ -193,11 +194,14 @@
 // crash returns what is counted if the worker of a run has crashed.
 func (r *run) crash(alone bool) Crash {
 	accepted := r.wasAccepted()
-	// A run that only a record names may have ended before the crash.
-	alone = alone && r.phase != runInherited
+	alone = alone && r.seen()
 	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentUnlisted}
 }
 
+// seen reports whether this owner has sent the start of a run or seen the run in a
+// report. A run that only a record names may have ended before a crash.
+func (r *run) seen() bool { return !r.sentAt.IsZero() || r.progressKnown }
+
 // wasAccepted reports whether the worker of a run is known to have accepted its
 // start, to this owner or to a predecessor.
 func (r *run) wasAccepted() bool { return r.phase == runStarted || r.acceptedOnRecord }
