Answer in one place whether the end of an incarnation was ordered

If a later incarnation registered as leaving before it reported, the crash of the earlier one was counted under its runs, and the log, the count of crashed workers and the mark on the machine took it for ordered. endedAsOrdered() now takes the incarnation, for workers and runs alike. A restart under the same ID marks all workers of the machine, as the other two ways of noticing a crash do.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -126,8 +126,12 @@
 // endedAsOrdered reports whether a worker may have ended because it was told to,
 // so that its end is no crash. A worker that is only drained for maintenance was
 // not told to.
-func (c *Cell) endedAsOrdered(w *worker) bool {
-	return w.registration.Leaving || c.endedForMaintenance(w)
+//
+// An order to leave ends only the incarnation that was given it, and not an earlier
+// one under the same ID. ended is the incarnation in question, or 0 if it is unknown.
+func (c *Cell) endedAsOrdered(w *worker, ended Incarnation) bool {
+	leaving := w.registration.Leaving && (ended == 0 || ended >= w.registration.Incarnation)
+	return leaving || c.endedForMaintenance(w)
 }
 
 func (c *Cell) endedForMaintenance(w *worker) bool {
@@ -137,30 +141,21 @@
 	return c.maintenanceOrdered(w.registration.Machine)
 }
 
-// runEndedAsOrdered reports the same of the incarnation that had a run. A later one
-// under the same ID may have been told to leave, which did not end the run.
-func (c *Cell) runEndedAsOrdered(r *run) bool {
-	if r.incarnation != 0 && r.incarnation < r.worker.registration.Incarnation {
-		return c.endedForMaintenance(r.worker)
-	}
-	return c.endedAsOrdered(r.worker)
-}
-
 // workerCrashed ends the runs of a worker that a later worker has superseded.
 // They need not wait for the lease to expire.
 func (c *Cell) workerCrashed(now time.Time, w *worker) {
-	ordered, alone := c.endedAsOrdered(w), c.alone(w)
+	ordered, alone := c.endedAsOrdered(w, w.incarnation), c.alone(w)
 	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
 		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
 		zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	if !ordered {
 		c.observer.Count(CountWorkerCrash)
-		c.noteMachineCrash(now, w.registration.Machine)
+		c.noteMachineCrash(now, w)
 	}
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
 	for _, r := range w.runs.all() {
-		crash, blamed := r.crash(alone), r.phase != runPlanned && !c.runEndedAsOrdered(r)
+		crash, blamed := r.crash(alone), r.phase != runPlanned && !c.endedAsOrdered(r.worker, r.incarnation)
 		c.release(now, r, EndLeaseExpired)
 		if blamed {
 			c.countCrash(now, r, crash)
@@ -168,10 +163,11 @@
 	}
 }
 
-// noteMachineCrash records that a worker has crashed on a machine.
-func (c *Cell) noteMachineCrash(now time.Time, machine string) {
-	for _, w := range c.onMachine[machine] {
-		w.machineCrashedAt = now
+// noteMachineCrash records that a worker has crashed on the machine of w.
+func (c *Cell) noteMachineCrash(now time.Time, w *worker) {
+	w.machineCrashedAt = now
+	for _, other := range c.onMachine[w.registration.Machine] {
+		other.machineCrashedAt = now
 	}
 }
 
@@ -352,7 +348,7 @@
 // the run is released.
 func (c *Cell) noteLostRun(r *run, alone bool) {
 	t, machine := r.task, r.worker.registration.Machine
-	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.runEndedAsOrdered(r) {
+	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker, r.incarnation) {
 		return
 	}
 	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
@@ -403,7 +399,7 @@
 	if !crashed {
 		return
 	}
-	c.noteMachineCrash(now, machine)
+	c.noteMachineCrash(now, w)
 	if w.incarnation == 0 { // a worker that restarts under its ID is counted when it reports
 		c.observer.Count(CountWorkerCrash)
 	}
--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -14,7 +14,7 @@
 // this owner sent before it learned of the restart may have reached the new
 // incarnation.
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
-	ordered, alone := c.endedAsOrdered(w), c.alone(w)
+	ordered, alone := c.endedAsOrdered(w, w.incarnation), c.alone(w)
 	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
@@ -26,12 +26,12 @@
 	w.cordonedBy = nil
 	if !ordered {
 		c.observer.Count(CountWorkerCrash)
-		w.machineCrashedAt = now
+		c.noteMachineCrash(now, w)
 	}
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
 		crash := r.crash(alone)
-		blamed := r.phase != runPlanned && r.incarnation < report.Incarnation && !c.runEndedAsOrdered(r)
+		blamed := r.phase != runPlanned && r.incarnation < report.Incarnation && !c.endedAsOrdered(w, r.incarnation)
 		switch {
 		case report.lists(r):
 			blamed = false
@@ -67,7 +67,7 @@
 		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation || report.lists(r) {
 			continue
 		}
-		crash, blamed := r.crash(alone), !c.runEndedAsOrdered(r)
+		crash, blamed := r.crash(alone), !c.endedAsOrdered(w, r.incarnation)
 		if !c.config.Unfenced {
 			c.release(now, r, EndLeaseExpired)
 		}
