Name the crash limits, and what a crash says, as a newcomer reads them

The message that a job fails stands once (failForCrashes), lost runs have a file of their own, comments say what holds.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -22,52 +22,42 @@
 	Alone bool
 	// Accepted is set if the worker was known to have accepted the start.
 	Accepted bool
-	// Sent is set if the start was known to be sent, while the worker was in the
-	// list of workers or had answered since it left the list. One that a predecessor
-	// has planned may not have been sent.
-	Sent bool
-}
-
-// LostRun is a run whose worker stopped answering until its lease expired. Only
-// what is heard of the machine later tells whether the worker crashed.
-type LostRun struct {
-	// Crash is counted if the worker crashed.
-	Crash       Crash
-	Machine     string
-	Incarnation Incarnation
+	// SentListed is set if the start is known to have been sent while the worker was
+	// listed, or after the worker had answered since it left the list. Otherwise the
+	// worker may have crashed before the start.
+	SentListed bool
 }
 
 const (
 	// settledAfter is how long a run has to be at work before a crash of its
 	// worker is more likely due to another run.
 	settledAfter = 500 * time.Millisecond
-	// isolatedCrashLimit is how many workers may crash under a task, if all had
-	// accepted it and it was alone on the last of them, before its job fails. The
-	// first may have crashed by chance, and the second too on a day with many
-	// crashes.
-	isolatedCrashLimit = 3
-	// crashLimit is the same if other runs were on them, and if
-	// minAcceptedCrashes of them had accepted the task. Others may have crashed
-	// before it arrived, or when it had just ended.
+	// A job fails once workers have crashed under one of its tasks
+	//   - aloneCrashLimit times, if all had accepted the start and the task was
+	//     alone on the last,
+	//   - crashLimit times, if minAcceptedCrashes had accepted the start, or
+	//   - sentCrashLimit times, if minSentCrashes of the starts were sent to listed
+	//     workers: a task may crash its workers before they answer.
+	// The first two may have crashed by chance on a day with many crashes, and
+	// others before the start arrived or when the run had just ended.
+	aloneCrashLimit    = 3
 	crashLimit         = 4
 	minAcceptedCrashes = 2
-	// unansweredCrashLimit is the same if minSentCrashes of the starts were sent
-	// (Crash.Sent), answered or not. A task may crash its workers before they answer.
-	unansweredCrashLimit = 5
-	minSentCrashes       = 4
+	sentCrashLimit     = 5
+	minSentCrashes     = 4
 	// maxStartsAfterCrashes is how often a task is started after
-	// isolatedCrashLimit crashes, if no further crash decides and
-	// minAcceptedCrashes of the workers had accepted the task. One more start is
+	// aloneCrashLimit crashes, if no further crash decides and
+	// minAcceptedCrashes of the workers had accepted the start. One more start is
 	// allowed if some of the starts were not sent, as far as is known.
 	maxStartsAfterCrashes       = 1
 	maxStartsAfterUnsentCrashes = 2
 	// lostRunWait is how long a task that is close to a limit waits for what is
 	// heard of the machine of a lost run.
 	lostRunWait = 5 * time.Second
-	// crashAmnesty is how long a run of a long-running task has to be at work
+	// forgetCrashesAfter is how long a run of a long-running task has to be at work
 	// until the earlier crashes of the task no longer count. Over a long life
 	// a task sees crashes that it did not cause.
-	crashAmnesty = time.Minute
+	forgetCrashesAfter = time.Minute
 )
 
 // superseded reports whether a worker's process has certainly ended, because a
@@ -92,8 +82,8 @@
 
 // follows reports whether a worker has certainly followed another on their machine.
 // The incarnation is a time of day, which may jump, so it does not show that alone. Of
-// two workers that this owner found registered when it took over, only the later one
-// can still answer.
+// two that were first seen at the same time, the later one must have answered, which an
+// ended worker cannot.
 func (w *worker) follows(earlier *worker) bool {
 	if w.registration.Incarnation <= earlier.registration.Incarnation {
 		return false
@@ -155,9 +145,9 @@
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
 	for _, r := range w.runs.all() {
-		crash, blamed := r.crash(alone), r.phase != runPlanned && !c.endedAsOrdered(r.worker, r.incarnation)
+		crash, counts := r.crash(alone), r.phase != runPlanned && !c.endedAsOrdered(r.worker, r.incarnation)
 		c.release(now, r, EndLeaseExpired)
-		if blamed {
+		if counts {
 			c.countCrash(now, r, crash)
 		}
 	}
@@ -191,7 +181,7 @@
 func (r *run) crash(alone bool) Crash {
 	accepted := r.wasAccepted()
 	alone = alone && r.seen()
-	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, Sent: accepted || !r.sentAt.IsZero() && !r.sentUnlisted}
+	return Crash{Run: r.number, JustStarted: r.justStarted(), Alone: alone, Accepted: accepted, SentListed: accepted || !r.sentAt.IsZero() && !r.sentUnlisted}
 }
 
 // seen reports whether this owner has sent the start of a run or seen the run in a
@@ -202,11 +192,11 @@
 // start, to this owner or to a predecessor.
 func (r *run) wasAccepted() bool { return r.phase == runStarted || r.acceptedOnRecord }
 
-// accepted records that the worker of a run has accepted its start. If workers have
+// markAccepted records that the worker of a run has accepted its start. If workers have
 // crashed under the task before, a successor has to know that too.
-func (c *Cell) accepted(r *run) {
+func (c *Cell) markAccepted(r *run) {
 	r.phase = runStarted
-	if r.task.hasCrashes() {
+	if r.task.mayHaveCrashedWorkers() {
 		c.recordChanged(r.task.step.job)
 	}
 }
@@ -246,11 +236,9 @@
 	c.observer.Count(CountTaskCrash)
 	c.log.Warn("worker crashed under a run", jobField(j), zap.String("Task", t.id.String()), zap.Int("Run", crash.Run),
 		zap.String("Worker", string(worker)), zap.Bool("JustStarted", crash.JustStarted), zap.Bool("Alone", crash.Alone),
-		zap.Bool("Accepted", crash.Accepted), zap.Bool("Sent", crash.Sent), zap.Int("Crashes", len(t.crashes)))
+		zap.Bool("Accepted", crash.Accepted), zap.Bool("SentListed", crash.SentListed), zap.Int("Crashes", len(t.crashes)))
 	if t.crashesItsWorkers() {
-		c.log.Warn("job fails, since a task crashes its workers", jobField(j), zap.String("Task", t.id.String()),
-			zap.Int("Crashes", len(t.crashes)))
-		c.fail(now, j, workload.CauseCrashes)
+		c.failForCrashes(now, t)
 		return
 	}
 	c.awaitIsolation(now, t)
@@ -263,14 +251,14 @@
 	switch {
 	case n >= crashLimit && accepted >= minAcceptedCrashes:
 		return true
-	case n >= unansweredCrashLimit && t.sentCrashes() >= minSentCrashes:
+	case n >= sentCrashLimit && t.sentCrashes() >= minSentCrashes:
 		return true
 	}
-	return n >= isolatedCrashLimit && accepted >= isolatedCrashLimit && t.crashes[n-1].Alone
+	return n >= aloneCrashLimit && accepted >= aloneCrashLimit && t.crashes[n-1].Alone
 }
 
-// hasCrashes reports whether workers have crashed, or may have, under the task.
-func (t *task) hasCrashes() bool { return len(t.crashes)+len(t.lost) > 0 }
+// mayHaveCrashedWorkers reports whether workers have crashed, or may have, under the task.
+func (t *task) mayHaveCrashedWorkers() bool { return len(t.crashes)+len(t.lost) > 0 }
 
 // acceptedCrashes returns how many of the workers that crashed had accepted the
 // task.
@@ -289,7 +277,7 @@
 func (t *task) sentCrashes() int {
 	sent := 0
 	for _, crash := range t.crashes {
-		if crash.Sent || crash.Accepted {
+		if crash.SentListed || crash.Accepted {
 			sent++
 		}
 	}
@@ -301,7 +289,7 @@
 // not start. Workers that had not accepted the task may have crashed before it arrived,
 // so its job does not fail by these.
 func (t *task) mayStartAgain() bool {
-	if len(t.crashes) < isolatedCrashLimit || t.acceptedCrashes() < minAcceptedCrashes {
+	if len(t.crashes) < aloneCrashLimit || t.acceptedCrashes() < minAcceptedCrashes {
 		return true
 	}
 	runs := make([]int, len(t.crashes))
@@ -309,14 +297,14 @@
 		runs[i] = crash.Run
 	}
 	slices.Sort(runs)
-	last := runs[isolatedCrashLimit-1]
+	last := runs[aloneCrashLimit-1]
 	starts := t.lastRun - last
 	for _, number := range t.notStarted {
 		if number > last {
 			starts--
 		}
 	}
-	if t.sentCrashes() < isolatedCrashLimit {
+	if t.sentCrashes() < aloneCrashLimit {
 		return starts < maxStartsAfterUnsentCrashes
 	}
 	return starts < maxStartsAfterCrashes
@@ -325,91 +313,36 @@
 // noteNotStarted records that a run certainly did not start: its start was not sent, or
 // refused.
 func (r *run) noteNotStarted() {
-	if t := r.task; t.current == r && t.hasCrashes() {
+	if t := r.task; t.current == r && t.mayHaveCrashedWorkers() {
 		t.notStarted = append(t.notStarted, r.number)
 	}
 }
 
+// failForCrashes ends the job of a task that crashes its workers.
+func (c *Cell) failForCrashes(now time.Time, t *task) {
+	j := t.step.job
+	c.log.Warn("job fails, since a task crashes its workers", jobField(j), zap.String("Task", t.id.String()),
+		zap.Int("Crashes", len(t.crashes)), zap.Int("LastRun", t.lastRun))
+	c.fail(now, j, workload.CauseCrashes)
+}
+
 // failIfExhausted ends the job of a step with a task that may not be started again,
 // and reports whether it did.
 func (c *Cell) failIfExhausted(now time.Time, s *stepState) bool {
 	for _, t := range s.tasks {
 		if t.phase == phaseWaiting && !t.mayStartAgain() {
-			c.log.Warn("job fails, since a task crashes its workers", jobField(s.job), zap.String("Task", t.id.String()),
-				zap.Int("Crashes", len(t.crashes)), zap.Int("LastRun", t.lastRun))
-			c.fail(now, s.job, workload.CauseCrashes)
+			c.failForCrashes(now, t)
 			return true
 		}
 	}
 	return false
 }
 
-// noteLostRun records that a run has ended with the lease of its worker, before
-// the run is released.
-func (c *Cell) noteLostRun(r *run, alone bool) {
-	t, machine := r.task, r.worker.registration.Machine
-	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker, r.incarnation) {
-		return
-	}
-	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
-	c.watchLostRuns(t, machine)
-}
-
-// watchLostRuns has the lost runs of a task on a machine resolved once the
-// machine is heard of.
-func (c *Cell) watchLostRuns(t *task, machine string) {
-	if !slices.Contains(c.lostRuns[machine], t) {
-		c.lostRuns[machine] = append(c.lostRuns[machine], t)
-	}
-}
-
-// resolveLostRuns resolves the lost runs on a machine when a worker there has
-// registered or answered. Those of an earlier worker were lost in a crash. Those
-// of a worker that answers again, or that leaves, were not; its registration alone
-// does not show that, since it outlives the worker.
-func (c *Cell) resolveLostRuns(now time.Time, w *worker, incarnation Incarnation, alive bool) {
-	machine := w.registration.Machine
-	watched := c.lostRuns[machine]
-	delete(c.lostRuns, machine)
-	crashed := false
-	for _, t := range watched {
-		lost := t.lost
-		t.lost = nil
-		for _, l := range lost {
-			switch {
-			case l.Machine == machine && l.Incarnation < incarnation:
-				crashed = true
-				c.countTaskCrash(now, t, l.Crash, "")
-			case l.Machine == machine && l.Incarnation == incarnation && alive:
-			default:
-				t.lost = append(t.lost, l)
-			}
-		}
-		if len(t.lost) < len(lost) {
-			c.recordChanged(t.step.job)
-			// No early start while the record has lost runs.
-			t.numberRevision = t.step.job.revision
-			// It may have waited for what is heard of the run.
-			c.awaitIsolation(now, t)
-		}
-		for _, l := range t.lost {
-			c.watchLostRuns(t, l.Machine)
-		}
-	}
-	if !crashed {
-		return
-	}
-	c.noteMachineCrash(now, w)
-	if w.incarnation == 0 { // a worker that restarts under its ID is counted when it reports
-		c.observer.Count(CountWorkerCrash)
-	}
-}
-
-// forgiveCrashes forgets the crashes of a long-running task whose run has been
-// at work for crashAmnesty, as far as this owner has seen.
-func (c *Cell) forgiveCrashes(now time.Time, r *run) {
+// forgetCrashes forgets the crashes of a long-running task whose run has been
+// at work for forgetCrashesAfter, as far as this owner has seen.
+func (c *Cell) forgetCrashes(now time.Time, r *run) {
 	t := r.task
-	if t.hasCrashes() && t.step.spec.LongRunning && now.Sub(r.firstReportAt) > crashAmnesty {
+	if t.mayHaveCrashedWorkers() && t.step.spec.LongRunning && now.Sub(r.firstReportAt) > forgetCrashesAfter {
 		t.crashes, t.lost, t.notStarted = nil, nil, nil
 		c.recordChanged(t.step.job)
 	}
--- a/internal/cell/crashoracle_test.go
+++ b/internal/cell/crashoracle_test.go
@@ -83,7 +83,7 @@
 // ID has to report first, which may take a while unless calls are prompt. The crash of a leaving
 // worker looks like its exit, so it limits no starts. Nor can an owner know of
 // runs that ended just before the crash: if no report has listed their end, they
-// may be blamed, but limit no starts.
+// may be counts, but limit no starts.
 func (w *simulation) noteCrash(s *simWorker, keepsID bool, away time.Duration) {
 	for _, e := range s.ends {
 		if e.Number > s.reportedEnds {
--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -133,7 +133,7 @@
 	if !c.earlyStarts.enabled || spec.Gang || spec.LongRunning || !c.earlyStarts.allowed[r.worker.id] {
 		return false
 	}
-	if t.hasCrashes() {
+	if t.mayHaveCrashedWorkers() {
 		return false // the count has to survive this owner
 	}
 	return t.numberRevision <= t.step.job.durable
@@ -143,7 +143,7 @@
 // start. A task with crashes gets none, and a skipped number would count as its start
 // after the last crash.
 func (c *Cell) skipRunNumber(t *task) {
-	if spec := t.step.spec; spec.Gang || spec.LongRunning || t.phase == phaseDone || t.hasCrashes() {
+	if spec := t.step.spec; spec.Gang || spec.LongRunning || t.phase == phaseDone || t.mayHaveCrashedWorkers() {
 		return
 	}
 	t.lastRun++
--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -188,14 +188,14 @@
 	c.markAllSteps()
 }
 
-// noteUsable offers the workers that have become usable since the last tick.
-func (c *Cell) noteUsable(now time.Time) {
+// offerNewlyUsable offers the workers that have become usable since the last tick.
+func (c *Cell) offerNewlyUsable(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		usable := c.usable(now, w)
-		if usable && !w.usableAtSweep {
+		if usable && !w.usableAtTick {
 			c.capacityFreed(w)
 		}
-		w.usableAtSweep = usable
+		w.usableAtTick = usable
 	}
 }
 
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -40,13 +40,13 @@
 	usable.begin(now)
 	usable.of("")
 	for service, workers := range usable.byService {
-		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.usableAtSweep })
+		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.usableAtTick })
 	}
 	for _, s := range c.openSteps {
 		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, c.urgent(s)) {
 			continue
 		}
-		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtSweep })
+		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtTick })
 		for _, t := range s.tasks {
 			if t.phase == phaseWaiting && c.earlyStarts.unrecorded[t.id] == nil && c.workerFor(now, t, eligible) != nil {
 				out = append(out, s.id)
@@ -71,7 +71,7 @@
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.avoidWorker != "" }) {
 		return false
 	}
-	return slices.ContainsFunc(c.workersToAsk(now, s, q, usable), func(id WorkerID) bool { return c.workers[id].usableAtSweep })
+	return slices.ContainsFunc(c.workersToAsk(now, s, q, usable), func(id WorkerID) bool { return c.workers[id].usableAtTick })
 }
 
 // Describe describes the state of a cell, for the messages of failed tests.
--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -12,11 +12,11 @@
 // the other tasks nothing if it does.
 
 const (
-	// isolationWait is how long a suspect waits for a worker that runs nothing.
-	// Once isolatedCrashLimit workers have crashed under it, its next run should
+	// suspectWait is how long a suspect waits for a worker that runs nothing.
+	// Once aloneCrashLimit workers have crashed under it, its next run should
 	// decide, so that it waits for decisionWait.
-	isolationWait = 1 * time.Second
-	decisionWait  = 5 * time.Second
+	suspectWait  = 1 * time.Second
+	decisionWait = 5 * time.Second
 	// isolationTime is how long the worker of a suspect gets no other starts.
 	isolationTime = 3 * time.Second
 	// maxIsolatedShare is the divisor of the number of workers that gives how
@@ -59,7 +59,7 @@
 func (c *Cell) awaitIsolation(now time.Time, t *task) {
 	if t.phase == phaseWaiting && t.suspect() {
 		lead := c.queueOf(t.step.job).Advice.Cost(1)
-		for _, wait := range []time.Duration{t.isolationWait(), lostRunWait} {
+		for _, wait := range []time.Duration{t.maxIsolationWait(), lostRunWait} {
 			c.setTimer(now, t.step, t.waitingSince.Add(wait-lead))
 			c.setTimer(now, t.step, t.waitingSince.Add(wait))
 		}
@@ -67,16 +67,16 @@
 	}
 }
 
-// isolationWait returns how long a suspect waits for a worker that runs nothing.
-func (t *task) isolationWait() time.Duration {
-	if len(t.crashes) >= isolatedCrashLimit {
+// maxIsolationWait returns how long a suspect waits for a worker that runs nothing.
+func (t *task) maxIsolationWait() time.Duration {
+	if len(t.crashes) >= aloneCrashLimit {
 		return decisionWait
 	}
-	return isolationWait
+	return suspectWait
 }
 
 // workerForSuspect returns the worker for a suspect: one that runs nothing, or
-// after its isolationWait the one with the fewest runs. It returns nil if the
+// after its maxIsolationWait the one with the fewest runs. It returns nil if the
 // suspect should wait.
 func (c *Cell) workerForSuspect(now time.Time, t *task, eligible []*worker) *worker {
 	waited := now.Sub(t.waitingSince)
@@ -94,7 +94,7 @@
 		}
 	}
 	switch {
-	case best == nil || waited >= t.isolationWait():
+	case best == nil || waited >= t.maxIsolationWait():
 		return best
 	case best.idle() && c.mayIsolate():
 		return best
@@ -107,7 +107,7 @@
 // awaitsLostRun reports whether a task that is close to a limit still waits for
 // what is heard of the machine of a lost run.
 func (t *task) awaitsLostRun(waited time.Duration) bool {
-	return len(t.lost) > 0 && len(t.crashes)+len(t.lost) > isolatedCrashLimit && waited < lostRunWait
+	return len(t.lost) > 0 && len(t.crashes)+len(t.lost) > aloneCrashLimit && waited < lostRunWait
 }
 
 // adviceDemand returns for how many waiting tasks of a step advice is wanted now,
@@ -128,7 +128,7 @@
 		switch {
 		case t.awaitsLostRun(waited):
 			blocked++
-		case waited >= t.isolationWait():
+		case waited >= t.maxIsolationWait():
 		case c.mayIsolate():
 			isolated++
 		default:
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -104,8 +104,8 @@
 	// runs for which it is not known yet.
 	crashes []Crash
 	lost    []LostRun
-	// notStarted has the numbers of runs since the first of them that certainly
-	// did not start.
+	// notStarted has the numbers of later runs that certainly did not start. It is
+	// kept only while the task has crashes or lost runs, and is not in the record.
 	notStarted []int
 	checkpoint string
 	current    *run
@@ -155,13 +155,14 @@
 	// run was planned.
 	urgent bool
 	// sentBeforeRestart is set when the worker began a new incarnation while
-	// the start was in flight. restartCrash is counted unless the later
-	// incarnation answers the start; nil if the end of the earlier one was no crash.
+	// the start was in flight.
 	sentBeforeRestart bool
+	// restartCrash is what to count unless the later incarnation accepts or refuses
+	// the start; nil if the end of the earlier one was no crash.
+	restartCrash *Crash
 	// sentUnlisted is set if the worker was unlistedSinceReport when the start was
 	// sent.
 	sentUnlisted bool
-	restartCrash *Crash
 	// revision is the revision of the record that names the run.
 	revision uint64
 	ticket   string
--- /dev/null
+++ b/internal/cell/lostrun.go
@@ -0,0 +1,76 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// LostRun is a run whose worker stopped answering until its lease expired. Only
+// what is heard of the machine later tells whether the worker crashed.
+type LostRun struct {
+	// Crash is counted if the worker crashed.
+	Crash       Crash
+	Machine     string
+	Incarnation Incarnation
+}
+
+// noteLostRun records that a run has ended with the lease of its worker, before
+// the run is released.
+func (c *Cell) noteLostRun(r *run, alone bool) {
+	t, machine := r.task, r.worker.registration.Machine
+	if t.current != r || r.phase == runPlanned || machine == "" || r.incarnation == 0 || c.endedAsOrdered(r.worker, r.incarnation) {
+		return
+	}
+	t.lost = append(t.lost, LostRun{Crash: r.crash(alone), Machine: machine, Incarnation: r.incarnation})
+	c.watchLostRuns(t, machine)
+}
+
+// watchLostRuns has the lost runs of a task on a machine resolved once the
+// machine is heard of.
+func (c *Cell) watchLostRuns(t *task, machine string) {
+	if !slices.Contains(c.lostRuns[machine], t) {
+		c.lostRuns[machine] = append(c.lostRuns[machine], t)
+	}
+}
+
+// resolveLostRuns resolves the lost runs on the machine of a worker. Those of an
+// earlier incarnation were lost in a crash. Those of this incarnation were not, if
+// notCrashed is set: it has answered, or leaves.
+func (c *Cell) resolveLostRuns(now time.Time, w *worker, incarnation Incarnation, notCrashed bool) {
+	machine := w.registration.Machine
+	watched := c.lostRuns[machine]
+	delete(c.lostRuns, machine)
+	crashed := false
+	for _, t := range watched {
+		lost := t.lost
+		t.lost = nil
+		for _, l := range lost {
+			switch {
+			case l.Machine == machine && l.Incarnation < incarnation:
+				crashed = true
+				c.countTaskCrash(now, t, l.Crash, "")
+			case l.Machine == machine && l.Incarnation == incarnation && notCrashed:
+			default:
+				t.lost = append(t.lost, l)
+			}
+		}
+		if len(t.lost) < len(lost) {
+			c.recordChanged(t.step.job)
+			// The durable record still names the lost run, so that a successor skips
+			// no run number: the next start waits for the new record.
+			t.numberRevision = t.step.job.revision
+			// It may have waited for what is heard of the run.
+			c.awaitIsolation(now, t)
+		}
+		for _, l := range t.lost {
+			c.watchLostRuns(t, l.Machine)
+		}
+	}
+	if !crashed {
+		return
+	}
+	c.noteMachineCrash(now, w)
+	if w.incarnation == 0 { // a worker that restarts under its ID is counted when it reports
+		c.observer.Count(CountWorkerCrash)
+	}
+}
--- a/internal/cell/offer.go
+++ b/internal/cell/offer.go
@@ -20,10 +20,10 @@
 func (c *Cell) offerFreedWorkers(now time.Time) {
 	remaining := c.evalQueue.freedWorkers[:0]
 	for _, w := range c.evalQueue.freedWorkers {
-		// A worker that is not usable is offered by the first sweep that finds
+		// A worker that is not usable is offered by the first tick that finds
 		// it usable.
-		w.usableAtSweep = c.usable(now, w)
-		w.offerPending = w.usableAtSweep && c.offerSteps(now, w)
+		w.usableAtTick = c.usable(now, w)
+		w.offerPending = w.usableAtTick && c.offerSteps(now, w)
 		if w.offerPending {
 			remaining = append(remaining, w)
 		}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -36,9 +36,10 @@
 // urgent reports whether a step has the highest priority.
 func (c *Cell) urgent(s *stepState) bool { return c.queueOf(s.job).Priority == 0 }
 
-// nextStep takes the next step to evaluate out of the queue, or returns nil. A
-// step for which the dispatch queue is full stays in the queue: an urgent one may
-// come after it, since a job that is very late has the lowest rank.
+// nextStep takes the next step to evaluate out of the queue, or returns nil. If none
+// may be placed, it offers the freed workers first, which may add steps. A step for
+// which the dispatch queue is full stays in the queue; an urgent step may rank after
+// it, since very late jobs rank last.
 func (c *Cell) nextStep(now time.Time) *stepState {
 	full, fullForUrgent := c.dispatch.full(now, false), c.dispatch.full(now, true)
 	mayPlace := func(s *stepState) bool { return !full || !fullForUrgent && c.urgent(s) }
@@ -112,7 +113,8 @@
 		return
 	}
 	if c.failIfExhausted(now, s) {
-		// What its planned runs held may help steps that were evaluated before.
+		// Begin a new round, so that offers do not skip the steps evaluated before:
+		// they may use the capacity that the job held.
 		c.evalQueue.round++
 		return
 	}
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -34,7 +34,7 @@
 	c.markStarted(r.task.step.job)
 	if r.phase != runStarted {
 		c.dispatch.remove(r)
-		c.accepted(r)
+		c.markAccepted(r)
 		r.startedClock = r.worker.clock
 	}
 	if !r.progressKnown || e.Percent != r.percent {
@@ -53,7 +53,7 @@
 	if e.Checkpoint != "" {
 		r.task.checkpoint = e.Checkpoint
 	}
-	c.forgiveCrashes(now, r)
+	c.forgetCrashes(now, r)
 	if worked, _ := r.elapsed(now); r.worker.isolated == r && worked > isolationTime {
 		c.endIsolation(r.worker)
 	}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -135,7 +135,7 @@
 		}
 		if r := t.current; r != nil {
 			rec.Tasks[i].Worker, rec.Tasks[i].Run = r.worker.id, r.number
-			rec.Tasks[i].Accepted = t.hasCrashes() && r.wasAccepted()
+			rec.Tasks[i].Accepted = t.mayHaveCrashedWorkers() && r.wasAccepted()
 			if !r.worker.registration.Leaving {
 				rec.Tasks[i].Machine, rec.Tasks[i].Incarnation = r.worker.registration.Machine, r.incarnation
 			}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -29,7 +29,7 @@
 	c.resolveLostRuns(now, w, report.Incarnation, true)
 	// A worker that was silent is offered by the next tick, although it may have
 	// been usable at the last one.
-	w.usableAtSweep = w.usableAtSweep && c.inContact(now, w)
+	w.usableAtTick = w.usableAtTick && c.inContact(now, w)
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -31,17 +31,17 @@
 	for _, r := range w.runs.all() {
 		r.startedClock, r.stoppedClock = 0, 0
 		crash := r.crash(alone)
-		blamed := r.phase != runPlanned && r.incarnation < report.Incarnation && !c.endedAsOrdered(w, r.incarnation)
+		counts := r.phase != runPlanned && r.incarnation < report.Incarnation && !c.endedAsOrdered(w, r.incarnation)
 		switch {
 		case report.lists(r):
-			blamed = false
+			counts = false
 		case r.phase == runSent && !r.stopping:
 			// The answer tells which incarnation has accepted the start.
 			r.sentBeforeRestart, r.deadline = true, noDeadline
-			if blamed {
+			if counts {
 				r.restartCrash = &crash
 			}
-			blamed = false
+			counts = false
 		case r.phase == runSent || r.phase == runUncertain:
 			// The deadline is meaningless on the clock of the new incarnation.
 			r.phase, r.deadline = runUncertain, noDeadline
@@ -50,7 +50,7 @@
 		default:
 			c.release(now, r, EndLeaseExpired)
 		}
-		if blamed {
+		if counts {
 			c.countCrash(now, r, crash)
 		}
 	}
@@ -67,11 +67,11 @@
 		if r.phase != runInherited || r.incarnation == 0 || r.incarnation >= report.Incarnation || report.lists(r) {
 			continue
 		}
-		crash, blamed := r.crash(alone), !c.endedAsOrdered(w, r.incarnation)
+		crash, counts := r.crash(alone), !c.endedAsOrdered(w, r.incarnation)
 		if !c.config.Unfenced {
 			c.release(now, r, EndLeaseExpired)
 		}
-		if blamed {
+		if counts {
 			c.countCrash(now, r, crash)
 		}
 	}
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -66,7 +66,7 @@
 		c.countRestartCrash(now, r, true)
 	default:
 		c.markStarted(r.task.step.job)
-		c.accepted(r)
+		c.markAccepted(r)
 		r.startedClock = outcome.Clock
 		r.progressAt = now
 	}
@@ -165,7 +165,7 @@
 	c.tickEarlyStarts(now)
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
-	c.noteUsable(now)
+	c.offerNewlyUsable(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
--- a/internal/cell/unknownrun.go
+++ b/internal/cell/unknownrun.go
@@ -9,7 +9,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// unknownRun is an unknown run that is not stopped before a commit.
+// unknownRun is an unknown run that a successor may have started.
 type unknownRun struct {
 	number int
 	// commit is the first commit that begins after the run was reported.
@@ -36,8 +36,8 @@
 
 // mayBeOfSuccessor reports whether a successor may have started an unknown run. A
 // commit that began after the run was reported, and took effect, rules that out. So
-// does a final state that is durable, as the request to cancel a job is. Workers that
-// check fencing tokens refuse the stop themselves.
+// does a final state that is durable. Workers that check fencing tokens refuse the stop
+// themselves.
 func (c *Cell) mayBeOfSuccessor(w *worker, e *Running) bool {
 	if !c.config.Unfenced {
 		return false
@@ -53,7 +53,8 @@
 	return c.commitsDone < u.commit
 }
 
-// endDurable reports whether a successor knows that the job has ended.
+// endDurable reports whether a successor knows that the job has ended. A cancelled job
+// has, since the store holds the request.
 func (j *jobState) endDurable() bool {
 	return j.state == workload.StateCancelled || j.state.Final() && j.durable >= j.revision
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -21,7 +21,8 @@
 	unlistedAt time.Time
 	// registeredAt is when this owner first saw the registration.
 	registeredAt time.Time
-	// laterOnMachine is set once a later worker has registered on the machine.
+	// laterOnMachine is set while a worker that follows this one is known on the
+	// machine.
 	laterOnMachine bool
 	// maintenanceBeforeLater is set if the maintenance of the machine had been
 	// ordered by then. A later order ends the later worker.
@@ -91,9 +92,9 @@
 	allowedSteps stepList
 	// offerPending is set while the worker's free capacity waits to be offered.
 	offerPending bool
-	// usableAtSweep is set if the worker was usable at the last tick or offer, and
+	// usableAtTick is set if the worker was usable at the last tick or offer, and
 	// has not been silent since.
-	usableAtSweep bool
+	usableAtTick bool
 }
 
 // pendingEnd is an end that may not be acknowledged yet: its effect on a job is
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -81,9 +81,9 @@
 
 func TestRecordsAreReadAsWritten(t *testing.T) {
 	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning, Cause: workload.CauseCrashes}
-	crash := cell.Crash{Run: 2, JustStarted: true, Accepted: true, Sent: true}
+	crash := cell.Crash{Run: 2, JustStarted: true, Accepted: true, SentListed: true}
 	lost := cell.LostRun{Crash: cell.Crash{Run: 4, Alone: true}, Machine: "m1", Incarnation: 7}
-	sent := cell.LostRun{Crash: cell.Crash{Run: 6, Sent: true}, Machine: "m2", Incarnation: 9}
+	sent := cell.LostRun{Crash: cell.Crash{Run: 6, SentListed: true}, Machine: "m2", Incarnation: 9}
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
 		{Done: true, LastRun: 1},
 		{LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3, Machine: "m", Incarnation: 8},
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -26,7 +26,7 @@
 	Incarnation int64
 	Crashes     []crashWire
 	Lost        []lostRunWire
-	// Accepted is set if the worker has accepted the current run.
+	// Accepted is set if the worker has accepted the start of the current run.
 	Accepted bool
 }
 
@@ -36,7 +36,7 @@
 	JustStarted bool
 	Alone       bool
 	Accepted    bool
-	Sent        bool
+	SentListed  bool
 }
 
 type lostRunWire struct {
@@ -124,7 +124,7 @@
 }
 
 func encodeCrash(c cell.Crash) crashWire {
-	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, Sent: c.Sent}
+	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, SentListed: c.SentListed}
 }
 
 func encodeLostRuns(lost []cell.LostRun) []lostRunWire {
@@ -144,7 +144,7 @@
 }
 
 func decodeCrash(c crashWire) cell.Crash {
-	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, Sent: c.Sent}
+	return cell.Crash{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, SentListed: c.SentListed}
 }
 
 func decodeLostRuns(lost []lostRunWire) []cell.LostRun {
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -156,7 +156,7 @@
 			r, err = ledger.DecodeRecord(value)
 		}
 		if fault.Is(err, ledger.KindSupplement) {
-			l.log.Error("the crashes in a progress record cannot be decoded", zap.String("Job", string(id)), zap.Error(err))
+			l.log.Error("the supplement of a progress record cannot be decoded; its crashes no longer count", zap.String("Job", string(id)), zap.Error(err))
 			err = nil
 		}
 		if err != nil {
