--- a/internal/cell/deadly_test.go
+++ b/internal/cell/deadly_test.go
@@ -68,6 +68,7 @@
 		seed             int
 		unfenced, deadly bool
 	}{
+		{seed: 24454},
 		{seed: 127217},
 		{seed: 4212754},
 		{seed: 29593657},
