--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -210,8 +210,9 @@
 	return r.worker.lastReport.Sub(r.sentAt) < settledAfter
 }
 
-// countRestartCrash counts the crash of a worker that restarted under its ID while a
-// start was in flight, unless the later incarnation has refused or accepted the start.
+// countRestartCrash counts the crash of the incarnation to which a start was sent, if it
+// was one: when the answer shows that this incarnation had accepted the start, or when
+// the start gets no answer.
 func (c *Cell) countRestartCrash(now time.Time, r *run, accepted bool) {
 	if r.restartCrash != nil {
 		r.restartCrash.Accepted = accepted
@@ -219,12 +220,13 @@
 	}
 }
 
-// countCrash counts a crash against the task of a run. The number of the run
-// ensures that two owners count it once.
+// countCrash counts a crash against the task of a run.
 func (c *Cell) countCrash(now time.Time, r *run, crash Crash) {
 	c.countTaskCrash(now, r.task, crash, r.worker.id)
 }
 
+// countTaskCrash counts a crash against a task. A run number counts once, so that two
+// owners cannot count a crash twice.
 func (c *Cell) countTaskCrash(now time.Time, t *task, crash Crash, worker WorkerID) {
 	j := t.step.job
 	known := slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run })
@@ -273,7 +275,7 @@
 }
 
 // sentCrashes returns for how many of the workers that crashed the start of the
-// task was sent.
+// task was sent while they were listed. An accepted start counts in any case.
 func (t *task) sentCrashes() int {
 	sent := 0
 	for _, crash := range t.crashes {
