Check size and depth of foreign msgpack values before decoding them

The msgpack library recurses into the values of unknown fields too. Lengths of arrays and maps were only bounded by the library's own allocation limit.

--- a/internal/journal/codec.go
+++ b/internal/journal/codec.go
@@ -21,6 +21,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/job/jobwire"
 	"cicadabarrow.example/cicadabarrow/internal/platform"
 	"cicadabarrow.example/cicadabarrow/internal/pool"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
 
 // formatVersion is the version of the format of rows and snapshots.
@@ -89,7 +90,7 @@
 // its body. Errors identify the value by name.
 func decodeEnvelope(name string, value []byte, body any) error {
 	var row envelopeWire
-	if err := msgpack.Unmarshal(value, &row); err != nil {
+	if err := wire.Unmarshal(value, &row); err != nil {
 		return fault.New("decode", KindCorrupt, "%s: %w", name, err)
 	}
 	if row.Version != formatVersion {
@@ -98,7 +99,7 @@
 	if sum := crc32.ChecksumIEEE(row.Body); sum != row.Sum {
 		return fault.New("decode", KindCorrupt, "%s: checksum %08x does not match the stored %08x", name, sum, row.Sum)
 	}
-	if err := msgpack.Unmarshal(row.Body, body); err != nil {
+	if err := wire.Unmarshal(row.Body, body); err != nil {
 		return fault.New("decode", KindCorrupt, "%s: %w", name, err)
 	}
 	return nil
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -9,6 +9,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -76,7 +77,7 @@
 // DecodeJob decodes the row of an accepted job and validates the job.
 func DecodeJob(value []byte) (cell.AcceptedJob, error) {
 	var w jobWire
-	if err := msgpack.Unmarshal(value, &w); err != nil {
+	if err := wire.Unmarshal(value, &w); err != nil {
 		return cell.AcceptedJob{}, fault.New("decode job", KindMalformed, "%w", err)
 	}
 	a := cell.AcceptedJob{Queue: w.Queue.queue()}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"bytes"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -203,3 +204,17 @@
 		t.Errorf("read %+v\nwritten %+v", read, r)
 	}
 }
+
+func TestDeeplyNestedRowsAreRejected(t *testing.T) {
+	nested := append(bytes.Repeat([]byte{0x91}, 1_000_000), 0x90)
+	for name, decode := range map[string]func([]byte) error{
+		"job":    func(value []byte) error { _, err := ledger.DecodeJob(value); return err },
+		"record": func(value []byte) error { _, err := ledger.DecodeRecord(value); return err },
+		"owner":  func(value []byte) error { _, err := ledger.DecodeOwner(value); return err },
+		"wave":   func(value []byte) error { _, err := ledger.DecodeWave(value); return err },
+	} {
+		if err := decode(nested); !fault.Is(err, ledger.KindMalformed) || !strings.Contains(err.Error(), "nested") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
 
 // Owner is the content of the owner's row.
@@ -76,7 +77,7 @@
 // DecodeOwner decodes the owner's row.
 func DecodeOwner(value []byte) (Owner, error) {
 	var w ownerWire
-	if err := msgpack.Unmarshal(value, &w); err != nil {
+	if err := wire.Unmarshal(value, &w); err != nil {
 		return Owner{}, fault.New("decode owner", KindMalformed, "%w", err)
 	}
 	addr, err := netip.ParseAddrPort(w.Addr)
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -1,12 +1,11 @@
 package ledger
 
 import (
-	"bytes"
-
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -71,9 +70,11 @@
 // returns the record without its supplement, which may be of a later release.
 func DecodeRecord(value []byte) (cell.Record, error) {
 	var w recordWire
-	rest := bytes.NewReader(value)
-	decoder := msgpack.NewDecoder(rest)
-	if err := decoder.Decode(&w); err != nil {
+	size, err := wire.Measure(value)
+	if err == nil {
+		err = msgpack.Unmarshal(value[:size], &w)
+	}
+	if err != nil {
 		return cell.Record{}, fault.New("decode record", KindMalformed, "%w", err)
 	}
 	r := cell.Record{Job: workload.JobID(w.Job), Revision: w.Revision, State: workload.State(w.State)}
@@ -81,10 +82,10 @@
 	for k, steps := range w.Occurrences {
 		r.Occurrences[k] = decodeSteps(steps)
 	}
-	if rest.Len() == 0 {
+	if size == len(value) {
 		return r, nil
 	}
-	return r, decodeSupplement(decoder, &r)
+	return r, decodeSupplement(value[size:], &r)
 }
 
 func decodeSteps(steps []stepRecordWire) []cell.StepRecord {
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -5,6 +5,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -83,9 +84,9 @@
 
 // decodeSupplement decodes the supplement of a record and adds it to the record. On an
 // error the record is unchanged.
-func decodeSupplement(decoder *msgpack.Decoder, r *cell.Record) error {
+func decodeSupplement(value []byte, r *cell.Record) error {
 	var w supplementWire
-	if err := decoder.Decode(&w); err != nil {
+	if err := wire.Unmarshal(value, &w); err != nil {
 		return fault.New("decode record", KindSupplement, "%w", err)
 	}
 	tasks := make([]*cell.TaskRecord, len(w.Tasks))
--- a/internal/ledger/wave.go
+++ b/internal/ledger/wave.go
@@ -5,6 +5,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
 
 type waveWire struct {
@@ -23,7 +24,7 @@
 // DecodeWave decodes the record of a maintenance wave.
 func DecodeWave(value []byte) (cell.WaveRecord, error) {
 	var w waveWire
-	if err := msgpack.Unmarshal(value, &w); err != nil {
+	if err := wire.Unmarshal(value, &w); err != nil {
 		return cell.WaveRecord{}, fault.New("decode wave", KindMalformed, "%w", err)
 	}
 	return cell.WaveRecord{Wave: w.Wave, Revision: w.Revision, Ordered: w.Ordered, Settled: w.Settled}, nil
--- a/internal/message/celllookup.go
+++ b/internal/message/celllookup.go
@@ -1,12 +1,11 @@
 package message
 
 import (
-	"bytes"
-
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -115,16 +114,15 @@
 	if err != nil {
 		return JobLookupReply{}, err
 	}
-	rest := bytes.NewReader(p.Body)
-	decoder := msgpack.NewDecoder(rest)
-	if err := decoder.Skip(); err != nil {
+	size, err := wire.Measure(p.Body)
+	if err != nil {
 		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
 	}
-	if rest.Len() == 0 {
+	if size == len(p.Body) {
 		return m, nil
 	}
-	cause, err := decoder.DecodeString()
-	if err != nil {
+	var cause string
+	if err := wire.Unmarshal(p.Body[size:], &cause); err != nil {
 		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: cause: %w", p.Kind, err)
 	}
 	m.Cause = workload.Cause(cause)
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -5,6 +5,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
 
 // Kind classifies the errors of this package.
@@ -39,7 +40,7 @@
 		return zero, fault.New("decode", KindMalformed, "kind %d; %d was expected", p.Kind, c.kind)
 	}
 	var w W
-	if err := msgpack.Unmarshal(p.Body, &w); err != nil {
+	if err := wire.Unmarshal(p.Body, &w); err != nil {
 		return zero, fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
 	}
 	return c.fromWire(w), nil
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
@@ -96,3 +98,14 @@
 	checkRoundTrip(t, Cordoned{Reason: "r"}, EncodeCordoned, DecodeCordoned)
 	checkRoundTrip(t, StatusAnswer{Name: "n", DataCentre: "d", Revisions: revisions, Units: []string{"pool"}}, EncodeStatusAnswer, DecodeStatusAnswer)
 }
+
+func TestDeeplyNestedMessagesAreRejected(t *testing.T) {
+	nested := append(bytes.Repeat([]byte{0x91}, 1_000_000), 0x90)
+	if _, err := DecodeHostPing(peer.Message{Kind: KindHostPing, Body: nested}); !fault.Is(err, KindMalformed) || !strings.Contains(err.Error(), "nested") {
+		t.Errorf("a ping: %v", err)
+	}
+	withCause := append(jobLookupReplyCodec.encode(JobLookupReply{Known: true}).Body, nested...)
+	if _, err := DecodeJobLookupReply(peer.Message{Kind: KindJobLookupReply, Body: withCause}); !fault.Is(err, KindMalformed) || !strings.Contains(err.Error(), "nested") {
+		t.Errorf("the cause of a reply: %v", err)
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
 
 const (
@@ -74,7 +75,7 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return 0, err
 	}
-	if err := msgpack.Unmarshal(body, v); err != nil {
+	if err := wire.Unmarshal(body, v); err != nil {
 		return 0, fault.New("read frame", KindMalformed, "%w", err)
 	}
 	return lengthSize + int(n), nil
