--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -164,6 +164,8 @@
 	// recordParts has the number of rows of each progress record that is, or was,
 	// split over several rows.
 	recordParts map[workload.JobID]int
+	// rejectedEntries holds the registrations that cannot be decoded.
+	rejectedEntries rejectedEntries
 	// reportAt is when load and backlog are next reported.
 	reportAt time.Time
 	// release tells whether and why the owner releases the cell.
--- a/internal/owner/registrations_test.go
+++ b/internal/owner/registrations_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
@@ -24,6 +25,22 @@
 	return r.fakeRegistrations.Decode(row)
 }
 
+func TestMalformedEntryThatChangesIsLoggedOnce(t *testing.T) {
+	core, logged := observer.New(zap.WarnLevel)
+	now := time.Unix(1_700_000_000, 0)
+	o := &Owner{
+		registrations: registrationsWithMalformed{}, log: zap.New(core), timers: timer.NewSystem(),
+		cell: cell.New(now, fakeConfig().Cell, newOwnerMetrics(tally.NoopScope), zap.NewNop()),
+	}
+	for i, value := range []string{"malformed", "malformed", "valid", "malformed"} {
+		row := rowstore.Row{Key: rowstore.Key{Table: tableWorkers, Name: "w1"}, Value: []byte(value), Version: uint64(i)}
+		workersChanged([]rowstore.Row{row}, i == 1).apply(o, now)
+	}
+	if n := logged.Len(); n != 2 {
+		t.Errorf("%d lines for an entry that became malformed twice", n)
+	}
+}
+
 func TestWorkerWithMalformedEntryIsNotUsed(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	o := &Owner{
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -110,11 +110,12 @@
 type rowLoader struct {
 	cell          *cell.Cell
 	registrations Registrations
+	rejected      *rejectedEntries
 	log           *zap.Logger
 }
 
 func (o *Owner) rowLoader(c *cell.Cell) rowLoader {
-	return rowLoader{cell: c, registrations: o.registrations, log: o.log}
+	return rowLoader{cell: c, registrations: o.registrations, rejected: &o.rejectedEntries, log: o.log}
 }
 
 func (l rowLoader) loadJobs(now time.Time, rows []rowstore.Row) {
@@ -182,15 +183,19 @@
 func (l rowLoader) loadWorkers(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
 		if row.Deleted {
+			l.rejected.remove(row.Name)
 			l.cell.Unlist(now, cell.WorkerID(row.Name))
 			continue
 		}
 		s, err := l.registrations.Decode(row)
 		if err != nil {
-			l.log.Warn("the registration of a worker cannot be decoded", zap.String("Entry", row.Name), zap.Error(err))
+			if l.rejected.add(row.Name) {
+				l.log.Warn("the registration of a worker cannot be decoded", zap.String("Entry", row.Name), zap.Error(err))
+			}
 			l.cell.RejectEntry(now, cell.WorkerID(row.Name))
 			continue
 		}
+		l.rejected.remove(row.Name)
 		l.cell.Register(now, s)
 	}
 }
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -42,7 +42,11 @@
 // Row is one row, or in a change feed the deletion of one.
 type Row struct {
 	Key
+	// Value is nil if Malformed is set.
 	Value []byte
+	// Malformed is set if the row holds a value that no writer of this client can have
+	// written, so that it cannot be decoded.
+	Malformed bool
 	// Version is the number of the transaction that wrote the row. Versions
 	// increase across the whole store.
 	Version uint64
--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -13,6 +13,9 @@
 	// and occurrences. The progress of so many fits into one transaction.
 	MaxJobTasks = 20000
 
+	// maxSize limits each resource of a task. Sums over all tasks do not overflow.
+	maxSize = 1 << 40
+
 	jobIDDigits = 16
 )
 
@@ -64,6 +67,9 @@
 	if s.Size.MilliCores < 0 || s.Size.MemoryMB < 0 || s.Size.Accelerators < 0 || s.Estimate < 0 {
 		return fault.New(op, KindInvalid, "step %d: negative size or estimate", index)
 	}
+	if s.Size.MilliCores > maxSize || s.Size.MemoryMB > maxSize || s.Size.Accelerators > maxSize {
+		return fault.New(op, KindInvalid, "step %d: size %+v; at most %d of each are allowed", index, s.Size, maxSize)
+	}
 	for _, after := range s.After {
 		if after < 0 || after >= index {
 			return fault.New(op, KindInvalid, "step %d depends on step %d; only earlier steps are allowed", index, after)
