End a graceful stop without an error after a fence in the middle of it

The host had been suspended past its lease, and a peer fenced its incarnation while it stopped gracefully. The stop already treats that as success, since the peer has taken over everything, but it only recognizes the error of the fence. A release that asks the event loop just after the loop has ended got "the event loop of the lease has ended" instead. The release now returns why the loop ended.

--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -206,8 +206,8 @@
 	})
 }
 
-// ReleaseAll releases every unit gracefully. It returns when all are released or
-// the context ends.
+// ReleaseAll releases every unit gracefully. It returns when all are released, the
+// context ends, or a peer has fenced this incarnation.
 func (l *Leases) ReleaseAll(ctx context.Context) error {
 	l.post(func(time.Time) []lease.Action {
 		l.keeper.Leave()
@@ -217,8 +217,11 @@
 	defer sub.Stop()
 	for {
 		released, err := queryLeases(ctx, l, func(time.Time) bool { return l.keeper.Left() })
-		if err != nil || released {
-			return err
+		if err != nil {
+			return l.endedBy(err)
+		}
+		if released {
+			return nil
 		}
 		select {
 		case <-sub.C:
@@ -228,6 +231,19 @@
 	}
 }
 
+// endedBy returns why the event loop ended, or the error of a query if the loop has not
+// ended by itself.
+func (l *Leases) endedBy(err error) error {
+	select {
+	case <-l.done:
+		if l.err != nil {
+			return l.err
+		}
+	default:
+	}
+	return err
+}
+
 // Done is closed when the event loop has ended.
 func (l *Leases) Done() <-chan struct{} { return l.done }
 
