--- a/internal/knownred/cmd/main.go
+++ b/internal/knownred/cmd/main.go
@@ -12,13 +12,18 @@
 	"cicadabarrow.example/cicadabarrow/internal/knownred"
 )
 
+const flagPartial = "partial"
+
 func main() {
 	command := &cli.Command{
 		Name:      "knownred",
 		Usage:     "evaluate a test run and ignore only the listed failures",
 		ArgsUsage: "LIST",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagPartial, Usage: "leave the entries of packages that did not run to another run"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return evaluate(c.Args().First())
+			return evaluate(c.Args().First(), c.Bool(flagPartial))
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
@@ -28,8 +33,8 @@
 }
 
 // evaluate reads a run from standard input and evaluates it against the list at
-// path.
-func evaluate(path string) error {
+// path. A partial run has only some of the packages.
+func evaluate(path string, partial bool) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return err
@@ -43,6 +48,9 @@
 	if err := run.Read(os.Stdin); err != nil {
 		return err
 	}
+	if partial {
+		list = list.OfPackages(run)
+	}
 	result := run.Evaluate(list)
 	if err := result.Write(os.Stdout); err != nil {
 		return err
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -78,3 +79,24 @@
 	}
 	return out.String() + "=> passes\n"
 }
+
+func TestPartialRunLeavesOtherPackagesToAnotherRun(t *testing.T) {
+	run := knownred.New(io.Discard)
+	events := `{"Action":"start","Package":"a"}
+{"Action":"run","Package":"a","Test":"TestX"}
+{"Action":"fail","Package":"a","Test":"TestX"}
+{"Action":"run","Package":"a","Test":"TestY"}
+{"Action":"fail","Package":"a","Test":"TestY"}
+{"Action":"output","Package":"a","Output":"FAIL\n"}
+{"Action":"fail","Package":"a"}
+{"Action":"exit","Code":1}
+`
+	if err := run.Read(strings.NewReader(events)); err != nil {
+		t.Fatal(err)
+	}
+	list := knownred.List{{Package: "a", Test: "TestX", Issue: "1"}, {Package: "b", Test: "TestZ", Issue: "1"}}
+	result := run.Evaluate(list.OfPackages(run))
+	if len(result.KnownFailures) != 1 || len(result.Failures) != 1 || !strings.Contains(result.Failures[0], "TestY") {
+		t.Errorf("evaluated to %+v", result)
+	}
+}
--- a/internal/knownred/list.go
+++ b/internal/knownred/list.go
@@ -39,6 +39,17 @@
 // List holds the entries of KNOWN-RED.txt in the order of the file.
 type List []Entry
 
+// OfPackages returns the entries of the packages that ran.
+func (l List) OfPackages(r *Run) List {
+	var out List
+	for _, e := range l {
+		if r.packages[e.Package] != nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // ReadList reads entries that are separated by blank lines. A line of an entry
 // has the form "Field: text"; an indented line continues the preceding field and
 // its text is ignored.
