--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -88,6 +88,7 @@
 {"Action":"run","Package":"a","Test":"TestY"}
 {"Action":"fail","Package":"a","Test":"TestY"}
 {"Action":"output","Package":"a","Output":"FAIL\n"}
+{"Action":"output","Package":"a","Output":"FAIL\ta\t0.1s\n"}
 {"Action":"fail","Package":"a"}
 {"Action":"exit","Code":1}
 `
