Log what a host knew of the owner when it suspected and replaced it

The log could not tell an owner that had failed from one that was busy, nor from a judging host that was itself short of processor time.

`becoming the owner` now gives when the owner last answered and how long that took (SincePong, PingTime), for how long the row was seen unchanged and how old it was at most by the store's clock (RowUnchanged, RowWritten), how long the read took (ReadLatency), and by how much the timers of this host's own monitor were late (HostDelay). A suspicion is logged when it begins and when it ends. Metrics: host_owner_ping, host_owner_suspicions, host_delay_seconds.

No decision changes.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -138,11 +138,17 @@
 // the time before this host first read it. WrittenAfter precedes the write by up to
 // maxRenewalGap, which is added to the timeout.
 func (s State) unchangedFor(timeout time.Duration) bool {
+	sinceWrite := s.SinceWrittenAfter()
+	return sinceWrite >= timeout+maxRenewalGap && sinceWrite < maxSinceWrite
+}
+
+// SinceWrittenAfter returns how long ago the row was written at most, by the store's
+// clock; 0 if that is unknown.
+func (s State) SinceWrittenAfter() time.Duration {
 	if s.Owner.WrittenAfter == 0 || s.Clock == 0 {
-		return false
+		return 0
 	}
-	sinceWrite := s.Clock - s.Owner.WrittenAfter
-	return sinceWrite >= timeout+maxRenewalGap && sinceWrite < maxSinceWrite
+	return s.Clock - s.Owner.WrittenAfter
 }
 
 // UnchangedFor returns for how long the row is known to have had a version: since
--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -52,6 +52,8 @@
 	failingReads string
 	// events records what happened, for the report of a failed test.
 	events []string
+	// logs also receives what the hosts log, if it is set before they start.
+	logs zapcore.Core
 }
 
 // clock returns the store's monotonic clock.
@@ -66,6 +68,9 @@
 func (w *fakeCluster) logger(h *fakeHost) *zap.Logger {
 	recorded := []string{"becoming the owner", "no longer the owner", "cut off from the store and from most hosts"}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zapcore.InfoLevel)
+	if w.logs != nil {
+		core = zapcore.NewTee(core, w.logs)
+	}
 	return zap.New(core, zap.Hooks(func(e zapcore.Entry) error {
 		if slices.Contains(recorded, e.Message) {
 			w.mu.Lock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,9 +102,14 @@
 	rawManifest atomic.Pointer[[]byte]
 	detector    *election.FailureDetector
 	advisors    *remoteAdvisors
-	// Only the goroutine of monitorOwner uses suspicion, lastReadFailure and
-	// yieldUntil.
+	metrics     hostMetrics
+	// Only the goroutine of monitorOwner uses suspicion, suspectedSince, contact,
+	// delay, lastReadFailure and yieldUntil.
 	suspicion suspicion
+	// suspectedSince is when the owner was first suspected; zero if it is not.
+	suspectedSince time.Time
+	contact        contact
+	delay          hostDelay
 	// lastReadFailure is when a read of the owner's row last failed.
 	lastReadFailure time.Time
 	// yieldUntil is the time until which this host leaves a takeover to others.
@@ -152,7 +157,7 @@
 		intake:    intake.New(platform.Store, timers),
 		manifests: manifest.NewHolder(), detector: election.NewFailureDetector(config.OwnerTimeout),
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
-		waves: make(map[int]cell.Wave),
+		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope),
 	}
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -49,13 +49,25 @@
 		case running != nil:
 			h.recordOwnerEnd(running)
 		case h.pingOwner(timeout):
+			h.trust()
 			failures = 0
 			timeout = pingTimeout
 		default:
+			h.suspect()
 			timeout = suspectPingTimeout
 			interval = h.checkOwnerRow(&failures)
 		}
-		h.sleep(interval)
+		h.pause(interval)
+	}
+}
+
+// pause waits for a duration and measures how late this host continues.
+func (h *Host) pause(d time.Duration) {
+	due := h.timers.Now().Add(d)
+	if h.sleep(d) {
+		now := h.timers.Now()
+		h.delay.observe(now, now.Sub(due))
+		h.metrics.delay.Update(h.delay.recent(now).Seconds())
 	}
 }
 
@@ -68,7 +80,11 @@
 		h.suspicion.reason = "no owner is known"
 		return false
 	}
+	begin := h.timers.Now()
 	from, pong, err := h.ping(known.addr, 0, timeout)
+	if err == nil {
+		h.observePong(begin, known)
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		h.markOwnerExited(known.incarnation)
@@ -91,6 +107,13 @@
 	return false
 }
 
+// observePong records an answer of the owner to a ping that was sent at begin.
+func (h *Host) observePong(begin time.Time, known ownerRef) {
+	now := h.timers.Now()
+	h.contact.observe(now, known.epoch, now.Sub(begin))
+	h.metrics.ping.RecordDuration(now.Sub(begin))
+}
+
 // ping asks a host what it knows of the owner, the other hosts and the manifest,
 // and applies the answer. epoch is the epoch in which this host owns the cell, or
 // 0 if this host does not own it.
--- a/internal/host/suspicion.go
+++ b/internal/host/suspicion.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"cicadabarrow.example/cicadabarrow/internal/election"
 )
 
@@ -28,3 +30,26 @@
 	}
 	return observation
 }
+
+// suspect logs the begin of a suspicion, with what is known of the owner.
+func (h *Host) suspect() {
+	now := h.timers.Now()
+	if !h.suspectedSince.IsZero() || h.suspicion.epoch == 0 {
+		return
+	}
+	h.suspectedSince = now
+	h.metrics.suspicions.Inc(1)
+	fields := append(h.contact.fields(now, h.suspicion.epoch), zap.Duration("HostDelay", h.delay.recent(now)))
+	h.log.Info("the owner is suspected", append(fields, zap.Uint64("Epoch", h.suspicion.epoch), zap.String("Doubt", h.suspicion.reason))...)
+}
+
+// trust logs the end of a suspicion, since the owner answers as a healthy one.
+func (h *Host) trust() {
+	if h.suspectedSince.IsZero() {
+		return
+	}
+	now := h.timers.Now()
+	h.log.Info("the owner is no longer suspected", append(h.contact.fields(now, h.suspicion.epoch),
+		zap.Uint64("Epoch", h.suspicion.epoch), zap.Duration("Suspected", now.Sub(h.suspectedSince)))...)
+	h.suspectedSince = time.Time{}
+}
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -45,6 +45,7 @@
 	if h.knownOwner().epoch > state.Owner.Epoch {
 		return // another host took over first and announced it
 	}
+	evidence := h.evidence(readAt, state, observation)
 	if state.Clock != 0 {
 		state.Clock += h.timers.Now().Sub(readAt)
 	}
@@ -65,14 +66,24 @@
 		h.log.Info("takeover failed", zap.Uint64("Epoch", row.Epoch), zap.Error(err))
 		return
 	}
-	h.log.Info("becoming the owner", zap.Uint64("Epoch", row.Epoch), zap.String("After", state.Owner.Host),
-		zap.String("Doubt", h.suspicion.reason), zap.Bool("Gone", observation.ProcessExited), zap.Duration("Unrenewed", observation.SinceRenewal), zap.Int("Short", observation.ShortTenures),
-		zap.Bool("Released", state.Owner.Released), zap.Duration("Deference", delay))
+	h.log.Info("becoming the owner", append(evidence,
+		zap.Uint64("Epoch", row.Epoch), zap.String("After", state.Owner.Host), zap.Duration("RowUnchanged", idle),
+		zap.Bool("Released", state.Owner.Released), zap.Duration("Deference", delay))...)
 	h.assumeOwnership(owner.InitialState{
 		Row: row, Version: result.Version, PredecessorsEnded: previousEnded, PredecessorIdle: idle,
 	})
 }
 
+// evidence returns what this host knew of the owner when the takeover was due.
+// RowWritten is how long before that the row was written at most, by the store's
+// clock.
+func (h *Host) evidence(due time.Time, state election.State, seen election.Observation) []zap.Field {
+	return append(h.contact.fields(due, state.Owner.Epoch),
+		zap.String("Doubt", h.suspicion.reason), zap.Bool("Gone", seen.ProcessExited), zap.Int("Short", seen.ShortTenures),
+		zap.Duration("Unrenewed", seen.SinceRenewal), zap.Duration("RowWritten", state.SinceWrittenAfter()),
+		zap.Duration("ReadLatency", seen.ReadLatency), zap.Duration("HostDelay", h.delay.recent(due)))
+}
+
 // assumeOwnership starts to run the cell as its owner. Peers see this host as
 // the owner from here on, but it makes decisions only once it has read the
 // store.
