Renew the owner's row also while its event loop is busy

Change: a committer with a goroutine of its own writes all transactions. It takes batches from the event loop; while none comes, it renews the row alone, 0.5 s after the last commit. The outcome of a commit no longer waits behind queued events.

Safety is as before: one transaction at a time, each conditional on the version of the row. A renewal without a batch names the workers of the last durable row, which is a superset of those that may have early starts, and counts for no record. After a commit that may have released the row there are none. The time that confirms the ownership is taken right before the commit, by the clock that includes suspensions. An event loop that has not decided for 1 s (twice what is seen of a busy one) gets no renewals, so an owner that is stuck is replaced before the leases of its workers (3.2 s) expire.

Runs: go test ./internal/owner ./internal/host ./internal/command, and the first two with -race -cpu 1.

--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -26,8 +26,11 @@
 // that it granted have expired, another host may have taken over.
 func (o *Owner) noteActivity(now time.Time) {
 	active := o.timers.Latest()
+	o.mu.Lock()
 	suspended := active.Sub(o.activeAt)
 	o.activeAt = active
+	confirmedAt := o.confirmedAt
+	o.mu.Unlock()
 	if suspended > maxDecisionInterval {
 		o.hearingSince = now
 	}
@@ -36,9 +39,6 @@
 		o.renewAt = now
 		o.log.Warn("resumed after a suspension", zap.Duration("Suspended", suspended))
 	}
-	o.mu.Lock()
-	confirmedAt := o.confirmedAt
-	o.mu.Unlock()
 	o.cell.SetUnconfirmed(confirmedAt.Before(o.resumedAt) || o.cutOff(now, active.Sub(confirmedAt)))
 }
 
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -1,15 +1,12 @@
 package owner
 
 import (
-	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
-	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
@@ -25,14 +22,12 @@
 	maxWavesPerCommit   = 10
 	// maxCommitBytes keeps a transaction within the store's limit of 1 MB.
 	maxCommitBytes = 900_000
-	// commitTimeout is the timeout of a commit.
-	commitTimeout = 3 * time.Second
 	// commitBackoff is the mean delay before a failed commit is retried.
 	commitBackoff = 60 * time.Millisecond
 )
 
-// commit makes pending records durable, one transaction at a time, and renews the
-// owner's row with each. The next batch accumulates while a commit is in flight.
+// commit passes pending records to the committer, one batch at a time. The next batch
+// accumulates while a commit is in flight.
 func (o *Owner) commit(now time.Time) {
 	due := o.cell.HasRecords() || o.release.requested || !now.Before(o.renewAt)
 	if o.committing || now.Before(o.retryAt) || !due {
@@ -43,24 +38,13 @@
 		o.end(fault.New("commit", KindStore, "%w", err))
 		return
 	}
-	o.transactionNumber++
-	number := o.transactionNumber
-	t, err := o.transaction(now, b, writes)
+	t, err := o.transaction(b, writes)
 	if err != nil {
 		o.end(fault.New("commit", KindStore, "%w", err))
 		return
 	}
 	o.committing = true
-	released := o.release.requested
-	begun := o.timers.Latest()
-	o.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
-		defer cancel()
-		start := o.timers.Now()
-		result, err := o.commitConfirmed(ctx, t, number)
-		took := o.timers.Now().Sub(start)
-		o.put(committed{batch: b, version: result.Version, clock: result.Clock, released: released, begun: begun, took: took, err: err})
-	})
+	o.committer.batches <- commitRequest{batch: b, transaction: t, released: o.release.requested}
 }
 
 // nextBatch returns what the next commit writes, with the writes of its records.
@@ -76,29 +60,10 @@
 	return b, writes, err
 }
 
-// transaction returns the transaction that writes a batch, under the condition
-// that the owner's row is unchanged since this owner last wrote it. So nothing is
-// written once another host has taken over, and a commit whose response was lost
-// never takes effect after a later one.
+// transaction returns the transaction that writes a batch, without the owner's row.
 // records are the writes of the batch's records.
-func (o *Owner) transaction(now time.Time, b batch, records []rowstore.Write) (rowstore.Transaction, error) {
-	row := o.initial.Row
-	row.Released = o.release.requested
-	row.PredecessorsEnded = o.predecessorsEnded(now)
-	row.WrittenAfter = o.storeClock
-	row.TransactionNumber = o.transactionNumber
-	row.EarlyStartWorkers = make([]string, len(b.earlyStartWorkers))
-	for i, id := range b.earlyStartWorkers {
-		row.EarlyStartWorkers[i] = string(id)
-	}
-	value, err := ledger.EncodeOwner(row)
-	if err != nil {
-		return rowstore.Transaction{}, err
-	}
-	t := rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Key: ledger.OwnerKey(), Version: o.rowVersion}},
-		Writes:     []rowstore.Write{{Key: ledger.OwnerKey(), Value: value}},
-	}
+func (o *Owner) transaction(b batch, records []rowstore.Write) (rowstore.Transaction, error) {
+	var t rowstore.Transaction
 	for _, id := range b.deletes {
 		for part := range max(o.recordParts[id], 1) {
 			t.Deletes = append(t.Deletes, ledger.ProgressPartKey(id, part))
@@ -173,16 +138,13 @@
 	deletes []workload.JobID
 }
 
+// committed is the outcome of the commit of a batch.
 type committed struct {
-	batch   batch
-	version uint64
-	clock   time.Duration
+	batch batch
 	// released is set when the commit marked the owner's row as released.
 	released bool
-	// begun is when the commit began, by the clock that includes suspensions.
-	begun time.Time
-	took  time.Duration
-	err   error
+	took     time.Duration
+	err      error
 }
 
 func (e committed) apply(o *Owner, now time.Time) {
@@ -190,12 +152,7 @@
 	o.cell.SetEarlyStarts(o.slowStore.observe(e.took, e.err))
 	o.metrics.commit.RecordDuration(e.took)
 	if e.err == nil {
-		o.rowVersion = e.version
-		o.storeClock = e.clock
 		o.renewAt = now.Add(o.config.RenewEvery)
-		o.mu.Lock()
-		o.renewedAt, o.confirmedAt = now, e.begun
-		o.mu.Unlock()
 		o.pendingDeletes = o.pendingDeletes[len(e.batch.deletes):]
 		for _, id := range e.batch.deletes {
 			delete(o.recordParts, id)
@@ -210,30 +167,9 @@
 		return
 	}
 	o.cell.NotCommitted(e.batch.records)
-	var conflict *rowstore.ConflictError
-	if errors.As(e.err, &conflict) {
-		o.resolveConflict(conflict)
-		return
-	}
-	if o.ctx.Err() != nil {
+	if fault.Is(e.err, rowstore.KindConflict) || o.ctx.Err() != nil {
 		return
 	}
 	o.log.Warn("commit failed", zap.Int("Records", len(e.batch.records)), zap.Error(e.err))
 	o.retryAt = now.Add(commitBackoff/2 + rand.N(commitBackoff))
 }
-
-// resolveConflict reads the owner's row to find out whether an earlier commit whose
-// response was lost has taken effect, or whether this owner has been replaced.
-func (o *Owner) resolveConflict(conflict *rowstore.ConflictError) {
-	state, err := election.DecodeState(conflict.Rows)
-	if err != nil {
-		o.end(fault.New("commit", KindStore, "%w", err))
-		return
-	}
-	if state.Owner.Epoch != o.Epoch() {
-		o.end(fault.New("commit", KindReplaced, "epoch %d has been replaced", o.Epoch()))
-		return
-	}
-	o.log.Info("an earlier commit without a response has taken effect", zap.Uint64("Version", state.Version))
-	o.rowVersion = state.Version
-}
--- /dev/null
+++ b/internal/owner/committer_test.go
@@ -0,0 +1,153 @@
+package owner
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
+)
+
+// ownerRow returns the owner's row in the store with its version.
+func (p *fakePlatform) ownerRow() (ledger.Owner, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.rows[ledger.OwnerKey()]
+	o, err := ledger.DecodeOwner(row.Value)
+	if err != nil {
+		panic(err)
+	}
+	return o, row.Version
+}
+
+// longestRenewalGap watches the owner's row for a time and returns for how long it
+// was unchanged at most.
+func (p *fakePlatform) longestRenewalGap(watched time.Duration) time.Duration {
+	_, last := p.ownerRow()
+	changedAt, longest := time.Now(), time.Duration(0)
+	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, version := p.ownerRow(); version != last {
+			last, changedAt = version, time.Now()
+		}
+		longest = max(longest, time.Since(changedAt))
+	}
+	return longest
+}
+
+// keepBusy makes each iteration of the event loop take a time.
+func keepBusy(o *Owner, round time.Duration) {
+	for o.ctx.Err() == nil {
+		o.put(loopFunc(func(*Owner) { time.Sleep(round) }))
+		time.Sleep(round + time.Millisecond)
+	}
+}
+
+// ownerTimeout is how long hosts wait for a renewal of a silent owner.
+const ownerTimeout = 600 * time.Millisecond
+
+// TestBusyEventLoopDelaysNoRenewal guards against the takeover from a live owner whose
+// event loop takes half a second for each iteration.
+func TestBusyEventLoopDelaysNoRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(4)
+		p.runTakes = time.Second
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(time.Second)
+		accept(o, 50, 4)
+		var busy sync.WaitGroup
+		defer busy.Wait()
+		defer o.Close()
+		busy.Go(func() { keepBusy(o, 500*time.Millisecond) })
+		time.Sleep(time.Second)
+		if gap := p.longestRenewalGap(20 * time.Second); gap >= ownerTimeout {
+			t.Errorf("the row was not renewed for %v", gap)
+		}
+	})
+}
+
+// TestCommitOutcomeDoesNotWaitBehindEvents guards against commits that follow each
+// other only when all events that were queued before have been handled.
+func TestCommitOutcomeDoesNotWaitBehindEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(1)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(time.Second)
+		o.put(loopFunc(func(o *Owner) { o.renewAt = time.Now() }))
+		slow := loopFunc(func(*Owner) { time.Sleep(time.Millisecond) })
+		for range 3 * maxEventsPerDecision {
+			o.put(slow)
+		}
+		waits := make(chan bool, 1)
+		o.put(loopFunc(func(o *Owner) { waits <- o.committing }))
+		for range 2 * maxEventsPerDecision {
+			o.put(slow)
+		}
+		if <-waits {
+			t.Error("the outcome of the commit waits behind later events")
+		}
+	})
+}
+
+// TestStuckEventLoopEndsRenewals guards against an owner that keeps the cell although
+// it decides nothing.
+func TestStuckEventLoopEndsRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(1)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(time.Second)
+		o.put(loopFunc(func(*Owner) { time.Sleep(10 * time.Second) }))
+		time.Sleep(maxRoundTime + ownerTimeout)
+		if gap := p.longestRenewalGap(5 * time.Second); gap < 5*time.Second-time.Millisecond {
+			t.Errorf("the row was renewed after %v", gap)
+		}
+		time.Sleep(5 * time.Second)
+		if gap := p.longestRenewalGap(5 * time.Second); gap >= ownerTimeout {
+			t.Errorf("the row was not renewed for %v once the event loop ran again", gap)
+		}
+	})
+}
+
+// TestRenewalNamesEarlyStartWorkers guards against a renewal without a batch from
+// which a successor would not learn where unrecorded runs may be.
+func TestRenewalNamesEarlyStartWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(1)
+		p.inherited = []string{"silent"}
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(time.Second)
+		_, before := p.ownerRow()
+		o.put(loopFunc(func(*Owner) { time.Sleep(maxRoundTime) }))
+		time.Sleep(maxRoundTime)
+		if row, version := p.ownerRow(); version == before || !slices.Equal(row.EarlyStartWorkers, p.inherited) {
+			t.Errorf("version %d after %d names %v; want %v", version, before, row.EarlyStartWorkers, p.inherited)
+		}
+	})
+}
+
+// TestNoRenewalAfterRelease guards against a renewal that takes back the release of
+// the row, whose response was lost.
+func TestNoRenewalAfterRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(1)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(time.Second)
+		p.hang(true)
+		o.put(releaseRequested{})
+		time.Sleep(commitTimeout - 100*time.Millisecond)
+		o.put(loopFunc(func(*Owner) { time.Sleep(maxRoundTime) }))
+		time.Sleep(150 * time.Millisecond)
+		_, before := p.ownerRow()
+		p.hang(false)
+		time.Sleep(maxRoundTime - 200*time.Millisecond)
+		if _, version := p.ownerRow(); version != before {
+			t.Error("the row was renewed although it may have been released")
+		}
+	})
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -59,6 +59,8 @@
 	// from all of them, by the monotonic clock, or zero if it does all the time.
 	otherHosts int
 	heardAt    time.Time
+	// inherited holds the workers that the row of the takeover names.
+	inherited []string
 	// maintained counts the maintenance orders.
 	maintained int
 }
@@ -120,7 +122,7 @@
 }
 
 func (p *fakePlatform) startOwnerWith(config Config, timers timer.Service) *Owner {
-	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1}
+	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1, EarlyStartWorkers: p.inherited}
 	initial := InitialState{Row: me, PredecessorsEnded: true, OtherHosts: p.otherHosts}
 	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
 	return New(config, initial, fakeManifest, ports, noHosts{p.otherHostsHeard}, timers, tally.NoopScope, zap.NewNop())
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -10,12 +10,14 @@
 )
 
 // ownerMetrics are the metrics of an owner. Only the event loop may use them, except
-// for orderWaits.
+// for orderWaits and renewals.
 type ownerMetrics struct {
 	scope  tally.Scope
 	stages map[stageKey]tally.Histogram
 	commit tally.Histogram
 	starts tally.Counter
+	// renewals counts the renewals of the owner's row without a batch.
+	renewals tally.Counter
 	// orderWaits holds, for each kind of order, the histogram of the time in the
 	// order queue. The goroutines of the calls use it concurrently.
 	orderWaits map[string]tally.Histogram
@@ -36,6 +38,7 @@
 		orderWaits: waits,
 		scope:      scope, stages: make(map[stageKey]tally.Histogram),
 		commit: scope.Histogram("commit", metrics.LatencyBuckets()), starts: scope.Counter("starts"),
+		renewals: scope.Counter("renewals"),
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -144,17 +145,13 @@
 	// holdLoops maps each worker to the loop that makes the hold calls to it. A hold
 	// call renews the worker's lease and waits for its report.
 	holdLoops map[cell.WorkerID]*holdLoop
-	// rowVersion is the last known version of the owner's row.
-	rowVersion uint64
-	// storeClock is the store's monotonic clock at the last commit.
-	storeClock time.Duration
-	// transactionNumber is the number of this owner's last transaction, continued
-	// from its row.
-	transactionNumber uint64
-	// committing is set while a commit is in flight.
+	committer *committer
+	// rowWrites counts the commits of this owner that have taken effect.
+	rowWrites atomic.Uint64
+	// committing is set while the committer has a batch.
 	committing bool
-	// renewAt is when the row is written even if there are no records, and retryAt
-	// is when a failed commit may be retried.
+	// renewAt is when a batch is committed even if there are no records, and retryAt
+	// is when a failed one may be retried.
 	renewAt time.Time
 	retryAt time.Time
 	// expiring is set while rows of ended jobs are being deleted. pendingDeletes
@@ -171,9 +168,8 @@
 	isolation isolation
 	slowStore slowStore
 	load      load
-	// activeAt is when the event loop last decided, and resumedAt when it last resumed
-	// after a suspension, by a clock that includes suspensions.
-	activeAt  time.Time
+	// resumedAt is when the event loop last resumed after a suspension, by a clock that
+	// includes suspensions.
 	resumedAt time.Time
 	// hearingSince is when the event loop last resumed after any suspension, by the
 	// monotonic clock.
@@ -190,6 +186,8 @@
 	// confirmedAt is when the last commit that succeeded began, by a clock that
 	// includes the time in which the process was suspended.
 	confirmedAt time.Time
+	// activeAt is when the event loop last decided, by the same clock.
+	activeAt time.Time
 	// ready is set once the store has been read, and releasing once the owner
 	// releases the cell.
 	ready     bool
@@ -211,8 +209,8 @@
 		metrics: metrics,
 		events:  ring.New[event](eventQueueSize),
 		orders:  newOrderQueue(metrics), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
-		holdLoops:  make(map[cell.WorkerID]*holdLoop),
-		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
+		holdLoops: make(map[cell.WorkerID]*holdLoop),
+		committer: newCommitter(tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
 		activeAt: timers.Latest(),
 	}
@@ -220,6 +218,7 @@
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
 	o.cell = o.newCell(now)
 	o.recover(now, m)
+	o.calls.Go(o.runCommitter)
 	go func() {
 		defer close(o.done)
 		o.run()
@@ -312,8 +311,13 @@
 		case <-o.ctx.Done():
 			o.calls.Wait()
 			return
+		case e := <-o.committer.outcomes:
+			o.load.begin(o.timers.Now())
+			e.apply(o, o.timers.Now())
+			o.load.events++
 		case e := <-o.events.C():
 			o.load.begin(o.timers.Now())
+			o.applyOutcome()
 			o.applyOrDefer(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
@@ -342,6 +346,17 @@
 	}
 }
 
+// applyOutcome applies the outcome of a commit, if there is one. It does not wait
+// behind the queued events, so that the next commit can begin.
+func (o *Owner) applyOutcome() {
+	select {
+	case e := <-o.committer.outcomes:
+		e.apply(o, o.timers.Now())
+		o.load.events++
+	default:
+	}
+}
+
 // applyQueued applies events that are queued already, at most maxEventsPerDecision,
 // and returns their number.
 func (o *Owner) applyQueued() int {
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -90,7 +90,7 @@
 		size += t.size()
 	}
 	o.log.Info("took over", zap.Duration("Took", now.Sub(e.start)), zap.Duration("Reading", e.readTime),
-		zap.Int("Rows", rows), zap.Int("Bytes", size), zap.Uint64("Renewals", o.transactionNumber-o.initial.Row.TransactionNumber),
+		zap.Int("Rows", rows), zap.Int("Bytes", size), zap.Uint64("Renewals", o.rowWrites.Load()),
 		zap.Int("Workers", len(e.cell.Workers())))
 }
 
@@ -107,7 +107,7 @@
 // it concerns the owner's row or the takeover and not the cell.
 func appliesDuringRecovery(e event) bool {
 	switch e.(type) {
-	case committed, recovered, releaseRequested:
+	case recovered, releaseRequested:
 		return true
 	}
 	return false
