Examine only the hold loops that are due at a decision

Cause: at every decision the owner listed all workers and walked all hold loops, and asked the cell for the next call of each idle one. At 1,100 workers and about 2,000 decisions a second this was half of its processor time: 52% of the profile of BenchmarkOwner/1100 was startHoldCalls.

The idle loops are now in a heap by the time at which their next call is due. A loop that waits until ends are durable is examined after the next commit, or when ackWait is over, as before. The cell tells the workers whose address has become known or has changed, so no list of all workers is built. The goroutine of a loop receives from its channel only, and the owner closes the channels when it ends.

Ruled out as its cause: the calls themselves cost nothing here.

Evidence: internal/owner with -race -cpu 1 passes. New: the order of the queue, and that a worker which registers, leaves and registers again under a running owner is held each time (it held before too; the list of workers ensured it). fake_test.go gets startOwnerOn, which takes other ports; no check changes.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -106,6 +106,8 @@
 	workers map[WorkerID]*worker
 	// sortedWorkers holds the workers, sorted by ID.
 	sortedWorkers []*worker
+	// newAddrs holds the workers whose address has become known or has changed.
+	newAddrs []WorkerID
 	// onMachine holds the workers that have registered on each machine.
 	onMachine map[string][]*worker
 	// lostRuns holds the tasks with lost runs on each machine.
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -100,6 +100,9 @@
 			c.onMachine[r.Machine] = append(c.onMachine[r.Machine], w)
 		}
 	}
+	if r.Addr.IsValid() && r.Addr != w.registration.Addr {
+		c.newAddrs = append(c.newAddrs, w.id)
+	}
 	w.registration = r
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -179,6 +179,14 @@
 	return w.registration.Addr, true
 }
 
+// TakeNewAddrs returns the workers whose address has become known or has changed since
+// the last call.
+func (c *Cell) TakeNewAddrs() []WorkerID {
+	out := c.newAddrs
+	c.newAddrs = nil
+	return out
+}
+
 // Unlist records that a worker has left the list of workers. Its runs keep
 // their lease, since the worker may still be running them.
 func (c *Cell) Unlist(now time.Time, id WorkerID) {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -203,6 +203,7 @@
 		o.cell.WavesCommitted(e.batch.waves)
 		o.cell.EarlyStartWorkersCommitted(e.batch.earlyStartWorkers)
 		o.cell.Committed(now, e.batch.records)
+		o.idleHolds.committed(now)
 		if e.released {
 			o.log.Info("released the cell")
 			o.end(o.release.reason)
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -120,9 +120,13 @@
 }
 
 func (p *fakePlatform) startOwnerWith(config Config, timers timer.Service) *Owner {
+	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
+	return p.startOwnerOn(config, ports, timers)
+}
+
+func (p *fakePlatform) startOwnerOn(config Config, ports Ports, timers timer.Service) *Owner {
 	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1}
 	initial := InitialState{Row: me, PredecessorsEnded: true, OtherHosts: p.otherHosts}
-	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
 	return New(config, initial, fakeManifest, ports, noHosts{p.otherHostsHeard}, timers, tally.NoopScope, zap.NewNop())
 }
 
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -29,8 +29,11 @@
 	id cell.WorkerID
 	// requests passes the next call to the goroutine of the loop.
 	requests chan cell.HoldRequest
-	// idle is set while the goroutine waits for a request.
-	idle bool
+	// position is that in the holdQueue, and due is when the loop is next examined.
+	position int
+	due      time.Time
+	// acknowledging is set while the loop is among those that wait for a commit.
+	acknowledging bool
 	// notBefore is the earliest time of the next call, and idleSince is when the
 	// last one returned.
 	notBefore time.Time
@@ -49,8 +52,8 @@
 		o.log.Info("worker responds again", zap.String("Worker", string(e.loop.id)), zap.Int("Failures", e.loop.failures))
 	}
 	e.loop.failures = 0
-	e.loop.idle = true
 	e.loop.idleSince = now
+	o.idleHolds.add(e.loop, now)
 	o.cell.Reported(now, e.loop.id, e.report)
 }
 
@@ -79,7 +82,12 @@
 	report cell.Report
 }
 
-func (e reportReceived) apply(o *Owner, now time.Time) { o.cell.Reported(now, e.id, e.report) }
+func (e reportReceived) apply(o *Owner, now time.Time) {
+	o.cell.Reported(now, e.id, e.report)
+	if h, ok := o.holdLoops[e.id]; ok {
+		o.idleHolds.advance(h, now)
+	}
+}
 
 type holdFailed struct {
 	loop *holdLoop
@@ -93,56 +101,54 @@
 		o.log.Warn("worker does not answer", zap.String("Worker", string(h.id)), zap.Error(e.err))
 	}
 	o.cell.HoldFailed(h.id)
-	h.idle = true
 	h.idleSince = now
 	h.notBefore = now.Add(min(time.Duration(h.failures)*holdBackoff, maxHoldBackoff))
+	o.idleHolds.add(h, h.notBefore)
 }
 
-// startHoldCalls starts a holdLoop for each new worker, passes each idle loop its
-// next call, and ends the loops of workers that need no more calls.
+// startHoldCalls starts a holdLoop for each worker whose address has become known,
+// passes each loop that is due its next call, and ends the loops of workers that need
+// no more calls.
 func (o *Owner) startHoldCalls(now time.Time) {
-	for _, id := range o.cell.Workers() {
+	for _, id := range o.cell.TakeNewAddrs() {
 		if _, ok := o.holdLoops[id]; !ok {
 			o.startHoldLoop(now, id)
 		}
 	}
-	for id, h := range o.holdLoops {
-		if !h.idle || now.Before(h.notBefore) {
-			continue
-		}
-		request, ok := o.cell.NextHold(now, id)
-		if !ok {
+	for h := o.idleHolds.next(now); h != nil; h = o.idleHolds.next(now) {
+		request, ok := o.cell.NextHold(now, h.id)
+		if !ok || !request.Addr.IsValid() {
 			close(h.requests)
-			delete(o.holdLoops, id)
+			delete(o.holdLoops, h.id)
 			continue
 		}
-		if !request.Addr.IsValid() || request.EndsPending && now.Sub(h.idleSince) < ackWait {
+		if durableBy := h.idleSince.Add(ackWait); request.EndsPending && now.Before(durableBy) {
+			o.idleHolds.addAcknowledging(h, durableBy)
 			continue
 		}
-		h.idle = false
 		h.requests <- request
 	}
 }
 
 // startHoldLoop starts the goroutine that makes the hold calls of a worker.
 func (o *Owner) startHoldLoop(now time.Time, id cell.WorkerID) {
-	h := &holdLoop{id: id, requests: make(chan cell.HoldRequest, 1), idle: true, idleSince: now}
+	h := &holdLoop{id: id, requests: make(chan cell.HoldRequest, 1), position: notIdle, idleSince: now}
 	o.holdLoops[id] = h
+	o.idleHolds.add(h, now)
 	o.calls.Go(func() {
-		for {
-			select {
-			case request, open := <-h.requests:
-				if !open {
-					return
-				}
-				o.put(o.callHold(h, request))
-			case <-o.ctx.Done():
-				return
-			}
+		for request := range h.requests {
+			o.put(o.callHold(h, request))
 		}
 	})
 }
 
+// endHoldLoops ends the loops of all workers.
+func (o *Owner) endHoldLoops() {
+	for _, h := range o.holdLoops {
+		close(h.requests)
+	}
+}
+
 func (o *Owner) callHold(h *holdLoop, request cell.HoldRequest) event {
 	ctx, cancel := context.WithTimeout(o.ctx, request.Wait+holdMargin)
 	defer cancel()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -144,6 +144,7 @@
 	// holdLoops maps each worker to the loop that makes the hold calls to it. A hold
 	// call renews the worker's lease and waits for its report.
 	holdLoops map[cell.WorkerID]*holdLoop
+	idleHolds holdQueue
 	// rowVersion is the last known version of the owner's row.
 	rowVersion uint64
 	// storeClock is the store's monotonic clock at the last commit.
@@ -310,6 +311,7 @@
 	for {
 		select {
 		case <-o.ctx.Done():
+			o.endHoldLoops()
 			o.calls.Wait()
 			return
 		case e := <-o.events.C():
