--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -145,6 +145,7 @@
 	// holdLoops maps each worker to the loop that makes the hold calls to it. A hold
 	// call renews the worker's lease and waits for its report.
 	holdLoops map[cell.WorkerID]*holdLoop
+	idleHolds holdQueue
 	committer *committer
 	// rowWrites counts the commits of this owner that have taken effect.
 	rowWrites atomic.Uint64
@@ -312,6 +313,7 @@
 	for {
 		select {
 		case <-o.ctx.Done():
+			o.endHoldLoops()
 			o.calls.Wait()
 			return
 		case e := <-o.committer.outcomes:
