Count the timeouts of calls to workers, and those on a late host apart

The owner now measures the local delay: a goroutine sleeps 20 ms, goes to the end of the run queue, and notes what that took longer. (A goroutine that a timer wakes runs before all others, so without the second step it would see no queue.) Each call notes the local delay during it; timeouts are counted by kind, and those with a local delay apart, in the metric call_timeouts and once a second in the log with the sum of the local delay.

--- /dev/null
+++ b/internal/owner/calls.go
@@ -0,0 +1,99 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// callKind is a kind of call to a worker. The values are labels of metrics.
+type callKind string
+
+const (
+	callStart  callKind = "start"
+	callStop   callKind = "stop"
+	callPace   callKind = "pace"
+	callHold   callKind = "hold"
+	callReport callKind = "report"
+)
+
+// callKinds holds all kinds of calls.
+var callKinds = []callKind{callStart, callStop, callPace, callHold, callReport}
+
+// timeoutCount counts calls that timed out, and those of them during which this host
+// had a local delay.
+type timeoutCount struct {
+	total   int
+	delayed int
+}
+
+// callStats counts the calls to workers that timed out since the last report.
+type callStats struct {
+	metrics *ownerMetrics
+
+	mu       sync.Mutex
+	timeouts map[callKind]timeoutCount
+}
+
+func newCallStats(metrics *ownerMetrics) *callStats {
+	return &callStats{metrics: metrics, timeouts: make(map[callKind]timeoutCount)}
+}
+
+// note counts a call that has ended.
+func (s *callStats) note(kind callKind, end callEnd) {
+	if !end.timedOut {
+		return
+	}
+	s.metrics.countTimeout(kind, end.delayed > 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.timeouts[kind]
+	n.total++
+	if end.delayed > 0 {
+		n.delayed++
+	}
+	s.timeouts[kind] = n
+}
+
+// take returns the counts since take was last called.
+func (s *callStats) take() map[callKind]timeoutCount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.timeouts
+	s.timeouts = make(map[callKind]timeoutCount)
+	return counts
+}
+
+// beginCall starts a call to a worker. The caller calls the returned function when
+// the call has returned.
+func (o *Owner) beginCall(kind callKind, timeout time.Duration) (context.Context, func() callEnd) {
+	ctx, call := o.callClock.begin(o.ctx, timeout)
+	return ctx, func() callEnd {
+		end := call.end()
+		o.callStats.note(kind, end)
+		return end
+	}
+}
+
+// reportCalls writes the timeouts of calls and the local delay since the last report
+// to the log, if there were any.
+func (o *Owner) reportCalls() {
+	timeouts := o.callStats.take()
+	delay := o.callClock.localDelay()
+	recent := delay - o.reportedDelay
+	o.reportedDelay = delay
+	if len(timeouts) == 0 && recent == 0 {
+		return
+	}
+	var total, delayed []zap.Field
+	for _, kind := range callKinds {
+		if n := timeouts[kind]; n.total > 0 {
+			total = append(total, zap.Int(string(kind), n.total))
+			delayed = append(delayed, zap.Int(string(kind), n.delayed))
+		}
+	}
+	o.log.Info("timeouts of calls to workers", zap.Duration("LocalDelay", recent),
+		zap.Dict("TimedOut", total...), zap.Dict("TimedOutLate", delayed...))
+}
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -63,8 +62,8 @@
 	}
 	request.Wait = 0
 	o.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, holdMargin)
-		defer cancel()
+		ctx, end := o.beginCall(callReport, holdMargin)
+		defer end()
 		report, err := o.workers.Hold(ctx, request, o.Epoch())
 		if err != nil {
 			o.handleFailure("look", id, err)
@@ -144,8 +143,8 @@
 }
 
 func (o *Owner) callHold(h *holdLoop, request cell.HoldRequest) event {
-	ctx, cancel := context.WithTimeout(o.ctx, request.Wait+holdMargin)
-	defer cancel()
+	ctx, end := o.beginCall(callHold, request.Wait+holdMargin)
+	defer end()
 	report, err := o.workers.Hold(ctx, request, o.Epoch())
 	if errors.Is(err, cell.ErrFenced) {
 		o.endFenced("hold", h.id)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -10,15 +11,24 @@
 )
 
 // ownerMetrics are the metrics of an owner. Only the event loop may use them, except
-// for orderWaits.
+// for orderWaits and timeouts.
 type ownerMetrics struct {
 	scope  tally.Scope
 	stages map[stageKey]tally.Histogram
 	commit tally.Histogram
 	starts tally.Counter
 	// orderWaits holds, for each kind of order, the histogram of the time in the
-	// order queue. The goroutines of the calls use it concurrently.
-	orderWaits map[string]tally.Histogram
+	// order queue, and timeouts the counters of the calls that timed out. The
+	// goroutines of the calls use them concurrently.
+	orderWaits map[callKind]tally.Histogram
+	timeouts   map[timeoutKey]tally.Counter
+}
+
+// timeoutKey identifies a counter of timeouts.
+type timeoutKey struct {
+	kind callKind
+	// delayed is set for the calls during which this host had a local delay.
+	delayed bool
 }
 
 type stageKey struct {
@@ -28,17 +38,33 @@
 
 func newOwnerMetrics(scope tally.Scope) *ownerMetrics {
 	scope = scope.SubScope("owner")
-	waits := make(map[string]tally.Histogram)
-	for _, kind := range []string{orderStop, orderPace} {
-		waits[kind] = scope.Tagged(map[string]string{"kind": kind}).Histogram("order_wait", metrics.LatencyBuckets())
+	waits := make(map[callKind]tally.Histogram)
+	for _, kind := range []callKind{callStop, callPace} {
+		waits[kind] = scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("order_wait", metrics.LatencyBuckets())
 	}
 	return &ownerMetrics{
-		orderWaits: waits,
-		scope:      scope, stages: make(map[stageKey]tally.Histogram),
+		orderWaits: waits, timeouts: timeoutCounters(scope),
+		scope: scope, stages: make(map[stageKey]tally.Histogram),
 		commit: scope.Histogram("commit", metrics.LatencyBuckets()), starts: scope.Counter("starts"),
 	}
 }
 
+func timeoutCounters(scope tally.Scope) map[timeoutKey]tally.Counter {
+	counters := make(map[timeoutKey]tally.Counter)
+	for _, kind := range callKinds {
+		for _, delayed := range []bool{false, true} {
+			tags := map[string]string{"kind": string(kind), "late_host": strconv.FormatBool(delayed)}
+			counters[timeoutKey{kind, delayed}] = scope.Tagged(tags).Counter("call_timeouts")
+		}
+	}
+	return counters
+}
+
+// countTimeout counts a call that timed out.
+func (m *ownerMetrics) countTimeout(kind callKind, delayed bool) {
+	m.timeouts[timeoutKey{kind, delayed}].Inc(1)
+}
+
 // Observe records the duration of a stage.
 func (m *ownerMetrics) Observe(stage cell.Stage, queue string, took time.Duration) {
 	key := stageKey{stage, queue}
@@ -74,6 +100,6 @@
 }
 
 // observeOrderWait records how long an order was queued.
-func (m *ownerMetrics) observeOrderWait(kind string, waited time.Duration) {
+func (m *ownerMetrics) observeOrderWait(kind callKind, waited time.Duration) {
 	m.orderWaits[kind].RecordDuration(waited)
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -18,12 +18,6 @@
 	maxOrdersInFlight = 32
 )
 
-// The kinds of orders. The values are labels of metrics.
-const (
-	orderStop = "stop"
-	orderPace = "pace"
-)
-
 // runKey identifies a run on a worker.
 type runKey struct {
 	worker cell.WorkerID
@@ -56,7 +50,7 @@
 }
 
 // dequeued records that an order is sent after a wait.
-func (q *orderQueue) dequeued(kind string, waited time.Duration) {
+func (q *orderQueue) dequeued(kind callKind, waited time.Duration) {
 	q.metrics.observeOrderWait(kind, waited)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -77,7 +71,7 @@
 func (o *Owner) limitStarts() { o.cell.LimitStarts(o.startLimiter.limit - o.startsInFlight) }
 
 // order makes a call to a worker in a goroutine of its own, once there is a slot.
-func (o *Owner) order(kind string, call func(ctx context.Context)) {
+func (o *Owner) order(kind callKind, call func(ctx context.Context)) {
 	queued := o.timers.Now()
 	o.orders.enqueued()
 	o.calls.Go(func() {
@@ -88,8 +82,8 @@
 		}
 		defer func() { <-o.orders.slots }()
 		o.orders.dequeued(kind, o.timers.Now().Sub(queued))
-		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
-		defer cancel()
+		ctx, end := o.beginCall(kind, orderTimeout)
+		defer end()
 		call(ctx)
 	})
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -136,6 +136,10 @@
 	orders         *orderQueue
 	startsInFlight int
 	startLimiter   startLimiter
+	// callClock measures the local delay, of which reportedDelay has been reported.
+	callClock     *callClock
+	callStats     *callStats
+	reportedDelay time.Duration
 	// pendingStops holds the runs whose stop is queued or in flight. wantedPaces
 	// holds the latest pace that was requested for each run whose change of pace is
 	// queued or in flight.
@@ -211,6 +215,7 @@
 		metrics: metrics,
 		events:  ring.New[event](eventQueueSize),
 		orders:  newOrderQueue(metrics), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
+		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		holdLoops:  make(map[cell.WorkerID]*holdLoop),
 		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
@@ -220,6 +225,7 @@
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
 	o.cell = o.newCell(now)
 	o.recover(now, m)
+	o.calls.Go(func() { o.callClock.run(o.ctx) })
 	go func() {
 		defer close(o.done)
 		o.run()
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -50,8 +50,8 @@
 	}
 	o.metrics.starts.Inc(1)
 	o.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
-		defer cancel()
+		ctx, end := o.beginCall(callStart, orderTimeout)
+		defer end()
 		outcome, err := o.workers.Start(ctx, addr, s, o.Epoch())
 		if err != nil {
 			o.log.Warn("start failed", zap.String("Job", string(s.Task.Job)), zap.Stringer("Task", s.Task),
@@ -71,7 +71,7 @@
 		return // the cell retries stops until their run has ended
 	}
 	o.pendingStops[key] = true
-	o.order(orderStop, func(ctx context.Context) {
+	o.order(callStop, func(ctx context.Context) {
 		var clock time.Duration
 		ctx, release, err := o.withAuthority(ctx, "stop")
 		defer release()
@@ -99,7 +99,7 @@
 	if inFlight {
 		return
 	}
-	o.order(orderPace, func(ctx context.Context) {
+	o.order(callPace, func(ctx context.Context) {
 		var err error
 		if p.Percent > 0 {
 			// Reducing the pace to 0 must also work while the store is unavailable.
