Queue stops and paces by worker, and limit those to silent workers apart

Cause: stops and changes of pace shared 32 places, each held for up to 350 ms. Stops to workers that do not answer took all of them (about 90 a second), so that stops for workers that answer waited, and the capacity of their runs stayed reserved (head-of-line blocking).

Each worker now has a lane of its own, and the lanes take turns. A worker that answers has 2 orders in flight, one more with each answer up to 16 (the client has 16 connections to an address); one that has not answered its last order or hold has one at a time, and all of them together 16. The limit of the others adapts to the delay of the ticks as that of starts does (32 to 256; the type is now limiter). A call that has taken 150 ms is overdue and gives its place to others (64 at most), so that workers that have just died do not hold all places until their first timeout. Log and metrics give both groups: waiting, in flight, overdue, the oldest.

A fixed limit of 2 for a worker was tried first: TestAQueuedStopIsNotSentAgain sent 460 of 1000 stops, since they are for a few workers that take 300 ms each.

The new test, on a scratch copy of the code before: 11 of 40 stops were sent to workers that answer within 400 ms; now 40.

--- a/internal/owner/callclock.go
+++ b/internal/owner/callclock.go
@@ -22,6 +22,7 @@
 // the local delay, in which the response to a call may wait unread.
 type callClock struct {
 	timers timer.Service
+	start  time.Time
 
 	mu sync.Mutex
 	// delay is the local delay up to the last probe, and due is when the next probe
@@ -31,7 +32,8 @@
 }
 
 func newCallClock(timers timer.Service) *callClock {
-	return &callClock{timers: timers, due: timers.Now().Add(probeInterval)}
+	now := timers.Now()
+	return &callClock{timers: timers, start: now, due: now.Add(probeInterval)}
 }
 
 // run measures the local delay until ctx is done.
@@ -75,6 +77,14 @@
 	return c.delay + c.pending(now)
 }
 
+// elapsed returns the time since the start of the clock, without the local delays.
+func (c *callClock) elapsed() time.Duration {
+	now := c.timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.start) - c.delay - c.pending(now)
+}
+
 // timedCall is a call with a timeout.
 type timedCall struct {
 	clock  *callClock
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -77,14 +77,17 @@
 	}
 }
 
-// reportCalls writes the timeouts of calls and the local delay since the last report
-// to the log, if there were any.
-func (o *Owner) reportCalls() {
+// reportCalls writes the orders of workers that answer and of silent ones to the log,
+// and the timeouts of calls and the local delay since the last report, if there are any.
+func (o *Owner) reportCalls(now time.Time) {
+	answering, silent := o.orders.groups(now)
+	o.metrics.orders(answering, silent)
 	timeouts := o.callStats.take()
 	delay := o.callClock.localDelay()
 	recent := delay - o.reportedDelay
 	o.reportedDelay = delay
-	if len(timeouts) == 0 && recent == 0 {
+	none := groupStats{}
+	if len(timeouts) == 0 && recent == 0 && answering == none && silent == none {
 		return
 	}
 	var total, delayed []zap.Field
@@ -94,6 +97,7 @@
 			delayed = append(delayed, zap.Int(string(kind), n.delayed))
 		}
 	}
-	o.log.Info("timeouts of calls to workers", zap.Duration("LocalDelay", recent),
+	o.log.Info("calls to workers", zap.Duration("LocalDelay", recent),
+		zap.Dict("Answering", answering.fields()...), zap.Dict("Silent", silent.fields()...),
 		zap.Dict("TimedOut", total...), zap.Dict("TimedOutLate", delayed...))
 }
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -41,6 +42,8 @@
 	// connectTakes is the time until a stop, a change of pace or a maintenance
 	// order arrives.
 	connectTakes time.Duration
+	// silent holds the workers that answer no call.
+	silent map[cell.WorkerID]bool
 	// paceTakes is the latency of a change to each pace, and paces holds those that
 	// arrived.
 	paceTakes map[int]time.Duration
@@ -94,10 +97,10 @@
 	p := &fakePlatform{
 		start: time.Now(), rows: make(map[rowstore.Key]rowstore.Row), workers: make(map[cell.WorkerID]*fakeWorker),
 		tickets: make(map[string]time.Time), refused: make(map[cell.Refusal]int), stops: make(map[string]int),
-		started: make(map[workload.TaskID]bool),
+		started: make(map[workload.TaskID]bool), silent: make(map[cell.WorkerID]bool),
 	}
 	for i := range workers {
-		id := cell.WorkerID(fmt.Sprintf("w%02d", i))
+		id := workerID(i)
 		p.workers[id] = &fakeWorker{running: make(map[workload.TaskID]fakeRun)}
 		key := rowstore.Key{Table: tableWorkers, Name: string(id)}
 		p.version++
@@ -155,6 +158,19 @@
 
 func jobID(number int) workload.JobID { return workload.JobID(fmt.Sprintf("%016x", number+1)) }
 
+func workerID(number int) cell.WorkerID { return cell.WorkerID(fmt.Sprintf("w%02d", number)) }
+
+// awaitAnswer returns at once, or with the error of the context if the worker is silent.
+func (p *fakePlatform) awaitAnswer(ctx context.Context, id cell.WorkerID) error {
+	p.mu.Lock()
+	silent := p.silent[id]
+	p.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	return sleep(ctx, time.Hour)
+}
+
 func (p *fakePlatform) clock() time.Duration { return time.Since(p.start) }
 
 func sleep(ctx context.Context, took time.Duration) error {
@@ -220,6 +236,9 @@
 
 // Hold returns the report of a worker, as soon as a run has ended or after the wait.
 func (p *fakePlatform) Hold(ctx context.Context, request cell.HoldRequest, _ uint64) (cell.Report, error) {
+	if err := p.awaitAnswer(ctx, request.Worker); err != nil {
+		return cell.Report{}, err
+	}
 	until := time.Now().Add(max(request.Wait, fakeLatency))
 	for {
 		report, done := p.report(request)
@@ -257,7 +276,7 @@
 
 // Start starts a run, unless its ticket or its lease has expired.
 func (p *fakePlatform) Start(ctx context.Context, _ netip.AddrPort, s cell.SendStart, _ uint64) (cell.StartOutcome, error) {
-	if err := sleep(ctx, p.startTakes); err != nil {
+	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.startTakes)); err != nil {
 		return cell.StartOutcome{Unknown: true}, err
 	}
 	p.mu.Lock()
@@ -280,7 +299,7 @@
 
 // Stop counts the stops of each run and ends the run.
 func (p *fakePlatform) Stop(ctx context.Context, _ netip.AddrPort, s cell.SendStop, _ uint64) (time.Duration, error) {
-	if err := sleep(ctx, p.connectTakes); err != nil {
+	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.connectTakes)); err != nil {
 		return 0, err
 	}
 	p.mu.Lock()
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -48,6 +48,7 @@
 		o.log.Info("worker responds again", zap.String("Worker", string(e.loop.id)), zap.Int("Failures", e.loop.failures))
 	}
 	e.loop.failures = 0
+	o.setSilent(e.loop.id, false)
 	e.loop.idle = true
 	e.loop.idleSince = now
 	o.cell.Reported(now, e.loop.id, e.report)
@@ -91,6 +92,7 @@
 	if h.failures == 1 && o.ctx.Err() == nil {
 		o.log.Warn("worker does not answer", zap.String("Worker", string(h.id)), zap.Error(e.err))
 	}
+	o.setSilent(h.id, true)
 	o.cell.HoldFailed(h.id)
 	h.idle = true
 	h.idleSince = now
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -44,6 +44,6 @@
 		zap.Int("RecordsWaiting", backlog.Records), zap.Int("Jobs", backlog.Jobs),
 		zap.Int("StepsWaiting", backlog.Steps), zap.Int("TasksWaiting", backlog.Tasks),
 		zap.Int("Questions", backlog.Questions), zap.Int("Workers", backlog.Workers), zap.Int64("FreeMilliCores", backlog.FreeMilliCores))
-	o.reportCalls()
+	o.reportCalls(now)
 	o.load = load{start: o.load.start}
 }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -99,6 +99,16 @@
 	m.scope.Gauge("orders_waiting").Update(float64(ordersWaiting))
 }
 
+// orders updates the gauges of the orders to workers that answer and to silent ones.
+func (m *ownerMetrics) orders(answering, silent groupStats) {
+	m.scope.Gauge("orders_in_flight").Update(float64(answering.inFlight))
+	m.scope.Gauge("orders_overdue").Update(float64(answering.overdue))
+	m.scope.Gauge("silent_orders_waiting").Update(float64(silent.waiting))
+	m.scope.Gauge("silent_orders_in_flight").Update(float64(silent.inFlight))
+	m.scope.Gauge("oldest_order_seconds").Update(answering.oldest.Seconds())
+	m.scope.Gauge("oldest_silent_order_seconds").Update(silent.oldest.Seconds())
+}
+
 // observeOrderWait records how long an order was queued.
 func (m *ownerMetrics) observeOrderWait(kind callKind, waited time.Duration) {
 	m.orderWaits[kind].RecordDuration(waited)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -2,20 +2,19 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 const (
 	// orderTimeout is the timeout of a start, a stop or a change of pace.
 	orderTimeout = 350 * time.Millisecond
-	// maxOrdersInFlight limits the stops and changes of pace without a response.
-	// Further calls would wait for this host's processor and appear to be sent to
-	// workers that do not respond.
-	maxOrdersInFlight = 32
+	// answerOverdue is how long a call may take before it is overdue: its worker may
+	// be silent, so that it does not count against the limit of other calls.
+	answerOverdue = 150 * time.Millisecond
 )
 
 // runKey identifies a run on a worker.
@@ -25,65 +24,57 @@
 	run    int
 }
 
-// orderQueue limits the orders in flight, that is stops and changes of pace, and
-// counts those that wait. Starts are queued in the cell.
-type orderQueue struct {
-	metrics *ownerMetrics
-	// slots holds an element for each order in flight.
-	slots chan struct{}
-
-	mu      sync.Mutex
-	waiting int
-	// longest is the longest wait since stats was last called.
-	longest time.Duration
-}
+// limitStarts tells the cell how many more starts may be sent now.
+func (o *Owner) limitStarts() { o.cell.LimitStarts(o.startLimiter.limit - o.startsInFlight) }
 
-func newOrderQueue(metrics *ownerMetrics) *orderQueue {
-	return &orderQueue{metrics: metrics, slots: make(chan struct{}, maxOrdersInFlight)}
+// order makes a call to a worker in a goroutine of its own, once the limits of orders
+// in flight allow it. The error of the call tells whether the worker has answered.
+func (o *Owner) order(kind callKind, to cell.WorkerID, call func(ctx context.Context) error) {
+	o.orders.add(&order{kind: kind, worker: to, queued: o.timers.Now(), call: call})
+	o.sendOrders()
 }
 
-// enqueued records that an order begins to wait.
-func (q *orderQueue) enqueued() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.waiting++
+// sendOrders sends the queued orders that may be sent now.
+func (o *Owner) sendOrders() {
+	for o.ctx.Err() == nil {
+		next := o.orders.next(o.timers.Now(), o.callClock.elapsed())
+		if next == nil {
+			return
+		}
+		o.calls.Go(func() { o.sendOrder(next) })
+	}
 }
 
-// dequeued records that an order is sent after a wait.
-func (q *orderQueue) dequeued(kind callKind, waited time.Duration) {
-	q.metrics.observeOrderWait(kind, waited)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.waiting--
-	q.longest = max(q.longest, waited)
+func (o *Owner) sendOrder(n *order) {
+	ctx, end := o.beginCall(n.kind, orderTimeout)
+	err := n.call(ctx)
+	end()
+	switch {
+	case err == nil:
+		o.orders.answered(n.worker)
+	case o.ctx.Err() != nil, fault.Is(err, KindReplaced):
+		// The order was not sent, so nothing is known of the worker.
+	default:
+		o.orders.setSilent(n.worker, true)
+	}
+	o.orders.done(n)
+	o.sendOrders()
 }
 
-// stats returns the number of orders that wait, and the longest wait since stats was
-// last called.
-func (q *orderQueue) stats() (waiting int, longest time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	longest, q.longest = q.longest, 0
-	return q.waiting, longest
+// setSilent records whether a worker has answered its last hold call.
+func (o *Owner) setSilent(id cell.WorkerID, silent bool) {
+	o.orders.setSilent(id, silent)
+	if !silent {
+		o.sendOrders()
+	}
 }
 
-// limitStarts tells the cell how many more starts may be sent now.
-func (o *Owner) limitStarts() { o.cell.LimitStarts(o.startLimiter.limit - o.startsInFlight) }
-
-// order makes a call to a worker in a goroutine of its own, once there is a slot.
-func (o *Owner) order(kind callKind, call func(ctx context.Context)) {
-	queued := o.timers.Now()
-	o.orders.enqueued()
-	o.calls.Go(func() {
-		select {
-		case o.orders.slots <- struct{}{}:
-		case <-o.ctx.Done():
-			return
-		}
-		defer func() { <-o.orders.slots }()
-		o.orders.dequeued(kind, o.timers.Now().Sub(queued))
-		ctx, end := o.beginCall(kind, orderTimeout)
-		defer end()
-		call(ctx)
+// tickOrders adapts the limit of orders in flight to the delay of a tick, and makes room
+// for other orders if some are overdue.
+func (o *Owner) tickOrders(delay time.Duration) {
+	o.orders.tick(delay, o.callClock.elapsed(), func(id cell.WorkerID) bool {
+		_, known := o.cell.Addr(id)
+		return known
 	})
+	o.sendOrders()
 }
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -84,3 +84,42 @@
 		}
 	})
 }
+
+// 40 workers have died, and each of them has 4 runs to stop. The stops of other workers
+// must not wait for the timeouts of theirs.
+func TestStopsDoNotWaitForSilentWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dead, alive, runs = 40, 10, 4
+		p := newFakePlatform(dead + alive)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(2 * time.Second)
+		p.mu.Lock()
+		for i := range dead {
+			p.silent[workerID(i)] = true
+		}
+		p.mu.Unlock()
+		o.put(loopFunc(func(o *Owner) {
+			for run := range runs {
+				for i := range dead + alive {
+					task := workload.TaskID{StepID: workload.StepID{Job: jobID(i)}, Index: run}
+					o.stop(cell.SendStop{Worker: workerID(i), Task: task, Run: 1})
+				}
+			}
+		}))
+		time.Sleep(400 * time.Millisecond)
+		p.mu.Lock()
+		if len(p.stops) != alive*runs {
+			t.Errorf("%d of %d stops were sent to workers that answer", len(p.stops), alive*runs)
+		}
+		clear(p.silent)
+		p.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		o.put(loopFunc(func(o *Owner) {
+			if waiting, _ := o.orders.stats(); waiting > 0 || len(o.pendingStops) > 0 || len(o.orders.lanes) > 0 {
+				t.Errorf("%d stops wait after all workers have answered, %d have not ended", waiting, len(o.pendingStops))
+			}
+		}))
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -135,7 +135,7 @@
 	// have no response yet.
 	orders         *orderQueue
 	startsInFlight int
-	startLimiter   startLimiter
+	startLimiter   limiter
 	// callClock measures the local delay, of which reportedDelay has been reported.
 	callClock     *callClock
 	callStats     *callStats
@@ -323,7 +323,9 @@
 			o.applyOrDefer(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
-			o.startLimiter.observe(o.timers.Now().Sub(due), o.startsInFlight)
+			delay := o.timers.Now().Sub(due)
+			o.startLimiter.observe(delay, o.startsInFlight)
+			o.tickOrders(delay)
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
 		}
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -71,7 +71,7 @@
 		return // the cell retries stops until their run has ended
 	}
 	o.pendingStops[key] = true
-	o.order(callStop, func(ctx context.Context) {
+	o.order(callStop, s.Worker, func(ctx context.Context) error {
 		var clock time.Duration
 		ctx, release, err := o.withAuthority(ctx, "stop")
 		defer release()
@@ -82,6 +82,7 @@
 			o.handleFailure("stop", s.Worker, err, zap.String("Job", string(s.Task.Job)), zap.Stringer("Task", s.Task))
 		}
 		o.put(stopReturned{s, clock, err})
+		return err
 	})
 }
 
@@ -99,7 +100,7 @@
 	if inFlight {
 		return
 	}
-	o.order(callPace, func(ctx context.Context) {
+	o.order(callPace, p.Worker, func(ctx context.Context) error {
 		var err error
 		if p.Percent > 0 {
 			// Reducing the pace to 0 must also work while the store is unavailable.
@@ -114,6 +115,7 @@
 			o.handleFailure("set pace", p.Worker, err, zap.String("Job", string(p.Task.Job)), zap.Stringer("Task", p.Task))
 		}
 		o.put(paceReturned{p, err})
+		return err
 	})
 }
 
