--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -52,6 +51,7 @@
 		o.log.Info("worker responds again", zap.String("Worker", string(e.loop.id)), zap.Int("Failures", e.loop.failures))
 	}
 	e.loop.failures = 0
+	o.setSilent(e.loop.id, false)
 	e.loop.idleSince = now
 	o.idleHolds.add(e.loop, now)
 	o.cell.Reported(now, e.loop.id, e.report)
@@ -66,8 +66,8 @@
 	}
 	request.Wait = 0
 	o.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, holdMargin)
-		defer cancel()
+		ctx, end := o.beginCall(callReport, holdMargin)
+		defer end()
 		report, err := o.workers.Hold(ctx, request, o.Epoch())
 		if err != nil {
 			o.handleFailure("look", id, err)
@@ -100,6 +100,7 @@
 	if h.failures == 1 && o.ctx.Err() == nil {
 		o.log.Warn("worker does not answer", zap.String("Worker", string(h.id)), zap.Error(e.err))
 	}
+	o.setSilent(h.id, true)
 	o.cell.HoldFailed(h.id)
 	h.idleSince = now
 	h.notBefore = now.Add(min(time.Duration(h.failures)*holdBackoff, maxHoldBackoff))
@@ -150,8 +151,8 @@
 }
 
 func (o *Owner) callHold(h *holdLoop, request cell.HoldRequest) event {
-	ctx, cancel := context.WithTimeout(o.ctx, request.Wait+holdMargin)
-	defer cancel()
+	ctx, end := o.beginCall(callHold, request.Wait+holdMargin)
+	defer end()
 	report, err := o.workers.Hold(ctx, request, o.Epoch())
 	if errors.Is(err, cell.ErrFenced) {
 		o.endFenced("hold", h.id)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -10,7 +11,7 @@
 )
 
 // ownerMetrics are the metrics of an owner. Only the event loop may use them, except
-// for orderWaits and renewals.
+// for orderWaits, timeouts and renewals.
 type ownerMetrics struct {
 	scope  tally.Scope
 	stages map[stageKey]tally.Histogram
@@ -19,8 +20,17 @@
 	// renewals counts the renewals of the owner's row without a batch.
 	renewals tally.Counter
 	// orderWaits holds, for each kind of order, the histogram of the time in the
-	// order queue. The goroutines of the calls use it concurrently.
-	orderWaits map[string]tally.Histogram
+	// order queue, and timeouts the counters of the calls that timed out. The
+	// goroutines of the calls use them concurrently.
+	orderWaits map[callKind]tally.Histogram
+	timeouts   map[timeoutKey]tally.Counter
+}
+
+// timeoutKey identifies a counter of timeouts.
+type timeoutKey struct {
+	kind callKind
+	// delayed is set for the calls during which this host had a local delay.
+	delayed bool
 }
 
 type stageKey struct {
@@ -30,18 +40,34 @@
 
 func newOwnerMetrics(scope tally.Scope) *ownerMetrics {
 	scope = scope.SubScope("owner")
-	waits := make(map[string]tally.Histogram)
-	for _, kind := range []string{orderStop, orderPace} {
-		waits[kind] = scope.Tagged(map[string]string{"kind": kind}).Histogram("order_wait", metrics.LatencyBuckets())
+	waits := make(map[callKind]tally.Histogram)
+	for _, kind := range []callKind{callStop, callPace} {
+		waits[kind] = scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("order_wait", metrics.LatencyBuckets())
 	}
 	return &ownerMetrics{
-		orderWaits: waits,
-		scope:      scope, stages: make(map[stageKey]tally.Histogram),
+		orderWaits: waits, timeouts: timeoutCounters(scope),
+		scope: scope, stages: make(map[stageKey]tally.Histogram),
 		commit: scope.Histogram("commit", metrics.LatencyBuckets()), starts: scope.Counter("starts"),
 		renewals: scope.Counter("renewals"),
 	}
 }
 
+func timeoutCounters(scope tally.Scope) map[timeoutKey]tally.Counter {
+	counters := make(map[timeoutKey]tally.Counter)
+	for _, kind := range callKinds {
+		for _, delayed := range []bool{false, true} {
+			tags := map[string]string{"kind": string(kind), "late_host": strconv.FormatBool(delayed)}
+			counters[timeoutKey{kind, delayed}] = scope.Tagged(tags).Counter("call_timeouts")
+		}
+	}
+	return counters
+}
+
+// countTimeout counts a call that timed out.
+func (m *ownerMetrics) countTimeout(kind callKind, delayed bool) {
+	m.timeouts[timeoutKey{kind, delayed}].Inc(1)
+}
+
 // Observe records the duration of a stage.
 func (m *ownerMetrics) Observe(stage cell.Stage, queue string, took time.Duration) {
 	key := stageKey{stage, queue}
@@ -86,7 +112,17 @@
 	m.scope.Gauge("run_queue_delay_seconds").Update(u.queueDelay.Seconds())
 }
 
+// orders updates the gauges of the orders to workers that answer and to silent ones.
+func (m *ownerMetrics) orders(answering, silent groupStats) {
+	m.scope.Gauge("orders_in_flight").Update(float64(answering.inFlight))
+	m.scope.Gauge("orders_overdue").Update(float64(answering.overdue))
+	m.scope.Gauge("silent_orders_waiting").Update(float64(silent.waiting))
+	m.scope.Gauge("silent_orders_in_flight").Update(float64(silent.inFlight))
+	m.scope.Gauge("oldest_order_seconds").Update(answering.oldest.Seconds())
+	m.scope.Gauge("oldest_silent_order_seconds").Update(silent.oldest.Seconds())
+}
+
 // observeOrderWait records how long an order was queued.
-func (m *ownerMetrics) observeOrderWait(kind string, waited time.Duration) {
+func (m *ownerMetrics) observeOrderWait(kind callKind, waited time.Duration) {
 	m.orderWaits[kind].RecordDuration(waited)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -136,7 +136,11 @@
 	// have no response yet.
 	orders         *orderQueue
 	startsInFlight int
-	startLimiter   startLimiter
+	startLimiter   limiter
+	// callClock measures the local delay, of which reportedDelay has been reported.
+	callClock     *callClock
+	callStats     *callStats
+	reportedDelay time.Duration
 	// pendingStops holds the runs whose stop is queued or in flight. wantedPaces
 	// holds the latest pace that was requested for each run whose change of pace is
 	// queued or in flight.
@@ -215,6 +219,7 @@
 		orders:  newOrderQueue(metrics), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		holdLoops: make(map[cell.WorkerID]*holdLoop),
 		committer: newCommitter(tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
+		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
 		activeAt: timers.Latest(), processor: newProcessorMeter(),
 	}
@@ -223,6 +228,7 @@
 	o.cell = o.newCell(now)
 	o.recover(now, m)
 	o.calls.Go(o.runCommitter)
+	o.calls.Go(func() { o.callClock.run(o.ctx) })
 	go func() {
 		defer close(o.done)
 		o.run()
@@ -329,7 +335,9 @@
 			o.markLoad(activityOf(e))
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
-			o.startLimiter.observe(o.timers.Now().Sub(due), o.startsInFlight)
+			delay := o.timers.Now().Sub(due)
+			o.startLimiter.observe(delay, o.startsInFlight)
+			o.tickOrders(delay)
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
 			o.markLoad(activityTick)
