Send the starts of long-running tasks first, and of expired jobs last

They rank first once they have waited 0.5 s, but a placed start then waited in the part of the dispatch queue that is sent only when no urgent start waits, and no task at all was placed while too many urgent starts waited. With urgent load above what the owner can send, neither ended.

The dispatch queue now has a part for each class of starts: long-running, urgent, other, expired. Each goes before the later ones, and counts only itself and the earlier ones when it tells whether more may be placed. Records are made durable in the same order. Starts of jobs whose client gains nothing any more go last, also those of urgent queues, which used to go before all others, and such a job preempts no run: the work that is stopped for it would still have counted.

--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -48,6 +48,7 @@
 	{Name: "hold", Service: "s", Priority: 0, MaxAttempts: 4, SlackFactor: 1.5, TargetLatency: 500 * time.Millisecond, Advice: quickAdvice},
 	{Name: "settle", Service: "s", Priority: 2, MaxAttempts: 4, SlackFactor: 2.2, TargetLatency: 1200 * time.Millisecond, Advice: longAdvice},
 	{Name: "free", Service: "s", Priority: 1, MaxAttempts: 4, SlackFactor: 2, TargetLatency: time.Second},
+	{Name: "first", Service: "s", Priority: 0, MaxAttempts: 4, SlackFactor: 2, TargetLatency: time.Second},
 }}
 
 const (
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -194,7 +194,7 @@
 // action is returned once.
 func (c *Cell) TakeActions(now time.Time) []Action {
 	c.dispatchStarts(now)
-	if c.placementPending && !c.dispatch.full(now, true) {
+	if c.placementPending && !c.dispatch.full(now, startLongRunning) {
 		c.placementPending = false
 		c.resolveUnrecorded(now)
 		c.place(now)
--- a/internal/cell/dispatch.go
+++ b/internal/cell/dispatch.go
@@ -20,10 +20,9 @@
 // sends only a limited number of starts at a time, so the content of a start is
 // determined when it leaves the queue and not when it enters.
 type dispatchQueue struct {
-	// urgent holds the runs of the highest priority, which go before all
-	// others.
-	urgent runQueue
-	others runQueue
+	// parts holds the runs of each class. Those of a class go before all of later
+	// classes.
+	parts [startClasses]runQueue
 	// limit is how many starts may be sent now.
 	limit int
 }
@@ -39,14 +38,6 @@
 // LimitStarts sets how many starts may be sent until the next call.
 func (c *Cell) LimitStarts(limit int) { c.dispatch.limit = limit }
 
-// of returns the part of the queue that a run belongs to.
-func (q *dispatchQueue) of(r *run) *runQueue {
-	if r.urgent {
-		return &q.urgent
-	}
-	return &q.others
-}
-
 // enqueueStart appends a run to the dispatch queue.
 func (c *Cell) enqueueStart(now time.Time, r *run) {
 	if r.queued {
@@ -55,7 +46,7 @@
 	r.queued = true
 	r.queuedAt = now
 	c.observe(StageRecord, r.task.step.job, now.Sub(r.plannedAt))
-	part := c.dispatch.of(r)
+	part := &c.dispatch.parts[r.class]
 	part.waiting++
 	part.runs = append(part.runs, r)
 }
@@ -64,13 +55,14 @@
 func (q *dispatchQueue) remove(r *run) {
 	if r.queued {
 		r.queued = false
-		q.of(r).waiting--
+		q.parts[r.class].waiting--
 	}
 }
 
 // pop removes and returns the next run, or returns nil.
 func (q *dispatchQueue) pop() *run {
-	for _, part := range []*runQueue{&q.urgent, &q.others} {
+	for class := range q.parts {
+		part := &q.parts[class]
 		for len(part.runs) > 0 {
 			r := part.runs[0]
 			part.runs[0] = nil
@@ -84,14 +76,40 @@
 	return nil
 }
 
-// full reports whether no more tasks of the given kind, urgent or other, should
-// be placed, because too many placed ones wait to be sent. Urgent tasks do not
-// wait for others.
-func (q *dispatchQueue) full(now time.Time, urgent bool) bool {
-	if q.urgent.waiting >= maxQueuedStarts || q.urgent.oldestWait(now) > maxDispatchWait {
-		return true
+// full reports whether no more tasks of a class should be placed, because too many
+// placed ones wait to be sent. Tasks do not wait for those of later classes, and
+// urgent tasks, however late, do not wait for startOther.
+func (q *dispatchQueue) full(now time.Time, class startClass) bool {
+	waiting := 0
+	for earlier := range class + 1 {
+		if class == startExpiredUrgent && earlier == startOther {
+			continue
+		}
+		part := &q.parts[earlier]
+		waiting += part.waiting
+		if waiting >= maxQueuedStarts || part.oldestWait(now) > maxDispatchWait {
+			return true
+		}
+	}
+	return false
+}
+
+// len returns the number of runs that wait to be sent, and longestWait how long the
+// first of them has waited.
+func (q *dispatchQueue) len() int {
+	n := 0
+	for class := range q.parts {
+		n += q.parts[class].waiting
+	}
+	return n
+}
+
+func (q *dispatchQueue) longestWait(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for class := range q.parts {
+		longest = max(longest, q.parts[class].oldestWait(now))
 	}
-	return !urgent && (q.urgent.waiting+q.others.waiting >= maxQueuedStarts || q.others.oldestWait(now) > maxDispatchWait)
+	return longest
 }
 
 // oldestWait returns how long the first run has waited.
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -15,7 +15,7 @@
 
 // HasNextStep reports whether the next decision has a step to evaluate.
 func (c *Cell) HasNextStep(now time.Time) bool {
-	return c.hasNextStep() && !c.dispatch.full(now, false)
+	return c.hasNextStep() && !c.dispatch.full(now, startOther)
 }
 
 // TickWithoutSweep is Tick without its sweep, so that steps are evaluated only
@@ -43,7 +43,7 @@
 		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.usableAtTick })
 	}
 	for _, s := range c.openSteps {
-		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, c.urgent(s)) {
+		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, c.startClassOf(s)) {
 			continue
 		}
 		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtTick })
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -151,9 +151,8 @@
 	queued   bool
 	queuedAt time.Time
 	early    bool
-	// urgent is set if the queue of the job had the highest priority when the
-	// run was planned.
-	urgent bool
+	// class is that of the step when the run was planned.
+	class startClass
 	// sentBeforeRestart is set when the worker began a new incarnation while
 	// the start was in flight.
 	sentBeforeRestart bool
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -33,16 +33,16 @@
 	c.placementPending = c.placementPending || c.hasNextStep()
 }
 
-// urgent reports whether a step has the highest priority.
-func (c *Cell) urgent(s *stepState) bool { return c.queueOf(s.job).Priority == 0 }
-
 // nextStep takes the next step to evaluate out of the queue, or returns nil. If none
 // may be placed, it offers the freed workers first, which may add steps. A step for
-// which the dispatch queue is full stays in the queue; an urgent step may rank after
-// it, since very late jobs rank last.
+// which the dispatch queue is full stays in the queue; a step of an earlier startClass
+// may rank after it, since a long-running step waits in its queue's class at first.
 func (c *Cell) nextStep(now time.Time) *stepState {
-	full, fullForUrgent := c.dispatch.full(now, false), c.dispatch.full(now, true)
-	mayPlace := func(s *stepState) bool { return !full || !fullForUrgent && c.urgent(s) }
+	var full [startClasses]bool
+	for class := range startClasses {
+		full[class] = c.dispatch.full(now, class)
+	}
+	mayPlace := func(s *stepState) bool { return !full[c.startClassOf(s)] }
 	if s := c.evalQueue.pending.popFirst(mayPlace); s != nil {
 		return s
 	}
@@ -129,11 +129,11 @@
 	}
 	switch {
 	case s.waiting == 0:
-	case c.dispatch.full(now, c.urgent(s)):
+	case c.dispatch.full(now, c.startClassOf(s)):
 		c.markStep(s)
 	default:
 		c.requestWorkers(now, s, q, usable)
-		c.preempt(now, s, q, eligible)
+		c.preempt(now, s, eligible)
 	}
 }
 
@@ -192,7 +192,7 @@
 		if t.phase != phaseWaiting || c.earlyStarts.unrecorded[t.id] != nil {
 			continue
 		}
-		if c.dispatch.full(now, c.urgent(s)) {
+		if c.dispatch.full(now, c.startClassOf(s)) {
 			break
 		}
 		w := c.workerFor(now, t, eligible)
@@ -317,7 +317,7 @@
 	c.recordChanged(s.job)
 	r.revision = s.job.revision
 	s.job.planned = append(s.job.planned, r)
-	r.urgent = c.urgent(s)
+	r.class = c.startClassOf(s)
 	r.early = c.mayStartEarly(r)
 	c.isolate(r)
 	t.numberRevision = r.revision
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/job"
-	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
 // preemptAfter is how long a task of the highest priority waits for capacity
@@ -16,9 +15,9 @@
 
 // preempt frees capacity for a step of the highest priority: it stops runs of
 // lower-priority queues that can resume from a checkpoint, on workers that the
-// step is allowed on.
-func (c *Cell) preempt(now time.Time, s *stepState, q *manifest.Queue, eligible []*worker) {
-	if c.config.Policy.NoPreemption || q.Priority != 0 || s.spec.Gang || s.spec.LongRunning || now.Sub(s.readyAt) < preemptAfter {
+// step is allowed on. A job in classExpired is not worth the work that is lost.
+func (c *Cell) preempt(now time.Time, s *stepState, eligible []*worker) {
+	if c.config.Policy.NoPreemption || c.startClassOf(s) != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < preemptAfter {
 		return
 	}
 	wanted := s.waiting - s.preemptedFor
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -71,15 +71,19 @@
 }
 
 // recordPriority orders the dirty records: those whose commit has failed come
-// first, and then those that urgent starts wait for.
+// first, and then the others by the first class of starts that wait for them.
 func (j *jobState) recordPriority() int {
-	switch {
-	case j.retryRecord:
-		return 0
-	case slices.ContainsFunc(j.planned, func(r *run) bool { return r.urgent }):
-		return 1
+	if j.retryRecord {
+		return -1
 	}
-	return 2
+	if len(j.planned) == 0 {
+		return int(startOther)
+	}
+	class := startClasses
+	for _, r := range j.planned {
+		class = min(class, r.class)
+	}
+	return int(class)
 }
 
 // HasRecords reports whether a record waits to be made durable.
--- /dev/null
+++ b/internal/cell/startclass.go
@@ -0,0 +1,35 @@
+package cell
+
+// startClass orders the starts that wait to be sent, and the records that they
+// wait for.
+type startClass uint8
+
+const (
+	// startLongRunning are the starts of long-running tasks, which serve users of
+	// their own.
+	startLongRunning startClass = iota
+	// startUrgent are the starts of the highest priority.
+	startUrgent
+	startOther
+	// startExpiredUrgent and startExpired are the starts of jobs in classExpired, of
+	// the highest priority and of the others.
+	startExpiredUrgent
+	startExpired
+	startClasses
+)
+
+// startClassOf returns the class of the starts of an open step.
+func (c *Cell) startClassOf(s *stepState) startClass {
+	urgent, expired := c.queueOf(s.job).Priority == 0, s.key.rank.class == classExpired
+	switch {
+	case s.spec.LongRunning:
+		return startLongRunning
+	case urgent && expired:
+		return startExpiredUrgent
+	case expired:
+		return startExpired
+	case urgent:
+		return startUrgent
+	}
+	return startOther
+}
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -61,7 +61,7 @@
 
 // Backlog returns the current backlog.
 func (c *Cell) Backlog(now time.Time) Backlog {
-	b := Backlog{Jobs: c.unfinishedJobs, Steps: len(c.openSteps), Records: len(c.dirty), DispatchQueueLen: c.dispatch.urgent.waiting + c.dispatch.others.waiting, DispatchQueueWait: max(c.dispatch.urgent.oldestWait(now), c.dispatch.others.oldestWait(now))}
+	b := Backlog{Jobs: c.unfinishedJobs, Steps: len(c.openSteps), Records: len(c.dirty), DispatchQueueLen: c.dispatch.len(), DispatchQueueWait: c.dispatch.longestWait(now)}
 	for _, s := range c.openSteps {
 		b.Tasks += s.waiting
 		if !s.advice.askedAt.IsZero() {
