Make hold calls before starts in each decision of the owner

A decision performed all actions of the cell first, among them the starts, and handed the calls of idle hold loops to their goroutines last.

Read in the code, not shown by a run: hold calls that waited for the processor when the owner stalled reach their timeout of 1.9 s before they are sent, which counts as a worker that does not answer, and its next call renews no lease.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -357,8 +357,8 @@
 	return maxEventsPerDecision
 }
 
-// decide performs the actions that the cell requests, commits records and makes
-// hold calls. While the store is being read, or when the owner releases the cell,
+// decide makes hold calls, performs the actions that the cell requests and commits
+// records. Hold calls go first, as they renew leases. While the store is being read, or when the owner releases the cell,
 // it only commits.
 func (o *Owner) decide() {
 	// A suspension after this reading of the clock is noted, or extends no lease.
@@ -368,13 +368,13 @@
 		o.commit(now)
 		return
 	}
+	o.startHoldCalls(now)
 	o.limitStarts()
 	o.cell.SetConfirmedAt(now.Add(-o.sinceConfirmed()))
 	for _, a := range o.cell.TakeActions(now) {
 		o.perform(a)
 	}
 	o.commit(now)
-	o.startHoldCalls(now)
 }
 
 // put enqueues an event for the event loop, and blocks while the queue is full.
