Write the queued frames of a peer connection together

Each call and each answer was one write system call under a lock of its connection, and a call that waited for that lock did not end with its context. An owner that passes its calls to few hosts sends many small frames on one connection.

A frame is encoded once, without a copy of the body, and with compact numbers, which hosts of earlier releases read. A call whose frame was never handed to the system is not sent: when its context ends, when the connection is lost, and when a write ends before it.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -19,12 +19,16 @@
 	raw       net.Conn
 	remote    Host
 
-	writeMu sync.Mutex
+	// wake holds an element after a frame was queued or the connection was closed.
+	wake chan struct{}
 
 	mu       sync.Mutex
 	lastCall uint64
-	calls    map[uint64]chan envelope
+	calls    map[uint64]*pendingCall
 	closed   bool
+	// queue holds the frames that wait to be written, queuedBytes their size.
+	queue       []outFrame
+	queuedBytes int
 }
 
 const (
@@ -68,12 +72,18 @@
 		return nil, nil, fault.New("hello", KindMalformed, "hello without a name or an incarnation: Name %q, Incarnation %q", remote.Name, remote.Incarnation)
 	}
 	c := &conn{
-		transport: t, raw: raw, calls: make(map[uint64]chan envelope),
+		transport: t, raw: raw, wake: make(chan struct{}, 1), calls: make(map[uint64]*pendingCall),
 		remote: Host{Name: remote.Name, DataCentre: remote.DataCentre, Incarnation: remote.Incarnation},
 	}
 	return c, r, nil
 }
 
+// run reads and writes frames until the connection ends.
+func (c *conn) run(ctx context.Context, r *bufio.Reader) {
+	c.transport.background.Go(c.writeLoop)
+	c.readLoop(ctx, r)
+}
+
 // readLoop delivers answers to their calls and serves the calls of the peer,
 // until the connection ends.
 func (c *conn) readLoop(ctx context.Context, r *bufio.Reader) {
@@ -131,75 +141,58 @@
 	if err != nil {
 		frame, err = encodeFrame(envelope{Call: e.Call, Answer: true, Kind: e.Kind, Fault: err.Error()})
 	}
-	if err == nil {
-		err = c.write(e.Kind, frame)
-	}
-	if err != nil {
+	if err != nil || !c.enqueue(outFrame{kind: e.Kind, data: frame}) {
 		c.close()
 	}
 }
 
-func (c *conn) write(kind uint8, frame []byte) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	size, err := c.raw.Write(frame)
-	c.transport.count(c.remote, directionOut, kind, size)
-	return err
-}
-
 // call sends a message and waits for the answer. The kind of its error tells
 // whether the message may have been sent.
 func (c *conn) call(ctx context.Context, m Message) (Message, error) {
-	number, answer, ok := c.register()
+	call, ok := c.register()
 	if !ok {
 		return Message{}, fault.New("call", KindNotSent, "connection to %s is closed", c.remote.Name)
 	}
-	defer c.unregister(number)
-
-	frame, err := encodeFrame(envelope{Call: number, Kind: m.Kind, Body: m.Body})
-	if err != nil {
-		return Message{}, fault.New("call", KindNotSent, "%w", err)
+	frame, err := encodeFrame(envelope{Call: call.number, Kind: m.Kind, Body: m.Body})
+	if err == nil {
+		err = ctx.Err()
 	}
-	if err := ctx.Err(); err != nil {
+	if err != nil {
+		c.withdraw(call)
 		return Message{}, fault.New("call", KindNotSent, "%w", err)
 	}
-	if err := c.write(m.Kind, frame); err != nil {
-		c.close()
-		return Message{}, fault.New("call", KindUnknown, "%w", err)
+	if !c.enqueue(outFrame{kind: m.Kind, data: frame, call: call}) {
+		c.withdraw(call)
+		return Message{}, fault.New("call", KindNotSent, "connection to %s is closed or has too many calls waiting", c.remote.Name)
 	}
 	select {
-	case e, ok := <-answer:
+	case e, ok := <-call.answer:
 		if !ok {
-			return Message{}, fault.New("call", KindUnknown, "connection to %s was lost", c.remote.Name)
+			return Message{}, c.lost(call)
 		}
 		if e.Fault != "" {
 			return Message{}, fault.New("call", KindRefused, "%s: %s", c.remote.Name, e.Fault)
 		}
 		return Message{Kind: e.Kind, Body: e.Body}, nil
 	case <-ctx.Done():
+		if c.withdraw(call) {
+			return Message{}, fault.New("call", KindNotSent, "%s reads no calls: %w", c.remote.Name, ctx.Err())
+		}
 		return Message{}, fault.New("call", KindUnknown, "no answer from %s: %w", c.remote.Name, ctx.Err())
 	}
 }
 
-// register returns the number of a new call and the channel that receives its
-// answer. It returns false if the connection is closed.
-func (c *conn) register() (number uint64, answer chan envelope, ok bool) {
+// register returns a new call. It returns false if the connection is closed.
+func (c *conn) register() (*pendingCall, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return 0, nil, false
+		return nil, false
 	}
 	c.lastCall++
-	answer = make(chan envelope, 1)
-	c.calls[c.lastCall] = answer
-	return c.lastCall, answer, true
-}
-
-func (c *conn) unregister(number uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.calls, number)
+	call := &pendingCall{number: c.lastCall, answer: make(chan envelope, 1)}
+	c.calls[call.number] = call
+	return call, true
 }
 
 // deliver passes an answer to the call that waits for it. An answer whose call
@@ -207,9 +200,9 @@
 func (c *conn) deliver(e envelope) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if answer, ok := c.calls[e.Call]; ok {
+	if call, ok := c.calls[e.Call]; ok {
 		delete(c.calls, e.Call)
-		answer <- e
+		call.answer <- e
 	}
 }
 
@@ -220,10 +213,12 @@
 		return
 	}
 	c.closed = true
-	for number, answer := range c.calls {
-		close(answer)
+	for number, call := range c.calls {
+		close(call.answer)
 		delete(c.calls, number)
 	}
+	c.queue, c.queuedBytes = nil, 0
+	c.wakeWriter()
 	_ = c.raw.Close()
 	c.transport.removeConn(c)
 }
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -6,6 +6,8 @@
 // the number of the call, the kind of the message and its body. A frame larger
 // than MaxFrame is rejected before its body is read.
 //
+// Frames that are queued while others are being written go out together.
+//
 // Transport is the transport of one entry host. It answers calls through a
 // Handler, and calls each peer over one connection that it opens on first use.
 package peer
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -46,16 +47,21 @@
 // encodeFrame returns a frame including its length field. It fails when the
 // frame is larger than MaxFrame.
 func encodeFrame(v any) ([]byte, error) {
-	body, err := msgpack.Marshal(v)
-	if err != nil {
+	var frame bytes.Buffer
+	frame.Write(make([]byte, lengthSize))
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&frame)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(v); err != nil {
 		return nil, fault.New("encode frame", KindMalformed, "%w", err)
 	}
-	if len(body) > MaxFrame {
-		return nil, fault.New("encode frame", KindMalformed, "frame of %d bytes; at most %d are allowed", len(body), MaxFrame)
+	size := frame.Len() - lengthSize
+	if size > MaxFrame {
+		return nil, fault.New("encode frame", KindMalformed, "frame of %d bytes; at most %d are allowed", size, MaxFrame)
 	}
-	frame := make([]byte, lengthSize, lengthSize+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	return append(frame, body...), nil
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(size))
+	return frame.Bytes(), nil
 }
 
 // readFrame reads one frame of at most limit bytes into v and returns its size
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -139,7 +139,7 @@
 				return
 			}
 			if t.addConn(c) {
-				c.readLoop(t.ctx, r)
+				c.run(t.ctx, r)
 			}
 		})
 	}
@@ -258,7 +258,7 @@
 	outgoing.mu.Unlock()
 	close(dialing.done)
 	if err == nil {
-		opened.readLoop(t.ctx, r)
+		opened.run(t.ctx, r)
 	}
 }
 
