Concatenate the parts of a test message, and wrap a comment

The linter reports the append to a slice of another owner in the test of nested messages; the comment of decide had one line of over 120 characters.

--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -104,7 +104,7 @@
 	if _, err := DecodeHostPing(peer.Message{Kind: KindHostPing, Body: nested}); !fault.Is(err, KindMalformed) || !strings.Contains(err.Error(), "nested") {
 		t.Errorf("a ping: %v", err)
 	}
-	withCause := append(jobLookupReplyCodec.encode(JobLookupReply{Known: true}).Body, nested...)
+	withCause := slices.Concat(jobLookupReplyCodec.encode(JobLookupReply{Known: true}).Body, nested)
 	if _, err := DecodeJobLookupReply(peer.Message{Kind: KindJobLookupReply, Body: withCause}); !fault.Is(err, KindMalformed) || !strings.Contains(err.Error(), "nested") {
 		t.Errorf("the cause of a reply: %v", err)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -391,8 +391,8 @@
 }
 
 // decide makes hold calls, performs the actions that the cell requests and commits
-// records. Hold calls go first, as they renew leases. While the store is being read, or when the owner releases the cell,
-// it only commits.
+// records. Hold calls go first, as they renew leases. While the store is being read,
+// or when the owner releases the cell, it only commits.
 func (o *Owner) decide() {
 	// A suspension after this reading of the clock is noted, or extends no lease.
 	now := o.timers.Now()
