Write into the owner's row when it was written, and renew it from the time of sending

Cause: WrittenAfter was the store's clock at the owner's previous transaction. After a late renewal it is old, and a host that missed a single ping took the row for unchanged for the timeout, although it had just been written (State.unchangedFor: 1.1 s after WrittenAfter).

WrittenAfter now also contains the time since that transaction's response, so it is still from before the write, but only by the time of the commit.

An owner also tells the version that its last confirmed renewal gave the row, for the next commit.

--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -22,7 +22,7 @@
 	Released bool
 	// WrittenAfter is a reading of the store's monotonic clock from before the row
 	// was written: that of the owner's previous transaction, or of the read before
-	// a takeover. 0 means unknown.
+	// a takeover, plus the time that has passed since. 0 means unknown.
 	WrittenAfter time.Duration
 	// TransactionNumber is the number of the owner's transaction that wrote the row.
 	// The takeover is 0.
--- a/internal/owner/committer.go
+++ b/internal/owner/committer.go
@@ -37,29 +37,40 @@
 
 	// Only the goroutine of the committer uses the fields below.
 
-	// rowVersion is the last known version of the owner's row, and storeClock the
-	// store's monotonic clock at the last commit.
+	// rowVersion is the last known version of the owner's row.
 	rowVersion uint64
+	// storeClock is the store's monotonic clock at the last commit, whose response
+	// arrived at clockAt. 0 means unknown.
 	storeClock time.Duration
+	clockAt    time.Time
 	// transactionNumber is the number of this owner's last transaction, continued
 	// from its row.
 	transactionNumber uint64
 	// earlyStartWorkers holds the workers that the last row known to be durable names.
 	earlyStartWorkers []string
-	// renewAt is when the row is renewed without a batch.
+	// renewAt is when the row is renewed without a batch. It counts from when the last
+	// commit was sent, so that a response that is handled late delays no renewal.
 	renewAt time.Time
 	// releasing is set once a commit may have marked the row as released.
 	releasing bool
 }
 
-func newCommitter(initial InitialState, renewAt time.Time) *committer {
+func newCommitter(now time.Time, initial InitialState, renewAt time.Time) *committer {
 	return &committer{
 		batches: make(chan commitRequest, 1), outcomes: make(chan committed, 1),
-		rowVersion: initial.Version, storeClock: initial.Row.WrittenAfter, transactionNumber: initial.Row.TransactionNumber,
+		rowVersion: initial.Version, storeClock: initial.Row.WrittenAfter, clockAt: now, transactionNumber: initial.Row.TransactionNumber,
 		earlyStartWorkers: initial.Row.EarlyStartWorkers, renewAt: renewAt,
 	}
 }
 
+// clockNow returns a reading that the store's monotonic clock has passed by now.
+func (c *committer) clockNow(now time.Time) time.Duration {
+	if c.storeClock == 0 {
+		return 0
+	}
+	return c.storeClock + now.Sub(c.clockAt)
+}
+
 // commitRequest is a batch with its transaction, which lacks the owner's row.
 type commitRequest struct {
 	batch       batch
@@ -122,7 +133,7 @@
 	row := o.initial.Row
 	row.Released = released
 	row.PredecessorsEnded = o.predecessorsEnded(o.timers.Now())
-	row.WrittenAfter = c.storeClock
+	row.WrittenAfter = c.clockNow(o.timers.Now())
 	row.TransactionNumber = c.transactionNumber
 	row.EarlyStartWorkers = earlyStartWorkers
 	value, err := ledger.EncodeOwner(row)
@@ -134,7 +145,7 @@
 	t.Writes = slices.Concat([]rowstore.Write{{Key: ledger.OwnerKey(), Value: value}}, t.Writes)
 	ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
 	defer cancel()
-	begun := o.timers.Latest()
+	sent, begun := o.timers.Now(), o.timers.Latest()
 	result, err := o.commitConfirmed(ctx, t, c.transactionNumber)
 	if err != nil {
 		c.renewAt = o.timers.Now().Add(renewalGrace + rand.N(commitBackoff))
@@ -142,12 +153,12 @@
 		return err
 	}
 	now := o.timers.Now()
-	c.rowVersion, c.storeClock, c.earlyStartWorkers = result.Version, result.Clock, earlyStartWorkers
-	c.renewAt = now.Add(o.config.RenewEvery + renewalGrace)
+	c.rowVersion, c.storeClock, c.clockAt, c.earlyStartWorkers = result.Version, result.Clock, now, earlyStartWorkers
+	c.renewAt = latest(sent.Add(o.config.RenewEvery+renewalGrace), now.Add(renewalGrace))
 	o.rowWrites.Add(1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.renewedAt, o.confirmedAt = now, begun
+	o.renewedAt, o.renewedVersion, o.confirmedAt = now, result.Version, begun
 	return nil
 }
 
@@ -173,6 +184,13 @@
 	c.earlyStartWorkers = union(c.earlyStartWorkers, state.Owner.EarlyStartWorkers)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // union returns the names that are in either list, in order.
 func union(a, b []string) []string {
 	all := slices.Sorted(slices.Values(slices.Concat(a, b)))
--- a/internal/owner/committer_test.go
+++ b/internal/owner/committer_test.go
@@ -151,3 +151,25 @@
 		}
 	})
 }
+
+// TestLateRenewalDoesNotLookOld guards against a row that looks as if it had not been
+// renewed for long, since its owner had renewed it late.
+func TestLateRenewalDoesNotLookOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(1)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(time.Second)
+		p.hang(true)
+		time.Sleep(commitTimeout)
+		p.hang(false)
+		_, before := p.ownerRow()
+		row, version := p.ownerRow()
+		for ; version == before; row, version = p.ownerRow() {
+			time.Sleep(time.Millisecond)
+		}
+		if age := p.clock() - row.WrittenAfter; age > 10*fakeLatency {
+			t.Errorf("a row that has just been written may be %v old", age)
+		}
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -180,9 +180,12 @@
 	calls  sync.WaitGroup
 	done   chan struct{}
 
-	mu        sync.Mutex
-	err       error
-	renewedAt time.Time
+	mu  sync.Mutex
+	err error
+	// renewedAt is when the last commit that succeeded was confirmed, and
+	// renewedVersion the version that it gave the row.
+	renewedAt      time.Time
+	renewedVersion uint64
 	// confirmedAt is when the last commit that succeeded began, by a clock that
 	// includes the time in which the process was suspended.
 	confirmedAt time.Time
@@ -210,8 +213,8 @@
 		events:  ring.New[event](eventQueueSize),
 		orders:  newOrderQueue(metrics), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		holdLoops: make(map[cell.WorkerID]*holdLoop),
-		committer: newCommitter(tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
-		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
+		committer: newCommitter(now, tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
+		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, renewedVersion: tenure.Version, isolation: isolation{otherHosts: tenure.OtherHosts},
 		activeAt: timers.Latest(),
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
@@ -302,6 +305,14 @@
 	return o.timers.Now().Sub(o.renewedAt)
 }
 
+// LastRenewal returns how long ago the owner's row was renewed, and the version that
+// the row has had since.
+func (o *Owner) LastRenewal() (since time.Duration, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.timers.Now().Sub(o.renewedAt), o.renewedVersion
+}
+
 func (o *Owner) run() {
 	tick := o.timers.Every(tickInterval)
 	defer tick.Stop()
