Do not replace a live owner that answers or renews late

Its age was measured between the moments at which this host handled its reads, what an owner reported of its renewals counted even if the row had been renewed since, and an answer during the takeover delay was not looked at. So a busy owner, or a judging host that was itself short of processor time, was enough.

Now: - pings run in goroutines of their own, at most four without an answer, and an answer is a sign of life until 1.2 s after its ping, also during the takeover delay; - the row is unchanged for no longer than between the two reads by the store's clock; - a reported age counts only for the version of the row that the owner names with it; - the timeout grows by the time that the owner took of late to answer, at most 0.6 s, and by the delay of this host's own timers. 0.6 s is what the lease of 3.2 s leaves: hold calls renew it each second, and a takeover delay and reading take up to 1 s.

In a cell with hosts of an earlier release, whose rows still have the old meaning, an owner that misses a ping may be replaced sooner during the rolling restart; that is safe.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -84,9 +84,11 @@
 	timeout   time.Duration
 	version   uint64
 	changedAt time.Time
-	// readAt is when this version of the row was first read.
-	readAt time.Time
-	known  bool
+	// readAt is when this version of the row was first read, by this host's clock
+	// and by the store's.
+	readAt    time.Time
+	readClock time.Duration
+	known     bool
 }
 
 // NewFailureDetector returns a detector that suspects an owner whose row is
@@ -99,6 +101,11 @@
 // read of the store took, since a commit takes several times as long as a read.
 const minTimeoutPerLatency = 8
 
+// maxPingExtension bounds by how much the answers of a slow owner extend the timeout.
+// With it an owner that has failed is noticed after 1.2 s, which leaves its successor
+// the time to take over before the leases of the workers expire.
+const maxPingExtension = 600 * time.Millisecond
+
 // Observation is what a host knows about the owner in addition to the State that
 // it has read.
 type Observation struct {
@@ -107,6 +114,12 @@
 	// SinceRenewal is the time since the last renewal, as reported by an owner that
 	// cannot renew its row; 0 if the owner in the row has reported none.
 	SinceRenewal time.Duration
+	// PingTime is how long the owner took of late to answer pings. It extends the
+	// timeout: an owner that answers late is busy, and renews its row late as well.
+	PingTime time.Duration
+	// HostDelay is by how much the timers of this host were late of late. It extends
+	// the timeout, since answers of the owner may wait here for as long.
+	HostDelay time.Duration
 	// ProcessExited is set when the owner's process is known to have exited.
 	ProcessExited bool
 	// ShortTenures is the number of consecutive short tenures before this owner.
@@ -119,16 +132,28 @@
 		return true
 	}
 	if !d.known || s.Version != d.version {
-		d.known, d.version, d.changedAt, d.readAt = true, s.Version, now.Add(-seen.SinceRenewal), now
+		d.known, d.version, d.changedAt, d.readAt, d.readClock = true, s.Version, now.Add(-seen.SinceRenewal), now, s.Clock
 	}
 	timeout := max(extendedTimeout(d.timeout, seen.ShortTenures), minTimeoutPerLatency*seen.ReadLatency)
-	return now.Sub(d.changedAt) >= timeout || s.unchangedFor(timeout)
+	timeout += min(seen.PingTime, maxPingExtension) + seen.HostDelay
+	return d.unchanged(now, s) >= timeout || s.unchangedFor(timeout)
+}
+
+// unchanged returns for how long the row has had its version, as far as this host has
+// seen it. Reads that this host made or handled late do not count for longer than
+// the time between them by the store's clock.
+func (d *FailureDetector) unchanged(now time.Time, s State) time.Duration {
+	seen := now.Sub(d.readAt)
+	if between := s.Clock - d.readClock; d.readClock > 0 && between >= 0 {
+		seen = min(seen, between)
+	}
+	return seen + d.readAt.Sub(d.changedAt)
 }
 
 const (
-	// maxRenewalGap is the longest time between two transactions of a healthy
-	// owner while the store is fast.
-	maxRenewalGap = 500 * time.Millisecond
+	// maxCommitTime is the longest time from when a healthy owner computes
+	// WrittenAfter until the row is written, while the store is fast.
+	maxCommitTime = 100 * time.Millisecond
 	// maxSinceWrite is the limit at which a computed time since the last write is
 	// ignored, since the store's clock may have restarted.
 	maxSinceWrite = 1 * time.Hour
@@ -136,10 +161,10 @@
 
 // unchangedFor reports whether the row has been unchanged for the timeout, including
 // the time before this host first read it. WrittenAfter precedes the write by up to
-// maxRenewalGap, which is added to the timeout.
+// maxCommitTime, which is added to the timeout.
 func (s State) unchangedFor(timeout time.Duration) bool {
 	sinceWrite := s.SinceWrittenAfter()
-	return sinceWrite >= timeout+maxRenewalGap && sinceWrite < maxSinceWrite
+	return sinceWrite >= timeout+maxCommitTime && sinceWrite < maxSinceWrite
 }
 
 // SinceWrittenAfter returns how long ago the row was written at most, by the store's
--- a/internal/host/contact.go
+++ b/internal/host/contact.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/election"
 )
 
 // contact is what a host knows of the owner of an epoch from the owner's answers to
@@ -15,11 +17,28 @@
 	answered   bool
 	answeredAt time.Time
 	pingTime   time.Duration
+	// slowest is the longest pingTime of late. It decays with each answer.
+	slowest time.Duration
 }
 
+// pingTimeDecay is the part of contact.slowest that is lost with each faster answer.
+const pingTimeDecay = 8
+
 // observe records an answer of the owner of an epoch.
 func (c *contact) observe(now time.Time, epoch uint64, pingTime time.Duration) {
-	*c = contact{epoch: epoch, answered: true, answeredAt: now, pingTime: pingTime}
+	slowest := pingTime
+	if c.epoch == epoch {
+		slowest = max(pingTime, c.slowest-c.slowest/pingTimeDecay)
+	}
+	*c = contact{epoch: epoch, answered: true, answeredAt: now, pingTime: pingTime, slowest: slowest}
+}
+
+// recentPingTime returns how long the owner in a state took of late to answer pings.
+func (c *contact) recentPingTime(state election.State) time.Duration {
+	if c.epoch != state.Owner.Epoch {
+		return 0
+	}
+	return c.slowest
 }
 
 // fields returns what is known of the owner of an epoch, for the log. SincePong is
@@ -31,28 +50,3 @@
 	}
 	return []zap.Field{zap.Duration("SincePong", sincePong), zap.Duration("PingTime", pingTime)}
 }
-
-// delayMemory is how long a delay of this host counts.
-const delayMemory = 1 * time.Second
-
-// hostDelay is how late the timers of this host's monitor fire, which tells whether
-// the host itself is short of processor time.
-type hostDelay struct {
-	longest time.Duration
-	at      time.Time
-}
-
-// observe records how late a timer fired.
-func (d *hostDelay) observe(now time.Time, late time.Duration) {
-	if late = max(late, 0); late >= d.recent(now) {
-		d.longest, d.at = late, now
-	}
-}
-
-// recent returns the longest delay within delayMemory.
-func (d *hostDelay) recent(now time.Time) time.Duration {
-	if now.Sub(d.at) > delayMemory {
-		return 0
-	}
-	return d.longest
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -104,10 +104,11 @@
 	advisors    *remoteAdvisors
 	metrics     hostMetrics
 	// Only the goroutine of monitorOwner uses suspicion, suspectedSince, contact,
-	// delay, lastReadFailure and yieldUntil.
+	// delay, lastReadFailure and yieldUntil, and receives the answers of the pinger.
 	suspicion suspicion
 	// suspectedSince is when the owner was first suspected; zero if it is not.
 	suspectedSince time.Time
+	pinger         pinger
 	contact        contact
 	delay          hostDelay
 	// lastReadFailure is when a read of the owner's row last failed.
@@ -157,7 +158,7 @@
 		intake:    intake.New(platform.Store, timers),
 		manifests: manifest.NewHolder(), detector: election.NewFailureDetector(config.OwnerTimeout),
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
-		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope),
+		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope), pinger: newPinger(),
 	}
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net/netip"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,15 +11,14 @@
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/owner"
-	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
 const (
 	// pingInterval is the period of the pings to the owner.
 	pingInterval = 250 * time.Millisecond
-	// pingTimeout bounds a ping, and suspectPingTimeout a ping to an owner that
-	// is suspected since the last one.
+	// pingTimeout is how long a host waits for the answer of the owner, and
+	// suspectPingTimeout how long while it suspects the owner.
 	pingTimeout        = 300 * time.Millisecond
 	suspectPingTimeout = 120 * time.Millisecond
 	// suspectPollInterval is the period at which the owner's row is read while
@@ -65,78 +61,15 @@
 func (h *Host) pause(d time.Duration) {
 	due := h.timers.Now().Add(d)
 	if h.sleep(d) {
-		now := h.timers.Now()
-		h.delay.observe(now, now.Sub(due))
-		h.metrics.delay.Update(h.delay.recent(now).Seconds())
+		h.observeDelay(due)
 	}
 }
 
-// pingOwner pings the owner and reports whether it is healthy. If it is not, the
-// reason is kept in h.suspicion.
-func (h *Host) pingOwner(timeout time.Duration) bool {
-	known := h.knownOwner()
-	h.suspicion = suspicion{epoch: known.epoch}
-	if !known.addr.IsValid() {
-		h.suspicion.reason = "no owner is known"
-		return false
-	}
-	begin := h.timers.Now()
-	from, pong, err := h.ping(known.addr, 0, timeout)
-	if err == nil {
-		h.observePong(begin, known)
-	}
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		h.markOwnerExited(known.incarnation)
-		h.suspicion.reason = "the owner refuses connections"
-	case err != nil:
-		h.suspicion.reason = "the owner does not answer"
-	case from.Incarnation != known.incarnation:
-		h.markOwnerExited(known.incarnation)
-		h.suspicion.reason = "another process answers at the address of the owner"
-	case !pong.Owning:
-		h.suspicion.reason = "the owner reports that it does not own the cell"
-	case pong.SinceRenewal > staleAfter:
-		h.suspicion.reason = "the owner cannot renew its row"
-		h.suspicion.sinceRenewal = pong.SinceRenewal
-	default:
-		h.detector.Reset()
-		h.markOwnerHealthy(known.epoch)
-		return true
-	}
-	return false
-}
-
-// observePong records an answer of the owner to a ping that was sent at begin.
-func (h *Host) observePong(begin time.Time, known ownerRef) {
+// observeDelay records how late a timer of this host fired that was due.
+func (h *Host) observeDelay(due time.Time) {
 	now := h.timers.Now()
-	h.contact.observe(now, known.epoch, now.Sub(begin))
-	h.metrics.ping.RecordDuration(now.Sub(begin))
-}
-
-// ping asks a host what it knows of the owner, the other hosts and the manifest,
-// and applies the answer. epoch is the epoch in which this host owns the cell, or
-// 0 if this host does not own it.
-func (h *Host) ping(to netip.AddrPort, epoch uint64, timeout time.Duration) (peer.Host, message.OwnerPong, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, timeout)
-	defer cancel()
-	ping := message.EncodeHostPing(message.HostPing{
-		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
-		KnownEpoch: max(epoch, h.knownOwner().epoch),
-	})
-	from, reply, err := h.peers.Ask(ctx, to, ping)
-	if err != nil {
-		return from, message.OwnerPong{}, err
-	}
-	pong, err := message.DecodeOwnerPong(reply)
-	if err != nil {
-		return from, message.OwnerPong{}, err
-	}
-	if len(pong.NewerManifest) > 0 {
-		h.adopt(pong.NewerManifest, from.Name)
-	}
-	h.applyPong(pong)
-	return from, pong, nil
+	h.delay.observe(now, now.Sub(due))
+	h.metrics.delay.Update(h.delay.recent(now).Seconds())
 }
 
 // markOwnerExited records that the owner's process has exited, if the owner is
@@ -179,6 +112,7 @@
 	}
 	observation := h.suspicion.observation(state, latency, begin.Sub(h.lastReadFailure))
 	observation.ProcessExited, observation.ShortTenures = h.hasExited(state.Owner.Incarnation), h.shortTenures()
+	observation.PingTime, observation.HostDelay = h.contact.recentPingTime(state), h.delay.recent(h.timers.Now())
 	// If the row names this process, its tenure has ended without a release, so
 	// no other host has to be suspected first.
 	if namesThisProcess || h.detector.TakeoverDue(h.timers.Now(), state, observation) {
@@ -269,7 +203,7 @@
 	}
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
-		pong.SinceRenewal = running.SinceRenewal()
+		pong.SinceRenewal, pong.RowVersion = running.LastRenewal()
 	}
 	return pong
 }
--- a/internal/host/suspicion.go
+++ b/internal/host/suspicion.go
@@ -16,16 +16,20 @@
 	// sinceRenewal is how long ago that owner last renewed its row, as it
 	// reported itself.
 	sinceRenewal time.Duration
+	// rowVersion is the version of the row as of that renewal; 0 means unknown.
+	rowVersion uint64
 }
 
 // observation returns what a host knows of the owner in addition to the state
 // that it read. What an earlier owner reported does not count against the owner
-// in the row. readable is how long this host has been able to read the store:
+// in the row, nor does it if the row has been renewed since: the owner may not have
+// got the response yet. readable is how long this host has been able to read the store:
 // before that the store may have been unavailable to the owner too, so a missed
 // renewal from that time is not counted.
 func (s suspicion) observation(state election.State, latency, readable time.Duration) election.Observation {
 	observation := election.Observation{ReadLatency: latency}
-	if state.Owner.Epoch == s.epoch {
+	current := s.rowVersion == 0 || s.rowVersion == state.Version
+	if state.Owner.Epoch == s.epoch && current {
 		observation.SinceRenewal = min(s.sinceRenewal, readable)
 	}
 	return observation
--- a/internal/host/suspicion_test.go
+++ b/internal/host/suspicion_test.go
@@ -31,3 +31,15 @@
 		})
 	}
 }
+
+// TestSinceRenewalDoesNotCountAfterALaterRenewal guards against the takeover from an
+// owner that has renewed its row and has not got the response yet.
+func TestSinceRenewalDoesNotCountAfterALaterRenewal(t *testing.T) {
+	s := suspicion{epoch: 4, sinceRenewal: time.Second, rowVersion: 7}
+	for version, want := range map[uint64]time.Duration{7: time.Second, 8: 0} {
+		state := election.State{Owner: ledger.Owner{Epoch: 4}, Version: version}
+		if got := s.observation(state, time.Millisecond, time.Minute).SinceRenewal; got != want {
+			t.Errorf("version %d: unrenewed for %v; want %v", version, got, want)
+		}
+	}
+}
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -45,6 +45,9 @@
 	if h.knownOwner().epoch > state.Owner.Epoch {
 		return // another host took over first and announced it
 	}
+	if !state.Owner.Released && !observation.ProcessExited && h.answersAgain(state.Owner.Epoch) {
+		return
+	}
 	evidence := h.evidence(readAt, state, observation)
 	if state.Clock != 0 {
 		state.Clock += h.timers.Now().Sub(readAt)
@@ -74,6 +77,18 @@
 	})
 }
 
+// answersAgain reports whether the owner of an epoch has answered as a healthy owner
+// since the takeover became due.
+func (h *Host) answersAgain(epoch uint64) bool {
+	a, ok := h.latestAnswer(h.knownOwner())
+	if !ok || !a.healthy() || a.owner.epoch != epoch {
+		return false
+	}
+	h.log.Info("the owner has answered before the takeover", append(h.contact.fields(h.timers.Now(), epoch), zap.Uint64("Epoch", epoch))...)
+	h.detector.Reset()
+	return true
+}
+
 // evidence returns what this host knew of the owner when the takeover was due.
 // RowWritten is how long before that the row was written at most, by the store's
 // clock.
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -38,6 +38,8 @@
 	// SinceRenewal is how long ago the answering owner last renewed its row in
 	// the store.
 	SinceRenewal time.Duration
+	// RowVersion is the version of the row as of that renewal; 0 means unknown.
+	RowVersion uint64
 	// Manifest is the version of the manifest that the answering host has in
 	// force.
 	Manifest uint64
@@ -92,6 +94,7 @@
 	SinceRenewal     time.Duration
 	Manifest         uint64
 	NewerManifest    []byte
+	RowVersion       uint64
 }
 
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
@@ -100,13 +103,14 @@
 		return ownerPongWire{
 			Owning: m.Owning, OwnerAddr: m.OwnerAddr.String(), OwnerIncarnation: m.OwnerIncarnation, Epoch: m.Epoch,
 			Hosts: mapSlice(m.Hosts, netip.AddrPort.String), SinceRenewal: m.SinceRenewal, Manifest: m.Manifest,
-			NewerManifest: m.NewerManifest,
+			NewerManifest: m.NewerManifest, RowVersion: m.RowVersion,
 		}
 	},
 	fromWire: func(w ownerPongWire) OwnerPong {
 		return OwnerPong{
 			Owning: w.Owning, OwnerAddr: parseAddr(w.OwnerAddr), OwnerIncarnation: w.OwnerIncarnation, Epoch: w.Epoch,
 			Hosts: mapSlice(w.Hosts, parseAddr), SinceRenewal: w.SinceRenewal, Manifest: w.Manifest, NewerManifest: w.NewerManifest,
+			RowVersion: w.RowVersion,
 		}
 	},
 }
