Answer a ping however many other calls are being served

A transport serves at most 1,024 calls of peers at once and refuses the others. Pings counted among them: an owner with 1,024 notices, lookups and relayed requests in progress refused the pings of its peers ("too many calls in progress"), which took it for an owner that does not answer.

peer.Immediate names kinds of calls that are answered by the goroutine that reads them, outside this limit. The handler of a ping does not wait for anything.

Runs: go test -race ./internal/peer ./internal/command.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -23,6 +23,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/host"
 	"cicadabarrow.example/cicadabarrow/internal/logging"
+	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/metrics"
 	"cicadabarrow.example/cicadabarrow/internal/owner"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
@@ -130,7 +131,7 @@
 	self := peer.Host{Name: s.Name, DataCentre: s.DataCentre, Incarnation: s.Name + "/" + uuid.NewString()}
 	handler := &deferredHandler{ready: make(chan struct{})}
 	scope := page.Scope
-	peers := peer.New(self, listen, &net.Dialer{}, handler, scope, log)
+	peers := peer.New(self, listen, &net.Dialer{}, handler, scope, log, peer.Immediate(message.KindHostPing))
 	client := platform.NewClient(scope)
 	h := host.New(hostConfig(s, self), host.Platform{
 		Ports: owner.Ports{
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -89,6 +89,10 @@
 			c.deliver(e)
 			continue
 		}
+		if c.transport.immediate[e.Kind] {
+			c.serve(ctx, e)
+			continue
+		}
 		select {
 		case c.transport.serving <- struct{}{}:
 			c.transport.background.Go(func() {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -56,7 +56,9 @@
 
 	// serving holds one element for each call of a peer that is being served; its
 	// capacity is maxServing.
-	serving    chan struct{}
+	serving chan struct{}
+	// immediate holds the kinds of calls that are answered at once.
+	immediate  map[uint8]bool
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 	ctx        context.Context
@@ -99,15 +101,33 @@
 	directionOut = true
 )
 
+// Option configures a Transport.
+type Option func(*Transport)
+
+// Immediate makes a transport answer calls of the given kinds as it reads them,
+// however many other calls are being served. Their handlers must not wait.
+func Immediate(kinds ...uint8) Option {
+	return func(t *Transport) {
+		for _, kind := range kinds {
+			t.immediate[kind] = true
+		}
+	}
+}
+
 // New returns a transport and starts to accept connections on the listener.
-func New(self Host, listen net.Listener, dialer Dialer, handler Handler, scope tally.Scope, log *zap.Logger) *Transport {
+func New(
+	self Host, listen net.Listener, dialer Dialer, handler Handler, scope tally.Scope, log *zap.Logger, options ...Option,
+) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		self: self, log: log.Named("peer"), scope: scope.SubScope("peer"), dialer: dialer, handler: handler,
 		listen: listen, serving: make(chan struct{}, maxServing), cancel: cancel, ctx: ctx, done: make(chan struct{}),
 		outgoing: make(map[netip.AddrPort]*outgoingConn),
 		conns:    make(map[*conn]struct{}),
-		bytes:    make(map[Flow]uint64),
+		bytes:    make(map[Flow]uint64), immediate: make(map[uint8]bool),
+	}
+	for _, option := range options {
+		option(t)
 	}
 	go func() {
 		defer close(t.done)
