Encode progress records without reflection, and done tasks without a checkpoint

Cause: each commit writes the whole record of every job that changed, so an owner encodes about two records for each start, with reflection over nested structs.

The encoder calls the library's encoder for each value. The shape stays, so that earlier releases read the rows; whole numbers take the shortest form, and empty lists are nil as before. A task that is done is written without its checkpoint, which nothing reads.

--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -39,32 +39,13 @@
 //
 // What earlier releases do not know follows in a second value, which they ignore.
 func EncodeRecord(r cell.Record) ([]byte, error) {
-	w := recordWire{Job: string(r.Job), Revision: r.Revision, State: string(r.State)}
-	if !r.State.Final() {
-		w.Occurrences = make([][]stepRecordWire, len(r.Occurrences))
+	e := newRecordEncoder()
+	e.record(&r)
+	tasks := countSupplements(&r)
+	if r.Cause != "" || tasks > 0 {
+		e.supplement(&r, tasks)
 	}
-	for k := range w.Occurrences {
-		w.Occurrences[k] = encodeSteps(r.Occurrences[k])
-	}
-	value, err := msgpack.Marshal(&w)
-	if err != nil {
-		return nil, err
-	}
-	return appendSupplement(value, r)
-}
-
-func encodeSteps(steps []cell.StepRecord) []stepRecordWire {
-	out := make([]stepRecordWire, len(steps))
-	for i, s := range steps {
-		out[i] = stepRecordWire{FailedRuns: s.FailedRuns, Tasks: make([]taskRecordWire, len(s.Tasks))}
-		for n, t := range s.Tasks {
-			out[i].Tasks[n] = taskRecordWire{
-				Done: t.Done, LastRun: t.LastRun, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, Worker: string(t.Worker),
-				Run: t.Run,
-			}
-		}
-	}
-	return out
+	return e.finish()
 }
 
 // DecodeRecord decodes the progress record of a job. With an error of KindSupplement it
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -46,39 +46,28 @@
 	Incarnation int64
 }
 
-// appendSupplement appends the supplement of a record to its encoded value, if it
-// has any content. A record in a final state has only the cause.
-func appendSupplement(value []byte, r cell.Record) ([]byte, error) {
-	w := supplementWire{Cause: string(r.Cause)}
-	if !r.State.Final() {
-		w.Tasks = supplementTasks(r)
+// countSupplements returns the number of tasks in the supplement of a record. A record
+// in a final state has only the cause.
+func countSupplements(r *cell.Record) int {
+	if r.State.Final() {
+		return 0
 	}
-	if w.Cause == "" && len(w.Tasks) == 0 {
-		return value, nil
-	}
-	supplement, err := msgpack.Marshal(&w)
-	if err != nil {
-		return nil, err
-	}
-	return append(value, supplement...), nil
-}
-
-func supplementTasks(r cell.Record) []taskSupplementWire {
-	var out []taskSupplementWire
-	for k, steps := range r.Occurrences {
-		for i, s := range steps {
-			for n, t := range s.Tasks {
-				if t.Machine == "" && len(t.Crashes) == 0 && len(t.Lost) == 0 {
-					continue
+	count := 0
+	for _, steps := range r.Occurrences {
+		for i := range steps {
+			for n := range steps[i].Tasks {
+				if needsSupplement(&steps[i].Tasks[n]) {
+					count++
 				}
-				out = append(out, taskSupplementWire{
-					Occurrence: k, Step: i, Task: n, Machine: t.Machine, Incarnation: int64(t.Incarnation),
-					Crashes: encodeCrashes(t.Crashes), Lost: encodeLostRuns(t.Lost), Accepted: t.Accepted,
-				})
 			}
 		}
 	}
-	return out
+	return count
+}
+
+// needsSupplement reports whether a task has content that earlier releases do not know.
+func needsSupplement(t *cell.TaskRecord) bool {
+	return t.Machine != "" || len(t.Crashes) > 0 || len(t.Lost) > 0
 }
 
 // decodeSupplement decodes the supplement of a record and adds it to the record. On an
@@ -115,26 +104,6 @@
 	return &steps[s.Step].Tasks[s.Task]
 }
 
-func encodeCrashes(crashes []cell.Crash) []crashWire {
-	var out []crashWire
-	for _, c := range crashes {
-		out = append(out, encodeCrash(c))
-	}
-	return out
-}
-
-func encodeCrash(c cell.Crash) crashWire {
-	return crashWire{Run: c.Run, JustStarted: c.JustStarted, Alone: c.Alone, Accepted: c.Accepted, SentListed: c.SentListed}
-}
-
-func encodeLostRuns(lost []cell.LostRun) []lostRunWire {
-	var out []lostRunWire
-	for _, l := range lost {
-		out = append(out, lostRunWire{Crash: encodeCrash(l.Crash), Machine: l.Machine, Incarnation: int64(l.Incarnation)})
-	}
-	return out
-}
-
 func decodeCrashes(crashes []crashWire) []cell.Crash {
 	var out []cell.Crash
 	for _, c := range crashes {
