Write queued log lines together

An owner with 850 starts a second logs two lines for each, and wrote each line with a call of its own. The lines of one decision are queued together, so the writing goroutine now joins up to 64 queued lines in one call. Lines that are being written count as waiting, so that the limits of the queue stay as they were.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -30,6 +30,8 @@
 	// warningsPerSecond and warningBurst limit the rate of warnings and errors.
 	warningsPerSecond = 1000
 	warningBurst      = 3000
+	// maxBatchLines limits the lines that are written at once.
+	maxBatchLines = 64
 	// reportInterval is the interval at which the number of dropped lines is
 	// logged.
 	reportInterval = 5 * time.Second
@@ -63,7 +65,7 @@
 }
 
 func (l *limiter) allow(level zapcore.Level) bool {
-	waiting := len(l.writer.queue)
+	waiting := l.writer.waiting()
 	if level >= zapcore.WarnLevel {
 		return waiting < maxQueuedLines && l.warnings.Allow()
 	}
@@ -96,11 +98,15 @@
 
 // writer queues lines for the goroutine that writes them to out.
 type writer struct {
-	out     io.Writer
-	queue   chan []byte
-	dropped atomic.Int64
-	stop    chan struct{}
-	done    chan struct{}
+	out   io.Writer
+	queue chan []byte
+	// batch has the lines that are being written, and batchLines their number. Lines
+	// that are queued together are written together, since a call costs more than a line.
+	batch      []byte
+	batchLines atomic.Int64
+	dropped    atomic.Int64
+	stop       chan struct{}
+	done       chan struct{}
 }
 
 func newWriter(out io.Writer) *writer {
@@ -129,6 +135,9 @@
 // Sync does nothing: the writing goroutine writes lines as they arrive.
 func (w *writer) Sync() error { return nil }
 
+// waiting returns the number of lines that are queued or being written.
+func (w *writer) waiting() int { return len(w.queue) + int(w.batchLines.Load()) }
+
 func (w *writer) run() {
 	for {
 		select {
@@ -152,10 +161,29 @@
 	}
 }
 
+// write writes a line, together with the next ones that are queued already.
 func (w *writer) write(line []byte) {
-	if _, err := w.out.Write(line); err != nil {
+	w.batch = append(w.batch[:0], line...)
+	w.batchLines.Store(1)
+	for w.batchLines.Load() < maxBatchLines && w.addQueued() {
+		continue
+	}
+	if _, err := w.out.Write(w.batch); err != nil {
 		// There is no other place to report the write error.
-		w.dropped.Add(1)
+		w.dropped.Add(w.batchLines.Load())
+	}
+	w.batchLines.Store(0)
+}
+
+// addQueued adds a queued line to the batch, if there is one.
+func (w *writer) addQueued() bool {
+	select {
+	case line := <-w.queue:
+		w.batch = append(w.batch, line...)
+		w.batchLines.Add(1)
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -52,3 +53,37 @@
 		t.Errorf("log: %s; want the warning with its field and no line of the info level", text)
 	}
 }
+
+// chunks is an output that keeps what each call wrote.
+type chunks struct {
+	started chan struct{}
+	release chan struct{}
+	written []string
+}
+
+func (c *chunks) Write(p []byte) (int, error) {
+	c.written = append(c.written, string(p))
+	if len(c.written) == 1 {
+		close(c.started)
+		<-c.release
+	}
+	return len(p), nil
+}
+
+func TestQueuedLinesAreWrittenTogether(t *testing.T) {
+	out := &chunks{started: make(chan struct{}), release: make(chan struct{})}
+	log, closeLog := New(zapcore.InfoLevel, out)
+	log.Info("first")
+	<-out.started
+	for i := range maxBatchLines + 1 {
+		log.Info("later", zap.Int("Number", i))
+	}
+	close(out.release)
+	closeLog()
+	if len(out.written) != 3 || strings.Count(out.written[1], "\n") != maxBatchLines || strings.Count(out.written[2], "\n") != 1 {
+		t.Errorf("%d calls wrote %q", len(out.written), out.written)
+	}
+	if !strings.Contains(out.written[2], fmt.Sprintf(`"Number":%d`, maxBatchLines)) {
+		t.Errorf("the last line is %q", out.written[2])
+	}
+}
