Keep starts to workers that do not answer from holding the places of others

Cause: a start to a worker that has died held its place (64 to 512) for 350 ms, and until its first failed hold the worker got further starts: with 140 of 160 workers dead, starts to the other 20 waited for the timeouts.

A start that has taken 150 ms is overdue. It does not count against the limit of starts in flight (256 at most), and the cell is told (StartOverdue): the worker gets no starts, neither new ones nor those in the dispatch queue, until it answers a start, a stop or a hold call. A start without an answer has the same effect at once. Stops and reports go on as before, so that the worker is found again.

Tried first: setting it in the cell for every start without an answer. The script capacity-shrinks-in-dispatch-queue places on a worker with such a start to check the capacity that it holds, so the owner sets it instead, and the scripts are unchanged.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -33,6 +33,7 @@
 	w.reported = true
 	w.incarnation = report.Incarnation
 	w.lastReport = now
+	c.answered(w)
 	if w.incarnationUnsure {
 		w.incarnationUnsure = false
 		c.capacityFreed(w)
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -131,6 +131,8 @@
 		s.advised(t, first(0), arg)
 	case "started":
 		s.started(t, first(0), first(1), first(2), arg, flag)
+	case "overdue":
+		s.cell.StartOverdue(cell.WorkerID(first(0)))
 	case "stopped":
 		s.cell.Stopped(cell.WorkerID(first(0)), parseTaskID(t, first(1)), parseInt(t, first(2)), parseDuration(t, arg("clock")))
 	case "advance":
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -45,6 +45,9 @@
 
 // Started handles the outcome of a start.
 func (c *Cell) Started(now time.Time, id WorkerID, taskID workload.TaskID, number int, outcome StartOutcome) {
+	if w, known := c.workers[id]; known && !outcome.Unknown && !outcome.NotSent {
+		c.answered(w)
+	}
 	r := c.run(id, taskID, number)
 	if r == nil || r.phase != runSent {
 		return
@@ -124,6 +127,9 @@
 
 // Stopped handles the answer to a stop.
 func (c *Cell) Stopped(id WorkerID, taskID workload.TaskID, number int, clock time.Duration) {
+	if w, known := c.workers[id]; known {
+		c.answered(w)
+	}
 	r := c.run(id, taskID, number)
 	if r == nil {
 		return
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -78,6 +78,9 @@
 	// incarnationUnsure is set after a call without an answer: the worker may
 	// have begun a new incarnation, whose clock and count of ends start again.
 	incarnationUnsure bool
+	// startOverdue is set while the worker has not answered a start in time, nor any
+	// call since.
+	startOverdue bool
 	// cordonedBy is the maintenance wave for which the worker's machine goes
 	// down, so that the worker gets no starts; nil if there is none.
 	cordonedBy *waveState
@@ -306,7 +309,7 @@
 	}
 	// A start with a deadline by the clock of an earlier incarnation could grant a
 	// new one the longest lease, unknown to a successor.
-	if w.incarnationUnsure {
+	if w.incarnationUnsure || w.startOverdue {
 		return false
 	}
 	// Early starts of a predecessor may still arrive and take capacity.
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -81,7 +81,7 @@
 // and the timeouts of calls and the local delay since the last report, if there are any.
 func (o *Owner) reportCalls(now time.Time) {
 	answering, silent := o.orders.groups(now)
-	o.metrics.orders(answering, silent)
+	o.metrics.orders(answering, silent, o.starts.overdue)
 	timeouts := o.callStats.take()
 	delay := o.callClock.localDelay()
 	recent := delay - o.reportedDelay
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -23,7 +23,10 @@
 }
 
 func (e startReturned) apply(o *Owner, now time.Time) {
-	o.startsInFlight--
+	o.starts.returned(runKey{e.start.Worker, e.start.Task, e.start.Run})
+	if e.outcome.Unknown {
+		o.cell.StartOverdue(e.start.Worker)
+	}
 	o.cell.Started(now, e.start.Worker, e.start.Task, e.start.Run, e.outcome)
 }
 
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -144,10 +144,13 @@
 
 // acceptFrom is accept with the number of the first job.
 func acceptFrom(o *Owner, first, jobs, tasks int) {
+	acceptSized(o, first, jobs, tasks, job.Size{MilliCores: 100, MemoryMB: 10})
+}
+
+// acceptSized is acceptFrom with the size of each task.
+func acceptSized(o *Owner, first, jobs, tasks int, size job.Size) {
 	for i := first; i < first+jobs; i++ {
-		step := workload.Step{
-			Tasks: tasks, Size: job.Size{MilliCores: 100, MemoryMB: 10}, Estimate: time.Second, Checkpoints: true,
-		}
+		step := workload.Step{Tasks: tasks, Size: size, Estimate: time.Second, Checkpoints: true}
 		id := jobID(i)
 		o.JobAccepted(cell.AcceptedJob{
 			Job:   workload.Job{ID: id, Queue: queueUrgent, Steps: []workload.Step{step}},
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -99,8 +99,10 @@
 	m.scope.Gauge("orders_waiting").Update(float64(ordersWaiting))
 }
 
-// orders updates the gauges of the orders to workers that answer and to silent ones.
-func (m *ownerMetrics) orders(answering, silent groupStats) {
+// orders updates the gauges of the orders to workers that answer and to silent ones, and
+// of overdue starts.
+func (m *ownerMetrics) orders(answering, silent groupStats, startsOverdue int) {
+	m.scope.Gauge("starts_overdue").Update(float64(startsOverdue))
 	m.scope.Gauge("orders_in_flight").Update(float64(answering.inFlight))
 	m.scope.Gauge("orders_overdue").Update(float64(answering.overdue))
 	m.scope.Gauge("silent_orders_waiting").Update(float64(silent.waiting))
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -24,8 +24,14 @@
 	run    int
 }
 
-// limitStarts tells the cell how many more starts may be sent now.
-func (o *Owner) limitStarts() { o.cell.LimitStarts(o.startLimiter.limit - o.startsInFlight) }
+// limitStarts tells the cell how many more starts may be sent now, and which workers have
+// an overdue one.
+func (o *Owner) limitStarts() {
+	for _, id := range o.starts.findOverdue(o.callClock.elapsed()) {
+		o.cell.StartOverdue(id)
+	}
+	o.cell.LimitStarts(o.startLimiter.limit - o.starts.counted())
+}
 
 // order makes a call to a worker in a goroutine of its own, once the limits of orders
 // in flight allow it. The error of the call tells whether the worker has answered.
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -123,3 +124,28 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// 140 of 160 workers have died, and starts are sent to all of them. Those to the others
+// must not wait for the timeouts of theirs.
+func TestStartsDoNotWaitForSilentWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dead, alive, each = 140, 20, 4
+		p := newFakePlatform(dead + alive)
+		p.startTakes, p.runTakes = 20*time.Millisecond, time.Minute
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(2 * time.Second)
+		p.mu.Lock()
+		for i := range dead + alive {
+			p.silent[workerID(i)] = i%((dead+alive)/alive) > 0
+		}
+		p.mu.Unlock()
+		acceptSized(o, 0, 1, (dead+alive)*each, job.Size{MilliCores: 100_000 / each})
+		time.Sleep(time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if len(p.started) != alive*each {
+			t.Errorf("%d of %d tasks were started on workers that answer", len(p.started), alive*each)
+		}
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -131,11 +131,11 @@
 	recovery recovery
 	events   *ring.Ring[event]
 	// orders is the queue of the orders to workers, that is stops and changes of
-	// pace, but not of the maintenance orders. startsInFlight counts the starts that
-	// have no response yet.
-	orders         *orderQueue
-	startsInFlight int
-	startLimiter   limiter
+	// pace, but not of the maintenance orders. starts counts the starts that have no
+	// response yet.
+	orders       *orderQueue
+	starts       startTracker
+	startLimiter limiter
 	// callClock measures the local delay, of which reportedDelay has been reported.
 	callClock     *callClock
 	callStats     *callStats
@@ -214,7 +214,7 @@
 		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Row.Epoch)),
 		metrics: metrics,
 		events:  ring.New[event](eventQueueSize),
-		orders:  newOrderQueue(metrics), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
+		orders:  newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		holdLoops:  make(map[cell.WorkerID]*holdLoop),
 		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
@@ -324,7 +324,7 @@
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
 			delay := o.timers.Now().Sub(due)
-			o.startLimiter.observe(delay, o.startsInFlight)
+			o.startLimiter.observe(delay, o.starts.counted())
 			o.tickOrders(delay)
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -42,7 +42,7 @@
 }
 
 func (o *Owner) start(s cell.SendStart) {
-	o.startsInFlight++
+	o.starts.sent(runKey{s.Worker, s.Task, s.Run}, o.callClock.elapsed())
 	addr, ok := o.cell.Addr(s.Worker)
 	if !ok {
 		o.put(startReturned{s, cell.StartOutcome{NotSent: true}})
