Measure the timeouts of calls in the time in which this host can read the answers

Cause: a start or stop that waited 350 ms for this host's own processor was counted as a worker that does not answer. Its run was in doubt, was stopped and placed again, and the worker was set aside: time-outs turned load into more load.

The timeouts of starts, stops, paces, hold calls and requested reports are now checked by the call clock, which leaves out the local delay: a call gets its whole timeout again in time in which goroutines that were due ran. A worker that does not answer is found after the same 350 ms on a host with processor time. The calls have no timer of their own any more; the clock's goroutine ends those that are due, at most 20 ms late. The limit of authority of orders on workers without fences stays in real time, and outcomes are told apart as before: no call is called not sent that may have been sent. The counts of timeouts go on over the reports now, so that a test can read them.

--- a/internal/owner/callclock.go
+++ b/internal/owner/callclock.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"container/heap"
 	"context"
 	"errors"
 	"runtime"
@@ -11,15 +12,20 @@
 )
 
 const (
-	// probeInterval is the interval at which the local delay is measured.
+	// probeInterval is the interval at which the local delay is measured and the
+	// timeouts of calls are checked.
 	probeInterval = 20 * time.Millisecond
 	// delayTolerance is the local delay of a probe that is ordinary scheduling.
 	delayTolerance = 5 * time.Millisecond
 )
 
-// callClock measures the local delay of this host. Its goroutine sleeps for
-// probeInterval and then lets the runnable goroutines run; what this takes longer is
-// the local delay, in which the response to a call may wait unread.
+// errCallTimeout is the cause of a call that got no response within its timeout.
+var errCallTimeout = errors.New("no response within the timeout")
+
+// callClock measures the timeouts of calls in the time in which this host was able to
+// read the responses. Its goroutine sleeps for probeInterval and then lets the
+// runnable goroutines run; what this takes longer is the local delay, in which a
+// response may wait unread.
 type callClock struct {
 	timers timer.Service
 	start  time.Time
@@ -29,6 +35,8 @@
 	// is due.
 	delay time.Duration
 	due   time.Time
+	// calls holds the calls in flight, and calls that have returned since.
+	calls callHeap
 }
 
 func newCallClock(timers timer.Service) *callClock {
@@ -36,7 +44,7 @@
 	return &callClock{timers: timers, start: now, due: now.Add(probeInterval)}
 }
 
-// run measures the local delay until ctx is done.
+// run measures the local delay and ends the calls that time out, until ctx is done.
 func (c *callClock) run(ctx context.Context) {
 	for {
 		wait := c.timers.After(probeInterval)
@@ -53,12 +61,16 @@
 	}
 }
 
-// probe adds the local delay since the last probe.
+// probe adds the local delay since the last probe and ends the calls that time out.
 func (c *callClock) probe(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.delay += c.pending(now)
 	c.due = now.Add(probeInterval)
+	elapsed := now.Sub(c.start) - c.delay
+	for len(c.calls) > 0 && c.calls[0].deadline <= elapsed {
+		heap.Pop(&c.calls).(*timedCall).expire()
+	}
 }
 
 // pending returns the local delay since the last probe. The caller holds mu.
@@ -88,22 +100,37 @@
 // timedCall is a call with a timeout.
 type timedCall struct {
 	clock  *callClock
-	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// begun is the local delay at the start of the call.
 	begun time.Duration
+	// deadline is when the call times out, by the time since the start of the clock
+	// without local delays.
+	deadline time.Duration
+	// timedOut is set once the call has timed out. The mutex of the clock guards it.
+	timedOut bool
 }
 
-// begin starts a call that is cancelled after the timeout. The caller calls end when
-// the call has returned.
+// begin starts a call that is cancelled after the timeout, not counting the local
+// delay meanwhile. The caller calls end when the call has returned.
 func (c *callClock) begin(ctx context.Context, timeout time.Duration) (context.Context, *timedCall) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	return ctx, &timedCall{clock: c, ctx: ctx, cancel: cancel, begun: c.localDelay()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	now := c.timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := c.delay + c.pending(now)
+	t := &timedCall{clock: c, cancel: cancel, begun: begun, deadline: now.Sub(c.start) - begun + timeout}
+	heap.Push(&c.calls, t)
+	return ctx, t
+}
+
+// expire ends a call that has timed out. The caller holds the mutex of the clock.
+func (t *timedCall) expire() {
+	t.timedOut = true
+	t.cancel(errCallTimeout)
 }
 
 // callEnd tells how a call has ended.
 type callEnd struct {
-	// timedOut is set if the call had no response within its timeout.
 	timedOut bool
 	// delayed is the local delay during the call.
 	delayed time.Duration
@@ -111,7 +138,28 @@
 
 // end releases the resources of a call that has returned.
 func (t *timedCall) end() callEnd {
-	timedOut := errors.Is(t.ctx.Err(), context.DeadlineExceeded)
-	t.cancel()
-	return callEnd{timedOut: timedOut, delayed: t.clock.localDelay() - t.begun}
+	t.cancel(nil)
+	delayed := t.clock.localDelay() - t.begun
+	t.clock.mu.Lock()
+	defer t.clock.mu.Unlock()
+	return callEnd{timedOut: t.timedOut, delayed: delayed}
+}
+
+// callHeap orders calls by deadline.
+type callHeap []*timedCall
+
+func (h callHeap) Len() int           { return len(h) }
+func (h callHeap) Less(i, j int) bool { return h[i].deadline < h[j].deadline }
+func (h callHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *callHeap) Push(x any) { *h = append(*h, x.(*timedCall)) }
+
+// Pop implements heap.Interface.
+func (h *callHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
 }
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 	delayed int
 }
 
-// callStats counts the calls to workers that timed out since the last report.
+// callStats counts the calls to workers that timed out.
 type callStats struct {
 	metrics *ownerMetrics
 
@@ -57,13 +58,11 @@
 	s.timeouts[kind] = n
 }
 
-// take returns the counts since take was last called.
-func (s *callStats) take() map[callKind]timeoutCount {
+// counts returns the counts so far.
+func (s *callStats) counts() map[callKind]timeoutCount {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counts := s.timeouts
-	s.timeouts = make(map[callKind]timeoutCount)
-	return counts
+	return maps.Clone(s.timeouts)
 }
 
 // beginCall starts a call to a worker. The caller calls the returned function when
@@ -82,19 +81,18 @@
 func (o *Owner) reportCalls(now time.Time) {
 	answering, silent := o.orders.groups(now)
 	o.metrics.orders(answering, silent, o.starts.overdue)
-	timeouts := o.callStats.take()
-	delay := o.callClock.localDelay()
-	recent := delay - o.reportedDelay
-	o.reportedDelay = delay
+	timeouts, delay := o.callStats.counts(), o.callClock.localDelay()
+	before, recent := o.reportedTimeouts, delay-o.reportedDelay
+	o.reportedTimeouts, o.reportedDelay = timeouts, delay
 	none := groupStats{}
-	if len(timeouts) == 0 && recent == 0 && answering == none && silent == none {
+	if maps.Equal(timeouts, before) && recent == 0 && answering == none && silent == none {
 		return
 	}
 	var total, delayed []zap.Field
 	for _, kind := range callKinds {
-		if n := timeouts[kind]; n.total > 0 {
-			total = append(total, zap.Int(string(kind), n.total))
-			delayed = append(delayed, zap.Int(string(kind), n.delayed))
+		if n, reported := timeouts[kind], before[kind]; n != reported {
+			total = append(total, zap.Int(string(kind), n.total-reported.total))
+			delayed = append(delayed, zap.Int(string(kind), n.delayed-reported.delayed))
 		}
 	}
 	o.log.Info("calls to workers", zap.Duration("LocalDelay", recent),
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -279,7 +279,7 @@
 
 // Start starts a run, unless its ticket or its lease has expired.
 func (p *fakePlatform) Start(ctx context.Context, _ netip.AddrPort, s cell.SendStart, _ uint64) (cell.StartOutcome, error) {
-	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.startTakes)); err != nil {
+	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.startLatency())); err != nil {
 		return cell.StartOutcome{Unknown: true}, err
 	}
 	p.mu.Lock()
@@ -300,6 +300,12 @@
 	return outcome, nil
 }
 
+func (p *fakePlatform) startLatency() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startTakes
+}
+
 // Stop counts the stops of each run and ends the run.
 func (p *fakePlatform) Stop(ctx context.Context, _ netip.AddrPort, s cell.SendStop, _ uint64) (time.Duration, error) {
 	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.connectTakes)); err != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -136,10 +136,12 @@
 	orders       *orderQueue
 	starts       startTracker
 	startLimiter limiter
-	// callClock measures the local delay, of which reportedDelay has been reported.
-	callClock     *callClock
-	callStats     *callStats
-	reportedDelay time.Duration
+	// callClock measures the local delay and the timeouts of calls to workers, which
+	// callStats counts. reportedDelay and reportedTimeouts have been reported.
+	callClock        *callClock
+	callStats        *callStats
+	reportedDelay    time.Duration
+	reportedTimeouts map[callKind]timeoutCount
 	// pendingStops holds the runs whose stop is queued or in flight. wantedPaces
 	// holds the latest pace that was requested for each run whose change of pace is
 	// queued or in flight.
