--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/wire"
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -150,10 +150,13 @@
 
 // acceptFrom is accept with the number of the first job.
 func acceptFrom(o *Owner, first, jobs, tasks int) {
+	acceptSized(o, first, jobs, tasks, job.Size{MilliCores: 100, MemoryMB: 10})
+}
+
+// acceptSized is acceptFrom with the size of each task.
+func acceptSized(o *Owner, first, jobs, tasks int, size job.Size) {
 	for i := first; i < first+jobs; i++ {
-		step := workload.Step{
-			Tasks: tasks, Size: job.Size{MilliCores: 100, MemoryMB: 10}, Estimate: time.Second, Checkpoints: true,
-		}
+		step := workload.Step{Tasks: tasks, Size: size, Estimate: time.Second, Checkpoints: true}
 		id := jobID(i)
 		o.JobAccepted(cell.AcceptedJob{
 			Job:   workload.Job{ID: id, Queue: queueUrgent, Steps: []workload.Step{step}},
@@ -282,7 +285,7 @@
 
 // Start starts a run, unless its ticket or its lease has expired.
 func (p *fakePlatform) Start(ctx context.Context, _ netip.AddrPort, s cell.SendStart, _ uint64) (cell.StartOutcome, error) {
-	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.startTakes)); err != nil {
+	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.startLatency())); err != nil {
 		return cell.StartOutcome{Unknown: true}, err
 	}
 	p.mu.Lock()
@@ -303,6 +306,12 @@
 	return outcome, nil
 }
 
+func (p *fakePlatform) startLatency() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startTakes
+}
+
 // Stop counts the stops of each run and ends the run.
 func (p *fakePlatform) Stop(ctx context.Context, _ netip.AddrPort, s cell.SendStop, _ uint64) (time.Duration, error) {
 	if err := errors.Join(p.awaitAnswer(ctx, s.Worker), sleep(ctx, p.connectTakes)); err != nil {
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -112,8 +112,10 @@
 	m.scope.Gauge("run_queue_delay_seconds").Update(u.queueDelay.Seconds())
 }
 
-// orders updates the gauges of the orders to workers that answer and to silent ones.
-func (m *ownerMetrics) orders(answering, silent groupStats) {
+// orders updates the gauges of the orders to workers that answer and to silent ones, and
+// of overdue starts.
+func (m *ownerMetrics) orders(answering, silent groupStats, startsOverdue int) {
+	m.scope.Gauge("starts_overdue").Update(float64(startsOverdue))
 	m.scope.Gauge("orders_in_flight").Update(float64(answering.inFlight))
 	m.scope.Gauge("orders_overdue").Update(float64(answering.overdue))
 	m.scope.Gauge("silent_orders_waiting").Update(float64(silent.waiting))
