Decide which new jobs are refused because the cell cannot keep up

internal/admission decides, a Limiter without input or output: for each queue it takes the tasks that go before those of a new job and whether they are delayed, and the starts that workers accepted lately (the best of ten intervals of half a second, so that a pause does not make the backlog look endless). A queue refuses jobs while the tasks before it would take longer than the latency that it aims at (at least 0.5 s), until that wait has halved. Tasks are delayed only while starts wait for over 250 ms to be sent, or while the free capacity is too small for them; a large job on idle workers, or a worker that does not answer, delays none. Queues of a higher priority have less before them, so they refuse later. Long-running jobs go before all others and gain from running late: they are refused only by a wait of 3 s for long-running tasks. An owner that has started nothing for 5 s has no rate and refuses nothing.

The owner decides each 200 ms, logs each change with its inputs, and shows the number of refusing queues as the gauge queues_refusing. A decision holds for 1 s.

TestOverloadLeavesTasksWaiting now submits as hosts do that know the decision two submissions (320 ms) later. A refused job is not accepted, so nothing is asked of it; in exchange the test fails if a job is refused 8 s after the overload or later, or at all in the normal load and with the stalled owner.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,127 @@
+// Package admission decides whether new jobs are refused because the cell cannot keep
+// up. It answers load above what the owner can start, or above what the workers have
+// capacity for: work that would start too late to be of use is refused at once, so
+// that what was accepted is still served and the backlog is gone soon after the load.
+//
+// The package does no input or output. It is given what the owner knows of its cell,
+// and the time.
+package admission
+
+import "time"
+
+// Load is what an owner knows of its cell at one moment.
+type Load struct {
+	// Started counts the starts that workers have accepted since the owner took over.
+	Started uint64
+	// Queues has the demand before new jobs of each queue.
+	Queues []Demand
+	// LongRunning is the demand before new long-running jobs, whatever their queue.
+	LongRunning Demand
+}
+
+// Demand is the work that goes before that of a new job.
+type Demand struct {
+	// Queue is the name of the queue, and Target the latency that its jobs aim at
+	// besides their run time.
+	Queue  string
+	Target time.Duration
+	// Tasks counts the tasks that wait to be started before those of a new job.
+	Tasks int
+	// Delayed is set while their starts wait to be sent, or while there is too little
+	// free capacity for them. Otherwise a new job is started at once, however many
+	// tasks have just become ready.
+	Delayed bool
+}
+
+// Refusal tells that new jobs of a queue are refused, and after how long the backlog
+// should be worked off.
+type Refusal struct {
+	Queue      string
+	RetryAfter time.Duration
+}
+
+// Decision tells which new jobs are refused.
+type Decision struct {
+	// Queues has the queues that refuse jobs. It does not concern long-running jobs.
+	Queues []Refusal
+	// LongRunning is how long callers should wait before they submit long-running
+	// jobs again; 0 means that these are accepted.
+	LongRunning time.Duration
+}
+
+// RetryAfter returns after how long a new job should be submitted again, and false if
+// it is not refused.
+func (d Decision) RetryAfter(queue string, longRunning bool) (time.Duration, bool) {
+	if longRunning {
+		return d.LongRunning, d.LongRunning > 0
+	}
+	for _, r := range d.Queues {
+		if r.Queue == queue {
+			return r.RetryAfter, true
+		}
+	}
+	return 0, false
+}
+
+const (
+	// minWait is the least expected wait at which jobs are refused. A wait below it
+	// may come from a single large job.
+	minWait = 500 * time.Millisecond
+	// longRunningWait is the expected wait at which long-running jobs are refused. They
+	// are started before all others, and gain from running late.
+	longRunningWait = 3 * time.Second
+	// resumeDivisor of the wait at which jobs are refused gives the one at which they
+	// are accepted again.
+	resumeDivisor = 2
+	// minRetryAfter and maxRetryAfter bound the time after which callers try again.
+	minRetryAfter = 1 * time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// Limiter decides on new jobs. A queue that refuses jobs accepts them again only when
+// the expected wait has fallen well below the one at which it began to refuse.
+type Limiter struct {
+	rate        startRate
+	refusing    map[string]bool
+	longRunning bool
+}
+
+// NewLimiter returns a Limiter that refuses nothing.
+func NewLimiter() *Limiter { return &Limiter{refusing: make(map[string]bool)} }
+
+// Observe returns the decision for the current load.
+func (l *Limiter) Observe(now time.Time, load Load) Decision {
+	l.rate.observe(now, load.Started)
+	var out Decision
+	refusing := make(map[string]bool)
+	for _, d := range load.Queues {
+		if retry := l.decide(d, max(d.Target, minWait), l.refusing[d.Queue]); retry > 0 {
+			refusing[d.Queue] = true
+			out.Queues = append(out.Queues, Refusal{Queue: d.Queue, RetryAfter: retry})
+		}
+	}
+	l.refusing = refusing
+	out.LongRunning = l.decide(load.LongRunning, longRunningWait, l.longRunning)
+	l.longRunning = out.LongRunning > 0
+	return out
+}
+
+// Rate returns the number of starts a second that the cell has shown lately.
+func (l *Limiter) Rate() float64 { return l.rate.best() }
+
+// decide returns after how long callers should try again, or 0 if jobs are accepted.
+func (l *Limiter) decide(d Demand, limit time.Duration, refusing bool) time.Duration {
+	rate := l.rate.best()
+	if !d.Delayed || rate == 0 {
+		return 0
+	}
+	resume := limit / resumeDivisor
+	if refusing {
+		limit = resume
+	}
+	wait := time.Duration(float64(d.Tasks) / rate * float64(time.Second))
+	if wait <= limit {
+		return 0
+	}
+	return min(max(wait-resume, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,102 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+// owner is a stand-in for an owner that starts a number of tasks a second.
+type owner struct {
+	limiter *Limiter
+	now     time.Time
+	started uint64
+}
+
+func newOwner() *owner { return &owner{limiter: NewLimiter(), now: time.Unix(1000, 0)} }
+
+// observe lets time pass with the given rate of starts, and returns the last decision.
+func (o *owner) observe(lasts time.Duration, perSecond int, load Load) Decision {
+	const interval = 200 * time.Millisecond
+	var last Decision
+	for end := o.now.Add(lasts); o.now.Before(end); {
+		o.now = o.now.Add(interval)
+		o.started += uint64(perSecond) / uint64(time.Second/interval)
+		load.Started = o.started
+		last = o.limiter.Observe(o.now, load)
+	}
+	return last
+}
+
+func demand(urgent, batch int, delayed bool) Load {
+	return Load{Queues: []Demand{
+		{Queue: "urgent", Target: 500 * time.Millisecond, Tasks: urgent, Delayed: delayed},
+		{Queue: "batch", Target: 1200 * time.Millisecond, Tasks: urgent + batch, Delayed: delayed},
+	}}
+}
+
+func TestJobsAreRefusedOnlyWhileTheyWouldWait(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		load          Load
+		urgent, batch time.Duration
+	}{
+		{"no load", demand(0, 0, false), 0, 0},
+		{"a large job on idle workers", demand(0, 5000, false), 0, 0},
+		{"a short wait", demand(20, 60, true), 0, 0},
+		{"a long wait for batch jobs", demand(20, 480, true), 0, 4400 * time.Millisecond},
+		{"a long wait for all", demand(500, 500, true), 4750 * time.Millisecond, 9400 * time.Millisecond},
+		{"20 times what is served in a second", demand(10_000, 0, true), maxRetryAfter, maxRetryAfter},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := newOwner().observe(3*time.Second, 100, c.load)
+			for queue, want := range map[string]time.Duration{"urgent": c.urgent, "batch": c.batch} {
+				if retry, _ := got.RetryAfter(queue, false); retry != want {
+					t.Errorf("%s: retry after %v, want %v", queue, retry, want)
+				}
+			}
+			if _, refused := got.RetryAfter("urgent", true); refused {
+				t.Error("long-running jobs are refused although none waits")
+			}
+		})
+	}
+}
+
+func TestRefusalsEndSoonAfterTheBacklog(t *testing.T) {
+	o := newOwner()
+	for _, c := range []struct {
+		tasks   int
+		delayed bool
+		refused bool
+	}{{45, true, false}, {60, true, true}, {45, true, true}, {20, true, false}, {45, true, false}, {60, true, true}, {60, false, false}} {
+		_, refused := o.observe(2*time.Second, 100, demand(c.tasks, 0, c.delayed)).RetryAfter("urgent", false)
+		if refused != c.refused {
+			t.Errorf("%d tasks wait, delayed %v: refused %v", c.tasks, c.delayed, refused)
+		}
+	}
+}
+
+// An owner that has not started anything yet, or that paused, does not know its rate.
+func TestNothingIsRefusedForLackOfAMeasuredRate(t *testing.T) {
+	o := newOwner()
+	if _, refused := o.observe(2*time.Second, 0, demand(1000, 0, true)).RetryAfter("urgent", false); refused {
+		t.Error("jobs are refused by an owner without a rate")
+	}
+	o.observe(2*time.Second, 1000, Load{})
+	if _, refused := o.observe(2*time.Second, 0, demand(400, 0, true)).RetryAfter("urgent", false); refused {
+		t.Error("jobs are refused after a pause")
+	}
+}
+
+func TestLongRunningJobsAreRefusedOnlyByTheirOwnBacklog(t *testing.T) {
+	for _, c := range []struct {
+		tasks   int
+		refused bool
+	}{{250, false}, {600, true}} {
+		load := demand(10_000, 10_000, true)
+		load.LongRunning = Demand{Tasks: c.tasks, Delayed: true}
+		got := newOwner().observe(3*time.Second, 100, load)
+		if _, refused := got.RetryAfter("batch", true); refused != c.refused {
+			t.Errorf("%d long-running tasks wait: refused %v", c.tasks, refused)
+		}
+	}
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -155,6 +155,8 @@
 	actions []Action
 	// placementPending is set when a placement may have become possible.
 	placementPending bool
+	// startsAccepted counts the starts that workers have accepted.
+	startsAccepted uint64
 	// stepsEvaluated counts the steps that decisions have evaluated.
 	stepsEvaluated int
 	// longWaitsCheckedAt is when long waits were last looked for.
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -196,6 +196,7 @@
 // crashed under the task before, a successor has to know that too.
 func (c *Cell) markAccepted(r *run) {
 	r.phase = runStarted
+	c.startsAccepted++
 	if r.task.mayHaveCrashedWorkers() {
 		c.recordChanged(r.task.step.job)
 	}
--- /dev/null
+++ b/internal/cell/demand_test.go
@@ -0,0 +1,59 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+func demandOf(load admission.Load, queue string) admission.Demand {
+	for _, d := range load.Queues {
+		if d.Queue == queue {
+			return d
+		}
+	}
+	return admission.Demand{}
+}
+
+func TestDemandIsWhatGoesBeforeANewJob(t *testing.T) {
+	b := newBacklog(t, 4, 0, whyUnanswered)
+	large := workload.Step{Tasks: 7, Size: job.Size{MilliCores: 5 * minCapacity}, Estimate: time.Second}
+	b.accept("expired", "first", large)
+	b.wait(time.Minute)
+	b.runActions()
+	fitting := workload.Step{Tasks: 30, Size: job.Size{MilliCores: minCapacity / 2}, Estimate: time.Second}
+	b.accept("urgent", "first", fitting)
+	lasting := fitting
+	lasting.LongRunning = true
+	b.accept("lasting", "settle", lasting)
+	batch := fitting
+	batch.Tasks = 100
+	b.accept("batch", "settle", batch)
+	load := b.cell.Load(b.now)
+	for queue, want := range map[string]int{"first": 60, "free": 60, "settle": 160} {
+		if d := demandOf(load, queue); d.Tasks != want || !d.Delayed {
+			t.Errorf("queue %s: %+v, want %d tasks that are delayed", queue, d, want)
+		}
+	}
+	if load.LongRunning.Tasks != 30 || !load.LongRunning.Delayed {
+		t.Errorf("long-running: %+v", load.LongRunning)
+	}
+}
+
+// A large job on idle workers, and a worker that does not answer, delay no others.
+func TestDemandIsNotDelayedWhileWorkersAreFree(t *testing.T) {
+	b := newBacklog(t, 100, 0, whyUnanswered)
+	b.workers = b.workers[1:]
+	b.wait(2 * time.Second)
+	b.accept("large", "first", workload.Step{Tasks: 500, Size: job.Size{MilliCores: 1000}, Estimate: time.Second})
+	if d := demandOf(b.cell.Load(b.now), "first"); d.Delayed || d.Tasks < 500 {
+		t.Errorf("before it is placed: %+v", d)
+	}
+	b.runActions()
+	if d := demandOf(b.cell.Load(b.now), "first"); d.Delayed || d.Tasks != 0 {
+		t.Errorf("after it is placed: %+v", d)
+	}
+}
--- a/internal/owner/overload_test.go
+++ b/internal/owner/overload_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
@@ -46,10 +47,14 @@
 	*busyHost
 	accepted map[workload.JobID]time.Time
 	lasting  map[workload.JobID]bool
+	// decisions holds the owner's decisions on new jobs at the last submissions. Hosts
+	// know the first of them. refused counts the jobs that they refuse.
+	decisions []admission.Decision
+	refused   int
 }
 
 func newOverload() *overload {
-	l := &overload{accepted: make(map[workload.JobID]time.Time), lasting: make(map[workload.JobID]bool)}
+	l := &overload{accepted: make(map[workload.JobID]time.Time), lasting: make(map[workload.JobID]bool), decisions: make([]admission.Decision, 3)}
 	l.busyHost = newBusyHost(overloadWorkers, overloadCosts, func(id workload.TaskID) time.Duration {
 		if id.Job[0] == 'f' {
 			return 0
@@ -69,16 +74,26 @@
 		if lasting {
 			q, id = &overloadManifest.Queues[1], "f"+id[1:]
 			step.Tasks = lastingTasks
-			l.lasting[id] = true
 		}
+		if _, refused := l.decisions[0].RetryAfter(q.Name, lasting); refused {
+			l.refused++
+			continue
+		}
+		l.lasting[id] = lasting
 		l.accepted[id] = time.Now()
 		l.accept(workload.Job{ID: id, Queue: q.Name, Steps: []workload.Step{step}}, q)
 	}
 }
 
+// learnDecision learns the owner's decision, which hosts know two intervals later.
+func (l *overload) learnDecision() {
+	l.decisions = append(l.decisions[1:], l.owner.Load().Admission())
+}
+
 // load submits short jobs for some time.
 func (l *overload) load(jobs int, lasts time.Duration) {
 	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(submitInterval) {
+		l.learnDecision()
 		l.submit(jobs, false)
 	}
 }
@@ -116,10 +131,14 @@
 				}
 				t.Logf("processor time used in the overload: %v in %v", l.processor.takeUsed(), c.lasts)
 				l.load(normalJobs, recoveryTime)
-				calm := time.Now()
+				calm, refused := time.Now(), l.refused
+				t.Logf("jobs refused: %d of %d", refused, refused+len(l.accepted))
 				l.load(normalJobs, 5*time.Second)
 				time.Sleep(maxDown)
 				l.check(t, calm)
+				if l.refused > refused || c.excess == 1 && l.refused > 0 {
+					t.Errorf("%d jobs were refused in the normal load", l.refused-refused)
+				}
 			})
 		})
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
@@ -171,6 +172,7 @@
 	isolation isolation
 	slowStore slowStore
 	load      load
+	admission jobAdmission
 	// activeAt is when the event loop last decided, and resumedAt when it last resumed
 	// after a suspension, by a clock that includes suspensions.
 	activeAt  time.Time
@@ -214,7 +216,7 @@
 		holdLoops:  make(map[cell.WorkerID]*holdLoop),
 		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
-		activeAt: timers.Latest(),
+		activeAt: timers.Latest(), admission: jobAdmission{limiter: admission.NewLimiter()},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
@@ -335,6 +337,7 @@
 	}
 	o.cell.SetAdviceHosts(o.advice.hosts())
 	o.cell.Tick(now)
+	o.decideAdmission(now)
 	if !now.Before(o.reportAt) {
 		o.reportAt = now.Add(reportInterval)
 		o.reportLoad(now)
