Refuse new jobs on every host while the cell cannot keep up

A host now answers a submission with 429 and a Retry-After while the owner refuses the job's queue.

The owner's pong carries the decision to the hosts. Earlier releases read the first value only, and their pongs have no other; a test has both directions. A pong without refusals keeps its form.

A host refuses by a decision that is at most 1 s old, so one that does not hear from the owner refuses nothing. Nothing is written for a refused job. Before a job is refused the store is asked for it: a repeated submission of an accepted job is answered as accepted, since that job runs, and if the store does not answer within 0.5 s the job takes the usual way. Left as it is for 503 answers: an earlier attempt whose caller gave up may still be under way at another host and be written later; the caller was not told that that one was rejected.

Retry-After is the time until the backlog is worked off, spread over as long again. Each refusal is a log line with its queue, age and wait, and counts in jobs_refused.

--- /dev/null
+++ b/internal/host/admission.go
@@ -0,0 +1,93 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/message"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+const (
+	// admissionMaxAge is the age at which what the owner said about new jobs no
+	// longer counts. A host that does not hear from the owner refuses nothing.
+	admissionMaxAge = time.Second
+	// repeatLookupTimeout bounds the look for a job that is to be refused.
+	repeatLookupTimeout = 500 * time.Millisecond
+)
+
+// OverloadError is the cause of a KindOverloaded error.
+type OverloadError struct {
+	Queue string
+	// RetryAfter is when the backlog should be worked off.
+	RetryAfter time.Duration
+}
+
+// Error names the queue.
+func (e *OverloadError) Error() string {
+	return fmt.Sprintf("queue %s has more work than the cell can start in time", e.Queue)
+}
+
+// ownerAdmission is what the owner last said about new jobs, and when.
+type ownerAdmission struct {
+	decision admission.Decision
+	at       time.Time
+}
+
+// noteAdmission records what a pong says about new jobs. The caller holds the lock.
+func (h *Host) noteAdmission(pong message.OwnerPong) {
+	if pong.Owning && pong.Epoch == h.lastOwner.epoch {
+		h.admission = ownerAdmission{pong.Admission, h.timers.Now()}
+	}
+}
+
+// currentAdmission returns which new jobs the owner refuses, and how old that is.
+func (h *Host) currentAdmission() (admission.Decision, time.Duration) {
+	if running := h.runningOwner(); running != nil {
+		return running.Admission(), 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	age := h.timers.Now().Sub(h.admission.at)
+	if age > admissionMaxAge {
+		return admission.Decision{}, age
+	}
+	return h.admission.decision, age
+}
+
+// errRepeated means that a job that would be refused has been accepted before.
+var errRepeated = errors.New("the job was accepted before")
+
+// checkAdmission returns a KindOverloaded error if a job is refused since the cell
+// cannot keep up. A repeated submission must not be told so: the job runs. It returns
+// errRepeated for it. If that cannot be found out, the job is not refused.
+func (h *Host) checkAdmission(ctx context.Context, queue *manifest.Queue, job *workload.Job) error {
+	decision, age := h.currentAdmission()
+	retry, refused := decision.RetryAfter(queue.Name, job.LongRunning())
+	if !refused {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, repeatLookupTimeout)
+	defer cancel()
+	found, err := h.intake.Find(ctx, job.ID)
+	switch {
+	case err != nil:
+		h.log.Warn("job not refused, since it may have been accepted before", zap.String("Job", string(job.ID)), zap.Error(err))
+		return nil
+	case found.BelongsTo(queue.Name):
+		return errRepeated
+	case found.Known:
+		return nil // Submit tells that the ID is taken
+	}
+	h.scope.Counter("jobs_refused").Inc(1)
+	h.log.Info("job refused, since the cell cannot keep up", zap.String("Job", string(job.ID)), zap.String("Queue", queue.Name),
+		zap.Bool("LongRunning", job.LongRunning()), zap.Duration("RetryAfter", retry), zap.Duration("Age", age))
+	return fault.New("submit", KindOverloaded, "%w", &OverloadError{Queue: queue.Name, RetryAfter: retry})
+}
--- /dev/null
+++ b/internal/host/admission_test.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/message"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+func testJob(id workload.JobID, longRunning bool) workload.Job {
+	step := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 100}, Estimate: time.Second, LongRunning: longRunning}
+	return workload.Job{ID: id, Queue: "full", Steps: []workload.Step{step}}
+}
+
+// A refused job must leave nothing behind that runs later, and a job that runs must
+// not be refused when it is submitted again.
+func TestOnlyNewJobsOfRefusingQueuesAreRefused(t *testing.T) {
+	withCluster(t, func(t *testing.T, w *fakeCluster, owner *fakeHost) {
+		other := w.order[0]
+		if other == owner {
+			other = w.order[1]
+		}
+		full, free := &manifest.Queue{Name: "full"}, &manifest.Queue{Name: "free"}
+		submit := func(q *manifest.Queue, j workload.Job) error {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			j.Queue = q.Name
+			return other.host.Submit(ctx, q, j)
+		}
+		if err := submit(full, testJob("00000000000000a1", false)); err != nil {
+			t.Fatal(err)
+		}
+		w.setCut(other, true, owner.name)
+		time.Sleep(pingTimeout)
+		pong := message.OwnerPong{Owning: true, Epoch: w.ownerRow().Epoch}
+		pong.Admission = admission.Decision{Queues: []admission.Refusal{{Queue: "full", RetryAfter: 4 * time.Second}}}
+		other.host.applyPong(pong)
+		err := submit(full, testJob("00000000000000a2", false))
+		var overload *OverloadError
+		if !fault.Is(err, KindOverloaded) || !errors.As(err, &overload) || overload.RetryAfter != 4*time.Second {
+			t.Errorf("a new job is answered %v", err)
+		}
+		w.mu.Lock()
+		if _, written := w.rows[ledger.JobKey("00000000000000a2")]; written {
+			t.Error("the refused job was written")
+		}
+		w.mu.Unlock()
+		for name, err := range map[string]error{
+			"a repeated job":       submit(full, testJob("00000000000000a1", false)),
+			"a job of other queue": submit(free, testJob("00000000000000a3", false)),
+			"a long-running job":   submit(full, testJob("00000000000000a4", true)),
+		} {
+			if err != nil {
+				t.Errorf("%s is answered %v", name, err)
+			}
+		}
+		time.Sleep(admissionMaxAge)
+		if err := submit(full, testJob("00000000000000a5", false)); err != nil {
+			t.Errorf("a host that has not heard from the owner answers %v", err)
+		}
+	})
+}
+
+func TestPongsCarryWhatTheOwnerRefuses(t *testing.T) {
+	withCluster(t, func(t *testing.T, w *fakeCluster, owner *fakeHost) {
+		for _, h := range w.order {
+			if _, age := h.host.currentAdmission(); h != owner && age > admissionMaxAge {
+				t.Errorf("%s has heard nothing about new jobs for %v", h.name, age)
+			}
+		}
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,9 @@
 	KindNoJob Kind = "no such job"
 	// KindNotDone means that the request had no effect and will have none.
 	KindNotDone Kind = "not done"
+	// KindOverloaded is KindNotDone because the cell cannot keep up. The cause is an
+	// OverloadError.
+	KindOverloaded Kind = "overloaded"
 	// KindUnknown means that the request may have taken effect.
 	KindUnknown Kind = "unknown"
 	// KindInvalid means that the request is malformed.
@@ -129,6 +132,7 @@
 	// ownerSince is when this host learned of the owner's epoch.
 	ownerSince time.Time
 	tenures    election.Tenures
+	admission  ownerAdmission
 	// members holds the hosts that owners and peers have reported.
 	members map[netip.AddrPort]bool
 	// otherCount is the number of hosts besides the owner, as the owner last
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -247,6 +247,7 @@
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
 		pong.SinceRenewal = running.SinceRenewal()
+		pong.Admission = running.Admission()
 	}
 	return pong
 }
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -16,11 +17,18 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// Submit accepts a job on a queue. The job is durable when Submit returns nil.
+// Submit accepts a job on a queue. The job is durable when Submit returns nil. While
+// the cell cannot keep up, it gives KindOverloaded.
 func (h *Host) Submit(ctx context.Context, queue *manifest.Queue, job workload.Job) error {
 	if err := job.Check(); err != nil {
 		return fault.New("submit", KindInvalid, "%w", err)
 	}
+	switch err := h.checkAdmission(ctx, queue, &job); {
+	case errors.Is(err, errRepeated):
+		return nil
+	case err != nil:
+		return err
+	}
 	accepted := cell.AcceptedJob{Job: job, Queue: *queue}
 	err := h.hedge(ctx,
 		func(ctx context.Context) error { return h.intake.Submit(ctx, accepted) },
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -16,10 +17,12 @@
 	addr := netip.MustParseAddrPort("10.0.0.1:8166")
 	step := workload.StepID{Job: id, Occurrence: 1, Step: 2}
 	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}, EncodeHostPing, DecodeHostPing)
-	checkRoundTrip(t, OwnerPong{
+	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr},
 		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"),
-	}, EncodeOwnerPong, DecodeOwnerPong)
+		Admission: admission.Decision{Queues: []admission.Refusal{{Queue: "q", RetryAfter: time.Second}}, LongRunning: time.Second},
+	}
+	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
 	checkRoundTrip(t, StepAdviceRequest{Step: step, Workers: []cell.WorkerID{"w"}, Timeout: time.Second}, EncodeStepAdviceRequest, DecodeStepAdviceRequest)
 	checkRoundTrip(t, StepAdvice{Failed: true, Valid: time.Second, Allowed: []cell.Ticket{{Worker: "w", Value: "v"}}}, EncodeStepAdvice, DecodeStepAdvice)
 	checkRoundTrip(t, IntakeNotice{Job: []byte("j"), Cancelled: id}, EncodeIntakeNotice, DecodeIntakeNotice)
@@ -35,6 +38,17 @@
 	checkRoundTrip(t, CellLookupReply{Document: []byte("d")}, EncodeCellLookupReply, DecodeCellLookupReply)
 }
 
+// Hosts of earlier releases decode the first value of the body, and send no other.
+func TestEarlierReleasesReadPongsWithRefusals(t *testing.T) {
+	p := EncodeOwnerPong(OwnerPong{Owning: true, Epoch: 4, Admission: admission.Decision{LongRunning: time.Second}})
+	if got, err := ownerPongCodec.decode(p); err != nil || !got.Owning || got.Epoch != 4 {
+		t.Errorf("an earlier release reads %+v, %v", got, err)
+	}
+	if got, err := DecodeOwnerPong(ownerPongCodec.encode(OwnerPong{Owning: true})); err != nil || !got.Owning || got.Admission.LongRunning > 0 {
+		t.Errorf("an earlier pong is read as %+v, %v", got, err)
+	}
+}
+
 // Hosts of earlier releases know only the forms without a queue.
 func TestMessagesWithoutAQueueKeepTheirForm(t *testing.T) {
 	lookup := EncodeJobLookup(JobLookup{ID: "00000000000000e1"})
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
 
@@ -44,6 +45,9 @@
 	// NewerManifest is the manifest as the operator wrote it. It is set only if
 	// it is newer than that of the pinging host.
 	NewerManifest []byte
+	// Admission tells which new jobs the answering owner refuses. Hosts of earlier
+	// releases leave it out.
+	Admission admission.Decision
 }
 
 type hostPingWire struct {
@@ -94,6 +98,19 @@
 	NewerManifest    []byte
 }
 
+// ownerPongExtension follows ownerPongWire as a second value, which hosts of earlier
+// releases ignore. It is a map, so that further fields can be added.
+type ownerPongExtension struct {
+	Refusals    []refusalWire `msgpack:"refusals,omitempty"`
+	LongRunning time.Duration `msgpack:"lasting,omitempty"`
+}
+
+type refusalWire struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Queue      string
+	RetryAfter time.Duration
+}
+
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
 	kind: KindOwnerPong,
 	toWire: func(m OwnerPong) ownerPongWire {
@@ -112,8 +129,33 @@
 }
 
 // EncodeOwnerPong returns the encoded message.
-func EncodeOwnerPong(m OwnerPong) peer.Message { return ownerPongCodec.encode(m) }
+func EncodeOwnerPong(m OwnerPong) peer.Message {
+	p := ownerPongCodec.encode(m)
+	if len(m.Admission.Queues) == 0 && m.Admission.LongRunning == 0 {
+		return p
+	}
+	return appendExtension(p, ownerPongExtension{
+		Refusals: mapSlice(m.Admission.Queues, func(r admission.Refusal) refusalWire {
+			return refusalWire{Queue: r.Queue, RetryAfter: r.RetryAfter}
+		}),
+		LongRunning: m.Admission.LongRunning,
+	})
+}
 
 // DecodeOwnerPong decodes the message. It fails if p is of another kind or its
 // body is malformed.
-func DecodeOwnerPong(p peer.Message) (OwnerPong, error) { return ownerPongCodec.decode(p) }
+func DecodeOwnerPong(p peer.Message) (OwnerPong, error) {
+	m, err := ownerPongCodec.decode(p)
+	if err != nil {
+		return OwnerPong{}, err
+	}
+	var e ownerPongExtension
+	if err := decodeExtension(p, &e); err != nil {
+		return OwnerPong{}, err
+	}
+	for _, r := range e.Refusals {
+		m.Admission.Queues = append(m.Admission.Queues, admission.Refusal{Queue: r.Queue, RetryAfter: r.RetryAfter})
+	}
+	m.Admission.LongRunning = e.LongRunning
+	return m, nil
+}
