Refuse jobs of a cell that starts nothing, and log refusals in one line

An owner whose starts all fail had no rate, and so refused nothing however long its tasks waited. Now a demand that has been delayed for 5 s without one start is refused; a cell that was idle has no rate either, but kept no task waiting, so its first job is accepted (TestJobsAreRefusedWhileNothingIsStarted fails without it).

A change is now one line, at most one a second, with the number of refusing queues, eight of them, the largest demand that is delayed and the rate of starts.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -82,27 +82,34 @@
 // the expected wait has fallen well below the one at which it began to refuse.
 type Limiter struct {
 	rate        startRate
-	refusing    map[string]bool
-	longRunning bool
+	queues      map[string]demandState
+	longRunning demandState
+}
+
+// demandState is what was found about a Demand so far.
+type demandState struct {
+	refusing bool
+	// delayedSince is zero while the demand is not delayed.
+	delayedSince time.Time
 }
 
 // NewLimiter returns a Limiter that refuses nothing.
-func NewLimiter() *Limiter { return &Limiter{refusing: make(map[string]bool)} }
+func NewLimiter() *Limiter { return &Limiter{queues: make(map[string]demandState)} }
 
 // Observe returns the decision for the current load.
 func (l *Limiter) Observe(now time.Time, load Load) Decision {
 	l.rate.observe(now, load.Started)
 	var out Decision
-	refusing := make(map[string]bool)
+	queues := make(map[string]demandState, len(load.Queues))
 	for _, d := range load.Queues {
-		if retry := l.decide(d, max(d.Target, minWait), l.refusing[d.Queue]); retry > 0 {
-			refusing[d.Queue] = true
+		state := l.queues[d.Queue]
+		if retry := l.decide(now, d, max(d.Target, minWait), &state); retry > 0 {
 			out.Queues = append(out.Queues, Refusal{Queue: d.Queue, RetryAfter: retry})
 		}
+		queues[d.Queue] = state
 	}
-	l.refusing = refusing
-	out.LongRunning = l.decide(load.LongRunning, longRunningWait, l.longRunning)
-	l.longRunning = out.LongRunning > 0
+	l.queues = queues
+	out.LongRunning = l.decide(now, load.LongRunning, longRunningWait, &l.longRunning)
 	return out
 }
 
@@ -110,13 +117,30 @@
 func (l *Limiter) Rate() float64 { return l.rate.best() }
 
 // decide returns after how long callers should try again, or 0 if jobs are accepted.
-func (l *Limiter) decide(d Demand, limit time.Duration, refusing bool) time.Duration {
+func (l *Limiter) decide(now time.Time, d Demand, limit time.Duration, state *demandState) time.Duration {
+	retry := l.retryAfter(now, d, limit, state)
+	state.refusing = retry > 0
+	return retry
+}
+
+func (l *Limiter) retryAfter(now time.Time, d Demand, limit time.Duration, state *demandState) time.Duration {
+	if !d.Delayed || d.Tasks == 0 {
+		state.delayedSince = time.Time{}
+		return 0
+	}
+	if state.delayedSince.IsZero() {
+		state.delayedSince = now
+	}
 	rate := l.rate.best()
-	if !d.Delayed || rate == 0 {
+	if rate == 0 {
+		// A cell that was idle has no rate either, but has not kept tasks waiting.
+		if now.Sub(state.delayedSince) > rateIntervals*rateInterval {
+			return maxRetryAfter
+		}
 		return 0
 	}
 	resume := limit / resumeDivisor
-	if refusing {
+	if state.refusing {
 		limit = resume
 	}
 	wait := time.Duration(float64(d.Tasks) / rate * float64(time.Second))
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -87,6 +87,20 @@
 	}
 }
 
+func TestJobsAreRefusedWhileNothingIsStarted(t *testing.T) {
+	o := newOwner()
+	o.observe(time.Minute, 0, Load{})
+	for _, c := range []struct {
+		after   time.Duration
+		load    Load
+		refused bool
+	}{{2 * time.Second, demand(10, 0, true), false}, {6 * time.Second, demand(10, 0, true), true}, {time.Second, Load{}, false}} {
+		if _, refused := o.observe(c.after, 0, c.load).RetryAfter("urgent", false); refused != c.refused {
+			t.Errorf("%v later: refused %v", c.after, refused)
+		}
+	}
+}
+
 func TestLongRunningJobsAreRefusedOnlyByTheirOwnBacklog(t *testing.T) {
 	for _, c := range []struct {
 		tasks   int
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -15,6 +15,8 @@
 	// admissionValidity is how long a decision holds. An owner whose event loop does
 	// not run decides nothing new, and refuses nothing.
 	admissionValidity = time.Second
+	// maxQueuesLogged bounds the queues that a log line names.
+	maxQueuesLogged = 8
 )
 
 // jobAdmission holds the decision which new jobs are refused.
@@ -23,6 +25,9 @@
 	// decideAt is when the next decision is due.
 	decideAt time.Time
 	current  atomic.Pointer[admissionDecision]
+	// refusing is the number of queues that refused jobs when it was last logged.
+	refusing int
+	loggedAt time.Time
 }
 
 type admissionDecision struct {
@@ -39,37 +44,42 @@
 	return d.Decision
 }
 
-// decideAdmission decides which new jobs are refused, and logs each change.
+// decideAdmission decides which new jobs are refused, and logs when the number of
+// queues that refuse jobs has changed.
 func (o *Owner) decideAdmission(now time.Time) {
 	if now.Before(o.admission.decideAt) {
 		return
 	}
 	o.admission.decideAt = now.Add(admissionInterval)
 	load := o.cell.Load(now)
-	before := o.Admission()
-	after := o.admission.limiter.Observe(now, load)
-	o.admission.current.Store(&admissionDecision{after, now})
-	for _, d := range load.Queues {
-		o.logAdmission(before, after, d, false)
-	}
-	o.logAdmission(before, after, load.LongRunning, true)
-	refusing := len(after.Queues)
-	if after.LongRunning > 0 {
+	decision := o.admission.limiter.Observe(now, load)
+	o.admission.current.Store(&admissionDecision{decision, now})
+	refusing := len(decision.Queues)
+	if decision.LongRunning > 0 {
 		refusing++
 	}
 	o.metrics.scope.Gauge("queues_refusing").Update(float64(refusing))
-}
-
-func (o *Owner) logAdmission(before, after admission.Decision, d admission.Demand, longRunning bool) {
-	_, refused := before.RetryAfter(d.Queue, longRunning)
-	retry, refuses := after.RetryAfter(d.Queue, longRunning)
-	if refused == refuses {
+	if refusing == o.admission.refusing || now.Sub(o.admission.loggedAt) < reportInterval {
 		return
 	}
-	message := "new jobs are accepted again"
-	if refuses {
+	o.admission.refusing, o.admission.loggedAt = refusing, now
+	o.logAdmission(load, decision)
+}
+
+// logAdmission logs a decision with the inputs that decided it.
+func (o *Owner) logAdmission(load admission.Load, decision admission.Decision) {
+	message := "new jobs of all queues are accepted"
+	if o.admission.refusing > 0 {
 		message = "new jobs are refused, since the cell cannot keep up"
 	}
-	o.log.Warn(message, zap.String("Queue", d.Queue), zap.Bool("LongRunning", longRunning), zap.Int("TasksAhead", d.Tasks),
-		zap.Float64("StartsPerSecond", o.admission.limiter.Rate()), zap.Bool("Delayed", d.Delayed), zap.Duration("RetryAfter", retry))
+	queues := min(len(decision.Queues), maxQueuesLogged)
+	most := load.LongRunning
+	for _, d := range load.Queues {
+		if d.Delayed && d.Tasks >= most.Tasks {
+			most = d
+		}
+	}
+	o.log.Warn(message, zap.Int("Refusing", o.admission.refusing), zap.Any("Queues", decision.Queues[:queues]),
+		zap.Duration("LongRunning", decision.LongRunning), zap.Float64("StartsPerSecond", o.admission.limiter.Rate()),
+		zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
 }
