--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -204,6 +204,7 @@
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
 		pong.SinceRenewal, pong.RowVersion = running.LastRenewal()
+		pong.Admission = running.Admission()
 	}
 	return pong
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -21,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
@@ -178,6 +179,7 @@
 	slowStore slowStore
 	load      load
 	processor *processorMeter
+	admission jobAdmission
 	// resumedAt is when the event loop last resumed after a suspension, by a clock that
 	// includes suspensions.
 	resumedAt time.Time
@@ -226,7 +228,7 @@
 		committer: newCommitter(now, tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, renewedVersion: tenure.Version, isolation: isolation{otherHosts: tenure.OtherHosts},
-		activeAt: timers.Latest(), processor: newProcessorMeter(),
+		activeAt: timers.Latest(), processor: newProcessorMeter(), admission: jobAdmission{limiter: admission.NewLimiter()},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
@@ -369,6 +371,7 @@
 	}
 	o.cell.SetAdviceHosts(o.advice.hosts())
 	o.cell.Tick(now)
+	o.decideAdmission(now)
 	if !now.Before(o.reportAt) {
 		o.reportAt = now.Add(reportInterval)
 		o.reportLoad(now)
