--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -15,11 +18,13 @@
 	const id = workload.JobID("00000000000000e1")
 	addr := netip.MustParseAddrPort("10.0.0.1:8166")
 	step := workload.StepID{Job: id, Occurrence: 1, Step: 2}
-	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}, EncodeHostPing, DecodeHostPing)
-	checkRoundTrip(t, OwnerPong{
+	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2}, EncodeHostPing, DecodeHostPing,
+		hostPingCodec.encode(HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}))
+	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr},
-		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"),
-	}, EncodeOwnerPong, DecodeOwnerPong)
+		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"), RelayEpoch: 1, RelayFor: time.Second,
+	}
+	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
 	checkRoundTrip(t, StepAdviceRequest{Step: step, Workers: []cell.WorkerID{"w"}, Timeout: time.Second}, EncodeStepAdviceRequest, DecodeStepAdviceRequest)
 	checkRoundTrip(t, StepAdvice{Failed: true, Valid: time.Second, Allowed: []cell.Ticket{{Worker: "w", Value: "v"}}}, EncodeStepAdvice, DecodeStepAdvice)
 	checkRoundTrip(t, IntakeNotice{Job: []byte("j"), Cancelled: id}, EncodeIntakeNotice, DecodeIntakeNotice)
@@ -33,6 +38,26 @@
 	checkRoundTrip(t, QueueLookupReply{Pending: 1}, EncodeQueueLookupReply, DecodeQueueLookupReply)
 	checkRoundTrip(t, CellLookup{Job: id}, EncodeCellLookup, DecodeCellLookup)
 	checkRoundTrip(t, CellLookupReply{Document: []byte("d")}, EncodeCellLookupReply, DecodeCellLookupReply)
+	task := workload.TaskID{StepID: step, Index: 3}
+	order := WorkerOrder{Epoch: 1, Timeout: time.Second, Addr: addr}
+	checkRoundTrip(t, WorkerHold{WorkerOrder: order, Request: cell.HoldRequest{
+		Worker: "w", Addr: addr, Deadline: time.Minute, Acknowledged: 4, Wait: time.Second, EndsPending: true,
+	}}, EncodeWorkerHold, DecodeWorkerHold)
+	checkRoundTrip(t, WorkerStart{WorkerOrder: order, Start: cell.SendStart{
+		Worker: "w", Task: task, Run: 5, Spec: "s", Deadline: time.Minute, Ticket: "t", Checkpoint: "c",
+	}}, EncodeWorkerStart, DecodeWorkerStart)
+	checkRoundTrip(t, WorkerStop{WorkerOrder: order, Stop: cell.SendStop{Worker: "w", Task: task, Run: 5}}, EncodeWorkerStop, DecodeWorkerStop)
+	checkRoundTrip(t, WorkerPace{WorkerOrder: order, Pace: cell.SetPace{Worker: "w", Task: task, Run: 5, Percent: 6}}, EncodeWorkerPace, DecodeWorkerPace)
+	result := WorkerResult{Failure: WorkerSilent, Error: "e"}
+	checkRoundTrip(t, WorkerReport{WorkerResult: result, Report: cell.Report{
+		Incarnation: 1, Clock: time.Minute, EndsTruncated: true,
+		Running: []cell.Running{{Task: task, Run: 5, Checkpoint: "c", Percent: 6, Load: 7.5}},
+		Ended:   []cell.Ended{{Number: 8, Task: task, Run: 5, Kind: cell.EndDone, Checkpoint: "c"}},
+	}}, EncodeWorkerReport, DecodeWorkerReport)
+	checkRoundTrip(t, WorkerStarted{WorkerResult: result, Outcome: cell.StartOutcome{
+		Unknown: true, NotSent: true, Refused: cell.RefusedBusy, Clock: time.Minute,
+	}}, EncodeWorkerStarted, DecodeWorkerStarted)
+	checkRoundTrip(t, WorkerDone{WorkerResult: result, Clock: time.Minute}, EncodeWorkerDone, DecodeWorkerDone)
 }
 
 // Hosts of earlier releases know only the forms without a queue.
@@ -54,3 +79,54 @@
 		t.Errorf("an earlier release reads %+v, %v", got, err)
 	}
 }
+
+type earlierPing struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Addr        string
+	OwnEpoch    uint64
+	Incarnation string
+	Manifest    uint64
+	KnownEpoch  uint64
+}
+
+type earlierPong struct {
+	_msgpack         struct{} `msgpack:",as_array"`
+	Owning           bool
+	OwnerAddr        string
+	OwnerIncarnation string
+	Epoch            uint64
+	Hosts            []string
+	SinceRenewal     time.Duration
+	Manifest         uint64
+	NewerManifest    []byte
+}
+
+// Pings and pongs between this release and the ones before it must be read.
+func TestPingsOfEarlierReleasesAreRead(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:8166")
+	encode := func(v any) []byte {
+		body, err := msgpack.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return body
+	}
+	ping, err := DecodeHostPing(peer.Message{Kind: KindHostPing, Body: encode(earlierPing{Addr: addr.String(), KnownEpoch: 4})})
+	if err != nil || ping.Addr != addr || ping.KnownEpoch != 4 || ping.Relays {
+		t.Errorf("an earlier ping is read as %+v, %v", ping, err)
+	}
+	pong, err := DecodeOwnerPong(peer.Message{Kind: KindOwnerPong, Body: encode(earlierPong{Owning: true, Epoch: 4})})
+	if err != nil || !pong.Owning || pong.Epoch != 4 || pong.RelayEpoch != 0 {
+		t.Errorf("an earlier pong is read as %+v, %v", pong, err)
+	}
+	var oldPing earlierPing
+	sent := EncodeHostPing(HostPing{Addr: addr, KnownEpoch: 4, Relays: true, DataCentre: "dc", Cores: 0.2})
+	if err := msgpack.Unmarshal(sent.Body, &oldPing); err != nil || oldPing.Addr != addr.String() || oldPing.KnownEpoch != 4 {
+		t.Errorf("an earlier release reads %+v, %v", oldPing, err)
+	}
+	var oldPong earlierPong
+	sent = EncodeOwnerPong(OwnerPong{Owning: true, Epoch: 4, RelayEpoch: 4, RelayFor: time.Second})
+	if err := msgpack.Unmarshal(sent.Body, &oldPong); err != nil || !oldPong.Owning || oldPong.Epoch != 4 {
+		t.Errorf("an earlier release reads %+v, %v", oldPong, err)
+	}
+}
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -22,6 +22,13 @@
 	KnownEpoch uint64
 	// Manifest is the version of the manifest that the sender has in force.
 	Manifest uint64
+	// Relays is set if the sender makes calls to workers for the owner. Hosts of
+	// earlier releases leave it and the following fields out.
+	Relays bool
+	// DataCentre is where the sender is, and Cores its share of the processor; 0 is
+	// unknown.
+	DataCentre string
+	Cores      float64
 }
 
 // OwnerPong answers HostPing, whether or not the answering host is the owner.
@@ -44,6 +51,11 @@
 	// NewerManifest is the manifest as the operator wrote it. It is set only if
 	// it is newer than that of the pinging host.
 	NewerManifest []byte
+	// RelayEpoch and RelayFor permit the pinging host to make calls to workers for
+	// the owner of that epoch. The time counts from when the host sent its ping.
+	// RelayEpoch is 0 without a permission.
+	RelayEpoch uint64
+	RelayFor   time.Duration
 }
 
 type hostPingWire struct {
@@ -55,22 +67,47 @@
 	KnownEpoch  uint64
 }
 
+// hostPingExtension follows hostPingWire as a second value, which hosts of earlier
+// releases ignore. It is a map, so that further fields can be added.
+type hostPingExtension struct {
+	Relays     bool    `msgpack:"relays"`
+	DataCentre string  `msgpack:"dc"`
+	Cores      float64 `msgpack:"cores"`
+}
+
 var hostPingCodec = codec[HostPing, hostPingWire]{
 	kind: KindHostPing,
 	toWire: func(m HostPing) hostPingWire {
-		return hostPingWire{Addr: m.Addr.String(), OwnEpoch: m.OwnEpoch, Incarnation: m.Incarnation, Manifest: m.Manifest, KnownEpoch: m.KnownEpoch}
+		return hostPingWire{
+			Addr: m.Addr.String(), OwnEpoch: m.OwnEpoch, Incarnation: m.Incarnation, Manifest: m.Manifest, KnownEpoch: m.KnownEpoch,
+		}
 	},
 	fromWire: func(w hostPingWire) HostPing {
-		return HostPing{Addr: parseAddr(w.Addr), OwnEpoch: w.OwnEpoch, Incarnation: w.Incarnation, Manifest: w.Manifest, KnownEpoch: w.KnownEpoch}
+		return HostPing{
+			Addr: parseAddr(w.Addr), OwnEpoch: w.OwnEpoch, Incarnation: w.Incarnation, Manifest: w.Manifest, KnownEpoch: w.KnownEpoch,
+		}
 	},
 }
 
 // EncodeHostPing returns the encoded message.
-func EncodeHostPing(m HostPing) peer.Message { return hostPingCodec.encode(m) }
+func EncodeHostPing(m HostPing) peer.Message {
+	return appendExtension(hostPingCodec.encode(m), hostPingExtension{Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores})
+}
 
 // DecodeHostPing decodes the message. It fails if p is of another kind or its
 // body is malformed.
-func DecodeHostPing(p peer.Message) (HostPing, error) { return hostPingCodec.decode(p) }
+func DecodeHostPing(p peer.Message) (HostPing, error) {
+	m, err := hostPingCodec.decode(p)
+	if err != nil {
+		return HostPing{}, err
+	}
+	var e hostPingExtension
+	if err := decodeExtension(p, &e); err != nil {
+		return HostPing{}, err
+	}
+	m.Relays, m.DataCentre, m.Cores = e.Relays, e.DataCentre, e.Cores
+	return m, nil
+}
 
 // parseAddr parses an address. A malformed address gives the zero value, which
 // no host calls.
@@ -94,6 +131,12 @@
 	NewerManifest    []byte
 }
 
+// ownerPongExtension follows ownerPongWire as hostPingExtension follows hostPingWire.
+type ownerPongExtension struct {
+	RelayEpoch uint64        `msgpack:"epoch"`
+	RelayFor   time.Duration `msgpack:"for"`
+}
+
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
 	kind: KindOwnerPong,
 	toWire: func(m OwnerPong) ownerPongWire {
@@ -112,8 +155,25 @@
 }
 
 // EncodeOwnerPong returns the encoded message.
-func EncodeOwnerPong(m OwnerPong) peer.Message { return ownerPongCodec.encode(m) }
+func EncodeOwnerPong(m OwnerPong) peer.Message {
+	p := ownerPongCodec.encode(m)
+	if m.RelayEpoch == 0 {
+		return p
+	}
+	return appendExtension(p, ownerPongExtension{RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor})
+}
 
 // DecodeOwnerPong decodes the message. It fails if p is of another kind or its
 // body is malformed.
-func DecodeOwnerPong(p peer.Message) (OwnerPong, error) { return ownerPongCodec.decode(p) }
+func DecodeOwnerPong(p peer.Message) (OwnerPong, error) {
+	m, err := ownerPongCodec.decode(p)
+	if err != nil {
+		return OwnerPong{}, err
+	}
+	var e ownerPongExtension
+	if err := decodeExtension(p, &e); err != nil {
+		return OwnerPong{}, err
+	}
+	m.RelayEpoch, m.RelayFor = e.RelayEpoch, e.RelayFor
+	return m, nil
+}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -1,6 +1,8 @@
 package message
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
@@ -24,13 +26,17 @@
 }
 
 func (c codec[M, W]) encode(m M) peer.Message {
-	body, err := msgpack.Marshal(c.toWire(m))
-	if err != nil {
+	var body bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&body)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(c.toWire(m)); err != nil {
 		// The wire types hold only strings, numbers, booleans and lists of
 		// these, which can always be encoded.
 		panic(err)
 	}
-	return peer.Message{Kind: c.kind, Body: body}
+	return peer.Message{Kind: c.kind, Body: body.Bytes()}
 }
 
 func (c codec[M, W]) decode(p peer.Message) (M, error) {
@@ -45,6 +51,32 @@
 	return c.fromWire(w), nil
 }
 
+// appendExtension adds a second value to the body of a message. Hosts of earlier
+// releases decode only the first one.
+func appendExtension(p peer.Message, wire any) peer.Message {
+	extension, err := msgpack.Marshal(wire)
+	if err != nil {
+		panic(err) // as in encode
+	}
+	p.Body = append(p.Body, extension...)
+	return p
+}
+
+// decodeExtension decodes the second value of a body. If there is none, since the
+// sender is of an earlier release, it leaves wire unchanged.
+func decodeExtension(p peer.Message, wire any) error {
+	rest := bytes.NewReader(p.Body)
+	decoder := msgpack.NewDecoder(rest)
+	err := decoder.Skip()
+	if err == nil && rest.Len() > 0 {
+		err = decoder.Decode(wire)
+	}
+	if err != nil {
+		return fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
+	}
+	return nil
+}
+
 type revisionWire struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Team     string
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -64,6 +64,13 @@
 	KindCellLookupReply
 	KindQueueJobLookup
 	KindQueueCancel
+	KindWorkerHold
+	KindWorkerStart
+	KindWorkerStop
+	KindWorkerPace
+	KindWorkerReport
+	KindWorkerStarted
+	KindWorkerDone
 )
 
 // PromiseRequest asks a peer, as a grantor of the sender's lease, to promise not
