Let hosts near the workers make the owner's calls

Package relay adds a Router, through which the owner makes each call as one peer call to the relay of the worker, and a Server, which makes the calls it receives within the permission of the owner's last pong. Hosts say in their pings whether they relay, where they are and what processor they have. Only where workers check fencing tokens; elsewhere the owner calls workers itself as before.

--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -16,12 +16,28 @@
 	Tasks   int
 	Workers []CellWorker
 	Waves   []CellWave
+	// Relays are the hosts that make calls to workers for the owner.
+	Relays []CellRelay
+}
+
+// CellRelay is a host that makes calls to workers for the owner.
+type CellRelay struct {
+	Addr       string
+	DataCentre string
+	Cores      float64
+	// State is Used, Suspected or Lost.
+	State string
+	// Workers is the number of workers whose calls it makes.
+	Workers int
 }
 
 // CellWorker is the state of a worker of a cell.
 type CellWorker struct {
 	ID   string
 	Rack string
+	// Relay is the address of the host that makes the calls to the worker; it is
+	// empty if the owner makes them itself.
+	Relay string
 	// State is Ready, Silent, Leaving, Maintenance, Quarantined or Unlisted.
 	State string
 	Runs  int
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -98,9 +98,15 @@
 		for _, v := range p.Waves {
 			row(w, "Wave", v.Wave, "Machines", v.Machines, "Ordered", v.Ordered, "Settled", v.Settled, "Done", v.Done)
 		}
-		row(w, "WORKER", "RACK", "STATE", "RUNS", "FREE MILLICORES", "FREE MB", "SLOWNESS")
+		if len(p.Relays) > 0 {
+			row(w, "RELAY", "DATA CENTRE", "CORES", "STATE", "WORKERS")
+		}
+		for _, v := range p.Relays {
+			row(w, v.Addr, v.DataCentre, fmt.Sprintf("%.2f", v.Cores), v.State, v.Workers)
+		}
+		row(w, "WORKER", "RACK", "STATE", "RUNS", "FREE MILLICORES", "FREE MB", "SLOWNESS", "RELAY")
 		for _, v := range p.Workers {
-			row(w, v.ID, v.Rack, v.State, v.Runs, v.Free.MilliCores, v.Free.MemoryMB, fmt.Sprintf("%.1f", v.Slowness))
+			row(w, v.ID, v.Rack, v.State, v.Runs, v.Free.MilliCores, v.Free.MemoryMB, fmt.Sprintf("%.1f", v.Slowness), v.Relay)
 		}
 	}}, nil
 }
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -14,6 +14,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
+	"cicadabarrow.example/cicadabarrow/internal/permit"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -187,6 +188,9 @@
 	if err := p.delay(ctx, string(plan.Worker), peerLatency); err != nil {
 		return cell.Report{}, err
 	}
+	if err := permit.Verify(ctx); err != nil {
+		return cell.Report{}, err
+	}
 	w := p.cluster
 	w.mu.Lock()
 	worker := w.workers[plan.Worker]
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -55,6 +55,22 @@
 		message.KindQueueJobLookup: decodeAndHandle(message.DecodeJobLookup, h.lookUpJob),
 		message.KindQueueLookup:    decodeAndHandle(message.DecodeQueueLookup, h.lookUpQueue),
 		message.KindCellLookup:     decodeAndHandle(message.DecodeCellLookup, h.lookUpCell),
+		message.KindWorkerHold: decodeAndHandle(message.DecodeWorkerHold, func(ctx context.Context, c message.WorkerHold) (peer.Message, error) {
+			report, err := h.relayServer.Hold(ctx, c)
+			return message.EncodeWorkerReport(report), err
+		}),
+		message.KindWorkerStart: decodeAndHandle(message.DecodeWorkerStart, func(ctx context.Context, c message.WorkerStart) (peer.Message, error) {
+			started, err := h.relayServer.Start(ctx, c)
+			return message.EncodeWorkerStarted(started), err
+		}),
+		message.KindWorkerStop: decodeAndHandle(message.DecodeWorkerStop, func(ctx context.Context, c message.WorkerStop) (peer.Message, error) {
+			done, err := h.relayServer.Stop(ctx, c)
+			return message.EncodeWorkerDone(done), err
+		}),
+		message.KindWorkerPace: decodeAndHandle(message.DecodeWorkerPace, func(ctx context.Context, c message.WorkerPace) (peer.Message, error) {
+			done, err := h.relayServer.SetPace(ctx, c)
+			return message.EncodeWorkerDone(done), err
+		}),
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/owner"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
+	"cicadabarrow.example/cicadabarrow/internal/relay"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
@@ -102,6 +103,12 @@
 	rawManifest atomic.Pointer[[]byte]
 	detector    *election.FailureDetector
 	advisors    *remoteAdvisors
+	// relayHosts holds the hosts that make calls to workers for this host while it
+	// owns the cell, and relayServer makes such calls for the owner.
+	relayHosts  *relayHosts
+	relayServer *relay.Server
+	// pingSoon holds an element after a new owner has announced itself.
+	pingSoon chan struct{}
 	// Only the goroutine of monitorOwner uses suspicion, lastReadFailure and
 	// yieldUntil.
 	suspicion suspicion
@@ -120,6 +127,9 @@
 	// while the Owner still reads the store and is not ready. It is nil
 	// otherwise.
 	running *owner.Owner
+	// router passes the calls of running to the relays. It is nil if this host does
+	// not own the cell, or if workers check no fencing tokens.
+	router *relay.Router
 	// endedEpoch is the last epoch that this host owned and whose tenure has
 	// ended.
 	endedEpoch uint64
@@ -152,7 +162,8 @@
 		intake:    intake.New(platform.Store, timers),
 		manifests: manifest.NewHolder(), detector: election.NewFailureDetector(config.OwnerTimeout),
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
-		waves: make(map[int]cell.Wave),
+		waves: make(map[int]cell.Wave), relayHosts: newRelayHosts(timers), pingSoon: make(chan struct{}, 1),
+		relayServer: relay.NewServer(platform.Workers, timers, scope),
 	}
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -72,6 +72,7 @@
 	if h.running != nil {
 		h.running.Replaced(reported.epoch)
 	}
+	h.requestPing()
 	h.log.Info("a peer reported a later owner", zap.Stringer("Addr", reported.addr), zap.Uint64("Epoch", reported.epoch))
 	h.setOwner(reported)
 }
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -55,7 +55,7 @@
 			timeout = suspectPingTimeout
 			interval = h.checkOwnerRow(&failures)
 		}
-		h.sleep(interval)
+		h.sleepUntilPing(interval)
 	}
 }
 
@@ -100,7 +100,9 @@
 	ping := message.EncodeHostPing(message.HostPing{
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
 		KnownEpoch: max(epoch, h.knownOwner().epoch),
+		Relays:     h.mayRelay(), DataCentre: h.config.Self.DataCentre, Cores: h.config.Capacity.Cores,
 	})
+	sent := h.timers.Latest()
 	from, reply, err := h.peers.Ask(ctx, to, ping)
 	if err != nil {
 		return from, message.OwnerPong{}, err
@@ -113,6 +115,7 @@
 		h.adopt(pong.NewerManifest, from.Name)
 	}
 	h.applyPong(pong)
+	h.applyPermission(pong, sent)
 	return from, pong, nil
 }
 
@@ -247,6 +250,7 @@
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
 		pong.SinceRenewal = running.SinceRenewal()
+		h.permitRelay(ping, running.Epoch(), &pong)
 	}
 	return pong
 }
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -110,7 +110,9 @@
 		h.log.Info("tenure not started: a later owner is known", zap.Uint64("Epoch", tenure.Row.Epoch), zap.Uint64("Later", h.lastOwner.epoch))
 		return nil
 	}
-	h.running = owner.New(h.config.Owner, tenure, h.manifests.Current(), h.platform.Ports, h.advisors, h.timers, h.scope, h.log)
+	ports := h.startRouter(tenure.Row.Epoch)
+	h.running = owner.New(h.config.Owner, tenure, h.manifests.Current(), ports, h.advisors, h.timers, h.scope, h.log)
+	h.closeRouterAfter(h.running)
 	h.setOwner(ownerRef{addr: h.config.Addr, incarnation: h.config.Self.Incarnation, epoch: tenure.Row.Epoch})
 	return h.running
 }
@@ -149,7 +151,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.running == running {
-		h.running = nil
+		h.running, h.router = nil, nil
 		h.endedEpoch = max(h.endedEpoch, running.Epoch())
 	}
 }
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -49,7 +49,9 @@
 	if err != nil {
 		return peer.Message{}, err
 	}
-	return encodeView(encodeOverview(overview, h.config.Self.Name, ready.Epoch()))
+	view := encodeOverview(overview, h.config.Self.Name, ready.Epoch())
+	h.addRelays(&view)
+	return encodeView(view)
 }
 
 func encodeView(wire any) (peer.Message, error) {
--- /dev/null
+++ b/internal/relay/call.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/message"
+	"cicadabarrow.example/cicadabarrow/internal/peer"
+)
+
+const (
+	// workerShare is the share of the time left, beyond the wait of a hold, in which
+	// the worker has to answer the relay, and relayShare the share in which the relay
+	// has to answer the owner. The rest is left for another relay.
+	workerShare = 0.5
+	relayShare  = 0.7
+	// orderShare is the share of the time of an order in which the worker has to
+	// answer the relay.
+	orderShare = 0.85
+	// defaultTimeout is the time for a call whose context has no deadline.
+	defaultTimeout = 1 * time.Second
+	// localDelay is how late this process may notice that an answer is overdue. Beyond
+	// that it lacks processor time itself, and the answer may wait for it.
+	localDelay = 50 * time.Millisecond
+	// maxHoldRelays is the number of relays that a hold call is made through before
+	// the owner makes it itself.
+	maxHoldRelays = 2
+)
+
+// timeLeft returns the time until the deadline of a context.
+func (r *Router) timeLeft(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return defaultTimeout
+}
+
+func share(d time.Duration, of float64) time.Duration { return time.Duration(float64(d) * of) }
+
+// Hold makes a hold call. If its relay fails, another one makes it at once.
+func (r *Router) Hold(ctx context.Context, request cell.HoldRequest, epoch uint64) (cell.Report, error) {
+	relay := r.route(request.Worker)
+	for attempt := 1; relay != nil && attempt <= maxHoldRelays; attempt++ {
+		report, err := r.relayedHold(ctx, relay, request, epoch)
+		if err == nil || errors.Is(err, cell.ErrFenced) || ctx.Err() != nil {
+			return report, err
+		}
+		if !certain(err) {
+			request = readOnly(request)
+		}
+		next := r.other(request.Worker, relay)
+		if workerFailed(err) {
+			r.detour(request.Worker, relay)
+			if next == nil || attempt == maxHoldRelays {
+				return report, err
+			}
+		}
+		relay = next
+	}
+	r.metrics.direct.Inc(1)
+	return r.local.Hold(ctx, request, epoch)
+}
+
+// workerFailed reports whether a relay did not reach the worker.
+func workerFailed(err error) bool {
+	return fault.Is(err, KindWorkerSilent) || fault.Is(err, KindNotSent)
+}
+
+// readOnly returns a hold call that acknowledges no end and grants no lease, for a
+// worker that may have received a call before: it may have restarted since, so that
+// the numbers of ends and the clock are those of an earlier incarnation.
+func readOnly(request cell.HoldRequest) cell.HoldRequest {
+	request.Deadline, request.Acknowledged, request.Wait = 0, 0, 0
+	return request
+}
+
+// relayedHold makes a hold call through a relay.
+func (r *Router) relayedHold(
+	ctx context.Context, relay *relayState, request cell.HoldRequest, epoch uint64,
+) (cell.Report, error) {
+	margin := r.timeLeft(ctx) - request.Wait
+	outstanding := r.outstanding(relay)
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+share(margin, relayShare))
+	defer cancel()
+	defer context.AfterFunc(outstanding, cancel)()
+	order := message.WorkerOrder{Epoch: epoch, Timeout: request.Wait + share(margin, workerShare), Addr: request.Addr}
+	reply, err := r.ask(ctx, relay, message.EncodeWorkerHold(message.WorkerHold{WorkerOrder: order, Request: request}))
+	if err != nil {
+		return cell.Report{}, err
+	}
+	m, err := message.DecodeWorkerReport(reply)
+	if err != nil {
+		return cell.Report{}, fault.New("hold", KindRelaySilent, "%w", err)
+	}
+	return m.Report, r.result("hold", m.WorkerResult)
+}
+
+// outstanding returns the context that ends when the relay fails.
+func (r *Router) outstanding(relay *relayState) context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return relay.outstanding
+}
+
+// ask passes a call to a relay. Its error tells whether the relay certainly did not
+// make the call.
+func (r *Router) ask(ctx context.Context, relay *relayState, m peer.Message) (peer.Message, error) {
+	const op = "relay"
+	_, reply, err := r.peers.Ask(ctx, relay.host.Addr, m)
+	if err == nil {
+		relay.misses.Store(0)
+		return reply, nil
+	}
+	if deadline, ok := ctx.Deadline(); !ok || time.Since(deadline) < localDelay {
+		r.missed(relay, err)
+	}
+	kind := KindRelaySilent
+	if fault.Is(err, peer.KindNotSent) || fault.Is(err, peer.KindRefused) {
+		kind = KindRefused
+	}
+	r.metrics.outcomes[kind].Inc(1)
+	return reply, fault.New(op, kind, "%w", err)
+}
+
+// result counts the result of a call that a relay has answered, and returns its error.
+func (r *Router) result(op string, result message.WorkerResult) error {
+	kind := Kind("")
+	switch result.Failure {
+	case message.WorkerAnswered:
+	case message.WorkerNotSent:
+		kind = KindNotSent
+	case message.WorkerSilent:
+		kind = KindWorkerSilent
+	case message.WorkerFenced:
+		kind = KindFenced
+	}
+	r.metrics.outcomes[kind].Inc(1)
+	switch kind {
+	case "":
+		return nil
+	case KindFenced:
+		return fault.New(op, kind, "%w", cell.ErrFenced)
+	}
+	return fault.New(op, kind, "%s", result.Error)
+}
+
+// Start starts a run. It tries a second way only if the first relay has certainly not
+// sent the start.
+func (r *Router) Start(ctx context.Context, to netip.AddrPort, s cell.SendStart, epoch uint64) (cell.StartOutcome, error) {
+	var outcome cell.StartOutcome
+	err := r.order(ctx, s.Worker, func(relay *relayState) (err error) {
+		if relay == nil {
+			outcome, err = r.local.Start(ctx, to, s, epoch)
+			return err
+		}
+		outcome, err = r.relayedStart(ctx, relay, to, s, epoch)
+		return err
+	})
+	return outcome, err
+}
+
+func (r *Router) relayedStart(
+	ctx context.Context, relay *relayState, to netip.AddrPort, s cell.SendStart, epoch uint64,
+) (cell.StartOutcome, error) {
+	const op = "start"
+	reply, err := r.ask(ctx, relay, message.EncodeWorkerStart(message.WorkerStart{WorkerOrder: r.workerOrder(ctx, to, epoch), Start: s}))
+	if err != nil {
+		return cell.StartOutcome{NotSent: certain(err), Unknown: !certain(err)}, err
+	}
+	m, err := message.DecodeWorkerStarted(reply)
+	if err != nil {
+		return cell.StartOutcome{Unknown: true}, fault.New(op, KindRelaySilent, "%w", err)
+	}
+	err = r.result(op, m.WorkerResult)
+	if err != nil && !m.Outcome.NotSent && m.Outcome.Refused == "" {
+		m.Outcome.Unknown = true
+	}
+	if certain(err) && !m.Outcome.NotSent {
+		err = fault.New(op, KindWorkerSilent, "%s", m.Error)
+	}
+	return m.Outcome, err
+}
+
+// workerOrder returns the common part of an order that is passed to a relay.
+func (r *Router) workerOrder(ctx context.Context, to netip.AddrPort, epoch uint64) message.WorkerOrder {
+	return message.WorkerOrder{Epoch: epoch, Timeout: share(r.timeLeft(ctx), orderShare), Addr: to}
+}
+
+// order makes an order through the relay of a worker, and in one other way if the
+// relay has certainly not sent it. The relay is nil if the owner makes the order.
+func (r *Router) order(ctx context.Context, id cell.WorkerID, make func(*relayState) error) error {
+	relay := r.route(id)
+	if relay != nil {
+		err := make(relay)
+		if err == nil || !certain(err) || ctx.Err() != nil {
+			return err
+		}
+		relay = r.other(id, relay)
+	}
+	if relay == nil {
+		r.metrics.direct.Inc(1)
+	}
+	return make(relay)
+}
+
+// Stop stops a run and returns the worker's clock.
+func (r *Router) Stop(ctx context.Context, to netip.AddrPort, s cell.SendStop, epoch uint64) (time.Duration, error) {
+	var clock time.Duration
+	err := r.order(ctx, s.Worker, func(relay *relayState) (err error) {
+		if relay == nil {
+			clock, err = r.local.Stop(ctx, to, s, epoch)
+			return err
+		}
+		order := r.workerOrder(ctx, to, epoch)
+		clock, err = r.command(ctx, relay, "stop", message.EncodeWorkerStop(message.WorkerStop{WorkerOrder: order, Stop: s}))
+		return err
+	})
+	return clock, err
+}
+
+// SetPace sets the pace of a run.
+func (r *Router) SetPace(ctx context.Context, to netip.AddrPort, p cell.SetPace, epoch uint64) error {
+	return r.order(ctx, p.Worker, func(relay *relayState) error {
+		if relay == nil {
+			return r.local.SetPace(ctx, to, p, epoch)
+		}
+		order := r.workerOrder(ctx, to, epoch)
+		_, err := r.command(ctx, relay, "set pace", message.EncodeWorkerPace(message.WorkerPace{WorkerOrder: order, Pace: p}))
+		return err
+	})
+}
+
+// command passes an order to a relay that answers with WorkerDone.
+func (r *Router) command(ctx context.Context, relay *relayState, op string, m peer.Message) (time.Duration, error) {
+	reply, err := r.ask(ctx, relay, m)
+	if err != nil {
+		return 0, err
+	}
+	done, err := message.DecodeWorkerDone(reply)
+	if err != nil {
+		return 0, fault.New(op, KindRelaySilent, "%w", err)
+	}
+	return done.Clock, r.result(op, done.WorkerResult)
+}
