--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -23,6 +23,11 @@
 	// stallGrace no relay is taken to be lost.
 	stallThreshold = 300 * time.Millisecond
 	stallGrace     = 500 * time.Millisecond
+	// busyThreshold is the interval between two refreshes above which this process
+	// lacks processor time. Answers may then wait for it, so that for busyGrace no
+	// relay is suspected.
+	busyThreshold = 130 * time.Millisecond
+	busyGrace     = 500 * time.Millisecond
 	// maxMisses is the number of calls in succession that a relay may leave
 	// unanswered or refuse before it is suspected.
 	maxMisses = 3
@@ -68,10 +73,11 @@
 	chosen  map[string][]Host
 	version int
 	workers map[cell.WorkerID]*workerState
-	// refreshed is when refresh last ran, and graceUntil is when relays may be taken
-	// to be lost again.
+	// refreshed is when refresh last ran, graceUntil when relays may be taken to be
+	// lost again, and busyUntil when they may be suspected again.
 	refreshed  time.Time
 	graceUntil time.Time
+	busyUntil  time.Time
 	changes    changeLog
 }
 
@@ -244,6 +250,9 @@
 	if now.Sub(r.refreshed) > stallThreshold {
 		r.graceUntil = now.Add(stallGrace)
 	}
+	if now.Sub(r.refreshed) > busyThreshold {
+		r.busyUntil = now.Add(busyGrace)
+	}
 	r.refreshed = now
 	alive := make(map[netip.AddrPort]bool, len(hosts))
 	for _, h := range hosts {
@@ -353,7 +362,7 @@
 	now := r.timers.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !s.usable() {
+	if !s.usable() || now.Before(r.busyUntil) {
 		return
 	}
 	s.backoff = min(2*s.backoff, maxSuspectBackoff)
