--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -57,10 +57,11 @@
 	}
 }
 
-// pause waits for a duration and measures how late this host continues.
+// pause waits for a duration, or until a ping is requested, and measures how late this
+// host continues.
 func (h *Host) pause(d time.Duration) {
 	due := h.timers.Now().Add(d)
-	if h.sleep(d) {
+	if h.sleepUntilPing(d) {
 		h.observeDelay(due)
 	}
 }
@@ -205,6 +206,7 @@
 		pong.Owning = true
 		pong.SinceRenewal, pong.RowVersion = running.LastRenewal()
 		pong.Admission = running.Admission()
+		h.permitRelay(ping, running.Epoch(), &pong)
 	}
 	return pong
 }
--- a/internal/host/ping.go
+++ b/internal/host/ping.go
@@ -168,7 +168,9 @@
 	ping := message.EncodeHostPing(message.HostPing{
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
 		KnownEpoch: max(epoch, h.knownOwner().epoch),
+		Relays:     h.mayRelay(), DataCentre: h.config.Self.DataCentre, Cores: h.config.Capacity.Cores,
 	})
+	sent := h.timers.Latest()
 	from, reply, err := h.peers.Ask(ctx, to, ping)
 	if err != nil {
 		return from, message.OwnerPong{}, err
@@ -181,5 +183,6 @@
 		h.adopt(pong.NewerManifest, from.Name)
 	}
 	h.applyPong(pong)
+	h.applyPermission(pong, sent)
 	return from, pong, nil
 }
