Carry the row's version of a pong where earlier releases ignore it

The version of the owner's row was a new element of the pong's array; hosts of an earlier release fail to decode an array of another length, and this release failed to decode theirs, so that each would have suspected the other's owner in a rolling upgrade. It is now in the extension, a second value.

--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -135,7 +135,6 @@
 	SinceRenewal     time.Duration
 	Manifest         uint64
 	NewerManifest    []byte
-	RowVersion       uint64
 }
 
 // ownerPongExtension follows ownerPongWire as a second value, which hosts of earlier
@@ -145,6 +144,7 @@
 	LongRunning time.Duration `msgpack:"lasting,omitempty"`
 	RelayEpoch  uint64        `msgpack:"epoch,omitempty"`
 	RelayFor    time.Duration `msgpack:"for,omitempty"`
+	RowVersion  uint64        `msgpack:"version,omitempty"`
 }
 
 type refusalWire struct {
@@ -159,14 +159,13 @@
 		return ownerPongWire{
 			Owning: m.Owning, OwnerAddr: m.OwnerAddr.String(), OwnerIncarnation: m.OwnerIncarnation, Epoch: m.Epoch,
 			Hosts: mapSlice(m.Hosts, netip.AddrPort.String), SinceRenewal: m.SinceRenewal, Manifest: m.Manifest,
-			NewerManifest: m.NewerManifest, RowVersion: m.RowVersion,
+			NewerManifest: m.NewerManifest,
 		}
 	},
 	fromWire: func(w ownerPongWire) OwnerPong {
 		return OwnerPong{
 			Owning: w.Owning, OwnerAddr: parseAddr(w.OwnerAddr), OwnerIncarnation: w.OwnerIncarnation, Epoch: w.Epoch,
 			Hosts: mapSlice(w.Hosts, parseAddr), SinceRenewal: w.SinceRenewal, Manifest: w.Manifest, NewerManifest: w.NewerManifest,
-			RowVersion: w.RowVersion,
 		}
 	},
 }
@@ -174,14 +173,14 @@
 // EncodeOwnerPong returns the encoded message.
 func EncodeOwnerPong(m OwnerPong) peer.Message {
 	p := ownerPongCodec.encode(m)
-	if m.RelayEpoch == 0 && len(m.Admission.Queues) == 0 && m.Admission.LongRunning == 0 {
+	if m.RelayEpoch == 0 && m.RowVersion == 0 && len(m.Admission.Queues) == 0 && m.Admission.LongRunning == 0 {
 		return p
 	}
 	return appendExtension(p, ownerPongExtension{
 		Refusals: mapSlice(m.Admission.Queues, func(r admission.Refusal) refusalWire {
 			return refusalWire{Queue: r.Queue, RetryAfter: r.RetryAfter}
 		}),
-		LongRunning: m.Admission.LongRunning, RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor,
+		LongRunning: m.Admission.LongRunning, RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion,
 	})
 }
 
@@ -200,6 +199,6 @@
 		m.Admission.Queues = append(m.Admission.Queues, admission.Refusal{Queue: r.Queue, RetryAfter: r.RetryAfter})
 	}
 	m.Admission.LongRunning = e.LongRunning
-	m.RelayEpoch, m.RelayFor = e.RelayEpoch, e.RelayFor
+	m.RelayEpoch, m.RelayFor, m.RowVersion = e.RelayEpoch, e.RelayFor, e.RowVersion
 	return m, nil
 }
