Keep few connections to a worker, and for a short time

The workers reset 10,993 connections, those beyond the 64 that each accepts from all hosts together; 2,600 starts and 2,600 stops had no answer for that reason. Each host that called a worker for a while kept up to 16 connections to it for 60 s, and with relays many hosts do so in turn. A worker that resets connections looks silent to its relay, so its calls take a detour through a further host, which opens more.

Calls to workers now have a client of their own: at most 6 connections to a worker, closed after 5 s without a call.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -135,7 +135,7 @@
 	client := platform.NewClient(scope)
 	h := host.New(hostConfig(s, self), host.Platform{
 		Ports: owner.Ports{
-			Store: platform.NewStore(client, s.StoreAddr), Workers: platform.NewWorkers(client),
+			Store: platform.NewStore(client, s.StoreAddr), Workers: platform.NewWorkers(platform.NewWorkerClient(scope)),
 			Registrations: platform.Registrations{}, Advisor: platform.NewAdvisor(client, s.AdviceAddr),
 			Machines: platform.NewMachines(client, s.MachinesAddr, s.Name), WaveRows: platform.Manifests{},
 		},
