Spread the run times in the benchmark of the owner, and count what it stores

The tasks of a job ended at the same moment, so that one record stood for many ends, and the jobs that last needed no advice, so that their placement went through all workers. On the site run times differ and all queues need advice. The benchmark now does the same and reports rows and bytes a start.

--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -40,7 +40,7 @@
 type benchKind struct {
 	queue manifest.Queue
 	step  workload.Step
-	// runs is how long a task runs, or starts up if it lasts.
+	// runs is how long a task runs on average, or starts up if it lasts.
 	runs  time.Duration
 	lasts bool
 	// allowed is the share of the workers that the advice service allows.
@@ -67,12 +67,20 @@
 		runs: 3800 * time.Millisecond, allowed: 0.35,
 	},
 	{
-		queue: manifest.Queue{Name: "watch", Service: "s", Priority: 1, MaxAttempts: 2, SlackFactor: 2.2, TargetLatency: 3 * time.Second},
-		step:  workload.Step{Tasks: benchLastingTasks, Size: job.Size{MilliCores: 2000, MemoryMB: 4000}, LongRunning: true},
-		runs:  time.Millisecond, lasts: true,
+		queue: manifest.Queue{
+			Name: "watch", Service: "s", Priority: 1, MaxAttempts: 2, SlackFactor: 2.2, TargetLatency: 3 * time.Second,
+			Advice: manifest.Advice{Fixed: 320 * time.Millisecond, PerWorker: 4600 * time.Microsecond, ValidFor: ticketValid},
+		},
+		step: workload.Step{Tasks: benchLastingTasks, Size: job.Size{MilliCores: 2000, MemoryMB: 4000}, LongRunning: true},
+		runs: time.Millisecond, lasts: true, allowed: 0.35,
 	},
 }
 
+// took returns how long a task runs: from half to one and a half of the average.
+func (k *benchKind) took(id workload.TaskID) time.Duration {
+	return k.runs/2 + k.runs*time.Duration(id.Index)/time.Duration(k.step.Tasks)
+}
+
 // BenchmarkOwner runs an owner under a steady load of starts, ends and hold calls, and
 // reports the processor time of the whole process for each start. An operation is one
 // start; its time is that of the load and not of the owner.
@@ -96,6 +104,7 @@
 	l.run(int(l.rate)) // until the first runs end
 	time.Sleep(time.Second)
 	starts, holds, commits := p.counts()
+	rows, bytes := p.written()
 	cpu := processorTime()
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -103,6 +112,9 @@
 	b.StopTimer()
 	cpu = processorTime() - cpu
 	started, held, committed := p.counts()
+	rowsWritten, bytesWritten := p.written()
+	b.ReportMetric(float64(rowsWritten-rows)/float64(b.N), "rows/start")
+	b.ReportMetric(float64(bytesWritten-bytes)/float64(b.N), "stored-B/start")
 	b.ReportMetric(float64(cpu.Nanoseconds())/float64(b.N), "cpu-ns/start")
 	b.ReportMetric(100*cpu.Seconds()/b.Elapsed().Seconds(), "cpu-%")
 	b.ReportMetric(float64(started-starts)/b.Elapsed().Seconds(), "starts/s")
@@ -167,6 +179,10 @@
 	stops   int
 	holds   int
 	commits int
+	// rowsWritten and bytesWritten are the rows and the bytes of their values in all
+	// commits.
+	rowsWritten  int
+	bytesWritten int
 }
 
 // benchWorker is a worker whose runs end by timers.
@@ -227,6 +243,12 @@
 	return p.starts, p.holds, p.commits
 }
 
+func (p *benchPlatform) written() (rows, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rowsWritten, p.bytesWritten
+}
+
 func (p *benchPlatform) holdsOf() int {
 	_, holds, _ := p.counts()
 	return holds
@@ -235,13 +257,17 @@
 func (p *benchPlatform) now() time.Duration { return time.Since(p.begin) }
 
 // Commit stores nothing.
-func (p *benchPlatform) Commit(ctx context.Context, _ rowstore.Transaction) (rowstore.Result, error) {
+func (p *benchPlatform) Commit(ctx context.Context, t rowstore.Transaction) (rowstore.Result, error) {
 	if err := sleep(ctx, benchCommit); err != nil {
 		return rowstore.Result{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.commits++
+	p.rowsWritten += len(t.Writes)
+	for _, w := range t.Writes {
+		p.bytesWritten += len(w.Value)
+	}
 	return rowstore.Result{Version: uint64(p.commits), Clock: p.now()}, nil
 }
 
@@ -311,13 +337,14 @@
 	kind := p.kinds[s.Task.Job]
 	p.mu.Unlock()
 	w := p.byID[s.Worker]
+	took := kind.took(s.Task)
 	w.mu.Lock()
-	w.running = append(w.running, benchRun{cell.Running{Task: s.Task, Run: s.Run}, time.Now(), kind.runs})
+	w.running = append(w.running, benchRun{cell.Running{Task: s.Task, Run: s.Run}, time.Now(), took})
 	w.mu.Unlock()
 	if kind.lasts {
 		return cell.StartOutcome{Clock: p.now()}, nil
 	}
-	time.AfterFunc(kind.runs, func() { w.end(s.Task, cell.EndDone) })
+	time.AfterFunc(took, func() { w.end(s.Task, cell.EndDone) })
 	return cell.StartOutcome{Clock: p.now()}, nil
 }
 
