Carry refusals in the owner's row, by priority, and count a late owner

A log line for each ping (trial) showed why: from 3 s to 12 s none of 240 pings was answered in 300 ms, as the owner's host has no processor time left, so hosts never heard what it decided.

The owner renews its row all the while, and hosts that suspect it read that row. So the row carries the decision too, as a second value that earlier releases do not read (they reject a longer array). A row counts from when its version was first read, and any decision for 3 s.

The target of a priority is the shortest of its queues. RetryAfter of the log, the gauge priorities_refused and the messages follow.

Demand also counts as delayed while five or more of the last ten ticks of the event loop came 50 ms late or more: then calls time out at the owner although workers are free.

Tests: the row round trip, a host without pongs that refuses by the row and stops when it is not renewed, a late owner.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,18 +13,21 @@
 type Load struct {
 	// Started counts the starts that workers have accepted since the owner took over.
 	Started uint64
-	// Queues has the demand before new jobs of each queue.
-	Queues []Demand
+	// OwnerLate is set while the owner's host has too little processor time, so that
+	// calls to workers time out although these are free. All demand is then delayed.
+	OwnerLate bool
+	// Priorities has the demand before new jobs of the queues of each priority.
+	Priorities []Demand
 	// LongRunning is the demand before new long-running jobs, whatever their queue.
 	LongRunning Demand
 }
 
 // Demand is the work that goes before that of a new job.
 type Demand struct {
-	// Queue is the name of the queue, and Target the latency that its jobs aim at
-	// besides their run time.
-	Queue  string
-	Target time.Duration
+	// Priority is that of the queues; 0 is the highest. Target is the shortest latency
+	// that their jobs aim at besides their run time.
+	Priority int
+	Target   time.Duration
 	// Tasks counts the tasks that wait to be started before those of a new job.
 	Tasks int
 	// Delayed is set while their starts wait to be sent, or while there is too little
@@ -33,17 +36,18 @@
 	Delayed bool
 }
 
-// Refusal tells that new jobs of a queue are refused, and after how long the backlog
-// should be worked off.
+// Refusal tells that new jobs of the queues of a priority are refused, and after how
+// long the backlog should be worked off.
 type Refusal struct {
-	Queue      string
+	Priority   int
 	RetryAfter time.Duration
 }
 
 // Decision tells which new jobs are refused.
 type Decision struct {
-	// Queues has the queues that refuse jobs. It does not concern long-running jobs.
-	Queues []Refusal
+	// Priorities has the priorities whose queues refuse jobs. It does not concern
+	// long-running jobs.
+	Priorities []Refusal
 	// LongRunning is how long callers should wait before they submit long-running
 	// jobs again; 0 means that these are accepted.
 	LongRunning time.Duration
@@ -51,12 +55,12 @@
 
 // RetryAfter returns after how long a new job should be submitted again, and false if
 // it is not refused.
-func (d Decision) RetryAfter(queue string, longRunning bool) (time.Duration, bool) {
+func (d Decision) RetryAfter(priority int, longRunning bool) (time.Duration, bool) {
 	if longRunning {
 		return d.LongRunning, d.LongRunning > 0
 	}
-	for _, r := range d.Queues {
-		if r.Queue == queue {
+	for _, r := range d.Priorities {
+		if r.Priority == priority {
 			return r.RetryAfter, true
 		}
 	}
@@ -78,11 +82,11 @@
 	maxRetryAfter = 30 * time.Second
 )
 
-// Limiter decides on new jobs. A queue that refuses jobs accepts them again only when
-// the expected wait has fallen well below the one at which it began to refuse.
+// Limiter decides on new jobs. Jobs that are refused are accepted again only when the
+// expected wait has fallen well below the one at which they began to be refused.
 type Limiter struct {
 	rate        startRate
-	queues      map[string]demandState
+	priorities  map[int]demandState
 	longRunning demandState
 }
 
@@ -94,22 +98,23 @@
 }
 
 // NewLimiter returns a Limiter that refuses nothing.
-func NewLimiter() *Limiter { return &Limiter{queues: make(map[string]demandState)} }
+func NewLimiter() *Limiter { return &Limiter{priorities: make(map[int]demandState)} }
 
 // Observe returns the decision for the current load.
 func (l *Limiter) Observe(now time.Time, load Load) Decision {
 	l.rate.observe(now, load.Started)
 	var out Decision
-	queues := make(map[string]demandState, len(load.Queues))
-	for _, d := range load.Queues {
-		state := l.queues[d.Queue]
+	for _, d := range load.Priorities {
+		d.Delayed = d.Delayed || load.OwnerLate
+		state := l.priorities[d.Priority]
 		if retry := l.decide(now, d, max(d.Target, minWait), &state); retry > 0 {
-			out.Queues = append(out.Queues, Refusal{Queue: d.Queue, RetryAfter: retry})
+			out.Priorities = append(out.Priorities, Refusal{Priority: d.Priority, RetryAfter: retry})
 		}
-		queues[d.Queue] = state
+		l.priorities[d.Priority] = state
 	}
-	l.queues = queues
-	out.LongRunning = l.decide(now, load.LongRunning, longRunningWait, &l.longRunning)
+	lasting := load.LongRunning
+	lasting.Delayed = lasting.Delayed || load.OwnerLate
+	out.LongRunning = l.decide(now, lasting, longRunningWait, &l.longRunning)
 	return out
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -27,10 +27,15 @@
 	return last
 }
 
+const (
+	urgentPriority = 0
+	batchPriority  = 2
+)
+
 func demand(urgent, batch int, delayed bool) Load {
-	return Load{Queues: []Demand{
-		{Queue: "urgent", Target: 500 * time.Millisecond, Tasks: urgent, Delayed: delayed},
-		{Queue: "batch", Target: 1200 * time.Millisecond, Tasks: urgent + batch, Delayed: delayed},
+	return Load{Priorities: []Demand{
+		{Priority: urgentPriority, Target: 500 * time.Millisecond, Tasks: urgent, Delayed: delayed},
+		{Priority: batchPriority, Target: 1200 * time.Millisecond, Tasks: urgent + batch, Delayed: delayed},
 	}}
 }
 
@@ -49,18 +54,27 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := newOwner().observe(3*time.Second, 100, c.load)
-			for queue, want := range map[string]time.Duration{"urgent": c.urgent, "batch": c.batch} {
-				if retry, _ := got.RetryAfter(queue, false); retry != want {
-					t.Errorf("%s: retry after %v, want %v", queue, retry, want)
+			for priority, want := range map[int]time.Duration{urgentPriority: c.urgent, batchPriority: c.batch} {
+				if retry, _ := got.RetryAfter(priority, false); retry != want {
+					t.Errorf("priority %d: retry after %v, want %v", priority, retry, want)
 				}
 			}
-			if _, refused := got.RetryAfter("urgent", true); refused {
+			if _, refused := got.RetryAfter(urgentPriority, true); refused {
 				t.Error("long-running jobs are refused although none waits")
 			}
 		})
 	}
 }
 
+// An owner without processor time leaves tasks waiting, whatever is free.
+func TestJobsAreRefusedByALateOwner(t *testing.T) {
+	load := demand(400, 0, false)
+	load.OwnerLate = true
+	if _, refused := newOwner().observe(3*time.Second, 100, load).RetryAfter(urgentPriority, false); !refused {
+		t.Error("jobs are accepted although the owner is late")
+	}
+}
+
 func TestRefusalsEndSoonAfterTheBacklog(t *testing.T) {
 	o := newOwner()
 	for _, c := range []struct {
@@ -68,7 +82,7 @@
 		delayed bool
 		refused bool
 	}{{45, true, false}, {60, true, true}, {45, true, true}, {20, true, false}, {45, true, false}, {60, true, true}, {60, false, false}} {
-		_, refused := o.observe(2*time.Second, 100, demand(c.tasks, 0, c.delayed)).RetryAfter("urgent", false)
+		_, refused := o.observe(2*time.Second, 100, demand(c.tasks, 0, c.delayed)).RetryAfter(urgentPriority, false)
 		if refused != c.refused {
 			t.Errorf("%d tasks wait, delayed %v: refused %v", c.tasks, c.delayed, refused)
 		}
@@ -78,11 +92,11 @@
 // An owner that has not started anything yet, or that paused, does not know its rate.
 func TestNothingIsRefusedForLackOfAMeasuredRate(t *testing.T) {
 	o := newOwner()
-	if _, refused := o.observe(2*time.Second, 0, demand(1000, 0, true)).RetryAfter("urgent", false); refused {
+	if _, refused := o.observe(2*time.Second, 0, demand(1000, 0, true)).RetryAfter(urgentPriority, false); refused {
 		t.Error("jobs are refused by an owner without a rate")
 	}
 	o.observe(2*time.Second, 1000, Load{})
-	if _, refused := o.observe(2*time.Second, 0, demand(400, 0, true)).RetryAfter("urgent", false); refused {
+	if _, refused := o.observe(2*time.Second, 0, demand(400, 0, true)).RetryAfter(urgentPriority, false); refused {
 		t.Error("jobs are refused after a pause")
 	}
 }
@@ -95,7 +109,7 @@
 		load    Load
 		refused bool
 	}{{2 * time.Second, demand(10, 0, true), false}, {6 * time.Second, demand(10, 0, true), true}, {time.Second, Load{}, false}} {
-		if _, refused := o.observe(c.after, 0, c.load).RetryAfter("urgent", false); refused != c.refused {
+		if _, refused := o.observe(c.after, 0, c.load).RetryAfter(urgentPriority, false); refused != c.refused {
 			t.Errorf("%v later: refused %v", c.after, refused)
 		}
 	}
@@ -109,7 +123,7 @@
 		load := demand(10_000, 10_000, true)
 		load.LongRunning = Demand{Tasks: c.tasks, Delayed: true}
 		got := newOwner().observe(3*time.Second, 100, load)
-		if _, refused := got.RetryAfter("batch", true); refused != c.refused {
+		if _, refused := got.RetryAfter(batchPriority, true); refused != c.refused {
 			t.Errorf("%d long-running tasks wait: refused %v", c.tasks, refused)
 		}
 	}
--- a/internal/cell/demand.go
+++ b/internal/cell/demand.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
-	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
 // waitingWork is work that waits to be started.
@@ -30,24 +29,32 @@
 		Tasks:   longRunning.tasks + c.dispatch.parts[startLongRunning].waiting,
 		Delayed: c.dispatch.full(now, startLongRunning) || longRunning.milliCores > free,
 	}
+	targets := make(map[int]time.Duration)
 	for i := range c.manifest.Queues {
 		q := &c.manifest.Queues[i]
-		out.Queues = append(out.Queues, c.demandOf(now, q, waiting, free))
+		if known, ok := targets[q.Priority]; !ok || q.TargetLatency < known {
+			targets[q.Priority] = q.TargetLatency
+		}
+	}
+	for _, priority := range sortedKeys(targets) {
+		d := c.demandOf(now, priority, waiting, free)
+		d.Target = targets[priority]
+		out.Priorities = append(out.Priorities, d)
 	}
 	return out
 }
 
-// demandOf returns the demand before a new job of a queue: long-running tasks, and
-// those of queues of its priority or a higher one. Jobs in classExpired go after it.
-func (c *Cell) demandOf(now time.Time, q *manifest.Queue, waiting map[int]waitingWork, free int64) admission.Demand {
+// demandOf returns the demand before a new job of a priority: long-running tasks, and
+// those of its priority or a higher one. Jobs in classExpired go after it.
+func (c *Cell) demandOf(now time.Time, priority int, waiting map[int]waitingWork, free int64) admission.Demand {
 	class := startOther
-	if q.Priority == 0 {
+	if priority == 0 {
 		class = startUrgent
 	}
-	out := admission.Demand{Queue: q.Name, Target: q.TargetLatency, Delayed: c.dispatch.full(now, class)}
+	out := admission.Demand{Priority: priority, Delayed: c.dispatch.full(now, class)}
 	milliCores := int64(0)
 	for before, work := range waiting {
-		if before <= q.Priority {
+		if before <= priority {
 			out.Tasks += work.tasks
 			milliCores += work.milliCores
 		}
--- a/internal/cell/demand_test.go
+++ b/internal/cell/demand_test.go
@@ -9,9 +9,9 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-func demandOf(load admission.Load, queue string) admission.Demand {
-	for _, d := range load.Queues {
-		if d.Queue == queue {
+func demandOf(load admission.Load, priority int) admission.Demand {
+	for _, d := range load.Priorities {
+		if d.Priority == priority {
 			return d
 		}
 	}
@@ -33,9 +33,9 @@
 	batch.Tasks = 100
 	b.accept("batch", "settle", batch)
 	load := b.cell.Load(b.now)
-	for queue, want := range map[string]int{"first": 60, "free": 60, "settle": 160} {
-		if d := demandOf(load, queue); d.Tasks != want || !d.Delayed {
-			t.Errorf("queue %s: %+v, want %d tasks that are delayed", queue, d, want)
+	for priority, want := range map[int]int{0: 60, 1: 60, 2: 160} {
+		if d := demandOf(load, priority); d.Tasks != want || !d.Delayed {
+			t.Errorf("%+v, want %d tasks that are delayed", d, want)
 		}
 	}
 	if load.LongRunning.Tasks != 30 || !load.LongRunning.Delayed {
@@ -49,11 +49,11 @@
 	b.workers = b.workers[1:]
 	b.wait(2 * time.Second)
 	b.accept("large", "first", workload.Step{Tasks: 500, Size: job.Size{MilliCores: 1000}, Estimate: time.Second})
-	if d := demandOf(b.cell.Load(b.now), "first"); d.Delayed || d.Tasks < 500 {
+	if d := demandOf(b.cell.Load(b.now), 0); d.Delayed || d.Tasks < 500 {
 		t.Errorf("before it is placed: %+v", d)
 	}
 	b.runActions()
-	if d := demandOf(b.cell.Load(b.now), "first"); d.Delayed || d.Tasks != 0 {
+	if d := demandOf(b.cell.Load(b.now), 0); d.Delayed || d.Tasks != 0 {
 		t.Errorf("after it is placed: %+v", d)
 	}
 }
--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/message"
@@ -18,7 +19,7 @@
 const (
 	// admissionMaxAge is the age at which what the owner said about new jobs no
 	// longer counts. A host that does not hear from the owner refuses nothing.
-	admissionMaxAge = time.Second
+	admissionMaxAge = 3 * time.Second
 	// repeatLookupTimeout bounds the look for a job that is to be refused.
 	repeatLookupTimeout = 500 * time.Millisecond
 )
@@ -39,12 +40,22 @@
 type ownerAdmission struct {
 	decision admission.Decision
 	at       time.Time
+	// rowVersion is the latest version of the owner's row that was read.
+	rowVersion uint64
 }
 
-// noteAdmission records what a pong says about new jobs. The caller holds the lock.
-func (h *Host) noteAdmission(pong message.OwnerPong) {
+// notePongAdmission records what a pong says about new jobs. The caller holds the lock.
+func (h *Host) notePongAdmission(pong message.OwnerPong) {
 	if pong.Owning && pong.Epoch == h.lastOwner.epoch {
-		h.admission = ownerAdmission{pong.Admission, h.timers.Now()}
+		h.admission.decision, h.admission.at = pong.Admission, h.timers.Now()
+	}
+}
+
+// noteRowAdmission records what the owner's row says about new jobs. A row that was
+// read before says nothing new. The caller holds the lock.
+func (h *Host) noteRowAdmission(state election.State) {
+	if state.Version > h.admission.rowVersion {
+		h.admission = ownerAdmission{decision: state.Owner.Admission, at: h.timers.Now(), rowVersion: state.Version}
 	}
 }
 
@@ -70,7 +81,7 @@
 // errRepeated for it. If that cannot be found out, the job is not refused.
 func (h *Host) checkAdmission(ctx context.Context, queue *manifest.Queue, job *workload.Job) error {
 	decision, age := h.currentAdmission()
-	retry, refused := decision.RetryAfter(queue.Name, job.LongRunning())
+	retry, refused := decision.RetryAfter(queue.Priority, job.LongRunning())
 	if !refused {
 		return nil
 	}
@@ -88,6 +99,6 @@
 	}
 	h.scope.Counter("jobs_refused").Inc(1)
 	h.log.Info("job refused, since the cell cannot keep up", zap.String("Job", string(job.ID)), zap.String("Queue", queue.Name),
-		zap.Bool("LongRunning", job.LongRunning()), zap.Duration("RetryAfter", retry), zap.Duration("Age", age))
+		zap.Int("Priority", queue.Priority), zap.Bool("LongRunning", job.LongRunning()), zap.Duration("RetryAfter", retry), zap.Duration("Age", age))
 	return fault.New("submit", KindOverloaded, "%w", &OverloadError{Queue: queue.Name, RetryAfter: retry})
 }
--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
@@ -28,7 +29,7 @@
 		if other == owner {
 			other = w.order[1]
 		}
-		full, free := &manifest.Queue{Name: "full"}, &manifest.Queue{Name: "free"}
+		full, free := &manifest.Queue{Name: "full", Priority: 2}, &manifest.Queue{Name: "free"}
 		submit := func(q *manifest.Queue, j workload.Job) error {
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
@@ -41,7 +42,7 @@
 		w.setCut(other, true, owner.name)
 		time.Sleep(pingTimeout)
 		pong := message.OwnerPong{Owning: true, Epoch: w.ownerRow().Epoch}
-		pong.Admission = admission.Decision{Queues: []admission.Refusal{{Queue: "full", RetryAfter: 4 * time.Second}}}
+		pong.Admission = admission.Decision{Priorities: []admission.Refusal{{Priority: 2, RetryAfter: 4 * time.Second}}}
 		other.host.applyPong(pong)
 		err := submit(full, testJob("00000000000000a2", false))
 		var overload *OverloadError
@@ -69,6 +70,35 @@
 	})
 }
 
+// A busy owner may answer no ping in time, but renews its row.
+func TestHostsWithoutPongsLearnRefusalsFromTheRow(t *testing.T) {
+	withCluster(t, func(t *testing.T, w *fakeCluster, owner *fakeHost) {
+		other := w.order[0]
+		if other == owner {
+			other = w.order[1]
+		}
+		w.setCut(other, true, owner.name)
+		time.Sleep(pingTimeout)
+		row := w.ownerRow()
+		row.Admission = admission.Decision{Priorities: []admission.Refusal{{Priority: 2, RetryAfter: time.Second}}}
+		const version = 1 << 40
+		other.host.applyState(election.State{Owner: row, Version: version})
+		if _, refused := w.refusal(other); !refused {
+			t.Error("nothing is refused by a host that has read the row")
+		}
+		time.Sleep(admissionMaxAge + time.Millisecond)
+		other.host.applyState(election.State{Owner: row, Version: version})
+		if _, refused := w.refusal(other); refused {
+			t.Error("a host refuses by a row that was not renewed")
+		}
+	})
+}
+
+func (w *fakeCluster) refusal(h *fakeHost) (time.Duration, bool) {
+	decision, _ := h.host.currentAdmission()
+	return decision.RetryAfter(2, false)
+}
+
 func TestPongsCarryWhatTheOwnerRefuses(t *testing.T) {
 	withCluster(t, func(t *testing.T, w *fakeCluster, owner *fakeHost) {
 		for _, h := range w.order {
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -44,7 +44,7 @@
 		}
 	}
 	h.applyReportedOwner(ownerRef{addr: pong.OwnerAddr, incarnation: pong.OwnerIncarnation, epoch: pong.Epoch})
-	h.noteAdmission(pong)
+	h.notePongAdmission(pong)
 	if !pong.Owning {
 		return
 	}
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -178,6 +178,7 @@
 		h.notifyReplaced(h.lastOwner.addr)
 	}
 	h.setOwner(ownerRef{addr: state.Owner.Addr, incarnation: state.Owner.Incarnation, epoch: state.Owner.Epoch})
+	h.noteRowAdmission(state)
 	if state.Owner.Released {
 		h.tenures.Release(state.Owner.Epoch)
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/job"
@@ -52,6 +53,7 @@
 	o := ledger.Owner{
 		Host: "h", Incarnation: "h/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 7, Released: true,
 		WrittenAfter: time.Second, TransactionNumber: 3, EarlyStartWorkers: []string{"w"}, PredecessorsEnded: true,
+		Admission: admission.Decision{Priorities: []admission.Refusal{{Priority: 2, RetryAfter: time.Second}}, LongRunning: time.Minute},
 	}
 	value, err := ledger.EncodeOwner(o)
 	if err != nil {
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -1,11 +1,13 @@
 package ledger
 
 import (
+	"bytes"
 	"net/netip"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 )
 
@@ -33,6 +35,9 @@
 	// PredecessorsEnded is set when no owner before this one can grant a lease any
 	// longer.
 	PredecessorsEnded bool
+	// Admission tells which new jobs the owner refuses. Hosts that get no answer from a
+	// busy owner learn it here.
+	Admission admission.Decision
 }
 
 type ownerWire struct {
@@ -65,12 +70,53 @@
 // minOwnerFields is the smallest number of fields in an owner's row.
 const minOwnerFields = 8
 
+// admissionWire follows ownerWire as a second value if the owner refuses jobs. Earlier
+// releases read the first value only.
+type admissionWire struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Priorities  []refusalWire
+	LongRunning time.Duration
+}
+
+type refusalWire struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Priority   int
+	RetryAfter time.Duration
+}
+
 // EncodeOwner encodes the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
-	return msgpack.Marshal(&ownerWire{
+	value, err := msgpack.Marshal(&ownerWire{
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
 		EarlyStartWorkers: o.EarlyStartWorkers, WrittenAfter: o.WrittenAfter, TransactionNumber: o.TransactionNumber, PredecessorsEnded: o.PredecessorsEnded,
 	})
+	if err != nil || len(o.Admission.Priorities) == 0 && o.Admission.LongRunning == 0 {
+		return value, err
+	}
+	w := admissionWire{LongRunning: o.Admission.LongRunning}
+	for _, r := range o.Admission.Priorities {
+		w.Priorities = append(w.Priorities, refusalWire{Priority: r.Priority, RetryAfter: r.RetryAfter})
+	}
+	second, err := msgpack.Marshal(&w)
+	return append(value, second...), err
+}
+
+// decodeAdmission decodes the second value of an owner's row, if there is one.
+func decodeAdmission(value []byte) (admission.Decision, error) {
+	rest := bytes.NewReader(value)
+	d := msgpack.NewDecoder(rest)
+	if err := d.Skip(); err != nil || rest.Len() == 0 {
+		return admission.Decision{}, err
+	}
+	var w admissionWire
+	if err := d.Decode(&w); err != nil {
+		return admission.Decision{}, err
+	}
+	out := admission.Decision{LongRunning: w.LongRunning}
+	for _, r := range w.Priorities {
+		out.Priorities = append(out.Priorities, admission.Refusal{Priority: r.Priority, RetryAfter: r.RetryAfter})
+	}
+	return out, nil
 }
 
 // DecodeOwner decodes the owner's row.
@@ -83,8 +129,12 @@
 	if err != nil {
 		return Owner{}, fault.New("decode owner", KindMalformed, "%w", err)
 	}
+	refused, err := decodeAdmission(value)
+	if err != nil {
+		return Owner{}, fault.New("decode owner", KindMalformed, "%w", err)
+	}
 	return Owner{
 		Host: w.Host, Incarnation: w.Incarnation, Addr: addr, Epoch: w.Epoch, Released: w.Released, EarlyStartWorkers: w.EarlyStartWorkers, WrittenAfter: w.WrittenAfter, TransactionNumber: w.TransactionNumber,
-		PredecessorsEnded: w.PredecessorsEnded,
+		PredecessorsEnded: w.PredecessorsEnded, Admission: refused,
 	}, nil
 }
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -20,7 +20,7 @@
 	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr},
 		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"),
-		Admission: admission.Decision{Queues: []admission.Refusal{{Queue: "q", RetryAfter: time.Second}}, LongRunning: time.Second},
+		Admission: admission.Decision{Priorities: []admission.Refusal{{Priority: 1, RetryAfter: time.Second}}, LongRunning: time.Second},
 	}
 	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
 	checkRoundTrip(t, StepAdviceRequest{Step: step, Workers: []cell.WorkerID{"w"}, Timeout: time.Second}, EncodeStepAdviceRequest, DecodeStepAdviceRequest)
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -107,7 +107,7 @@
 
 type refusalWire struct {
 	_msgpack   struct{} `msgpack:",as_array"`
-	Queue      string
+	Priority   int
 	RetryAfter time.Duration
 }
 
@@ -131,12 +131,12 @@
 // EncodeOwnerPong returns the encoded message.
 func EncodeOwnerPong(m OwnerPong) peer.Message {
 	p := ownerPongCodec.encode(m)
-	if len(m.Admission.Queues) == 0 && m.Admission.LongRunning == 0 {
+	if len(m.Admission.Priorities) == 0 && m.Admission.LongRunning == 0 {
 		return p
 	}
 	return appendExtension(p, ownerPongExtension{
-		Refusals: mapSlice(m.Admission.Queues, func(r admission.Refusal) refusalWire {
-			return refusalWire{Queue: r.Queue, RetryAfter: r.RetryAfter}
+		Refusals: mapSlice(m.Admission.Priorities, func(r admission.Refusal) refusalWire {
+			return refusalWire{Priority: r.Priority, RetryAfter: r.RetryAfter}
 		}),
 		LongRunning: m.Admission.LongRunning,
 	})
@@ -154,7 +154,7 @@
 		return OwnerPong{}, err
 	}
 	for _, r := range e.Refusals {
-		m.Admission.Queues = append(m.Admission.Queues, admission.Refusal{Queue: r.Queue, RetryAfter: r.RetryAfter})
+		m.Admission.Priorities = append(m.Admission.Priorities, admission.Refusal{Priority: r.Priority, RetryAfter: r.RetryAfter})
 	}
 	m.Admission.LongRunning = e.LongRunning
 	return m, nil
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -15,8 +15,12 @@
 	// admissionValidity is how long a decision holds. An owner whose event loop does
 	// not run decides nothing new, and refuses nothing.
 	admissionValidity = time.Second
-	// maxQueuesLogged bounds the queues that a log line names.
-	maxQueuesLogged = 8
+	// ticksObserved is the number of the last ticks of the event loop that count, and
+	// maxLateTicks how many of them may come late by lateTick on a host that has
+	// enough processor time.
+	ticksObserved = 10
+	maxLateTicks  = 4
+	lateTick      = 50 * time.Millisecond
 )
 
 // jobAdmission holds the decision which new jobs are refused.
@@ -25,7 +29,11 @@
 	// decideAt is when the next decision is due.
 	decideAt time.Time
 	current  atomic.Pointer[admissionDecision]
-	// refusing is the number of queues that refused jobs when it was last logged.
+	// lateTicks tells which of the last ticks came late, and ticks counts them all.
+	lateTicks [ticksObserved]bool
+	ticks     int
+	// refusing is the number of refused priorities when it was last logged, counting
+	// long-running jobs as one.
 	refusing int
 	loggedAt time.Time
 }
@@ -35,6 +43,23 @@
 	at time.Time
 }
 
+// observeTick takes the delay with which the event loop received a tick.
+func (a *jobAdmission) observeTick(delay time.Duration) {
+	a.lateTicks[a.ticks%ticksObserved] = delay >= lateTick
+	a.ticks++
+}
+
+// late reports whether most of the last ticks came late.
+func (a *jobAdmission) late() bool {
+	late := 0
+	for _, was := range a.lateTicks {
+		if was {
+			late++
+		}
+	}
+	return late > maxLateTicks
+}
+
 // Admission returns which new jobs are refused.
 func (o *Owner) Admission() admission.Decision {
 	d := o.admission.current.Load()
@@ -45,20 +70,21 @@
 }
 
 // decideAdmission decides which new jobs are refused, and logs when the number of
-// queues that refuse jobs has changed.
+// refused priorities has changed.
 func (o *Owner) decideAdmission(now time.Time) {
 	if now.Before(o.admission.decideAt) {
 		return
 	}
 	o.admission.decideAt = now.Add(admissionInterval)
 	load := o.cell.Load(now)
+	load.OwnerLate = o.admission.late()
 	decision := o.admission.limiter.Observe(now, load)
 	o.admission.current.Store(&admissionDecision{decision, now})
-	refusing := len(decision.Queues)
+	refusing := len(decision.Priorities)
 	if decision.LongRunning > 0 {
 		refusing++
 	}
-	o.metrics.scope.Gauge("queues_refusing").Update(float64(refusing))
+	o.metrics.scope.Gauge("priorities_refused").Update(float64(refusing))
 	if refusing == o.admission.refusing || now.Sub(o.admission.loggedAt) < reportInterval {
 		return
 	}
@@ -68,18 +94,17 @@
 
 // logAdmission logs a decision with the inputs that decided it.
 func (o *Owner) logAdmission(load admission.Load, decision admission.Decision) {
-	message := "new jobs of all queues are accepted"
+	message := "new jobs of all priorities are accepted"
 	if o.admission.refusing > 0 {
 		message = "new jobs are refused, since the cell cannot keep up"
 	}
-	queues := min(len(decision.Queues), maxQueuesLogged)
 	most := load.LongRunning
-	for _, d := range load.Queues {
-		if d.Delayed && d.Tasks >= most.Tasks {
+	for _, d := range load.Priorities {
+		if (d.Delayed || load.OwnerLate) && d.Tasks >= most.Tasks {
 			most = d
 		}
 	}
-	o.log.Warn(message, zap.Int("Refusing", o.admission.refusing), zap.Any("Queues", decision.Queues[:queues]),
+	o.log.Warn(message, zap.Any("Priorities", decision.Priorities),
 		zap.Duration("LongRunning", decision.LongRunning), zap.Float64("StartsPerSecond", o.admission.limiter.Rate()),
-		zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
+		zap.Bool("OwnerLate", load.OwnerLate), zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
 }
--- a/internal/owner/overload_test.go
+++ b/internal/owner/overload_test.go
@@ -75,7 +75,7 @@
 			q, id = &overloadManifest.Queues[1], "f"+id[1:]
 			step.Tasks = lastingTasks
 		}
-		if _, refused := l.decisions[0].RetryAfter(q.Name, lasting); refused {
+		if _, refused := l.decisions[0].RetryAfter(q.Priority, lasting); refused {
 			l.refused++
 			continue
 		}
