Count demand as delayed while starts on many workers fail

Now demand is delayed while the last starts on over a quarter of the workers that answer hold calls failed within 2 s. A silent worker is not among them after 1.5 s, and a few that fail do not reach the share. Jobs are refused only if the tasks before them also take too long at the rate of starts.

TestStartsFailOnlyIfManyWorkersDoNotAnswer, TestJobsAreRefusedWhileStartsFail.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,9 +13,10 @@
 type Load struct {
 	// Started counts the starts that workers have accepted since the owner took over.
 	Started uint64
-	// OwnerLate is set while the owner's host has too little processor time, so that
-	// calls to workers time out although these are free. All demand is then delayed.
-	OwnerLate bool
+	// StartsFail is set while starts on many workers fail although these answer, as when
+	// the owner's host has too little processor time for its calls. All demand is then
+	// delayed, whatever capacity is free.
+	StartsFail bool
 	// Priorities has the demand before new jobs of the queues of each priority.
 	Priorities []Demand
 	// LongRunning is the demand before new long-running jobs, whatever their queue.
@@ -105,7 +106,7 @@
 	l.rate.observe(now, load.Started)
 	var out Decision
 	for _, d := range load.Priorities {
-		d.Delayed = d.Delayed || load.OwnerLate
+		d.Delayed = d.Delayed || load.StartsFail
 		state := l.priorities[d.Priority]
 		if retry := l.decide(now, d, max(d.Target, minWait), &state); retry > 0 {
 			out.Priorities = append(out.Priorities, Refusal{Priority: d.Priority, RetryAfter: retry})
@@ -113,7 +114,7 @@
 		l.priorities[d.Priority] = state
 	}
 	lasting := load.LongRunning
-	lasting.Delayed = lasting.Delayed || load.OwnerLate
+	lasting.Delayed = lasting.Delayed || load.StartsFail
 	out.LongRunning = l.decide(now, lasting, longRunningWait, &l.longRunning)
 	return out
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -66,12 +66,11 @@
 	}
 }
 
-// An owner without processor time leaves tasks waiting, whatever is free.
-func TestJobsAreRefusedByALateOwner(t *testing.T) {
+func TestJobsAreRefusedWhileStartsFail(t *testing.T) {
 	load := demand(400, 0, false)
-	load.OwnerLate = true
+	load.StartsFail = true
 	if _, refused := newOwner().observe(3*time.Second, 100, load).RetryAfter(urgentPriority, false); !refused {
-		t.Error("jobs are accepted although the owner is late")
+		t.Error("jobs are accepted although starts fail")
 	}
 }
 
--- a/internal/cell/demand.go
+++ b/internal/cell/demand.go
@@ -24,6 +24,7 @@
 		return out
 	}
 	waiting, free := c.waitingByClass(), c.freeMilliCores(now)
+	out.StartsFail = c.startsFail(now)
 	longRunning := waiting[classLongRunning]
 	out.LongRunning = admission.Demand{
 		Tasks:   longRunning.tasks + c.dispatch.parts[startLongRunning].waiting,
@@ -92,3 +93,28 @@
 	}
 	return free
 }
+
+const (
+	// failedStartAge is how long a start without an answer counts, unless the worker
+	// accepts one after it.
+	failedStartAge = 2 * time.Second
+	// failingDivisor of the workers that may get starts gives how many of them may fail
+	// at once for reasons of their own.
+	failingDivisor = 4
+)
+
+// startsFail reports whether the last starts on many of the workers that answer hold
+// calls had no answer.
+func (c *Cell) startsFail(now time.Time) bool {
+	usable, failing := 0, 0
+	for _, w := range c.sortedWorkers {
+		if !c.usable(now, w) {
+			continue
+		}
+		usable++
+		if now.Sub(w.startFailedAt) < failedStartAge {
+			failing++
+		}
+	}
+	return failing > usable/failingDivisor
+}
--- a/internal/cell/demand_test.go
+++ b/internal/cell/demand_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -57,3 +58,27 @@
 		t.Errorf("after it is placed: %+v", d)
 	}
 }
+
+func TestStartsFailOnlyIfManyWorkersDoNotAnswer(t *testing.T) {
+	for _, c := range []struct {
+		failing int
+		fail    bool
+	}{{1, false}, {24, false}, {60, true}} {
+		b := newBacklog(t, 100, 0, whyUnanswered)
+		b.accept("large", "first", workload.Step{Tasks: 100, Size: job.Size{MilliCores: 8000}, Estimate: time.Second, MaxPerWorker: 1})
+		b.cell.TakeActions(b.now)
+		b.cell.Committed(b.now, b.cell.TakeRecords(1000))
+		for i, a := range b.cell.TakeActions(b.now) {
+			if s, is := a.(cell.SendStart); is {
+				b.cell.Started(b.now, s.Worker, s.Task, s.Run, cell.StartOutcome{Unknown: i < c.failing, Clock: b.clock()})
+			}
+		}
+		if got := b.cell.Load(b.now).StartsFail; got != c.fail {
+			t.Errorf("%d of 100 workers do not answer a start: %v", c.failing, got)
+		}
+		b.wait(3 * time.Second)
+		if b.cell.Load(b.now).StartsFail {
+			t.Error("starts fail for long after the last one")
+		}
+	}
+}
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -49,13 +49,16 @@
 	if r == nil || r.phase != runSent {
 		return
 	}
+	r.worker.startFailedAt = time.Time{}
 	switch {
 	case outcome.Unknown:
+		r.worker.startFailedAt = now
 		r.phase = runUncertain
 		c.log.Warn("start was not answered", runFields(r)...)
 		c.stop(now, r)
 		c.countRestartCrash(now, r, false)
 	case outcome.NotSent:
+		r.worker.startFailedAt = now
 		r.worker.health.refused(now)
 		r.noteNotStarted()
 		c.release(now, r, EndStopped)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -90,6 +90,9 @@
 
 	// allowedSteps holds the open steps that are allowed on the worker.
 	allowedSteps stepList
+	// startFailedAt is when the last start had no answer or could not be sent; zero if
+	// the worker answered the last one.
+	startFailedAt time.Time
 	// offerPending is set while the worker's free capacity waits to be offered.
 	offerPending bool
 	// usableAtTick is set if the worker was usable at the last tick or offer, and
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -15,12 +15,6 @@
 	// admissionValidity is how long a decision holds. An owner whose event loop does
 	// not run decides nothing new, and refuses nothing.
 	admissionValidity = time.Second
-	// ticksObserved is the number of the last ticks of the event loop that count, and
-	// maxLateTicks how many of them may come late by lateTick on a host that has
-	// enough processor time.
-	ticksObserved = 10
-	maxLateTicks  = 4
-	lateTick      = 50 * time.Millisecond
 )
 
 // jobAdmission holds the decision which new jobs are refused.
@@ -29,9 +23,6 @@
 	// decideAt is when the next decision is due.
 	decideAt time.Time
 	current  atomic.Pointer[admissionDecision]
-	// lateTicks tells which of the last ticks came late, and ticks counts them all.
-	lateTicks [ticksObserved]bool
-	ticks     int
 	// refusing is the number of refused priorities when it was last logged, counting
 	// long-running jobs as one.
 	refusing int
@@ -43,23 +34,6 @@
 	at time.Time
 }
 
-// observeTick takes the delay with which the event loop received a tick.
-func (a *jobAdmission) observeTick(delay time.Duration) {
-	a.lateTicks[a.ticks%ticksObserved] = delay >= lateTick
-	a.ticks++
-}
-
-// late reports whether most of the last ticks came late.
-func (a *jobAdmission) late() bool {
-	late := 0
-	for _, was := range a.lateTicks {
-		if was {
-			late++
-		}
-	}
-	return late > maxLateTicks
-}
-
 // Admission returns which new jobs are refused.
 func (o *Owner) Admission() admission.Decision {
 	d := o.admission.current.Load()
@@ -77,7 +51,6 @@
 	}
 	o.admission.decideAt = now.Add(admissionInterval)
 	load := o.cell.Load(now)
-	load.OwnerLate = o.admission.late()
 	decision := o.admission.limiter.Observe(now, load)
 	o.admission.current.Store(&admissionDecision{decision, now})
 	refusing := len(decision.Priorities)
@@ -100,11 +73,11 @@
 	}
 	most := load.LongRunning
 	for _, d := range load.Priorities {
-		if (d.Delayed || load.OwnerLate) && d.Tasks >= most.Tasks {
+		if (d.Delayed || load.StartsFail) && d.Tasks >= most.Tasks {
 			most = d
 		}
 	}
 	o.log.Warn(message, zap.Any("Priorities", decision.Priorities),
 		zap.Duration("LongRunning", decision.LongRunning), zap.Float64("StartsPerSecond", o.admission.limiter.Rate()),
-		zap.Bool("OwnerLate", load.OwnerLate), zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
+		zap.Bool("StartsFail", load.StartsFail), zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -319,7 +319,6 @@
 			o.applyOrDefer(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
-			o.admission.observeTick(o.timers.Now().Sub(due))
 			o.startLimiter.observe(o.timers.Now().Sub(due), o.startsInFlight)
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
