Let a new owner keep the refusals of its predecessor until its first start

A new owner has measured no rate, so it accepted all jobs although it read a backlog of hundreds of tasks, with each takeover anew. Now the takeover keeps the decision in the row, a Limiter starts with it, and it holds for demand that is delayed until the owner has seen starts. A released row keeps it too.

TestNewOwnersRefuseWhatTheirPredecessorDid and the new check in TestTakeoverFollowsTheStateRead.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -86,6 +86,9 @@
 // Limiter decides on new jobs. Jobs that are refused are accepted again only when the
 // expected wait has fallen well below the one at which they began to be refused.
 type Limiter struct {
+	// inherited is the decision of the predecessor, which holds for delayed demand until
+	// the first start.
+	inherited   Decision
 	rate        startRate
 	priorities  map[int]demandState
 	longRunning demandState
@@ -98,24 +101,31 @@
 	delayedSince time.Time
 }
 
-// NewLimiter returns a Limiter that refuses nothing.
-func NewLimiter() *Limiter { return &Limiter{priorities: make(map[int]demandState)} }
+// NewLimiter returns the Limiter of a new owner, whose predecessor made the given
+// decision last. It refuses nothing else before it has seen starts.
+func NewLimiter(inherited Decision) *Limiter {
+	return &Limiter{inherited: inherited, priorities: make(map[int]demandState)}
+}
 
 // Observe returns the decision for the current load.
 func (l *Limiter) Observe(now time.Time, load Load) Decision {
 	l.rate.observe(now, load.Started)
+	if l.rate.best() > 0 {
+		l.inherited = Decision{}
+	}
 	var out Decision
 	for _, d := range load.Priorities {
 		d.Delayed = d.Delayed || load.StartsFail
 		state := l.priorities[d.Priority]
-		if retry := l.decide(now, d, max(d.Target, minWait), &state); retry > 0 {
+		before, _ := l.inherited.RetryAfter(d.Priority, false)
+		if retry := l.decide(now, d, max(d.Target, minWait), before, &state); retry > 0 {
 			out.Priorities = append(out.Priorities, Refusal{Priority: d.Priority, RetryAfter: retry})
 		}
 		l.priorities[d.Priority] = state
 	}
 	lasting := load.LongRunning
 	lasting.Delayed = lasting.Delayed || load.StartsFail
-	out.LongRunning = l.decide(now, lasting, longRunningWait, &l.longRunning)
+	out.LongRunning = l.decide(now, lasting, longRunningWait, l.inherited.LongRunning, &l.longRunning)
 	return out
 }
 
@@ -123,13 +133,14 @@
 func (l *Limiter) Rate() float64 { return l.rate.best() }
 
 // decide returns after how long callers should try again, or 0 if jobs are accepted.
-func (l *Limiter) decide(now time.Time, d Demand, limit time.Duration, state *demandState) time.Duration {
-	retry := l.retryAfter(now, d, limit, state)
+// inherited is the predecessor's answer.
+func (l *Limiter) decide(now time.Time, d Demand, limit, inherited time.Duration, state *demandState) time.Duration {
+	retry := l.retryAfter(now, d, limit, inherited, state)
 	state.refusing = retry > 0
 	return retry
 }
 
-func (l *Limiter) retryAfter(now time.Time, d Demand, limit time.Duration, state *demandState) time.Duration {
+func (l *Limiter) retryAfter(now time.Time, d Demand, limit, inherited time.Duration, state *demandState) time.Duration {
 	if !d.Delayed || d.Tasks == 0 {
 		state.delayedSince = time.Time{}
 		return 0
@@ -143,7 +154,7 @@
 		if now.Sub(state.delayedSince) > rateIntervals*rateInterval {
 			return maxRetryAfter
 		}
-		return 0
+		return inherited
 	}
 	resume := limit / resumeDivisor
 	if state.refusing {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -12,7 +12,7 @@
 	started uint64
 }
 
-func newOwner() *owner { return &owner{limiter: NewLimiter(), now: time.Unix(1000, 0)} }
+func newOwner() *owner { return &owner{limiter: NewLimiter(Decision{}), now: time.Unix(1000, 0)} }
 
 // observe lets time pass with the given rate of starts, and returns the last decision.
 func (o *owner) observe(lasts time.Duration, perSecond int, load Load) Decision {
@@ -100,6 +100,23 @@
 	}
 }
 
+func TestNewOwnersRefuseWhatTheirPredecessorDid(t *testing.T) {
+	o := newOwner()
+	o.limiter = NewLimiter(Decision{Priorities: []Refusal{{Priority: batchPriority, RetryAfter: 7 * time.Second}}})
+	got := o.observe(2*time.Second, 0, demand(100, 100, true))
+	if retry, _ := got.RetryAfter(batchPriority, false); retry != 7*time.Second {
+		t.Errorf("before the first start, retry after %v", retry)
+	}
+	if _, refused := got.RetryAfter(urgentPriority, false); refused {
+		t.Error("a priority is refused that the predecessor accepted")
+	}
+	for name, load := range map[string]Load{"no demand": {}, "short demand after the first start": demand(10, 10, true)} {
+		if _, refused := o.observe(2*time.Second, 100, load).RetryAfter(batchPriority, false); refused {
+			t.Errorf("%s: still refused", name)
+		}
+	}
+}
+
 func TestJobsAreRefusedWhileNothingIsStarted(t *testing.T) {
 	o := newOwner()
 	o.observe(time.Minute, 0, Load{})
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -52,12 +52,13 @@
 }
 
 // Takeover returns the transaction by which a host succeeds the owner of s, and
-// the owner's row that it writes. The epoch, EarlyStartWorkers and WrittenAfter of
-// row are set here.
+// the owner's row that it writes. The epoch, EarlyStartWorkers, WrittenAfter and
+// Admission of row are set here.
 func (s State) Takeover(row ledger.Owner) (rowstore.Transaction, ledger.Owner, error) {
 	row.Epoch = s.Owner.Epoch + 1
 	row.EarlyStartWorkers = s.Owner.EarlyStartWorkers
 	row.WrittenAfter = s.Clock
+	row.Admission = s.Owner.Admission
 	value, err := ledger.EncodeOwner(row)
 	if err != nil {
 		return rowstore.Transaction{}, ledger.Owner{}, fault.New("take over", KindMalformed, "%w", err)
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
@@ -94,7 +95,7 @@
 }
 
 func TestTakeoverFollowsTheStateRead(t *testing.T) {
-	s := election.State{Version: 7, Owner: ledger.Owner{Host: "old", Epoch: 3}}
+	s := election.State{Version: 7, Owner: ledger.Owner{Host: "old", Epoch: 3, Admission: admission.Decision{LongRunning: time.Second}}}
 	me := ledger.Owner{Host: "new", Incarnation: "i", Addr: netip.MustParseAddrPort("127.0.0.1:1")}
 	tx, row, err := s.Takeover(me)
 	if err != nil {
@@ -103,6 +104,9 @@
 	if row.Epoch != 4 {
 		t.Errorf("epoch %d after 3", row.Epoch)
 	}
+	if row.Admission.LongRunning != time.Second {
+		t.Errorf("the decision on new jobs is not kept: %+v", row.Admission)
+	}
 	if len(tx.Conditions) != 1 || tx.Conditions[0].Version != 7 || tx.Conditions[0].Key != ledger.OwnerKey() {
 		t.Errorf("conditions %+v", tx.Conditions)
 	}
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -29,6 +29,13 @@
 	loggedAt time.Time
 }
 
+// newJobAdmission takes the decision of the predecessor.
+func newJobAdmission(now time.Time, inherited admission.Decision) *jobAdmission {
+	a := &jobAdmission{limiter: admission.NewLimiter(inherited)}
+	a.current.Store(&admissionDecision{inherited, now})
+	return a
+}
+
 type admissionDecision struct {
 	admission.Decision
 	at time.Time
@@ -36,8 +43,16 @@
 
 // Admission returns which new jobs are refused.
 func (o *Owner) Admission() admission.Decision {
-	d := o.admission.current.Load()
-	if d == nil || o.timers.Now().Sub(d.at) > admissionValidity || !o.Owns() {
+	if !o.Owns() {
+		return admission.Decision{}
+	}
+	return o.admission.at(o.timers.Now())
+}
+
+// at returns the decision that holds at a time.
+func (a *jobAdmission) at(now time.Time) admission.Decision {
+	d := a.current.Load()
+	if now.Sub(d.at) > admissionValidity {
 		return admission.Decision{}
 	}
 	return d.Decision
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -84,7 +84,7 @@
 func (o *Owner) transaction(now time.Time, b batch, records []rowstore.Write) (rowstore.Transaction, error) {
 	row := o.initial.Row
 	row.Released = o.release.requested
-	row.Admission = o.Admission()
+	row.Admission = o.admission.at(now)
 	row.PredecessorsEnded = o.predecessorsEnded(now)
 	row.WrittenAfter = o.storeClock
 	row.TransactionNumber = o.transactionNumber
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,7 +20,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
@@ -172,7 +171,7 @@
 	isolation isolation
 	slowStore slowStore
 	load      load
-	admission jobAdmission
+	admission *jobAdmission
 	// activeAt is when the event loop last decided, and resumedAt when it last resumed
 	// after a suspension, by a clock that includes suspensions.
 	activeAt  time.Time
@@ -216,7 +215,7 @@
 		holdLoops:  make(map[cell.WorkerID]*holdLoop),
 		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, isolation: isolation{otherHosts: tenure.OtherHosts},
-		activeAt: timers.Latest(), admission: jobAdmission{limiter: admission.NewLimiter()},
+		activeAt: timers.Latest(), admission: newJobAdmission(now, tenure.Row.Admission),
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
