--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,18 +13,22 @@
 type Load struct {
 	// Started counts the starts that workers have accepted since the owner took over.
 	Started uint64
-	// Queues has the demand before new jobs of each queue.
-	Queues []Demand
+	// StartsFail is set while starts on many workers fail although these answer, as when
+	// the owner's host has too little processor time for its calls. All demand is then
+	// delayed, whatever capacity is free.
+	StartsFail bool
+	// Priorities has the demand before new jobs of the queues of each priority.
+	Priorities []Demand
 	// LongRunning is the demand before new long-running jobs, whatever their queue.
 	LongRunning Demand
 }
 
 // Demand is the work that goes before that of a new job.
 type Demand struct {
-	// Queue is the name of the queue, and Target the latency that its jobs aim at
-	// besides their run time.
-	Queue  string
-	Target time.Duration
+	// Priority is that of the queues; 0 is the highest. Target is the shortest latency
+	// that their jobs aim at besides their run time.
+	Priority int
+	Target   time.Duration
 	// Tasks counts the tasks that wait to be started before those of a new job.
 	Tasks int
 	// Delayed is set while their starts wait to be sent, or while there is too little
@@ -33,17 +37,18 @@
 	Delayed bool
 }
 
-// Refusal tells that new jobs of a queue are refused, and after how long the backlog
-// should be worked off.
+// Refusal tells that new jobs of the queues of a priority are refused, and after how
+// long the backlog should be worked off.
 type Refusal struct {
-	Queue      string
+	Priority   int
 	RetryAfter time.Duration
 }
 
 // Decision tells which new jobs are refused.
 type Decision struct {
-	// Queues has the queues that refuse jobs. It does not concern long-running jobs.
-	Queues []Refusal
+	// Priorities has the priorities whose queues refuse jobs. It does not concern
+	// long-running jobs.
+	Priorities []Refusal
 	// LongRunning is how long callers should wait before they submit long-running
 	// jobs again; 0 means that these are accepted.
 	LongRunning time.Duration
@@ -51,12 +56,12 @@
 
 // RetryAfter returns after how long a new job should be submitted again, and false if
 // it is not refused.
-func (d Decision) RetryAfter(queue string, longRunning bool) (time.Duration, bool) {
+func (d Decision) RetryAfter(priority int, longRunning bool) (time.Duration, bool) {
 	if longRunning {
 		return d.LongRunning, d.LongRunning > 0
 	}
-	for _, r := range d.Queues {
-		if r.Queue == queue {
+	for _, r := range d.Priorities {
+		if r.Priority == priority {
 			return r.RetryAfter, true
 		}
 	}
@@ -78,11 +83,14 @@
 	maxRetryAfter = 30 * time.Second
 )
 
-// Limiter decides on new jobs. A queue that refuses jobs accepts them again only when
-// the expected wait has fallen well below the one at which it began to refuse.
+// Limiter decides on new jobs. Jobs that are refused are accepted again only when the
+// expected wait has fallen well below the one at which they began to be refused.
 type Limiter struct {
+	// inherited is the decision of the predecessor, which holds for delayed demand until
+	// the first start.
+	inherited   Decision
 	rate        startRate
-	queues      map[string]demandState
+	priorities  map[int]demandState
 	longRunning demandState
 }
 
@@ -93,23 +101,31 @@
 	delayedSince time.Time
 }
 
-// NewLimiter returns a Limiter that refuses nothing.
-func NewLimiter() *Limiter { return &Limiter{queues: make(map[string]demandState)} }
+// NewLimiter returns the Limiter of a new owner, whose predecessor made the given
+// decision last. It refuses nothing else before it has seen starts.
+func NewLimiter(inherited Decision) *Limiter {
+	return &Limiter{inherited: inherited, priorities: make(map[int]demandState)}
+}
 
 // Observe returns the decision for the current load.
 func (l *Limiter) Observe(now time.Time, load Load) Decision {
 	l.rate.observe(now, load.Started)
+	if l.rate.best() > 0 {
+		l.inherited = Decision{}
+	}
 	var out Decision
-	queues := make(map[string]demandState, len(load.Queues))
-	for _, d := range load.Queues {
-		state := l.queues[d.Queue]
-		if retry := l.decide(now, d, max(d.Target, minWait), &state); retry > 0 {
-			out.Queues = append(out.Queues, Refusal{Queue: d.Queue, RetryAfter: retry})
+	for _, d := range load.Priorities {
+		d.Delayed = d.Delayed || load.StartsFail
+		state := l.priorities[d.Priority]
+		before, _ := l.inherited.RetryAfter(d.Priority, false)
+		if retry := l.decide(now, d, max(d.Target, minWait), before, &state); retry > 0 {
+			out.Priorities = append(out.Priorities, Refusal{Priority: d.Priority, RetryAfter: retry})
 		}
-		queues[d.Queue] = state
+		l.priorities[d.Priority] = state
 	}
-	l.queues = queues
-	out.LongRunning = l.decide(now, load.LongRunning, longRunningWait, &l.longRunning)
+	lasting := load.LongRunning
+	lasting.Delayed = lasting.Delayed || load.StartsFail
+	out.LongRunning = l.decide(now, lasting, longRunningWait, l.inherited.LongRunning, &l.longRunning)
 	return out
 }
 
@@ -117,13 +133,14 @@
 func (l *Limiter) Rate() float64 { return l.rate.best() }
 
 // decide returns after how long callers should try again, or 0 if jobs are accepted.
-func (l *Limiter) decide(now time.Time, d Demand, limit time.Duration, state *demandState) time.Duration {
-	retry := l.retryAfter(now, d, limit, state)
+// inherited is the predecessor's answer.
+func (l *Limiter) decide(now time.Time, d Demand, limit, inherited time.Duration, state *demandState) time.Duration {
+	retry := l.retryAfter(now, d, limit, inherited, state)
 	state.refusing = retry > 0
 	return retry
 }
 
-func (l *Limiter) retryAfter(now time.Time, d Demand, limit time.Duration, state *demandState) time.Duration {
+func (l *Limiter) retryAfter(now time.Time, d Demand, limit, inherited time.Duration, state *demandState) time.Duration {
 	if !d.Delayed || d.Tasks == 0 {
 		state.delayedSince = time.Time{}
 		return 0
@@ -137,7 +154,7 @@
 		if now.Sub(state.delayedSince) > rateIntervals*rateInterval {
 			return maxRetryAfter
 		}
-		return 0
+		return inherited
 	}
 	resume := limit / resumeDivisor
 	if state.refusing {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -12,7 +12,7 @@
 	started uint64
 }
 
-func newOwner() *owner { return &owner{limiter: NewLimiter(), now: time.Unix(1000, 0)} }
+func newOwner() *owner { return &owner{limiter: NewLimiter(Decision{}), now: time.Unix(1000, 0)} }
 
 // observe lets time pass with the given rate of starts, and returns the last decision.
 func (o *owner) observe(lasts time.Duration, perSecond int, load Load) Decision {
@@ -27,10 +27,15 @@
 	return last
 }
 
+const (
+	urgentPriority = 0
+	batchPriority  = 2
+)
+
 func demand(urgent, batch int, delayed bool) Load {
-	return Load{Queues: []Demand{
-		{Queue: "urgent", Target: 500 * time.Millisecond, Tasks: urgent, Delayed: delayed},
-		{Queue: "batch", Target: 1200 * time.Millisecond, Tasks: urgent + batch, Delayed: delayed},
+	return Load{Priorities: []Demand{
+		{Priority: urgentPriority, Target: 500 * time.Millisecond, Tasks: urgent, Delayed: delayed},
+		{Priority: batchPriority, Target: 1200 * time.Millisecond, Tasks: urgent + batch, Delayed: delayed},
 	}}
 }
 
@@ -49,18 +54,26 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := newOwner().observe(3*time.Second, 100, c.load)
-			for queue, want := range map[string]time.Duration{"urgent": c.urgent, "batch": c.batch} {
-				if retry, _ := got.RetryAfter(queue, false); retry != want {
-					t.Errorf("%s: retry after %v, want %v", queue, retry, want)
+			for priority, want := range map[int]time.Duration{urgentPriority: c.urgent, batchPriority: c.batch} {
+				if retry, _ := got.RetryAfter(priority, false); retry != want {
+					t.Errorf("priority %d: retry after %v, want %v", priority, retry, want)
 				}
 			}
-			if _, refused := got.RetryAfter("urgent", true); refused {
+			if _, refused := got.RetryAfter(urgentPriority, true); refused {
 				t.Error("long-running jobs are refused although none waits")
 			}
 		})
 	}
 }
 
+func TestJobsAreRefusedWhileStartsFail(t *testing.T) {
+	load := demand(400, 0, false)
+	load.StartsFail = true
+	if _, refused := newOwner().observe(3*time.Second, 100, load).RetryAfter(urgentPriority, false); !refused {
+		t.Error("jobs are accepted although starts fail")
+	}
+}
+
 func TestRefusalsEndSoonAfterTheBacklog(t *testing.T) {
 	o := newOwner()
 	for _, c := range []struct {
@@ -68,7 +81,7 @@
 		delayed bool
 		refused bool
 	}{{45, true, false}, {60, true, true}, {45, true, true}, {20, true, false}, {45, true, false}, {60, true, true}, {60, false, false}} {
-		_, refused := o.observe(2*time.Second, 100, demand(c.tasks, 0, c.delayed)).RetryAfter("urgent", false)
+		_, refused := o.observe(2*time.Second, 100, demand(c.tasks, 0, c.delayed)).RetryAfter(urgentPriority, false)
 		if refused != c.refused {
 			t.Errorf("%d tasks wait, delayed %v: refused %v", c.tasks, c.delayed, refused)
 		}
@@ -78,15 +91,32 @@
 // An owner that has not started anything yet, or that paused, does not know its rate.
 func TestNothingIsRefusedForLackOfAMeasuredRate(t *testing.T) {
 	o := newOwner()
-	if _, refused := o.observe(2*time.Second, 0, demand(1000, 0, true)).RetryAfter("urgent", false); refused {
+	if _, refused := o.observe(2*time.Second, 0, demand(1000, 0, true)).RetryAfter(urgentPriority, false); refused {
 		t.Error("jobs are refused by an owner without a rate")
 	}
 	o.observe(2*time.Second, 1000, Load{})
-	if _, refused := o.observe(2*time.Second, 0, demand(400, 0, true)).RetryAfter("urgent", false); refused {
+	if _, refused := o.observe(2*time.Second, 0, demand(400, 0, true)).RetryAfter(urgentPriority, false); refused {
 		t.Error("jobs are refused after a pause")
 	}
 }
 
+func TestNewOwnersRefuseWhatTheirPredecessorDid(t *testing.T) {
+	o := newOwner()
+	o.limiter = NewLimiter(Decision{Priorities: []Refusal{{Priority: batchPriority, RetryAfter: 7 * time.Second}}})
+	got := o.observe(2*time.Second, 0, demand(100, 100, true))
+	if retry, _ := got.RetryAfter(batchPriority, false); retry != 7*time.Second {
+		t.Errorf("before the first start, retry after %v", retry)
+	}
+	if _, refused := got.RetryAfter(urgentPriority, false); refused {
+		t.Error("a priority is refused that the predecessor accepted")
+	}
+	for name, load := range map[string]Load{"no demand": {}, "short demand after the first start": demand(10, 10, true)} {
+		if _, refused := o.observe(2*time.Second, 100, load).RetryAfter(batchPriority, false); refused {
+			t.Errorf("%s: still refused", name)
+		}
+	}
+}
+
 func TestJobsAreRefusedWhileNothingIsStarted(t *testing.T) {
 	o := newOwner()
 	o.observe(time.Minute, 0, Load{})
@@ -95,7 +125,7 @@
 		load    Load
 		refused bool
 	}{{2 * time.Second, demand(10, 0, true), false}, {6 * time.Second, demand(10, 0, true), true}, {time.Second, Load{}, false}} {
-		if _, refused := o.observe(c.after, 0, c.load).RetryAfter("urgent", false); refused != c.refused {
+		if _, refused := o.observe(c.after, 0, c.load).RetryAfter(urgentPriority, false); refused != c.refused {
 			t.Errorf("%v later: refused %v", c.after, refused)
 		}
 	}
@@ -109,7 +139,7 @@
 		load := demand(10_000, 10_000, true)
 		load.LongRunning = Demand{Tasks: c.tasks, Delayed: true}
 		got := newOwner().observe(3*time.Second, 100, load)
-		if _, refused := got.RetryAfter("batch", true); refused != c.refused {
+		if _, refused := got.RetryAfter(batchPriority, true); refused != c.refused {
 			t.Errorf("%d long-running tasks wait: refused %v", c.tasks, refused)
 		}
 	}
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -15,8 +15,6 @@
 	// admissionValidity is how long a decision holds. An owner whose event loop does
 	// not run decides nothing new, and refuses nothing.
 	admissionValidity = time.Second
-	// maxQueuesLogged bounds the queues that a log line names.
-	maxQueuesLogged = 8
 )
 
 // jobAdmission holds the decision which new jobs are refused.
@@ -25,11 +23,19 @@
 	// decideAt is when the next decision is due.
 	decideAt time.Time
 	current  atomic.Pointer[admissionDecision]
-	// refusing is the number of queues that refused jobs when it was last logged.
+	// refusing is the number of refused priorities when it was last logged, counting
+	// long-running jobs as one.
 	refusing int
 	loggedAt time.Time
 }
 
+// newJobAdmission takes the decision of the predecessor.
+func newJobAdmission(now time.Time, inherited admission.Decision) *jobAdmission {
+	a := &jobAdmission{limiter: admission.NewLimiter(inherited)}
+	a.current.Store(&admissionDecision{inherited, now})
+	return a
+}
+
 type admissionDecision struct {
 	admission.Decision
 	at time.Time
@@ -37,15 +43,23 @@
 
 // Admission returns which new jobs are refused.
 func (o *Owner) Admission() admission.Decision {
-	d := o.admission.current.Load()
-	if d == nil || o.timers.Now().Sub(d.at) > admissionValidity || !o.Owns() {
+	if !o.Owns() {
+		return admission.Decision{}
+	}
+	return o.admission.at(o.timers.Now())
+}
+
+// at returns the decision that holds at a time.
+func (a *jobAdmission) at(now time.Time) admission.Decision {
+	d := a.current.Load()
+	if now.Sub(d.at) > admissionValidity {
 		return admission.Decision{}
 	}
 	return d.Decision
 }
 
 // decideAdmission decides which new jobs are refused, and logs when the number of
-// queues that refuse jobs has changed.
+// refused priorities has changed.
 func (o *Owner) decideAdmission(now time.Time) {
 	if now.Before(o.admission.decideAt) {
 		return
@@ -54,11 +68,11 @@
 	load := o.cell.Load(now)
 	decision := o.admission.limiter.Observe(now, load)
 	o.admission.current.Store(&admissionDecision{decision, now})
-	refusing := len(decision.Queues)
+	refusing := len(decision.Priorities)
 	if decision.LongRunning > 0 {
 		refusing++
 	}
-	o.metrics.scope.Gauge("queues_refusing").Update(float64(refusing))
+	o.metrics.scope.Gauge("priorities_refused").Update(float64(refusing))
 	if refusing == o.admission.refusing || now.Sub(o.admission.loggedAt) < reportInterval {
 		return
 	}
@@ -68,18 +82,17 @@
 
 // logAdmission logs a decision with the inputs that decided it.
 func (o *Owner) logAdmission(load admission.Load, decision admission.Decision) {
-	message := "new jobs of all queues are accepted"
+	message := "new jobs of all priorities are accepted"
 	if o.admission.refusing > 0 {
 		message = "new jobs are refused, since the cell cannot keep up"
 	}
-	queues := min(len(decision.Queues), maxQueuesLogged)
 	most := load.LongRunning
-	for _, d := range load.Queues {
-		if d.Delayed && d.Tasks >= most.Tasks {
+	for _, d := range load.Priorities {
+		if (d.Delayed || load.StartsFail) && d.Tasks >= most.Tasks {
 			most = d
 		}
 	}
-	o.log.Warn(message, zap.Int("Refusing", o.admission.refusing), zap.Any("Queues", decision.Queues[:queues]),
+	o.log.Warn(message, zap.Any("Priorities", decision.Priorities),
 		zap.Duration("LongRunning", decision.LongRunning), zap.Float64("StartsPerSecond", o.admission.limiter.Rate()),
-		zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
+		zap.Bool("StartsFail", load.StartsFail), zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
 }
--- a/internal/owner/committer.go
+++ b/internal/owner/committer.go
@@ -132,6 +132,7 @@
 	c.transactionNumber++
 	row := o.initial.Row
 	row.Released = released
+	row.Admission = o.admission.at(o.timers.Now())
 	row.PredecessorsEnded = o.predecessorsEnded(o.timers.Now())
 	row.WrittenAfter = c.clockNow(o.timers.Now())
 	row.TransactionNumber = c.transactionNumber
