--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -50,6 +50,8 @@
 	loseReadEvery int
 	// failingReads is the name of a host whose reads of accepted jobs fail.
 	failingReads string
+	// unfenced is set if the workers check no fencing tokens.
+	unfenced bool
 	// events records what happened, for the report of a failed test.
 	events []string
 }
@@ -84,8 +86,9 @@
 
 // hold is one hold call that a worker accepted.
 type hold struct {
-	at    time.Time
-	epoch uint64
+	at       time.Time
+	epoch    uint64
+	deadline time.Duration
 }
 
 // fakeHost is one entry host. Its host is nil while it is down.
@@ -141,7 +144,7 @@
 		RenewEvery: 400 * time.Millisecond, MaxReads: h.capacity.MaxReads(),
 		Cell: cell.Config{
 			Lease: 3200 * time.Millisecond, MaxLease: 6 * time.Second, ContactTimeout: 1500 * time.Millisecond,
-			StopRetryInterval: 800 * time.Millisecond, KeepEnded: time.Minute,
+			StopRetryInterval: 800 * time.Millisecond, KeepEnded: time.Minute, Unfenced: w.unfenced,
 		},
 	}
 	port := &fakePort{cluster: w, host: h}
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -197,7 +197,7 @@
 	fenced := fence < worker.fence
 	if !fenced {
 		worker.fence = fence
-		worker.holds = append(worker.holds, hold{time.Now(), fence})
+		worker.holds = append(worker.holds, hold{time.Now(), fence, plan.Deadline})
 	}
 	w.mu.Unlock()
 	if fenced {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -144,6 +144,10 @@
 	// otherCount is the number of hosts besides the owner, as the owner last
 	// reported it.
 	otherCount int
+	// hostsSum and hostsCount are the hash and the length of the list of hosts that a
+	// pong has brought last.
+	hostsSum   uint64
+	hostsCount int
 	// exitedIncarnation is the incarnation of an owner whose process is known to
 	// have exited.
 	exitedIncarnation string
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/message"
@@ -43,15 +44,34 @@
 			h.members[addr] = true
 		}
 	}
+	if !pong.SameHosts {
+		h.hostsSum, h.hostsCount = sumHosts(pong.Hosts), len(pong.Hosts)
+	}
 	h.applyReportedOwner(ownerRef{addr: pong.OwnerAddr, incarnation: pong.OwnerIncarnation, epoch: pong.Epoch})
 	if !pong.Owning {
 		return
 	}
 	if h.timers.Now().Sub(h.ownerSince) < membersSettleTime {
-		h.otherCount = max(h.otherCount, len(pong.Hosts))
+		h.otherCount = max(h.otherCount, h.hostsCount)
 		return
 	}
-	h.otherCount = len(pong.Hosts)
+	h.otherCount = h.hostsCount
+}
+
+// knownHostsSum returns the hash of the list of hosts that this host has.
+func (h *Host) knownHostsSum() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hostsSum
+}
+
+// sumHosts returns a hash of a list of hosts in any order, or 0 if it is empty.
+func sumHosts(hosts []netip.AddrPort) uint64 {
+	var sum uint64
+	for _, addr := range hosts {
+		sum += xxhash.Sum64String(addr.String())
+	}
+	return sum
 }
 
 // setOwner records the owner of the cell. The caller holds the lock.
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -101,6 +101,7 @@
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
 		KnownEpoch: max(epoch, h.knownOwner().epoch),
 		Relays:     h.mayRelay(), DataCentre: h.config.Self.DataCentre, Cores: h.config.Capacity.Cores,
+		HostsSum: h.knownHostsSum(),
 	})
 	sent := h.timers.Latest()
 	from, reply, err := h.peers.Ask(ctx, to, ping)
@@ -244,6 +245,10 @@
 		Manifest: h.manifestVersion(), Hosts: h.advisors.List(),
 		OwnerAddr: known.addr, OwnerIncarnation: known.incarnation, Epoch: known.epoch,
 	}
+	// The list of hosts is most of a pong, and seldom changes.
+	if sum := sumHosts(pong.Hosts); sum != 0 && sum == ping.HostsSum {
+		pong.Hosts, pong.SameHosts = nil, true
+	}
 	if raw := h.rawManifest.Load(); raw != nil && pong.Manifest > ping.Manifest {
 		pong.NewerManifest = *raw
 	}
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -18,10 +18,10 @@
 	const id = workload.JobID("00000000000000e1")
 	addr := netip.MustParseAddrPort("10.0.0.1:8166")
 	step := workload.StepID{Job: id, Occurrence: 1, Step: 2}
-	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2}, EncodeHostPing, DecodeHostPing,
+	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2, HostsSum: 5}, EncodeHostPing, DecodeHostPing,
 		hostPingCodec.encode(HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}))
 	pong := OwnerPong{
-		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr},
+		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr}, SameHosts: true,
 		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"), RelayEpoch: 1, RelayFor: time.Second,
 	}
 	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -29,6 +29,9 @@
 	// unknown.
 	DataCentre string
 	Cores      float64
+	// HostsSum is a hash of the list of hosts that the sender has received last; 0 is
+	// no list.
+	HostsSum uint64
 }
 
 // OwnerPong answers HostPing, whether or not the answering host is the owner.
@@ -42,6 +45,8 @@
 	Epoch            uint64
 	// Hosts are the hosts that the answering host counts as alive.
 	Hosts []netip.AddrPort
+	// SameHosts is set if Hosts is left out, since the pinging host has the list.
+	SameHosts bool
 	// SinceRenewal is how long ago the answering owner last renewed its row in
 	// the store.
 	SinceRenewal time.Duration
@@ -73,6 +78,7 @@
 	Relays     bool    `msgpack:"relays"`
 	DataCentre string  `msgpack:"dc"`
 	Cores      float64 `msgpack:"cores"`
+	HostsSum   uint64  `msgpack:"hosts"`
 }
 
 var hostPingCodec = codec[HostPing, hostPingWire]{
@@ -91,7 +97,7 @@
 
 // EncodeHostPing returns the encoded message.
 func EncodeHostPing(m HostPing) peer.Message {
-	return appendExtension(hostPingCodec.encode(m), hostPingExtension{Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores})
+	return appendExtension(hostPingCodec.encode(m), hostPingExtension{Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores, HostsSum: m.HostsSum})
 }
 
 // DecodeHostPing decodes the message. It fails if p is of another kind or its
@@ -105,7 +111,7 @@
 	if err := decodeExtension(p, &e); err != nil {
 		return HostPing{}, err
 	}
-	m.Relays, m.DataCentre, m.Cores = e.Relays, e.DataCentre, e.Cores
+	m.Relays, m.DataCentre, m.Cores, m.HostsSum = e.Relays, e.DataCentre, e.Cores, e.HostsSum
 	return m, nil
 }
 
@@ -135,6 +141,7 @@
 type ownerPongExtension struct {
 	RelayEpoch uint64        `msgpack:"epoch"`
 	RelayFor   time.Duration `msgpack:"for"`
+	SameHosts  bool          `msgpack:"same"`
 }
 
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
@@ -157,10 +164,10 @@
 // EncodeOwnerPong returns the encoded message.
 func EncodeOwnerPong(m OwnerPong) peer.Message {
 	p := ownerPongCodec.encode(m)
-	if m.RelayEpoch == 0 {
+	if m.RelayEpoch == 0 && !m.SameHosts {
 		return p
 	}
-	return appendExtension(p, ownerPongExtension{RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor})
+	return appendExtension(p, ownerPongExtension{RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, SameHosts: m.SameHosts})
 }
 
 // DecodeOwnerPong decodes the message. It fails if p is of another kind or its
@@ -174,6 +181,6 @@
 	if err := decodeExtension(p, &e); err != nil {
 		return OwnerPong{}, err
 	}
-	m.RelayEpoch, m.RelayFor = e.RelayEpoch, e.RelayFor
+	m.RelayEpoch, m.RelayFor, m.SameHosts = e.RelayEpoch, e.RelayFor, e.SameHosts
 	return m, nil
 }
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -22,7 +22,7 @@
 const (
 	// minRelays is the number of hosts of a data centre that share its workers, if
 	// it has so many.
-	minRelays = 3
+	minRelays = 2
 	// coresPerWorker is the processor share that a relay is expected to need for the
 	// calls to one worker.
 	coresPerWorker = 0.002
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -110,7 +110,7 @@
 // make the call.
 func (r *Router) ask(ctx context.Context, relay *relayState, m peer.Message) (peer.Message, error) {
 	const op = "relay"
-	_, reply, err := r.peers.Ask(ctx, relay.host.Addr, m)
+	_, reply, err := r.peers.Ask(ctx, relay.addr, m)
 	if err == nil {
 		relay.misses.Store(0)
 		return reply, nil
--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -30,17 +30,17 @@
 		return
 	}
 	c.lines++
-	c.log.Info("worker has another relay", zap.String("Worker", string(id)), zap.Stringer("From", from.addr()),
-		zap.Stringer("To", to.addr()), zap.String("Cause", from.cause(now)), zap.Int("Suppressed", c.suppressed))
+	c.log.Info("worker has another relay", zap.String("Worker", string(id)), zap.Stringer("From", from.address()),
+		zap.Stringer("To", to.address()), zap.String("Cause", from.cause(now)), zap.Int("Suppressed", c.suppressed))
 	c.suppressed = 0
 }
 
-// addr returns the address of a relay, or the zero value for the owner itself.
-func (s *relayState) addr() netip.AddrPort {
+// address returns the address of a relay, or the zero value for the owner itself.
+func (s *relayState) address() netip.AddrPort {
 	if s == nil {
 		return netip.AddrPort{}
 	}
-	return s.host.Addr
+	return s.addr
 }
 
 // cause tells why a relay is no longer that of a worker.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -216,7 +216,7 @@
 }
 
 // relay returns the host that is the relay of the worker.
-func (c *fakeCluster) relay() *fakeHost { return c.at(c.router.route("w").host.Addr) }
+func (c *fakeCluster) relay() *fakeHost { return c.at(c.router.route("w").addr) }
 
 func handle(ctx context.Context, s *Server, m peer.Message) (peer.Message, error) {
 	if m.Kind == message.KindWorkerHold {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -83,6 +83,9 @@
 
 // relayState is what the owner knows of a relay.
 type relayState struct {
+	// addr is the address of the host, which stays the same. The lock of the router
+	// guards the other fields.
+	addr netip.AddrPort
 	host Host
 	// alive is set while the host pings the owner.
 	alive bool
@@ -215,7 +218,7 @@
 // pick returns the relay for a worker other than one to avoid. The caller holds the
 // lock.
 func (r *Router) pick(id cell.WorkerID, dataCentre string, avoid *relayState) *relayState {
-	accept := func(h Host) bool { return avoid == nil || h.Addr != avoid.host.Addr }
+	accept := func(h Host) bool { return avoid == nil || h.Addr != avoid.addr }
 	for _, hosts := range [][]Host{r.chosen[dataCentre], r.chosen[""]} {
 		if i := pick(hosts, id, accept); i >= 0 {
 			return r.relays[hosts[i].Addr]
@@ -274,7 +277,7 @@
 func (r *Router) join(now time.Time, h Host) {
 	s, known := r.relays[h.Addr]
 	if !known {
-		s = &relayState{}
+		s = &relayState{addr: h.Addr}
 		s.outstanding, s.fail = context.WithCancel(context.Background())
 		r.relays[h.Addr] = s
 	}
@@ -372,6 +375,6 @@
 	s.suspectedAt, s.suspectedUntil = now, now.Add(s.backoff)
 	s.fail()
 	r.metrics.suspects.Inc(1)
-	r.log.Warn("relay is suspected", zap.Stringer("Relay", s.host.Addr), zap.Duration("Backoff", s.backoff), zap.Error(cause))
+	r.log.Warn("relay is suspected", zap.Stringer("Relay", s.addr), zap.Duration("Backoff", s.backoff), zap.Error(cause))
 	r.rechoose()
 }
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -34,8 +34,8 @@
 	byWorker, count := make(map[cell.WorkerID]netip.AddrPort), make(map[netip.AddrPort]int)
 	for id, w := range r.workers {
 		if w.relay != nil {
-			byWorker[id] = w.relay.host.Addr
-			count[w.relay.host.Addr]++
+			byWorker[id] = w.relay.addr
+			count[w.relay.addr]++
 		}
 	}
 	out := make([]View, 0, len(r.relays))
