Send the spec of a job to a relay once

A start now names the spec by its job and a hash if the relay has had it; the relay keeps 1,024 specs, waits 30 ms for one that is still on its way, and otherwise asks for it, which is certain not to have sent anything.

--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -43,7 +43,7 @@
 	checkRoundTrip(t, WorkerHold{WorkerOrder: order, Request: cell.HoldRequest{
 		Worker: "w", Addr: addr, Deadline: time.Minute, Acknowledged: 4, Wait: time.Second, EndsPending: true,
 	}}, EncodeWorkerHold, DecodeWorkerHold)
-	checkRoundTrip(t, WorkerStart{WorkerOrder: order, Start: cell.SendStart{
+	checkRoundTrip(t, WorkerStart{WorkerOrder: order, SpecSum: 6, Start: cell.SendStart{
 		Worker: "w", Task: task, Run: 5, Spec: "s", Deadline: time.Minute, Ticket: "t", Checkpoint: "c",
 	}}, EncodeWorkerStart, DecodeWorkerStart)
 	checkRoundTrip(t, WorkerStop{WorkerOrder: order, Stop: cell.SendStop{Worker: "w", Task: task, Run: 5}}, EncodeWorkerStop, DecodeWorkerStop)
--- a/internal/message/cellreport.go
+++ b/internal/message/cellreport.go
@@ -67,7 +67,7 @@
 // WorkerSilent, of which nothing is certain.
 func decodeResult(failure uint8, text string) WorkerResult {
 	out := WorkerResult{Failure: WorkerFailure(failure), Error: text}
-	if out.Failure > WorkerFenced {
+	if out.Failure > WorkerNeedsSpec {
 		out.Failure = WorkerSilent
 	}
 	return out
--- a/internal/message/cellworker.go
+++ b/internal/message/cellworker.go
@@ -30,6 +30,9 @@
 type WorkerStart struct {
 	WorkerOrder
 	Start cell.SendStart
+	// SpecSum is a hash of the spec. With it, the spec is left out if the relay has
+	// had it with an earlier start of the job; 0 means that the spec is not kept.
+	SpecSum uint64
 }
 
 // WorkerStop asks a relay to stop a run. WorkerDone answers it.
@@ -57,6 +60,9 @@
 	WorkerSilent
 	// WorkerFenced means that the worker has seen a higher epoch.
 	WorkerFenced
+	// WorkerNeedsSpec means that the relay doesn't have the spec that was left out, so
+	// that no call was sent.
+	WorkerNeedsSpec
 )
 
 // WorkerResult is the common part of a relay's answers.
@@ -170,6 +176,7 @@
 	Deadline   time.Duration
 	Ticket     string
 	Checkpoint string
+	SpecSum    uint64
 }
 
 var workerStartCodec = codec[WorkerStart, workerStartWire]{
@@ -178,11 +185,11 @@
 		s := m.Start
 		return workerStartWire{
 			Order: m.toWire(), Worker: string(s.Worker), Task: encodeTask(s.Task), Run: s.Run, Spec: s.Spec, Deadline: s.Deadline,
-			Ticket: s.Ticket, Checkpoint: s.Checkpoint,
+			Ticket: s.Ticket, Checkpoint: s.Checkpoint, SpecSum: m.SpecSum,
 		}
 	},
 	fromWire: func(w workerStartWire) WorkerStart {
-		return WorkerStart{WorkerOrder: w.Order.fromWire(), Start: cell.SendStart{
+		return WorkerStart{WorkerOrder: w.Order.fromWire(), SpecSum: w.SpecSum, Start: cell.SendStart{
 			Worker: cell.WorkerID(w.Worker), Task: w.Task.task(), Run: w.Run, Spec: w.Spec, Deadline: w.Deadline,
 			Ticket: w.Ticket, Checkpoint: w.Checkpoint,
 		}}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -131,7 +131,7 @@
 	kind := Kind("")
 	switch result.Failure {
 	case message.WorkerAnswered:
-	case message.WorkerNotSent:
+	case message.WorkerNotSent, message.WorkerNeedsSpec:
 		kind = KindNotSent
 	case message.WorkerSilent:
 		kind = KindWorkerSilent
@@ -167,13 +167,15 @@
 	ctx context.Context, relay *relayState, to netip.AddrPort, s cell.SendStart, epoch uint64,
 ) (cell.StartOutcome, error) {
 	const op = "start"
-	reply, err := r.ask(ctx, relay, message.EncodeWorkerStart(message.WorkerStart{WorkerOrder: r.workerOrder(ctx, to, epoch), Start: s}))
-	if err != nil {
-		return cell.StartOutcome{NotSent: certain(err), Unknown: !certain(err)}, err
+	call := message.WorkerStart{Start: s}
+	abbreviated := relay.specs.abbreviate(&call)
+	m, err := r.askStart(ctx, relay, to, call, epoch)
+	if err == nil && abbreviated && m.Failure == message.WorkerNeedsSpec {
+		call.Start.Spec = s.Spec
+		m, err = r.askStart(ctx, relay, to, call, epoch)
 	}
-	m, err := message.DecodeWorkerStarted(reply)
 	if err != nil {
-		return cell.StartOutcome{Unknown: true}, fault.New(op, KindRelaySilent, "%w", err)
+		return cell.StartOutcome{NotSent: certain(err), Unknown: !certain(err)}, err
 	}
 	err = r.result(op, m.WorkerResult)
 	if err != nil && !m.Outcome.NotSent && m.Outcome.Refused == "" {
@@ -185,6 +187,22 @@
 	return m.Outcome, err
 }
 
+// askStart passes a start to a relay.
+func (r *Router) askStart(
+	ctx context.Context, relay *relayState, to netip.AddrPort, call message.WorkerStart, epoch uint64,
+) (message.WorkerStarted, error) {
+	call.WorkerOrder = r.workerOrder(ctx, to, epoch)
+	reply, err := r.ask(ctx, relay, message.EncodeWorkerStart(call))
+	if err != nil {
+		return message.WorkerStarted{}, err
+	}
+	m, err := message.DecodeWorkerStarted(reply)
+	if err != nil {
+		return m, fault.New("start", KindRelaySilent, "%w", err)
+	}
+	return m, nil
+}
+
 // workerOrder returns the common part of an order that is passed to a relay.
 func (r *Router) workerOrder(ctx context.Context, to netip.AddrPort, epoch uint64) message.WorkerOrder {
 	return message.WorkerOrder{Epoch: epoch, Timeout: share(r.timeLeft(ctx), orderShare), Addr: to}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -19,6 +20,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/permit"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 const (
@@ -45,6 +47,9 @@
 	silent bool
 	holds  []cell.HoldRequest
 	starts []int
+	// specBytes is the length of all specs that arrived, and lastSpec the last one.
+	specBytes int
+	lastSpec  string
 }
 
 // call waits for a connection and then makes a call if it is permitted.
@@ -85,7 +90,12 @@
 }
 
 func (w *fakeWorkers) Start(ctx context.Context, _ netip.AddrPort, s cell.SendStart, _ uint64) (cell.StartOutcome, error) {
-	if err := w.call(ctx, func() { w.starts = append(w.starts, s.Run) }); err != nil {
+	arrived := func() {
+		w.starts = append(w.starts, s.Run)
+		w.specBytes += len(s.Spec)
+		w.lastSpec = s.Spec
+	}
+	if err := w.call(ctx, arrived); err != nil {
 		return cell.StartOutcome{Unknown: true}, err
 	}
 	return cell.StartOutcome{Clock: time.Minute}, nil
@@ -119,6 +129,8 @@
 	// answer replaces the answers of the host.
 	answer *peer.Message
 	calls  int
+	// specBytes is the length of the specs in the starts that the host was sent.
+	specBytes int
 }
 
 // fakeCluster is an owner with its router and other hosts.
@@ -183,6 +195,9 @@
 	host := c.at(to)
 	c.mu.Lock()
 	host.calls++
+	if start, err := message.DecodeWorkerStart(m); err == nil {
+		host.specBytes += len(start.Start.Spec)
+	}
 	now := *host
 	c.mu.Unlock()
 	if now.down {
@@ -254,6 +269,16 @@
 	return c.router.Start(ctx, workerAddr, cell.SendStart{Worker: "w", Run: run}, fakeEpoch)
 }
 
+// startOf starts a run of a job.
+func (c *fakeCluster) startOf(t *testing.T, job workload.JobID, run int, spec string) (cell.StartOutcome, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 350*time.Millisecond)
+	defer cancel()
+	task := workload.TaskID{StepID: workload.StepID{Job: job}}
+	return c.router.Start(ctx, workerAddr, cell.SendStart{Worker: "w", Task: task, Run: run, Spec: spec}, fakeEpoch)
+}
+
+func sumOf(spec string) uint64 { return xxhash.Sum64String(spec) }
+
 // starts returns how many starts the worker has received through all hosts.
 func (c *fakeCluster) starts() int {
 	_, all := c.local.count()
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -98,6 +98,8 @@
 	// are then made through another one.
 	outstanding context.Context
 	fail        context.CancelFunc
+	// specs holds which specs the relay has been sent.
+	specs *specCache
 }
 
 // workerState is the assignment of a worker to a relay.
@@ -277,7 +279,7 @@
 func (r *Router) join(now time.Time, h Host) {
 	s, known := r.relays[h.Addr]
 	if !known {
-		s = &relayState{addr: h.Addr}
+		s = &relayState{addr: h.Addr, specs: newSpecCache()}
 		s.outstanding, s.fail = context.WithCancel(context.Background())
 		r.relays[h.Addr] = s
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -31,6 +31,7 @@
 	// holds and orders hold an element for each call in progress.
 	holds   chan struct{}
 	orders  chan struct{}
+	specs   *specCache
 	metrics serverMetrics
 }
 
@@ -48,7 +49,7 @@
 		return scope.Tagged(map[string]string{"outcome": name}).Counter("calls")
 	}
 	return &Server{
-		workers: workers, permission: permission{clock: clock},
+		workers: workers, permission: permission{clock: clock}, specs: newSpecCache(),
 		holds: make(chan struct{}, maxHolds), orders: make(chan struct{}, maxOrders),
 		metrics: serverMetrics{made: outcome("answered"), refused: outcome("refused"), failed: outcome("failed")},
 	}
@@ -73,6 +74,10 @@
 // Start makes a start. An error means that the call was certainly not sent.
 func (s *Server) Start(ctx context.Context, m message.WorkerStart) (message.WorkerStarted, error) {
 	var out message.WorkerStarted
+	if !s.specs.complete(ctx, &m) {
+		out.Failure, out.Outcome.NotSent = message.WorkerNeedsSpec, true
+		return out, nil
+	}
 	err := s.make(ctx, s.orders, m.WorkerOrder, &out.WorkerResult, func(ctx context.Context) (err error) {
 		out.Outcome, err = s.workers.Start(ctx, m.Addr, m.Start, m.Epoch)
 		return err
