--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -200,6 +200,10 @@
 		Manifest: h.manifestVersion(), Hosts: h.advisors.List(),
 		OwnerAddr: known.addr, OwnerIncarnation: known.incarnation, Epoch: known.epoch,
 	}
+	// The list of hosts is most of a pong, and seldom changes.
+	if sum := sumHosts(pong.Hosts); sum != 0 && sum == ping.HostsSum {
+		pong.Hosts, pong.SameHosts = nil, true
+	}
 	if raw := h.rawManifest.Load(); raw != nil && pong.Manifest > ping.Manifest {
 		pong.NewerManifest = *raw
 	}
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -19,10 +19,10 @@
 	const id = workload.JobID("00000000000000e1")
 	addr := netip.MustParseAddrPort("10.0.0.1:8166")
 	step := workload.StepID{Job: id, Occurrence: 1, Step: 2}
-	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2}, EncodeHostPing, DecodeHostPing,
+	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2, HostsSum: 5}, EncodeHostPing, DecodeHostPing,
 		hostPingCodec.encode(HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}))
 	pong := OwnerPong{
-		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr},
+		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr}, SameHosts: true,
 		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"), RelayEpoch: 1, RelayFor: time.Second, RowVersion: 4,
 		Admission: admission.Decision{Priorities: []admission.Refusal{{Priority: 1, RetryAfter: time.Second}}, LongRunning: time.Second},
 	}
@@ -45,7 +45,7 @@
 	checkRoundTrip(t, WorkerHold{WorkerOrder: order, Request: cell.HoldRequest{
 		Worker: "w", Addr: addr, Deadline: time.Minute, Acknowledged: 4, Wait: time.Second, EndsPending: true,
 	}}, EncodeWorkerHold, DecodeWorkerHold)
-	checkRoundTrip(t, WorkerStart{WorkerOrder: order, Start: cell.SendStart{
+	checkRoundTrip(t, WorkerStart{WorkerOrder: order, SpecSum: 6, Start: cell.SendStart{
 		Worker: "w", Task: task, Run: 5, Spec: "s", Deadline: time.Minute, Ticket: "t", Checkpoint: "c",
 	}}, EncodeWorkerStart, DecodeWorkerStart)
 	checkRoundTrip(t, WorkerStop{WorkerOrder: order, Stop: cell.SendStop{Worker: "w", Task: task, Run: 5}}, EncodeWorkerStop, DecodeWorkerStop)
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -30,6 +30,9 @@
 	// unknown.
 	DataCentre string
 	Cores      float64
+	// HostsSum is a hash of the list of hosts that the sender has received last; 0 is
+	// no list.
+	HostsSum uint64
 }
 
 // OwnerPong answers HostPing, whether or not the answering host is the owner.
@@ -43,6 +46,8 @@
 	Epoch            uint64
 	// Hosts are the hosts that the answering host counts as alive.
 	Hosts []netip.AddrPort
+	// SameHosts is set if Hosts is left out, since the pinging host has the list.
+	SameHosts bool
 	// SinceRenewal is how long ago the answering owner last renewed its row in
 	// the store.
 	SinceRenewal time.Duration
@@ -79,6 +84,7 @@
 	Relays     bool    `msgpack:"relays"`
 	DataCentre string  `msgpack:"dc"`
 	Cores      float64 `msgpack:"cores"`
+	HostsSum   uint64  `msgpack:"hosts"`
 }
 
 var hostPingCodec = codec[HostPing, hostPingWire]{
@@ -97,7 +103,7 @@
 
 // EncodeHostPing returns the encoded message.
 func EncodeHostPing(m HostPing) peer.Message {
-	return appendExtension(hostPingCodec.encode(m), hostPingExtension{Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores})
+	return appendExtension(hostPingCodec.encode(m), hostPingExtension{Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores, HostsSum: m.HostsSum})
 }
 
 // DecodeHostPing decodes the message. It fails if p is of another kind or its
@@ -111,7 +117,7 @@
 	if err := decodeExtension(p, &e); err != nil {
 		return HostPing{}, err
 	}
-	m.Relays, m.DataCentre, m.Cores = e.Relays, e.DataCentre, e.Cores
+	m.Relays, m.DataCentre, m.Cores, m.HostsSum = e.Relays, e.DataCentre, e.Cores, e.HostsSum
 	return m, nil
 }
 
@@ -145,6 +151,7 @@
 	RelayEpoch  uint64        `msgpack:"epoch,omitempty"`
 	RelayFor    time.Duration `msgpack:"for,omitempty"`
 	RowVersion  uint64        `msgpack:"version,omitempty"`
+	SameHosts   bool          `msgpack:"same,omitempty"`
 }
 
 type refusalWire struct {
@@ -173,14 +180,14 @@
 // EncodeOwnerPong returns the encoded message.
 func EncodeOwnerPong(m OwnerPong) peer.Message {
 	p := ownerPongCodec.encode(m)
-	if m.RelayEpoch == 0 && m.RowVersion == 0 && len(m.Admission.Priorities) == 0 && m.Admission.LongRunning == 0 {
+	if m.RelayEpoch == 0 && !m.SameHosts && m.RowVersion == 0 && len(m.Admission.Priorities) == 0 && m.Admission.LongRunning == 0 {
 		return p
 	}
 	return appendExtension(p, ownerPongExtension{
 		Refusals: mapSlice(m.Admission.Priorities, func(r admission.Refusal) refusalWire {
 			return refusalWire{Priority: r.Priority, RetryAfter: r.RetryAfter}
 		}),
-		LongRunning: m.Admission.LongRunning, RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion,
+		LongRunning: m.Admission.LongRunning, RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion, SameHosts: m.SameHosts,
 	})
 }
 
@@ -200,5 +207,6 @@
 	}
 	m.Admission.LongRunning = e.LongRunning
 	m.RelayEpoch, m.RelayFor, m.RowVersion = e.RelayEpoch, e.RelayFor, e.RowVersion
+	m.SameHosts = e.SameHosts
 	return m, nil
 }
