Do not take a row for stale that a host has just seen change

Cause: takes a row for unchanged for the timeout when WrittenAfter is 0.1 s older than that, which holds while commits are fast. Where a commit takes 0.7 s, the row looked 0.7 s old when it was written, so after one short tenure (timeout 1.2 s) hosts tried to take over 0.6 s after each renewal, and sometimes came before the next one.

The row was also written after the host last read an earlier version, which is at most a poll ago while the owner is suspected. That bounds its age as well, however long commits take. TestRowThatHasJustChangedIsNotStale guards it.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -88,7 +88,11 @@
 	// and by the store's.
 	readAt    time.Time
 	readClock time.Duration
-	known     bool
+	// earlierClock is the store's clock when an earlier version was last read, and
+	// lastClock that of the last read; 0 means unknown.
+	earlierClock time.Duration
+	lastClock    time.Duration
+	known        bool
 }
 
 // NewFailureDetector returns a detector that suspects an owner whose row is
@@ -131,12 +135,17 @@
 	if s.Version == 0 || s.Owner.Released || seen.ProcessExited {
 		return true
 	}
+	if !d.known {
+		d.lastClock = 0
+	}
 	if !d.known || s.Version != d.version {
+		d.earlierClock = d.lastClock
 		d.known, d.version, d.changedAt, d.readAt, d.readClock = true, s.Version, now.Add(-seen.SinceRenewal), now, s.Clock
 	}
+	d.lastClock = s.Clock
 	timeout := max(extendedTimeout(d.timeout, seen.ShortTenures), minTimeoutPerLatency*seen.ReadLatency)
 	timeout += min(seen.PingTime, maxPingExtension) + seen.HostDelay
-	return d.unchanged(now, s) >= timeout || s.unchangedFor(timeout)
+	return d.unchanged(now, s) >= timeout || d.staleFor(timeout, s)
 }
 
 // unchanged returns for how long the row has had its version, as far as this host has
@@ -159,11 +168,15 @@
 	maxSinceWrite = 1 * time.Hour
 )
 
-// unchangedFor reports whether the row has been unchanged for the timeout, including
-// the time before this host first read it. WrittenAfter precedes the write by up to
-// maxCommitTime, which is added to the timeout.
-func (s State) unchangedFor(timeout time.Duration) bool {
+// staleFor reports whether the row has been unchanged for the timeout, including the
+// time before this host first read it. WrittenAfter precedes the write by up to
+// maxCommitTime, which is added to the timeout. If commits take longer, the row still
+// was written after this host last read another version.
+func (d *FailureDetector) staleFor(timeout time.Duration, s State) bool {
 	sinceWrite := s.SinceWrittenAfter()
+	if d.earlierClock > 0 {
+		sinceWrite = min(sinceWrite, s.Clock-d.earlierClock)
+	}
 	return sinceWrite >= timeout+maxCommitTime && sinceWrite < maxSinceWrite
 }
 
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -128,6 +128,21 @@
 	}
 }
 
+// While commits take long, WrittenAfter is old when the row is written. A host that has
+// seen the row change must not take it to be older than that.
+func TestRowThatHasJustChangedIsNotStale(t *testing.T) {
+	const clock, poll = time.Minute, 200 * time.Millisecond
+	detector := election.NewFailureDetector(600 * time.Millisecond)
+	begin := time.Unix(0, 0)
+	for i, age := range []time.Duration{0, 2 * time.Second, 2 * time.Second} {
+		at := time.Duration(i) * poll
+		s := election.State{Version: uint64(5 + i), Clock: clock + at, Owner: ledger.Owner{WrittenAfter: clock + at - age}}
+		if detector.TakeoverDue(begin.Add(at), s, election.Observation{}) {
+			t.Errorf("read %d: a takeover is due", i)
+		}
+	}
+}
+
 func TestTakeoverIsDueAtOnceAfterARelease(t *testing.T) {
 	s := election.State{Version: 5, Owner: ledger.Owner{Released: true}}
 	if !election.NewFailureDetector(timeout).TakeoverDue(time.Unix(0, 0), s, election.Observation{}) {
