Count no silence of a worker while the owner handles its reports late

Cause: a worker counts as silent when its last report was handled more than 1.5 s ago. Reports wait in the owner's event queue; a decision follows at most 256 events. Such workers get no starts and no stops, starts that wait for them are dropped and placed again, and their leases are not extended. It is the same class of fault as a busy owner that is replaced.

Now events carry when they were queued. The longest delay of the last second, of events, ticks and iterations of the event loop, extends the time after which a worker counts as silent, by a lease at the most. A worker that really is silent gets no starts once the delay is over (TestSilentWorkerOfADelayedOwnerIsNotUsed). Runs are still placed again only when a lease has certainly expired by the worker's clock, which no delay of the owner changes, so nothing runs twice and nothing that is lost waits longer.

What still ends with a delay: a hold call that times out because its response waits for this host's processor is a failed call, and the next one extends no lease until it has been answered. That is part of the time-outs of calls and left to them.

timer.Delay is the measure that the host's monitor used before, moved.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -97,6 +97,8 @@
 	predecessorIdle time.Duration
 	// unconfirmed is set while another host may have taken over during a suspension.
 	unconfirmed bool
+	// delay is how late this owner has handled reports of late.
+	delay time.Duration
 	// commitsBegun counts the commits, and commitsDone has the number of the
 	// last one that succeeded.
 	commitsBegun uint64
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -122,7 +122,7 @@
 	switch {
 	case !w.listed && now.Sub(w.unlistedAt) >= unlistedGrace:
 		return WorkerUnlisted
-	case !w.reported || now.Sub(w.lastReport) > c.config.ContactTimeout:
+	case !c.inContact(now, w):
 		return WorkerSilent
 	case w.registration.Leaving:
 		return WorkerLeaving
--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -168,7 +168,7 @@
 		return false
 	}
 	worker := c.workerOn(machine)
-	return worker == nil || !worker.listed || worker.cordonedBy == w || !worker.reported || now.Sub(worker.lastReport) > c.config.ContactTimeout
+	return worker == nil || !worker.listed || worker.cordonedBy == w || !c.inContact(now, worker)
 }
 
 // inProgress reports whether the maintenance of a machine that is not settled
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -261,7 +261,7 @@
 		hold.Wait = min(hold.Wait, max(w.earlyStartsUntil-w.clockNow(now), 0))
 	}
 	hold.Deadline = w.deadline
-	if now.Sub(w.lastReport) <= c.config.ContactTimeout && !c.unconfirmed {
+	if !c.silent(now, w) && !c.unconfirmed {
 		hold.Deadline = w.extendLease(now, c.config.Lease)
 	}
 	return hold, true
@@ -295,7 +295,17 @@
 
 // inContact reports whether a worker has answered this owner recently.
 func (c *Cell) inContact(now time.Time, w *worker) bool {
-	return w.reported && now.Sub(w.lastReport) <= c.config.ContactTimeout
+	return w.reported && !c.silent(now, w)
+}
+
+// SetDelay sets how late this owner has handled reports of late.
+func (c *Cell) SetDelay(delay time.Duration) { c.delay = delay }
+
+// silent reports whether a worker has not answered for too long. The reports that have
+// arrived while this owner was delayed may wait to be handled, so that time is no
+// evidence.
+func (c *Cell) silent(now time.Time, w *worker) bool {
+	return now.Sub(w.lastReport) > c.config.ContactTimeout+c.delay
 }
 
 // usable reports whether a worker may get new starts.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,7 +110,8 @@
 	suspectedSince time.Time
 	pinger         pinger
 	contact        contact
-	delay          hostDelay
+	// delay is how late the timers of the monitor fire.
+	delay timer.Delay
 	// lastReadFailure is when a read of the owner's row last failed.
 	lastReadFailure time.Time
 	// yieldUntil is the time until which this host leaves a takeover to others.
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/owner"
+	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
@@ -68,8 +70,33 @@
 // observeDelay records how late a timer of this host fired that was due.
 func (h *Host) observeDelay(due time.Time) {
 	now := h.timers.Now()
-	h.delay.observe(now, now.Sub(due))
-	h.metrics.delay.Update(h.delay.recent(now).Seconds())
+	h.delay.Observe(now, now.Sub(due))
+	h.metrics.delay.Update(h.delay.Recent(now).Seconds())
+}
+
+// ping asks a host what it knows of the owner, the other hosts and the manifest,
+// and applies the answer. epoch is the epoch in which this host owns the cell, or
+// 0 if this host does not own it.
+func (h *Host) ping(to netip.AddrPort, epoch uint64, timeout time.Duration) (peer.Host, message.OwnerPong, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, timeout)
+	defer cancel()
+	ping := message.EncodeHostPing(message.HostPing{
+		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
+		KnownEpoch: max(epoch, h.knownOwner().epoch),
+	})
+	from, reply, err := h.peers.Ask(ctx, to, ping)
+	if err != nil {
+		return from, message.OwnerPong{}, err
+	}
+	pong, err := message.DecodeOwnerPong(reply)
+	if err != nil {
+		return from, message.OwnerPong{}, err
+	}
+	if len(pong.NewerManifest) > 0 {
+		h.adopt(pong.NewerManifest, from.Name)
+	}
+	h.applyPong(pong)
+	return from, pong, nil
 }
 
 // markOwnerExited records that the owner's process has exited, if the owner is
@@ -112,7 +139,7 @@
 	}
 	observation := h.suspicion.observation(state, latency, begin.Sub(h.lastReadFailure))
 	observation.ProcessExited, observation.ShortTenures = h.hasExited(state.Owner.Incarnation), h.shortTenures()
-	observation.PingTime, observation.HostDelay = h.contact.recentPingTime(state), h.delay.recent(h.timers.Now())
+	observation.PingTime, observation.HostDelay = h.contact.recentPingTime(state), h.delay.Recent(h.timers.Now())
 	// If the row names this process, its tenure has ended without a release, so
 	// no other host has to be suspected first.
 	if namesThisProcess || h.detector.TakeoverDue(h.timers.Now(), state, observation) {
--- a/internal/host/suspicion.go
+++ b/internal/host/suspicion.go
@@ -43,7 +43,7 @@
 	}
 	h.suspectedSince = now
 	h.metrics.suspicions.Inc(1)
-	fields := append(h.contact.fields(now, h.suspicion.epoch), zap.Duration("HostDelay", h.delay.recent(now)))
+	fields := append(h.contact.fields(now, h.suspicion.epoch), zap.Duration("HostDelay", h.delay.Recent(now)))
 	h.log.Info("the owner is suspected", append(fields, zap.Uint64("Epoch", h.suspicion.epoch), zap.String("Doubt", h.suspicion.reason))...)
 }
 
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -96,7 +96,7 @@
 	return append(h.contact.fields(due, state.Owner.Epoch),
 		zap.String("Doubt", h.suspicion.reason), zap.Bool("Gone", seen.ProcessExited), zap.Int("Short", seen.ShortTenures),
 		zap.Duration("Unrenewed", seen.SinceRenewal), zap.Duration("RowWritten", state.SinceWrittenAfter()),
-		zap.Duration("ReadLatency", seen.ReadLatency), zap.Duration("HostDelay", h.delay.recent(due)))
+		zap.Duration("ReadLatency", seen.ReadLatency), zap.Duration("HostDelay", h.delay.Recent(due)))
 }
 
 // assumeOwnership starts to run the cell as its owner. Peers see this host as
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -31,6 +31,7 @@
 	o.activeAt = active
 	confirmedAt := o.confirmedAt
 	o.mu.Unlock()
+	o.delay.Observe(now, suspended-tickInterval)
 	if suspended > maxDecisionInterval {
 		o.hearingSince = now
 	}
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -17,6 +17,12 @@
 	apply(o *Owner, now time.Time)
 }
 
+// queuedEvent is an event in the queue of the event loop since a time.
+type queuedEvent struct {
+	event event
+	at    time.Time
+}
+
 type startReturned struct {
 	start   cell.SendStart
 	outcome cell.StartOutcome
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -61,6 +61,8 @@
 	heardAt    time.Time
 	// inherited holds the workers that the row of the takeover names.
 	inherited []string
+	// silent is a worker that does not answer hold calls.
+	silent cell.WorkerID
 	// maintained counts the maintenance orders.
 	maintained int
 }
@@ -222,6 +224,13 @@
 
 // Hold returns the report of a worker, as soon as a run has ended or after the wait.
 func (p *fakePlatform) Hold(ctx context.Context, request cell.HoldRequest, _ uint64) (cell.Report, error) {
+	p.mu.Lock()
+	silent := p.silent == request.Worker
+	p.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return cell.Report{}, fault.New("hold", rowstore.KindUnknown, "%w", ctx.Err())
+	}
 	until := time.Now().Add(max(request.Wait, fakeLatency))
 	for {
 		report, done := p.report(request)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -130,7 +130,7 @@
 	// been read.
 	cell     *cell.Cell
 	recovery recovery
-	events   *ring.Ring[event]
+	events   *ring.Ring[queuedEvent]
 	// orders is the queue of the orders to workers, that is stops and changes of
 	// pace, but not of the maintenance orders. startsInFlight counts the starts that
 	// have no response yet.
@@ -171,6 +171,8 @@
 	// resumedAt is when the event loop last resumed after a suspension, by a clock that
 	// includes suspensions.
 	resumedAt time.Time
+	// delay is how late the event loop handles events.
+	delay timer.Delay
 	// hearingSince is when the event loop last resumed after any suspension, by the
 	// monotonic clock.
 	hearingSince time.Time
@@ -210,7 +212,7 @@
 		config: config, initial: tenure, takeoverStart: now, ports: ports, store: ports.Store, workers: ports.Workers, registrations: ports.Registrations, timers: timers,
 		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Row.Epoch)),
 		metrics: metrics,
-		events:  ring.New[event](eventQueueSize),
+		events:  ring.New[queuedEvent](eventQueueSize),
 		orders:  newOrderQueue(metrics), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		holdLoops: make(map[cell.WorkerID]*holdLoop),
 		committer: newCommitter(now, tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
@@ -329,10 +331,11 @@
 		case e := <-o.events.C():
 			o.load.begin(o.timers.Now())
 			o.applyOutcome()
-			o.applyOrDefer(e, o.timers.Now())
+			o.applyArrived(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
 			o.startLimiter.observe(o.timers.Now().Sub(due), o.startsInFlight)
+			o.delay.Observe(o.timers.Now(), o.timers.Now().Sub(due))
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
 		}
@@ -348,6 +351,7 @@
 	if o.recovery.active {
 		return
 	}
+	o.reportDelay(now)
 	o.cell.SetAdviceHosts(o.advice.hosts())
 	o.cell.Tick(now)
 	if !now.Before(o.reportAt) {
@@ -375,7 +379,7 @@
 	for n := range maxEventsPerDecision {
 		select {
 		case e := <-o.events.C():
-			o.applyOrDefer(e, now)
+			o.applyArrived(e, now)
 		default:
 			return n
 		}
@@ -383,6 +387,18 @@
 	return maxEventsPerDecision
 }
 
+// reportDelay tells the cell how late the event loop has handled reports. A lease is
+// over after a longer delay in any case.
+func (o *Owner) reportDelay(now time.Time) {
+	o.cell.SetDelay(min(o.delay.Recent(now), o.config.Cell.Lease))
+}
+
+// applyArrived applies an event from the queue, and records how long it has waited.
+func (o *Owner) applyArrived(e queuedEvent, now time.Time) {
+	o.delay.Observe(now, now.Sub(e.at))
+	o.applyOrDefer(e.event, now)
+}
+
 // decide performs the actions that the cell requests, commits records and makes
 // hold calls. While the store is being read, or when the owner releases the cell,
 // it only commits.
@@ -394,6 +410,7 @@
 		o.commit(now)
 		return
 	}
+	o.reportDelay(now)
 	o.limitStarts()
 	o.cell.SetConfirmedAt(now.Add(-o.sinceConfirmed()))
 	for _, a := range o.cell.TakeActions(now) {
@@ -405,7 +422,7 @@
 
 // put enqueues an event for the event loop, and blocks while the queue is full.
 func (o *Owner) put(e event) {
-	if err := o.events.Put(o.ctx, e); err != nil {
+	if err := o.events.Put(o.ctx, queuedEvent{e, o.timers.Now()}); err != nil {
 		o.log.Debug("event dropped, the owner is ending", zap.Error(err))
 	}
 }
