Log on the owner when its row was renewed late, and why

The lines of a suspecting host say that a row was not renewed; the owner's own log did not say whether the store, its event loop or its processor was late. `the row was renewed late` gives the time without a renewal, the part that the commit took, the time since the event loop last decided and the events that wait, after more than 0.6 s, at which hosts may take over.

TestLateRenewalIsLogged failed before, since there was no such line. Run: go test ./internal/owner.

--- a/internal/owner/committer.go
+++ b/internal/owner/committer.go
@@ -21,6 +21,9 @@
 	// renewalGrace is how long after Config.RenewEvery the event loop may still pass
 	// a batch, which renews the row as well.
 	renewalGrace = tickInterval
+	// lateRenewal is the time without a renewal above which it is logged. Hosts then
+	// take over unless the owner answers their pings.
+	lateRenewal = 600 * time.Millisecond
 	// maxRoundTime is how long the event loop may take for an iteration while the row
 	// is still renewed. An owner that decides nothing for longer has to be replaced
 	// before the leases of its workers expire.
@@ -157,8 +160,13 @@
 	c.renewAt = latest(sent.Add(o.config.RenewEvery+renewalGrace), now.Add(renewalGrace))
 	o.rowWrites.Add(1)
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	unrenewed := now.Sub(o.renewedAt)
 	o.renewedAt, o.renewedVersion, o.confirmedAt = now, result.Version, begun
+	o.mu.Unlock()
+	if unrenewed > lateRenewal {
+		o.log.Info("the row was renewed late", zap.Duration("Unrenewed", unrenewed), zap.Duration("CommitTime", now.Sub(sent)),
+			zap.Duration("SinceDecision", o.sinceDecision()), zap.Int("EventsWaiting", o.events.Len()))
+	}
 	return nil
 }
 
--- a/internal/owner/committer_test.go
+++ b/internal/owner/committer_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 )
 
@@ -173,3 +176,29 @@
 		}
 	})
 }
+
+// TestLateRenewalIsLogged guards against a log of the owner that does not tell whether
+// the store or its own event loop was late when it was replaced.
+func TestLateRenewalIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		p := newFakePlatform(1)
+		p.log = zap.New(core)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(2 * time.Second)
+		if late := logs.FilterMessage("the row was renewed late").Len(); late > 0 {
+			t.Errorf("an idle owner renewed its row late %d times", late)
+		}
+		o.put(loopFunc(func(*Owner) { time.Sleep(2 * maxRoundTime) }))
+		time.Sleep(3 * maxRoundTime)
+		late := logs.FilterMessage("the row was renewed late").All()
+		if len(late) == 0 {
+			t.Fatal("a late renewal was not logged")
+		}
+		known := late[0].ContextMap()
+		if since, ok := known["Unrenewed"].(time.Duration); !ok || since < maxRoundTime {
+			t.Errorf("logged %v", known)
+		}
+	})
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -61,8 +61,15 @@
 	heardAt    time.Time
 	// inherited holds the workers that the row of the takeover names.
 	inherited []string
-	// silent is a worker that does not answer hold calls.
-	silent cell.WorkerID
+	// silentBelow is the ID below which workers do not answer hold calls. firstHolds
+	// is the number of hold calls in flight that wait for nothing, and maxFirstHolds
+	// the most there were. held holds the workers that have answered.
+	silentBelow   cell.WorkerID
+	firstHolds    int
+	maxFirstHolds int
+	held          map[cell.WorkerID]bool
+	// log is the log of the owner, if it is set.
+	log *zap.Logger
 	// maintained counts the maintenance orders.
 	maintained int
 }
@@ -98,7 +105,7 @@
 	p := &fakePlatform{
 		start: time.Now(), rows: make(map[rowstore.Key]rowstore.Row), workers: make(map[cell.WorkerID]*fakeWorker),
 		tickets: make(map[string]time.Time), refused: make(map[cell.Refusal]int), stops: make(map[string]int),
-		started: make(map[workload.TaskID]bool),
+		started: make(map[workload.TaskID]bool), held: make(map[cell.WorkerID]bool),
 	}
 	for i := range workers {
 		id := cell.WorkerID(fmt.Sprintf("w%02d", i))
@@ -127,7 +134,11 @@
 	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1, EarlyStartWorkers: p.inherited}
 	initial := InitialState{Row: me, PredecessorsEnded: true, OtherHosts: p.otherHosts}
 	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
-	return New(config, initial, fakeManifest, ports, noHosts{p.otherHostsHeard}, timers, tally.NoopScope, zap.NewNop())
+	log := p.log
+	if log == nil {
+		log = zap.NewNop()
+	}
+	return New(config, initial, fakeManifest, ports, noHosts{p.otherHostsHeard}, timers, tally.NoopScope, log)
 }
 
 // otherHostsHeard returns the number of hosts that the owner heard within a time.
@@ -222,12 +233,26 @@
 	return rowstore.Snapshot{Version: after}, sleep(ctx, wait)
 }
 
+func (p *fakePlatform) countFirstHold(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.firstHolds += n
+	p.maxFirstHolds = max(p.maxFirstHolds, p.firstHolds)
+}
+
+func (p *fakePlatform) isSilent(id cell.WorkerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return id < p.silentBelow
+}
+
 // Hold returns the report of a worker, as soon as a run has ended or after the wait.
 func (p *fakePlatform) Hold(ctx context.Context, request cell.HoldRequest, _ uint64) (cell.Report, error) {
-	p.mu.Lock()
-	silent := p.silent == request.Worker
-	p.mu.Unlock()
-	if silent {
+	if request.Wait == 0 {
+		p.countFirstHold(1)
+		defer p.countFirstHold(-1)
+	}
+	if p.isSilent(request.Worker) {
 		<-ctx.Done()
 		return cell.Report{}, fault.New("hold", rowstore.KindUnknown, "%w", ctx.Err())
 	}
@@ -247,6 +272,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leaseUntil = max(p.leaseUntil, request.Deadline)
+	p.held[request.Worker] = true
 	w := p.workers[request.Worker]
 	w.ended = slices.DeleteFunc(w.ended, func(e cell.Ended) bool { return e.Number <= request.Acknowledged })
 	out := cell.Report{Incarnation: 1, Clock: p.clock()}
