Call a few workers at a time after a takeover

Cause: a new owner began the first hold calls to all workers in one decision: 1,100 at once (TestNewOwnerCallsAFewWorkersAtATime on the code before). On a host with 0.19 of a core the responses to its renewals and the pings of its peers wait for the processor behind them, so that the new owner is taken for failed as well.

At most 64 first calls are without an answer now; the next one begins when one returns, so the pace follows the workers and this host's processor.

Run: go test ./internal/owner.

--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -37,6 +37,10 @@
 	idleSince time.Time
 	// failures counts the calls that have failed since the last success.
 	failures int
+	// begunAt is when the loop began, and answered is set once its first call has
+	// returned.
+	begunAt  time.Time
+	answered bool
 }
 
 type reported struct {
@@ -49,6 +53,7 @@
 		o.log.Info("worker responds again", zap.String("Worker", string(e.loop.id)), zap.Int("Failures", e.loop.failures))
 	}
 	e.loop.failures = 0
+	e.loop.answered = true
 	e.loop.idle = true
 	e.loop.idleSince = now
 	o.cell.Reported(now, e.loop.id, e.report)
@@ -89,6 +94,7 @@
 func (e holdFailed) apply(o *Owner, now time.Time) {
 	h := e.loop
 	h.failures++
+	h.answered = true
 	if h.failures == 1 && o.ctx.Err() == nil {
 		o.log.Warn("worker does not answer", zap.String("Worker", string(h.id)), zap.Error(e.err))
 	}
@@ -98,13 +104,17 @@
 	h.notBefore = now.Add(min(time.Duration(h.failures)*holdBackoff, maxHoldBackoff))
 }
 
-// startHoldCalls starts a holdLoop for each new worker, passes each idle loop its
+// startHoldCalls starts a holdLoop for each new worker, as firstHolds allows, passes each idle loop its
 // next call, and ends the loops of workers that need no more calls.
 func (o *Owner) startHoldCalls(now time.Time) {
 	for _, id := range o.cell.Workers() {
-		if _, ok := o.holdLoops[id]; !ok {
-			o.startHoldLoop(now, id)
+		if _, ok := o.holdLoops[id]; ok {
+			continue
+		}
+		if !o.firstHolds.mayBegin(now) {
+			break
 		}
+		o.startHoldLoop(now, id)
 	}
 	for id, h := range o.holdLoops {
 		if !h.idle || now.Before(h.notBefore) {
@@ -126,8 +136,9 @@
 
 // startHoldLoop starts the goroutine that makes the hold calls of a worker.
 func (o *Owner) startHoldLoop(now time.Time, id cell.WorkerID) {
-	h := &holdLoop{id: id, requests: make(chan cell.HoldRequest, 1), idle: true, idleSince: now}
+	h := &holdLoop{id: id, requests: make(chan cell.HoldRequest, 1), idle: true, idleSince: now, begunAt: now}
 	o.holdLoops[id] = h
+	o.firstHolds.begin(h)
 	o.calls.Go(func() {
 		for {
 			select {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -144,8 +144,9 @@
 	wantedPaces  map[runKey]int
 	// holdLoops maps each worker to the loop that makes the hold calls to it. A hold
 	// call renews the worker's lease and waits for its report.
-	holdLoops map[cell.WorkerID]*holdLoop
-	committer *committer
+	holdLoops  map[cell.WorkerID]*holdLoop
+	firstHolds firstHolds
+	committer  *committer
 	// rowWrites counts the commits of this owner that have taken effect.
 	rowWrites atomic.Uint64
 	// committing is set while the committer has a batch.
