Make hosts slow in the random test of ownership

TestOwnership drew kills, cuts and slow reads, but no host that is short of processor time. A new action makes any host answer up to 2 s late, handle responses up to 1 s late, run its timers up to 0.5 s late, and take up to 0.7 s for an iteration of the owner's event loop; more than the bounds within which an owner keeps the cell, so takeovers from live owners are among what is drawn. The checks are unchanged: one owner once all faults are healed, and no hold call of a replaced owner so late that a lease could outlive the wait of its successor.

--- a/internal/host/ownership_test.go
+++ b/internal/host/ownership_test.go
@@ -20,7 +20,8 @@
 
 // TestOwnership runs random sequences of faults: hosts are killed, started and
 // cut from the store, from each other and from workers, one or more at a time,
-// and the reads of the store are slow in some takeovers. A replaced owner must
+// they answer and handle responses late, and the reads of the store are slow in some
+// takeovers. A replaced owner must
 // make its last hold call to each worker so early that the lease of the worker
 // ends before the successor assumes that it has ended. Once all faults are healed
 // there must be exactly one owner.
@@ -75,6 +76,14 @@
 		"reads": func(t *rapid.T) {
 			w.setFullReadTime(rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond, slowFullRead}).Draw(t, "took"))
 		},
+		"busy": func(t *rapid.T) {
+			draw := func(name string, most int) time.Duration {
+				return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+			}
+			w.setBusy(anyHost(), busyness{
+				answer: draw("answer", 2000), response: draw("response", 1000), timers: draw("timers", 500), round: draw("round", 700),
+			})
+		},
 		"heal": func(*rapid.T) { w.healAll() },
 		"":     func(*rapid.T) {},
 	})
@@ -117,6 +126,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.cut)
+	clear(w.busy)
 	w.fullReadTime = 0
 	w.record("healed")
 }
