Fit the ping and the fake platform to what the other parts have

The fake platform of the owner's tests names silent workers as the tests of the orders do. TestSilentWorkersDelayNoOthers now has the first 220 of 1,100 workers silent by number and not by the order of their IDs; the bound is the same.

Runs: go test ./internal/host, and of ./internal/owner the tests named NewOwnerCalls, Silen and Reports.

--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,7 +11,6 @@
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/owner"
-	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
@@ -74,31 +72,6 @@
 	h.metrics.delay.Update(h.delay.Recent(now).Seconds())
 }
 
-// ping asks a host what it knows of the owner, the other hosts and the manifest,
-// and applies the answer. epoch is the epoch in which this host owns the cell, or
-// 0 if this host does not own it.
-func (h *Host) ping(to netip.AddrPort, epoch uint64, timeout time.Duration) (peer.Host, message.OwnerPong, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, timeout)
-	defer cancel()
-	ping := message.EncodeHostPing(message.HostPing{
-		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
-		KnownEpoch: max(epoch, h.knownOwner().epoch),
-	})
-	from, reply, err := h.peers.Ask(ctx, to, ping)
-	if err != nil {
-		return from, message.OwnerPong{}, err
-	}
-	pong, err := message.DecodeOwnerPong(reply)
-	if err != nil {
-		return from, message.OwnerPong{}, err
-	}
-	if len(pong.NewerManifest) > 0 {
-		h.adopt(pong.NewerManifest, from.Name)
-	}
-	h.applyPong(pong)
-	return from, pong, nil
-}
-
 // markOwnerExited records that the owner's process has exited, if the owner is
 // still the given incarnation.
 func (h *Host) markOwnerExited(incarnation string) {
--- a/internal/host/ping.go
+++ b/internal/host/ping.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -157,3 +158,28 @@
 	}
 	return false
 }
+
+// ping asks a host what it knows of the owner, the other hosts and the manifest,
+// and applies the answer. epoch is the epoch in which this host owns the cell, or
+// 0 if this host does not own it.
+func (h *Host) ping(to netip.AddrPort, epoch uint64, timeout time.Duration) (peer.Host, message.OwnerPong, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, timeout)
+	defer cancel()
+	ping := message.EncodeHostPing(message.HostPing{
+		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
+		KnownEpoch: max(epoch, h.knownOwner().epoch),
+	})
+	from, reply, err := h.peers.Ask(ctx, to, ping)
+	if err != nil {
+		return from, message.OwnerPong{}, err
+	}
+	pong, err := message.DecodeOwnerPong(reply)
+	if err != nil {
+		return from, message.OwnerPong{}, err
+	}
+	if len(pong.NewerManifest) > 0 {
+		h.adopt(pong.NewerManifest, from.Name)
+	}
+	h.applyPong(pong)
+	return from, pong, nil
+}
--- a/internal/owner/delay_test.go
+++ b/internal/owner/delay_test.go
@@ -36,7 +36,7 @@
 		defer o.Close()
 		time.Sleep(2 * time.Second)
 		p.mu.Lock()
-		p.silentBelow = "w01"
+		p.silent["w00"] = true
 		p.mu.Unlock()
 		time.Sleep(time.Second)
 		o.put(loopFunc(func(*Owner) { time.Sleep(2 * time.Second) }))
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -61,10 +61,10 @@
 	heardAt    time.Time
 	// inherited holds the workers that the row of the takeover names.
 	inherited []string
-	// silentBelow is the ID below which workers do not answer hold calls. firstHolds
-	// is the number of hold calls in flight that wait for nothing, and maxFirstHolds
-	// the most there were. held holds the workers that have answered.
-	silentBelow   cell.WorkerID
+	// silent holds the workers that do not answer hold calls. firstHolds is the number
+	// of hold calls in flight that wait for nothing, and maxFirstHolds the most there
+	// were. held holds the workers that have answered.
+	silent        map[cell.WorkerID]bool
 	firstHolds    int
 	maxFirstHolds int
 	held          map[cell.WorkerID]bool
@@ -105,7 +105,7 @@
 	p := &fakePlatform{
 		start: time.Now(), rows: make(map[rowstore.Key]rowstore.Row), workers: make(map[cell.WorkerID]*fakeWorker),
 		tickets: make(map[string]time.Time), refused: make(map[cell.Refusal]int), stops: make(map[string]int),
-		started: make(map[workload.TaskID]bool), held: make(map[cell.WorkerID]bool),
+		started: make(map[workload.TaskID]bool), held: make(map[cell.WorkerID]bool), silent: make(map[cell.WorkerID]bool),
 	}
 	for i := range workers {
 		id := cell.WorkerID(fmt.Sprintf("w%02d", i))
@@ -240,10 +240,15 @@
 	p.maxFirstHolds = max(p.maxFirstHolds, p.firstHolds)
 }
 
-func (p *fakePlatform) isSilent(id cell.WorkerID) bool {
+// awaitAnswer waits as long as a silent worker does not answer.
+func (p *fakePlatform) awaitAnswer(ctx context.Context, id cell.WorkerID) error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return id < p.silentBelow
+	silent := p.silent[id]
+	p.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	return sleep(ctx, time.Hour)
 }
 
 // Hold returns the report of a worker, as soon as a run has ended or after the wait.
@@ -252,9 +257,8 @@
 		p.countFirstHold(1)
 		defer p.countFirstHold(-1)
 	}
-	if p.isSilent(request.Worker) {
-		<-ctx.Done()
-		return cell.Report{}, fault.New("hold", rowstore.KindUnknown, "%w", ctx.Err())
+	if err := p.awaitAnswer(ctx, request.Worker); err != nil {
+		return cell.Report{}, err
 	}
 	until := time.Now().Add(max(request.Wait, fakeLatency))
 	for {
--- a/internal/owner/firstholds_test.go
+++ b/internal/owner/firstholds_test.go
@@ -1,9 +1,12 @@
 package owner
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
 )
 
 // TestNewOwnerCallsAFewWorkersAtATime guards against a new owner whose renewals wait
@@ -27,9 +30,11 @@
 // that answer only after those that do not.
 func TestSilentWorkersDelayNoOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const workers, silent = 1100, 220 // those whose ID begins with w0 or w1
+		const workers, silent = 1100, 220
 		p := newFakePlatform(workers)
-		p.silentBelow = "w2"
+		for i := range silent {
+			p.silent[cell.WorkerID(fmt.Sprintf("w%02d", i))] = true
+		}
 		o := p.startOwner()
 		defer o.Close()
 		time.Sleep(time.Second)
