--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -69,8 +69,8 @@
 // observeDelay records how late a timer of this host fired that was due.
 func (h *Host) observeDelay(due time.Time) {
 	now := h.timers.Now()
-	h.delay.observe(now, now.Sub(due))
-	h.metrics.delay.Update(h.delay.recent(now).Seconds())
+	h.delay.Observe(now, now.Sub(due))
+	h.metrics.delay.Update(h.delay.Recent(now).Seconds())
 }
 
 // markOwnerExited records that the owner's process has exited, if the owner is
@@ -113,7 +113,7 @@
 	}
 	observation := h.suspicion.observation(state, latency, begin.Sub(h.lastReadFailure))
 	observation.ProcessExited, observation.ShortTenures = h.hasExited(state.Owner.Incarnation), h.shortTenures()
-	observation.PingTime, observation.HostDelay = h.contact.recentPingTime(state), h.delay.recent(h.timers.Now())
+	observation.PingTime, observation.HostDelay = h.contact.recentPingTime(state), h.delay.Recent(h.timers.Now())
 	// If the row names this process, its tenure has ended without a release, so
 	// no other host has to be suspected first.
 	if namesThisProcess || h.detector.TakeoverDue(h.timers.Now(), state, observation) {
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -39,6 +39,10 @@
 	idleSince time.Time
 	// failures counts the calls that have failed since the last success.
 	failures int
+	// begunAt is when the loop began, and answered is set once its first call has
+	// returned.
+	begunAt  time.Time
+	answered bool
 }
 
 type reported struct {
@@ -52,6 +56,7 @@
 	}
 	e.loop.failures = 0
 	o.setSilent(e.loop.id, false)
+	e.loop.answered = true
 	e.loop.idleSince = now
 	o.idleHolds.add(e.loop, now)
 	o.cell.Reported(now, e.loop.id, e.report)
@@ -97,6 +102,7 @@
 func (e holdFailed) apply(o *Owner, now time.Time) {
 	h := e.loop
 	h.failures++
+	h.answered = true
 	if h.failures == 1 && o.ctx.Err() == nil {
 		o.log.Warn("worker does not answer", zap.String("Worker", string(h.id)), zap.Error(e.err))
 	}
@@ -107,12 +113,17 @@
 	o.idleHolds.add(h, h.notBefore)
 }
 
-// startHoldCalls starts a holdLoop for each worker whose address has become known,
-// passes each loop that is due its next call, and ends the loops of workers that need
-// no more calls.
+// startHoldCalls starts a holdLoop for each worker whose address has become known, as
+// firstHolds allows, passes each loop that is due its next call, and ends the loops of
+// workers that need no more calls.
 func (o *Owner) startHoldCalls(now time.Time) {
-	for _, id := range o.cell.TakeNewAddrs() {
-		if _, ok := o.holdLoops[id]; !ok {
+	o.firstHolds.add(o.cell.TakeNewAddrs())
+	for {
+		id, ok := o.firstHolds.next(now)
+		if !ok {
+			break
+		}
+		if _, known := o.holdLoops[id]; !known {
 			o.startHoldLoop(now, id)
 		}
 	}
@@ -133,9 +144,10 @@
 
 // startHoldLoop starts the goroutine that makes the hold calls of a worker.
 func (o *Owner) startHoldLoop(now time.Time, id cell.WorkerID) {
-	h := &holdLoop{id: id, requests: make(chan cell.HoldRequest, 1), position: notIdle, idleSince: now}
+	h := &holdLoop{id: id, requests: make(chan cell.HoldRequest, 1), position: notIdle, idleSince: now, begunAt: now}
 	o.holdLoops[id] = h
 	o.idleHolds.add(h, now)
+	o.firstHolds.begin(h)
 	o.calls.Go(func() {
 		for request := range h.requests {
 			o.put(o.callHold(h, request))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -130,7 +130,7 @@
 	// been read.
 	cell     *cell.Cell
 	recovery recovery
-	events   *ring.Ring[event]
+	events   *ring.Ring[queuedEvent]
 	// orders is the queue of the orders to workers, that is stops and changes of
 	// pace, but not of the maintenance orders. starts counts the starts that have no
 	// response yet.
@@ -150,9 +150,10 @@
 	wantedPaces  map[runKey]int
 	// holdLoops maps each worker to the loop that makes the hold calls to it. A hold
 	// call renews the worker's lease and waits for its report.
-	holdLoops map[cell.WorkerID]*holdLoop
-	idleHolds holdQueue
-	committer *committer
+	holdLoops  map[cell.WorkerID]*holdLoop
+	idleHolds  holdQueue
+	firstHolds firstHolds
+	committer  *committer
 	// rowWrites counts the commits of this owner that have taken effect.
 	rowWrites atomic.Uint64
 	// committing is set while the committer has a batch.
@@ -182,6 +183,8 @@
 	// resumedAt is when the event loop last resumed after a suspension, by a clock that
 	// includes suspensions.
 	resumedAt time.Time
+	// delay is how late the event loop handles events.
+	delay timer.Delay
 	// hearingSince is when the event loop last resumed after any suspension, by the
 	// monotonic clock.
 	hearingSince time.Time
@@ -221,7 +224,7 @@
 		config: config, initial: tenure, takeoverStart: now, ports: ports, store: ports.Store, workers: ports.Workers, registrations: ports.Registrations, timers: timers,
 		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Row.Epoch)),
 		metrics: metrics,
-		events:  ring.New[event](eventQueueSize),
+		events:  ring.New[queuedEvent](eventQueueSize),
 		orders:  newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		holdLoops: make(map[cell.WorkerID]*holdLoop),
 		committer: newCommitter(now, tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
@@ -345,13 +348,13 @@
 			o.load.begin(o.timers.Now())
 			o.applyOutcome()
 			o.markLoad(activityCommits)
-			o.applyOrDefer(e, o.timers.Now())
-			o.markLoad(activityOf(e))
+			o.applyArrived(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
 			delay := o.timers.Now().Sub(due)
 			o.startLimiter.observe(delay, o.starts.counted())
 			o.tickOrders(delay)
+			o.delay.Observe(o.timers.Now(), delay)
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
 			o.markLoad(activityTick)
@@ -368,6 +371,7 @@
 	if o.recovery.active {
 		return
 	}
+	o.reportDelay(now)
 	o.cell.SetAdviceHosts(o.advice.hosts())
 	o.cell.Tick(now)
 	o.decideAdmission(now)
@@ -396,8 +400,7 @@
 	for n := range maxEventsPerDecision {
 		select {
 		case e := <-o.events.C():
-			o.applyOrDefer(e, now)
-			o.markLoad(activityOf(e))
+			o.applyArrived(e, now)
 		default:
 			return n
 		}
@@ -405,6 +408,19 @@
 	return maxEventsPerDecision
 }
 
+// reportDelay tells the cell how late the event loop has handled reports. A lease is
+// over after a longer delay in any case.
+func (o *Owner) reportDelay(now time.Time) {
+	o.cell.SetDelay(min(o.delay.Recent(now), o.config.Cell.Lease))
+}
+
+// applyArrived applies an event from the queue, and records how long it has waited.
+func (o *Owner) applyArrived(e queuedEvent, now time.Time) {
+	o.delay.Observe(now, now.Sub(e.at))
+	o.applyOrDefer(e.event, now)
+	o.markLoad(activityOf(e.event))
+}
+
 // decide makes hold calls, performs the actions that the cell requests and commits
 // records. Hold calls go first, as they renew leases. While the store is being read,
 // or when the owner releases the cell, it only commits.
@@ -416,6 +432,7 @@
 		o.commit(now)
 		return
 	}
+	o.reportDelay(now)
 	o.startHoldCalls(now)
 	o.markLoad(activityHolds)
 	o.limitStarts()
@@ -430,7 +447,7 @@
 
 // put enqueues an event for the event loop, and blocks while the queue is full.
 func (o *Owner) put(e event) {
-	if err := o.events.Put(o.ctx, e); err != nil {
+	if err := o.events.Put(o.ctx, queuedEvent{e, o.timers.Now()}); err != nil {
 		o.log.Debug("event dropped, the owner is ending", zap.Error(err))
 	}
 }
