Adapt the limits of calls to the latency that this host adds

Cause: the limit of starts began at 64 and saw only the delay of the event loop's ticks, not a processor that is spent in the goroutines of calls, nor a link that is full. A burst of 64 starts waited for this host until the starts timed out; each was stopped and placed again, and the repeats kept the queue full: a collapse that never ends. It follows each takeover, when the backlog is largest.

The load of the host is now judged once a tick, for starts and for orders, by the largest of three signals: the delay of the tick, the local delay since the last tick, and the median excess latency of starts, that is what a start took longer than the lowest one of its worker (so that neither far workers nor single slow ones count). The limit begins at 16, doubles per tick while answers show no load (slow start), is halved at an overload (8 at least; for starts 512 at most), once in 3 ticks since earlier calls are still slow, and grows by a quarter, 16 at most, afterwards: within 4 s from the lowest limit to the highest in the test. If starts are slow at the lowest limit for five ticks, their workers are the cause, and the lowest latencies are measured anew.

--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -20,10 +20,13 @@
 type startReturned struct {
 	start   cell.SendStart
 	outcome cell.StartOutcome
+	// latency is how long the call took.
+	latency time.Duration
 }
 
 func (e startReturned) apply(o *Owner, now time.Time) {
-	o.starts.returned(runKey{e.start.Worker, e.start.Task, e.start.Run})
+	end := startEnd{unsent: e.outcome.NotSent, answered: !e.outcome.Unknown, latency: e.latency}
+	o.starts.returned(runKey{e.start.Worker, e.start.Task, e.start.Run}, end)
 	if e.outcome.Unknown {
 		o.cell.StartOverdue(e.start.Worker)
 	}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -37,6 +37,10 @@
 	// startTakes is the latency of a start, and runTakes how long a task runs.
 	startTakes time.Duration
 	runTakes   time.Duration
+	// linkTakes is how long the owner's link takes for a start, and linkFree when it has
+	// sent the earlier ones.
+	linkTakes time.Duration
+	linkFree  time.Time
 	// stopTakes is the latency of a stop.
 	stopTakes time.Duration
 	// connectTakes is the time until a stop, a change of pace or a maintenance
@@ -303,7 +307,18 @@
 func (p *fakePlatform) startLatency() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.startTakes
+	if p.linkTakes == 0 {
+		return p.startTakes
+	}
+	p.linkFree = latest(p.linkFree, time.Now()).Add(p.linkTakes)
+	return time.Until(p.linkFree) + p.startTakes
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Stop counts the stops of each run and ends the run.
--- a/internal/owner/limiter.go
+++ b/internal/owner/limiter.go
@@ -3,50 +3,102 @@
 import "time"
 
 const (
-	// minStartsInFlight and maxStartsInFlight bound the limit of starts without a
-	// response.
-	minStartsInFlight = 64
-	maxStartsInFlight = 512
-	startLimitStep    = 16
-	// minOrdersInFlight and maxOrdersInFlight bound the limit of stops and changes of
-	// pace without a response.
-	minOrdersInFlight = 32
-	maxOrdersInFlight = 256
-	orderLimitStep    = 8
-	// limitDivisor divides a limit when the host is overloaded.
-	limitDivisor = 2
-	// idleTickDelay is the delay of a tick below which the host has processor time
-	// to spare, and overloadTickDelay the delay at which it has too little.
-	idleTickDelay     = 10 * time.Millisecond
-	overloadTickDelay = 50 * time.Millisecond
+	// initialStartsInFlight is the first limit of starts without a response, and
+	// minStartsInFlight and maxStartsInFlight bound it.
+	initialStartsInFlight = 16
+	minStartsInFlight     = 8
+	maxStartsInFlight     = 512
+	startLimitStep        = 16
+	// initialOrdersInFlight is the first limit of stops and changes of pace without a
+	// response, and minOrdersInFlight and maxOrdersInFlight bound it.
+	initialOrdersInFlight = 32
+	minOrdersInFlight     = 8
+	maxOrdersInFlight     = 256
+	orderLimitStep        = 8
+	// limitDivisor divides a limit when the host is overloaded, and slowStartFactor
+	// multiplies it until then.
+	limitDivisor    = 2
+	slowStartFactor = 2
+	// growthDivisor gives the increase of a limit as a part of it.
+	growthDivisor = 4
+	// limitHold is the number of ticks after a decrease in which the latencies are
+	// still those of calls sent before it.
+	limitHold = 3
 )
 
-// limiter adapts a limit of calls in flight to the load of this host (additive
-// increase, multiplicative decrease). Calls to distant workers are in flight for
-// longer, so a fixed limit would bound their rate. On an overloaded host, further
-// calls would only wait for the processor, and the workers would appear not to
-// respond.
+// limiter adapts a limit of calls in flight to the load of this host. The limit grows
+// exponentially up to the first overload (slow start), and from then on by additive
+// increase and multiplicative decrease. Calls to distant workers are in flight for longer, so a
+// fixed limit would bound their rate. On an overloaded host, further calls would only
+// wait for the processor or the link, and the workers would appear not to respond.
 type limiter struct {
 	limit int
-	// lowest and highest bound the limit, and step is added to it at a tick.
+	// lowest and highest bound the limit, and step is the largest increase at a tick.
 	lowest, highest, step int
+	// overloaded is set from the first overload on.
+	overloaded bool
+	// hold is the number of ticks until the limit may fall again.
+	hold int
 }
 
 func newStartLimiter() limiter {
-	return limiter{limit: minStartsInFlight, lowest: minStartsInFlight, highest: maxStartsInFlight, step: startLimitStep}
+	return limiter{limit: initialStartsInFlight, lowest: minStartsInFlight, highest: maxStartsInFlight, step: startLimitStep}
 }
 
 func newOrderLimiter() limiter {
-	return limiter{limit: minOrdersInFlight, lowest: minOrdersInFlight, highest: maxOrdersInFlight, step: orderLimitStep}
+	return limiter{limit: initialOrdersInFlight, lowest: minOrdersInFlight, highest: maxOrdersInFlight, step: orderLimitStep}
 }
 
-// observe takes the delay with which the event loop received a tick, and the number of
-// calls in flight. A limit that is not reached stays.
-func (l *limiter) observe(delay time.Duration, inFlight int) {
+// observe takes the load of this host at a tick, the largest number of calls in flight
+// since the last tick, and the number of answers. A limit that is not reached stays, and
+// without an answer nothing shows that the host can bear more.
+func (l *limiter) observe(load hostLoad, inFlight, answers int) {
+	l.hold = max(l.hold-1, 0)
 	switch {
-	case delay >= overloadTickDelay:
+	case load == hostOverloaded && l.hold == 0:
+		l.overloaded = true
+		l.hold = limitHold
 		l.limit = max(l.limit/limitDivisor, l.lowest)
-	case delay <= idleTickDelay && inFlight >= l.limit:
-		l.limit = min(l.limit+l.step, l.highest)
+	case load != hostIdle || inFlight < l.limit || answers == 0:
+	case l.overloaded:
+		l.limit = min(l.limit+min(l.step, max(l.limit/growthDivisor, 1)), l.highest)
+	default:
+		l.limit = min(l.limit*slowStartFactor, l.highest)
+	}
+}
+
+// hostLoad is the load of this host's processor and link.
+type hostLoad int
+
+const (
+	// hostIdle means that there is capacity for more calls.
+	hostIdle hostLoad = iota
+	// hostBusy means that there is capacity for the present calls.
+	hostBusy
+	// hostOverloaded means that calls wait for this host.
+	hostOverloaded
+)
+
+const (
+	// idleTickDelay is the delay of a tick, and local delay between two ticks, below
+	// which the host has processor time to spare, and overloadTickDelay the one at
+	// which it has too little.
+	idleTickDelay     = 10 * time.Millisecond
+	overloadTickDelay = 50 * time.Millisecond
+	// idleExcess is the median excess latency of starts below which they do not wait
+	// for this host, and overloadExcess the one at which they do.
+	idleExcess     = 50 * time.Millisecond
+	overloadExcess = 100 * time.Millisecond
+)
+
+// loadOf returns the load that the delay of a tick and the excess latencies of starts
+// show. Starts to single workers that are slow do not change the median.
+func loadOf(delay, excess time.Duration) hostLoad {
+	switch {
+	case delay >= overloadTickDelay || excess >= overloadExcess:
+		return hostOverloaded
+	case delay <= idleTickDelay && excess <= idleExcess:
+		return hostIdle
 	}
+	return hostBusy
 }
--- a/internal/owner/limiter_test.go
+++ b/internal/owner/limiter_test.go
@@ -3,35 +3,103 @@
 import (
 	"testing"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
 )
 
-// The limit must rise only while it is reached and the host has processor time to
-// spare, and fall fast when it has none.
+// The limit must rise only while it is reached and the host has capacity to spare, fast
+// until the first overload and slowly afterwards, and fall fast when it has none.
 func TestStartLimiter(t *testing.T) {
 	const ms = time.Millisecond
 	l := newStartLimiter()
 	for i, c := range []struct {
 		delay    time.Duration
+		excess   time.Duration
 		inFlight int
+		answers  int
 		limit    int
 	}{
-		{0, 10, 64},
-		{0, 64, 80},
-		{5 * ms, 80, 96},
-		{20 * ms, 96, 96},
-		{0, 90, 96},
-		{0, 96, 112},
-		{60 * ms, 112, 64},
-		{200 * ms, 64, 64},
+		{0, 0, 10, 1, 16},
+		{0, 0, 16, 1, 32},
+		{5 * ms, 0, 32, 1, 64},
+		{0, 0, 64, 0, 64},
+		{20 * ms, 0, 64, 1, 64},
+		{0, 60 * ms, 64, 1, 64},
+		{0, 0, 60, 1, 64},
+		{0, 0, 64, 1, 128},
+		{60 * ms, 0, 128, 1, 64},
+		{200 * ms, 0, 64, 1, 64}, // sent before the decrease
+		{200 * ms, 0, 64, 1, 64},
+		{0, 120 * ms, 64, 1, 32},
+		{0, 0, 32, 1, 40},
+		{0, 0, 32, 1, 40},
+		{0, 0, 40, 1, 50},
 	} {
-		if l.observe(c.delay, c.inFlight); l.limit != c.limit {
+		if l.observe(loadOf(c.delay, c.excess), c.inFlight, c.answers); l.limit != c.limit {
 			t.Errorf("step %d: limit %d, want %d", i, l.limit, c.limit)
 		}
 	}
 	for range 100 {
-		l.observe(0, l.limit)
+		l.observe(hostOverloaded, l.limit, l.limit)
+	}
+	if l.limit != minStartsInFlight {
+		t.Errorf("the limit is %d after a long overload, want %d", l.limit, minStartsInFlight)
+	}
+	// Normal service has to return within seconds once the load falls.
+	for range 4 * time.Second / tickInterval {
+		l.observe(hostIdle, l.limit, l.limit)
 	}
 	if l.limit != maxStartsInFlight {
-		t.Errorf("the limit is %d after a long time without overload, want %d", l.limit, maxStartsInFlight)
+		t.Errorf("the limit is %d 4 s after the overload, want %d", l.limit, maxStartsInFlight)
+	}
+}
+
+// Workers that are far away, and single slow ones, must not look like an overloaded host.
+func TestExcessLatencyTellsTheHostFromItsWorkers(t *testing.T) {
+	near, far, slow := cell.WorkerID("near"), cell.WorkerID("far"), cell.WorkerID("slow")
+	const ms = time.Millisecond
+	l := newLatencyTracker()
+	starts := func(latencies map[cell.WorkerID]time.Duration) time.Duration {
+		for range 4 {
+			for id, latency := range latencies {
+				l.note(id, latency, latency < orderTimeout)
+			}
+		}
+		excess, _ := l.take()
+		return excess
+	}
+	starts(map[cell.WorkerID]time.Duration{near: 3 * ms, far: 90 * ms, slow: 5 * ms})
+	for _, c := range []struct {
+		name      string
+		latencies map[cell.WorkerID]time.Duration
+		load      hostLoad
+	}{
+		{"far workers", map[cell.WorkerID]time.Duration{near: 4 * ms, far: 95 * ms}, hostIdle},
+		{"one silent worker", map[cell.WorkerID]time.Duration{near: 4 * ms, far: 95 * ms, slow: 350 * ms}, hostIdle},
+		{"all wait", map[cell.WorkerID]time.Duration{near: 150 * ms, far: 240 * ms, slow: 350 * ms}, hostOverloaded},
+		{"too few starts", nil, hostIdle},
+	} {
+		if got := loadOf(0, starts(c.latencies)); got != c.load {
+			t.Errorf("%s: load %d, want %d", c.name, got, c.load)
+		}
+	}
+}
+
+// Workers that all become slow must not keep the limit at its lowest.
+func TestSlowWorkersDoNotKeepTheLimitLow(t *testing.T) {
+	starts, l := newStartTracker(), newStartLimiter()
+	for tick := range 60 {
+		latency := 20 * time.Millisecond
+		if tick >= 10 {
+			latency = 300 * time.Millisecond
+		}
+		for i := range l.limit {
+			starts.latency.note(workerID(i%20), latency, true)
+		}
+		starts.peak = l.limit
+		starts.tick(0, &l)
+	}
+	if l.limit <= initialStartsInFlight {
+		t.Errorf("the limit is %d, 5 s after all workers have become slow", l.limit)
 	}
 }
--- a/internal/owner/orderqueue.go
+++ b/internal/owner/orderqueue.go
@@ -77,6 +77,9 @@
 	overdue int
 	// limiter limits the orders in flight to workers that answer.
 	limiter limiter
+	// peak is the largest number of orders in flight to workers that answer since the
+	// last tick, and answers the number of answers.
+	peak, answers int
 	// longest is the longest wait since stats was last called.
 	longest time.Duration
 }
@@ -151,6 +154,7 @@
 	l.inFlight = append(l.inFlight, n)
 	g.waiting--
 	g.inFlight++
+	q.peak = max(q.peak, q.answering.inFlight)
 	q.enterTurns(l)
 	waited := now.Sub(n.queued)
 	q.longest = max(q.longest, waited)
@@ -174,6 +178,7 @@
 func (q *orderQueue) answered(id cell.WorkerID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.answers++
 	l := q.lanes[id]
 	q.regroup(id, l, false)
 	l.limit = min(l.limit+1, maxOrdersPerWorker)
@@ -230,17 +235,14 @@
 	q.group(l).inFlight -= change
 }
 
-// tick adapts the limit to the delay of a tick of the event loop, notes which orders
-// are overdue, and forgets silent workers that are not known any longer.
-func (q *orderQueue) tick(delay, elapsed time.Duration, known func(id cell.WorkerID) bool) {
+// tick adapts the limit to the load of this host and notes which orders are overdue.
+func (q *orderQueue) tick(load hostLoad, elapsed time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limiter.observe(delay, q.answering.inFlight)
-	for id, l := range q.lanes {
+	q.limiter.observe(load, q.peak, q.answers)
+	q.peak, q.answers = q.answering.inFlight, 0
+	for _, l := range q.lanes {
 		if l.silent {
-			if !known(id) {
-				q.regroup(id, l, false)
-			}
 			continue
 		}
 		for _, n := range l.inFlight {
@@ -251,6 +253,18 @@
 	}
 }
 
+// retain takes silent workers that are not known any longer to answer, so that their
+// lanes do not remain.
+func (q *orderQueue) retain(known func(id cell.WorkerID) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id, l := range q.lanes {
+		if l.silent && !known(id) {
+			q.regroup(id, l, false)
+		}
+	}
+}
+
 // stats returns the number of orders that wait, and the longest wait since stats was
 // last called.
 func (q *orderQueue) stats() (waiting int, longest time.Duration) {
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -75,12 +75,23 @@
 	}
 }
 
-// tickOrders adapts the limit of orders in flight to the delay of a tick, and makes room
-// for other orders if some are overdue.
-func (o *Owner) tickOrders(delay time.Duration) {
-	o.orders.tick(delay, o.callClock.elapsed(), func(id cell.WorkerID) bool {
-		_, known := o.cell.Addr(id)
-		return known
-	})
+// tickLimits adapts the limits of calls in flight to the load of this host, and makes
+// room for other orders if some are overdue.
+func (o *Owner) tickLimits(delay time.Duration) {
+	localDelay := o.callClock.localDelay()
+	delay = max(delay, localDelay-o.tickedDelay)
+	o.tickedDelay = localDelay
+	load := o.starts.tick(delay, &o.startLimiter)
+	o.orders.tick(load, o.callClock.elapsed())
 	o.sendOrders()
 }
+
+// forgetWorkers drops what is kept of workers that are not known any longer.
+func (o *Owner) forgetWorkers() {
+	known := func(id cell.WorkerID) bool {
+		_, ok := o.cell.Addr(id)
+		return ok
+	}
+	o.orders.retain(known)
+	o.starts.latency.retain(known)
+}
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -149,3 +149,24 @@
 		}
 	})
 }
+
+// 600 tasks are to be started over a link that takes 10 ms for each start. Starts must not
+// time out in the queue of this link and be repeated, which would take longer again.
+func TestABurstOfStartsDoesNotTimeOutOnItsOwnLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks, linkTakes = 600, 10 * time.Millisecond
+		p := newFakePlatform(100)
+		p.linkTakes, p.runTakes = linkTakes, time.Minute
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(2 * time.Second)
+		acceptSized(o, 0, 1, tasks, job.Size{MilliCores: 10_000})
+		time.Sleep(2 * tasks * linkTakes)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if len(p.started) != tasks || len(p.stops) > tasks/10 {
+			t.Errorf("%d of %d tasks were started in twice the time that the link takes, and %d starts were repeated",
+				len(p.started), tasks, len(p.stops))
+		}
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,10 +137,12 @@
 	starts       startTracker
 	startLimiter limiter
 	// callClock measures the local delay and the timeouts of calls to workers, which
-	// callStats counts. reportedDelay and reportedTimeouts have been reported.
+	// callStats counts. reportedDelay and reportedTimeouts have been reported, and
+	// tickedDelay is the local delay up to the last tick.
 	callClock        *callClock
 	callStats        *callStats
 	reportedDelay    time.Duration
+	tickedDelay      time.Duration
 	reportedTimeouts map[callKind]timeoutCount
 	// pendingStops holds the runs whose stop is queued or in flight. wantedPaces
 	// holds the latest pace that was requested for each run whose change of pace is
@@ -325,9 +327,7 @@
 			o.applyOrDefer(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
 		case due := <-tick.C:
-			delay := o.timers.Now().Sub(due)
-			o.startLimiter.observe(delay, o.starts.counted())
-			o.tickOrders(delay)
+			o.tickLimits(o.timers.Now().Sub(due))
 			o.load.begin(o.timers.Now())
 			o.tick(o.timers.Now())
 		}
@@ -348,6 +348,7 @@
 	if !now.Before(o.reportAt) {
 		o.reportAt = now.Add(reportInterval)
 		o.reportLoad(now)
+		o.forgetWorkers()
 		o.expire(now)
 	}
 }
--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -45,10 +45,11 @@
 	o.starts.sent(runKey{s.Worker, s.Task, s.Run}, o.callClock.elapsed())
 	addr, ok := o.cell.Addr(s.Worker)
 	if !ok {
-		o.put(startReturned{s, cell.StartOutcome{NotSent: true}})
+		o.put(startReturned{start: s, outcome: cell.StartOutcome{NotSent: true}})
 		return
 	}
 	o.metrics.starts.Inc(1)
+	sent := o.timers.Now()
 	o.calls.Go(func() {
 		ctx, end := o.beginCall(callStart, orderTimeout)
 		defer end()
@@ -60,7 +61,7 @@
 		if outcome.Refused == cell.RefusedFence {
 			o.endFenced("start", s.Worker)
 		}
-		o.put(startReturned{s, outcome})
+		o.put(startReturned{s, outcome, o.timers.Now().Sub(sent)})
 	})
 }
 
