Handle reports and hold calls before starts and other events

Cause: the answer to a hold call waited in the event queue behind everything else, and the next hold call, which renews the lease, followed only after all starts of the decision were under way. An owner that is behind by seconds let the leases of workers that answer expire, and what ran on them was started again.

The results of hold calls have a queue of their own, which the event loop empties before each other event; a decision makes the hold calls that are due first, then sends at most 16 starts, and goes on with the next ones after the events that are queued by then, so that answers to hold calls are handled in between.

The new test failed before: 5 s after the start the leases had expired, with 6 s of queued events. go test ./internal/owner -race -cpu 1 passes.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -25,12 +25,14 @@
 }
 
 // limitStarts tells the cell how many more starts may be sent now, and which workers have
-// an overdue one.
-func (o *Owner) limitStarts() {
+// an overdue one. It returns the number.
+func (o *Owner) limitStarts() int {
 	for _, id := range o.starts.findOverdue(o.callClock.elapsed()) {
 		o.cell.StartOverdue(id)
 	}
-	o.cell.LimitStarts(o.startLimiter.limit - o.starts.counted())
+	limit := min(o.startLimiter.limit-o.starts.counted(), maxStartsPerDecision)
+	o.cell.LimitStarts(limit)
+	return limit
 }
 
 // order makes a call to a worker in a goroutine of its own, once the limits of orders
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -105,6 +105,9 @@
 	tickInterval = 100 * time.Millisecond
 	// reportInterval is the interval at which load and backlog are reported.
 	reportInterval = time.Second
+	// maxStartsPerDecision limits the starts that are sent in one iteration of the event
+	// loop, so that the answers to hold calls are handled between them.
+	maxStartsPerDecision = 16
 	// maxEventsPerDecision limits the queued events that are applied before the
 	// cell decides.
 	maxEventsPerDecision = 256
@@ -130,6 +133,11 @@
 	cell     *cell.Cell
 	recovery recovery
 	events   *ring.Ring[event]
+	// reports holds the results of hold calls, which go before other events: a lease is
+	// renewed only once the last report of its worker has been applied.
+	reports *ring.Ring[event]
+	// moreStarts has a value while the cell has further starts that may be sent.
+	moreStarts chan struct{}
 	// orders is the queue of the orders to workers, that is stops and changes of
 	// pace, but not of the maintenance orders. starts counts the starts that have no
 	// response yet.
@@ -217,8 +225,8 @@
 		config: config, initial: tenure, takeoverStart: now, ports: ports, store: ports.Store, workers: ports.Workers, registrations: ports.Registrations, timers: timers,
 		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Row.Epoch)),
 		metrics: metrics,
-		events:  ring.New[event](eventQueueSize),
-		orders:  newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
+		events:  ring.New[event](eventQueueSize), reports: ring.New[event](eventQueueSize), moreStarts: make(chan struct{}, 1),
+		orders: newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		holdLoops:  make(map[cell.WorkerID]*holdLoop),
 		rowVersion: tenure.Version, storeClock: tenure.Row.WrittenAfter, transactionNumber: tenure.Row.TransactionNumber, renewAt: now.Add(config.RenewEvery),
@@ -322,10 +330,18 @@
 		case <-o.ctx.Done():
 			o.calls.Wait()
 			return
-		case e := <-o.events.C():
+		case e := <-o.reports.C():
 			o.load.begin(o.timers.Now())
 			o.applyOrDefer(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
+		case e := <-o.events.C():
+			o.load.begin(o.timers.Now())
+			o.load.events += 1 + o.applyReports()
+			o.applyOrDefer(e, o.timers.Now())
+			o.load.events += o.applyQueued()
+		case <-o.moreStarts:
+			o.load.begin(o.timers.Now())
+			o.load.events += o.applyQueued()
 		case due := <-tick.C:
 			o.tickLimits(o.timers.Now().Sub(due))
 			o.load.begin(o.timers.Now())
@@ -353,13 +369,29 @@
 	}
 }
 
-// applyQueued applies events that are queued already, at most maxEventsPerDecision,
-// and returns their number.
+// applyQueued applies events that are queued already, reports first, at most
+// maxEventsPerDecision, and returns their number.
 func (o *Owner) applyQueued() int {
+	n := o.applyReports()
+	for n < maxEventsPerDecision {
+		select {
+		case e := <-o.events.C():
+			o.applyOrDefer(e, o.timers.Now())
+			n += 1 + o.applyReports()
+		default:
+			return n
+		}
+	}
+	return n
+}
+
+// applyReports applies the reports that are queued already, at most
+// maxEventsPerDecision, and returns their number.
+func (o *Owner) applyReports() int {
 	now := o.timers.Now()
 	for n := range maxEventsPerDecision {
 		select {
-		case e := <-o.events.C():
+		case e := <-o.reports.C():
 			o.applyOrDefer(e, now)
 		default:
 			return n
@@ -368,8 +400,8 @@
 	return maxEventsPerDecision
 }
 
-// decide performs the actions that the cell requests, commits records and makes
-// hold calls. While the store is being read, or when the owner releases the cell,
+// decide makes hold calls, performs the actions that the cell requests and commits
+// records. While the store is being read, or when the owner releases the cell,
 // it only commits.
 func (o *Owner) decide() {
 	// A suspension after this reading of the clock is noted, or extends no lease.
@@ -379,18 +411,41 @@
 		o.commit(now)
 		return
 	}
-	o.limitStarts()
 	o.cell.SetConfirmedAt(now.Add(-o.sinceConfirmed()))
+	o.startHoldCalls(now)
+	o.performActions(now)
+	o.commit(now)
+}
+
+// performActions performs the actions that the cell requests, with a limited number of
+// starts. If more may be sent, the event loop continues with them after the events that
+// are queued by then.
+func (o *Owner) performActions(now time.Time) {
+	limit := o.limitStarts()
+	starts := 0
 	for _, a := range o.cell.TakeActions(now) {
+		if _, is := a.(cell.SendStart); is {
+			starts++
+		}
 		o.perform(a)
 	}
-	o.commit(now)
-	o.startHoldCalls(now)
+	if starts < limit || limit < maxStartsPerDecision {
+		return
+	}
+	select {
+	case o.moreStarts <- struct{}{}:
+	default:
+	}
 }
 
 // put enqueues an event for the event loop, and blocks while the queue is full.
 func (o *Owner) put(e event) {
-	if err := o.events.Put(o.ctx, e); err != nil {
+	queue := o.events
+	switch e.(type) {
+	case reported, holdFailed, reportReceived:
+		queue = o.reports
+	}
+	if err := queue.Put(o.ctx, e); err != nil {
 		o.log.Debug("event dropped, the owner is ending", zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/owner/renewal_test.go
@@ -0,0 +1,26 @@
+package owner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// An owner whose event loop is behind by 6 s must renew the leases of workers that answer.
+func TestRenewalsDoNotWaitBehindOtherEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(4)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(2 * time.Second)
+		for range 6000 {
+			o.put(loopFunc(func(*Owner) { time.Sleep(time.Millisecond) }))
+		}
+		for range 5 {
+			time.Sleep(time.Second)
+			if p.longestLease() < p.clock() {
+				t.Fatalf("%v after the start the leases have expired", p.clock())
+			}
+		}
+	})
+}
