--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -106,6 +106,9 @@
 	tickInterval = 100 * time.Millisecond
 	// reportInterval is the interval at which load and backlog are reported.
 	reportInterval = time.Second
+	// maxStartsPerDecision limits the starts that are sent in one iteration of the event
+	// loop, so that the answers to hold calls are handled between them.
+	maxStartsPerDecision = 16
 	// maxEventsPerDecision limits the queued events that are applied before the
 	// cell decides.
 	maxEventsPerDecision = 256
@@ -131,6 +134,11 @@
 	cell     *cell.Cell
 	recovery recovery
 	events   *ring.Ring[queuedEvent]
+	// reports holds the results of hold calls, which go before other events: a lease is
+	// renewed only once the last report of its worker has been applied.
+	reports *ring.Ring[queuedEvent]
+	// moreStarts has a value while the cell has further starts that may be sent.
+	moreStarts chan struct{}
 	// orders is the queue of the orders to workers, that is stops and changes of
 	// pace, but not of the maintenance orders. starts counts the starts that have no
 	// response yet.
@@ -226,8 +234,8 @@
 		config: config, initial: tenure, takeoverStart: now, ports: ports, store: ports.Store, workers: ports.Workers, registrations: ports.Registrations, timers: timers,
 		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Row.Epoch)),
 		metrics: metrics,
-		events:  ring.New[queuedEvent](eventQueueSize),
-		orders:  newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
+		events:  ring.New[queuedEvent](eventQueueSize), reports: ring.New[queuedEvent](eventQueueSize), moreStarts: make(chan struct{}, 1),
+		orders: newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		holdLoops: make(map[cell.WorkerID]*holdLoop),
 		committer: newCommitter(now, tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
@@ -346,12 +354,21 @@
 			e.apply(o, o.timers.Now())
 			o.markLoad(activityCommits)
 			o.load.events++
-		case e := <-o.events.C():
+		case e := <-o.reports.C():
 			o.load.begin(o.timers.Now())
 			o.applyOutcome()
-			o.markLoad(activityCommits)
-			o.applyArrived(e, o.timers.Now())
+			o.applyReport(e, o.timers.Now())
 			o.load.events += 1 + o.applyQueued()
+		case e := <-o.events.C():
+			o.load.begin(o.timers.Now())
+			o.applyOutcome()
+			o.load.events += 1 + o.applyReports()
+			o.applyEvent(e, o.timers.Now())
+			o.load.events += o.applyQueued()
+		case <-o.moreStarts:
+			o.load.begin(o.timers.Now())
+			o.applyOutcome()
+			o.load.events += o.applyQueued()
 		case due := <-tick.C:
 			delay := o.timers.Now().Sub(due)
 			o.tickLimits(delay)
@@ -393,16 +410,33 @@
 		o.load.events++
 	default:
 	}
+	o.markLoad(activityCommits)
 }
 
-// applyQueued applies events that are queued already, at most maxEventsPerDecision,
-// and returns their number.
+// applyQueued applies events that are queued already, reports first, at most
+// maxEventsPerDecision, and returns their number.
 func (o *Owner) applyQueued() int {
+	n := o.applyReports()
+	for n < maxEventsPerDecision {
+		select {
+		case e := <-o.events.C():
+			o.applyEvent(e, o.timers.Now())
+			n += 1 + o.applyReports()
+		default:
+			return n
+		}
+	}
+	return n
+}
+
+// applyReports applies the reports that are queued already, at most
+// maxEventsPerDecision, and returns their number.
+func (o *Owner) applyReports() int {
 	now := o.timers.Now()
 	for n := range maxEventsPerDecision {
 		select {
-		case e := <-o.events.C():
-			o.applyArrived(e, now)
+		case e := <-o.reports.C():
+			o.applyReport(e, now)
 		default:
 			return n
 		}
@@ -416,9 +450,13 @@
 	o.cell.SetDelay(min(o.delay.Recent(now), o.config.Cell.Lease))
 }
 
-// applyArrived applies an event from the queue, and records how long it has waited.
-func (o *Owner) applyArrived(e queuedEvent, now time.Time) {
+// applyReport applies the result of a hold call, and records how long it has waited.
+func (o *Owner) applyReport(e queuedEvent, now time.Time) {
 	o.delay.Observe(now, now.Sub(e.at))
+	o.applyEvent(e, now)
+}
+
+func (o *Owner) applyEvent(e queuedEvent, now time.Time) {
 	o.applyOrDefer(e.event, now)
 	o.markLoad(activityOf(e.event))
 }
@@ -435,21 +473,44 @@
 		return
 	}
 	o.reportDelay(now)
+	o.cell.SetConfirmedAt(now.Add(-o.sinceConfirmed()))
 	o.startHoldCalls(now)
 	o.markLoad(activityHolds)
-	o.limitStarts()
-	o.cell.SetConfirmedAt(now.Add(-o.sinceConfirmed()))
-	for _, a := range o.cell.TakeActions(now) {
-		o.perform(a)
-	}
+	o.performActions(now)
 	o.markLoad(activityDecisions)
 	o.commit(now)
 	o.markLoad(activityCommits)
 }
 
+// performActions performs the actions that the cell requests, with a limited number of
+// starts. If more may be sent, the event loop continues with them after the events that
+// are queued by then.
+func (o *Owner) performActions(now time.Time) {
+	limit := o.limitStarts()
+	starts := 0
+	for _, a := range o.cell.TakeActions(now) {
+		if _, is := a.(cell.SendStart); is {
+			starts++
+		}
+		o.perform(a)
+	}
+	if starts < limit || limit < maxStartsPerDecision {
+		return
+	}
+	select {
+	case o.moreStarts <- struct{}{}:
+	default:
+	}
+}
+
 // put enqueues an event for the event loop, and blocks while the queue is full.
 func (o *Owner) put(e event) {
-	if err := o.events.Put(o.ctx, queuedEvent{e, o.timers.Now()}); err != nil {
+	queue := o.events
+	switch e.(type) {
+	case reported, holdFailed, reportReceived:
+		queue = o.reports
+	}
+	if err := queue.Put(o.ctx, queuedEvent{e, o.timers.Now()}); err != nil {
 		o.log.Debug("event dropped, the owner is ending", zap.Error(err))
 	}
 }
