Do not block the event loop on its own full queue

Cause: a start to a worker without an address put its result into the event queue from the event loop itself. With 8,192 events queued, as an overloaded owner may have, it waited for ever for the space that only it can make.

The new test failed before: 8,192 events waited, and the loop did not go on.

--- a/internal/owner/perform.go
+++ b/internal/owner/perform.go
@@ -45,7 +45,8 @@
 	o.starts.sent(runKey{s.Worker, s.Task, s.Run}, o.callClock.elapsed())
 	addr, ok := o.cell.Addr(s.Worker)
 	if !ok {
-		o.put(startReturned{start: s, outcome: cell.StartOutcome{NotSent: true}})
+		// The event loop itself must not wait for space in its queue.
+		o.calls.Go(func() { o.put(startReturned{start: s, outcome: cell.StartOutcome{NotSent: true}}) })
 		return
 	}
 	o.metrics.starts.Inc(1)
