Tell the router of relays when a call is due to end

The owner's calls are cancelled by the call clock, whose contexts have no deadline. The router takes its times from that deadline and fell back to 1 s for every call. A hold call waits 1 s at the worker, so that nothing was left for the answer: owner and relay both gave up at 1 s, the relay was suspected after three such calls, and its workers moved to other relays or to the owner. Stops and starts had 0.85 s at the relay where the owner waits 0.35 s, so that a silent worker was blamed on its relay.

The tests of package relay set deadlines of their own and did not see it.

The call clock now states when a call is due to end, without a deadline that would end it there: time in which this host is late still does not count. A real deadline was ruled out, as the dialer would enforce it.

TestRelayedHoldOutlastsItsWait failed before (the relay was given 1s for a hold of 1s), and passes now, with the tests of packages relay and timer and the owner's late-host tests.

--- a/internal/owner/callclock.go
+++ b/internal/owner/callclock.go
@@ -115,6 +115,7 @@
 func (c *callClock) begin(ctx context.Context, timeout time.Duration) (context.Context, *timedCall) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := c.timers.Now()
+	ctx = timer.WithSoftDeadline(ctx, now.Add(timeout))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	begun := c.delay + c.pending(now)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -10,6 +10,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
 const (
@@ -31,9 +32,9 @@
 	maxHoldRelays = 2
 )
 
-// timeLeft returns the time until the deadline of a context.
+// timeLeft returns the time until a call is due to end.
 func (r *Router) timeLeft(ctx context.Context) time.Duration {
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := timer.SoftDeadline(ctx); ok {
 		return time.Until(deadline)
 	}
 	return defaultTimeout
