Name the parts of relays and the owner as a newcomer reads them

No behaviour, wire name, metric or log key changes, but one log line ("look failed" is "request report failed").

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -119,12 +119,12 @@
 	// SinceRenewal is the time since the last renewal, as reported by an owner that
 	// cannot renew its row; 0 if the owner in the row has reported none.
 	SinceRenewal time.Duration
-	// PingTime is how long the owner took of late to answer pings. It extends the
+	// PingTime is how long the owner has recently taken to answer pings. It extends the
 	// timeout: an owner that answers late is busy, and renews its row late as well.
 	PingTime time.Duration
-	// HostDelay is by how much the timers of this host were late of late. It extends
-	// the timeout, since answers of the owner may wait here for as long.
-	HostDelay time.Duration
+	// LocalDelay is by how much the timers of this host have recently fired late. It
+	// extends the timeout, since answers of the owner may wait here for as long.
+	LocalDelay time.Duration
 	// ProcessExited is set when the owner's process is known to have exited.
 	ProcessExited bool
 	// ShortTenures is the number of consecutive short tenures before this owner.
@@ -145,7 +145,7 @@
 	}
 	d.lastClock = s.Clock
 	timeout := max(extendedTimeout(d.timeout, seen.ShortTenures), minTimeoutPerLatency*seen.ReadLatency)
-	timeout += min(seen.PingTime, maxPingExtension) + seen.HostDelay
+	timeout += min(seen.PingTime, maxPingExtension) + seen.LocalDelay
 	return d.unchanged(now, s) >= timeout || d.staleFor(timeout, s)
 }
 
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -61,9 +61,9 @@
 			{1600 * time.Millisecond, 5, election.Observation{PingTime: time.Minute}, true},
 		}},
 		{"a host that is slow itself", []ownerRead{
-			{0, 5, election.Observation{HostDelay: 3 * time.Second}, false},
-			{3900 * time.Millisecond, 5, election.Observation{HostDelay: 3 * time.Second}, false},
-			{4 * time.Second, 5, election.Observation{HostDelay: 3 * time.Second}, true},
+			{0, 5, election.Observation{LocalDelay: 3 * time.Second}, false},
+			{3900 * time.Millisecond, 5, election.Observation{LocalDelay: 3 * time.Second}, false},
+			{4 * time.Second, 5, election.Observation{LocalDelay: 3 * time.Second}, true},
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/host/contact.go
+++ b/internal/host/contact.go
@@ -17,7 +17,7 @@
 	answered   bool
 	answeredAt time.Time
 	pingTime   time.Duration
-	// slowest is the longest pingTime of late. It decays with each answer.
+	// slowest is the longest recent pingTime. It decays with each answer.
 	slowest time.Duration
 }
 
@@ -33,7 +33,8 @@
 	*c = contact{epoch: epoch, answered: true, answeredAt: now, pingTime: pingTime, slowest: slowest}
 }
 
-// recentPingTime returns how long the owner in a state took of late to answer pings.
+// recentPingTime returns how long the owner in a state has recently taken to
+// answer pings.
 func (c *contact) recentPingTime(state election.State) time.Duration {
 	if c.epoch != state.Owner.Epoch {
 		return 0
--- a/internal/host/malformed_test.go
+++ b/internal/host/malformed_test.go
@@ -16,9 +16,9 @@
 			message.EncodeHostPing(message.HostPing{Addr: owner.addr, Incarnation: "x"}).Body,
 			message.EncodeJobLookup(message.JobLookup{ID: "00000000000000d1", Queue: "q"}).Body,
 			message.EncodeIntakeNotice(message.IntakeNotice{Job: []byte{0x99, 0x01}}).Body,
-			message.EncodeWorkerHold(message.WorkerHold{WorkerOrder: message.WorkerOrder{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
-			message.EncodeWorkerStart(message.WorkerStart{WorkerOrder: message.WorkerOrder{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
-			message.EncodeWorkerStop(message.WorkerStop{WorkerOrder: message.WorkerOrder{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
+			message.EncodeWorkerHold(message.WorkerHold{WorkerCall: message.WorkerCall{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
+			message.EncodeWorkerStart(message.WorkerStart{WorkerCall: message.WorkerCall{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
+			message.EncodeWorkerStop(message.WorkerStop{WorkerCall: message.WorkerCall{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
 		}
 		for kind := range 256 {
 			for range 200 {
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -113,7 +113,7 @@
 	}
 	observation := h.suspicion.observation(state, latency, begin.Sub(h.lastReadFailure))
 	observation.ProcessExited, observation.ShortTenures = h.hasExited(state.Owner.Incarnation), h.shortTenures()
-	observation.PingTime, observation.HostDelay = h.contact.recentPingTime(state), h.delay.Recent(h.timers.Now())
+	observation.PingTime, observation.LocalDelay = h.contact.recentPingTime(state), h.delay.Recent(h.timers.Now())
 	// If the row names this process, its tenure has ended without a release, so
 	// no other host has to be suspected first.
 	if namesThisProcess || h.detector.TakeoverDue(h.timers.Now(), state, observation) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -187,9 +187,9 @@
 }
 
 // TestStoreHealth checks that, while a call is overdue and once one has had no
-// answer, no request is sent to the store until a probe has been answered, since the outcome of the request
-// would be unknown. A store that rejects calls gets one request per trialInterval
-// as a trial.
+// answer, no request is sent to the store until a probe has been answered, since the
+// outcome of the request would be unknown. A store that rejects calls gets one request
+// per trialInterval as a trial.
 func TestStoreHealth(t *testing.T) {
 	now := time.Unix(0, 0)
 	h := newStoreHealth()
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -41,15 +41,15 @@
 	checkRoundTrip(t, CellLookup{Job: id}, EncodeCellLookup, DecodeCellLookup)
 	checkRoundTrip(t, CellLookupReply{Document: []byte("d")}, EncodeCellLookupReply, DecodeCellLookupReply)
 	task := workload.TaskID{StepID: step, Index: 3}
-	order := WorkerOrder{Epoch: 1, Timeout: time.Second, Addr: addr}
-	checkRoundTrip(t, WorkerHold{WorkerOrder: order, Request: cell.HoldRequest{
+	order := WorkerCall{Epoch: 1, Timeout: time.Second, Addr: addr}
+	checkRoundTrip(t, WorkerHold{WorkerCall: order, Request: cell.HoldRequest{
 		Worker: "w", Addr: addr, Deadline: time.Minute, Acknowledged: 4, Wait: time.Second, EndsPending: true,
 	}}, EncodeWorkerHold, DecodeWorkerHold)
-	checkRoundTrip(t, WorkerStart{WorkerOrder: order, SpecSum: 6, Start: cell.SendStart{
+	checkRoundTrip(t, WorkerStart{WorkerCall: order, SpecSum: 6, Start: cell.SendStart{
 		Worker: "w", Task: task, Run: 5, Spec: "s", Deadline: time.Minute, Ticket: "t", Checkpoint: "c",
 	}}, EncodeWorkerStart, DecodeWorkerStart)
-	checkRoundTrip(t, WorkerStop{WorkerOrder: order, Stop: cell.SendStop{Worker: "w", Task: task, Run: 5}}, EncodeWorkerStop, DecodeWorkerStop)
-	checkRoundTrip(t, WorkerPace{WorkerOrder: order, Pace: cell.SetPace{Worker: "w", Task: task, Run: 5, Percent: 6}}, EncodeWorkerPace, DecodeWorkerPace)
+	checkRoundTrip(t, WorkerStop{WorkerCall: order, Stop: cell.SendStop{Worker: "w", Task: task, Run: 5}}, EncodeWorkerStop, DecodeWorkerStop)
+	checkRoundTrip(t, WorkerPace{WorkerCall: order, Pace: cell.SetPace{Worker: "w", Task: task, Run: 5, Percent: 6}}, EncodeWorkerPace, DecodeWorkerPace)
 	result := WorkerResult{Failure: WorkerSilent, Error: "e"}
 	checkRoundTrip(t, WorkerReport{WorkerResult: result, Report: cell.Report{
 		Incarnation: 1, Clock: time.Minute, EndsTruncated: true,
--- a/internal/message/cellworker.go
+++ b/internal/message/cellworker.go
@@ -9,9 +9,9 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// WorkerOrder is the common part of the calls that the owner passes to a relay, which
+// WorkerCall is the common part of the calls that the owner passes to a relay, which
 // is a host that makes them to a worker for the owner.
-type WorkerOrder struct {
+type WorkerCall struct {
 	// Epoch is the owner's epoch, which is the fencing token of the call.
 	Epoch uint64
 	// Timeout is how long the worker may take.
@@ -22,13 +22,13 @@
 
 // WorkerHold asks a relay to make a hold call. WorkerReport answers it.
 type WorkerHold struct {
-	WorkerOrder
+	WorkerCall
 	Request cell.HoldRequest
 }
 
 // WorkerStart asks a relay to start a run. WorkerStarted answers it.
 type WorkerStart struct {
-	WorkerOrder
+	WorkerCall
 	Start cell.SendStart
 	// SpecSum is a hash of the spec. With it, the spec is left out if the relay has
 	// had it with an earlier start of the job; 0 means that the spec is not kept.
@@ -37,13 +37,13 @@
 
 // WorkerStop asks a relay to stop a run. WorkerDone answers it.
 type WorkerStop struct {
-	WorkerOrder
+	WorkerCall
 	Stop cell.SendStop
 }
 
 // WorkerPace asks a relay to set the pace of a run. WorkerDone answers it.
 type WorkerPace struct {
-	WorkerOrder
+	WorkerCall
 	Pace cell.SetPace
 }
 
@@ -91,23 +91,23 @@
 	Clock time.Duration
 }
 
-type workerOrderWire struct {
+type workerCallWire struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Epoch    uint64
 	Timeout  time.Duration
 	Addr     []byte
 }
 
-// toWire encodes the order. The address is a list of bytes, which is shorter than
+// toWire encodes the common part. The address is a list of bytes, which is shorter than
 // its text and faster to decode.
-func (m *WorkerOrder) toWire() workerOrderWire {
+func (m *WorkerCall) toWire() workerCallWire {
 	addr, _ := m.Addr.MarshalBinary() // never fails
-	return workerOrderWire{Epoch: m.Epoch, Timeout: m.Timeout, Addr: addr}
+	return workerCallWire{Epoch: m.Epoch, Timeout: m.Timeout, Addr: addr}
 }
 
-// fromWire decodes the order. A malformed address gives the zero value.
-func (w *workerOrderWire) fromWire() WorkerOrder {
-	out := WorkerOrder{Epoch: w.Epoch, Timeout: w.Timeout}
+// fromWire decodes the common part. A malformed address gives the zero value.
+func (w *workerCallWire) fromWire() WorkerCall {
+	out := WorkerCall{Epoch: w.Epoch, Timeout: w.Timeout}
 	if err := out.Addr.UnmarshalBinary(w.Addr); err != nil {
 		out.Addr = netip.AddrPort{}
 	}
@@ -133,7 +133,7 @@
 
 type workerHoldWire struct {
 	_msgpack     struct{} `msgpack:",as_array"`
-	Order        workerOrderWire
+	Order        workerCallWire
 	Worker       string
 	Deadline     time.Duration
 	Acknowledged int64
@@ -152,7 +152,7 @@
 	},
 	fromWire: func(w workerHoldWire) WorkerHold {
 		order := w.Order.fromWire()
-		return WorkerHold{WorkerOrder: order, Request: cell.HoldRequest{
+		return WorkerHold{WorkerCall: order, Request: cell.HoldRequest{
 			Worker: cell.WorkerID(w.Worker), Addr: order.Addr, Deadline: w.Deadline, Acknowledged: w.Acknowledged, Wait: w.Wait,
 			EndsPending: w.EndsPending,
 		}}
@@ -168,7 +168,7 @@
 
 type workerStartWire struct {
 	_msgpack   struct{} `msgpack:",as_array"`
-	Order      workerOrderWire
+	Order      workerCallWire
 	Worker     string
 	Task       taskWire
 	Run        int
@@ -189,7 +189,7 @@
 		}
 	},
 	fromWire: func(w workerStartWire) WorkerStart {
-		return WorkerStart{WorkerOrder: w.Order.fromWire(), SpecSum: w.SpecSum, Start: cell.SendStart{
+		return WorkerStart{WorkerCall: w.Order.fromWire(), SpecSum: w.SpecSum, Start: cell.SendStart{
 			Worker: cell.WorkerID(w.Worker), Task: w.Task.task(), Run: w.Run, Spec: w.Spec, Deadline: w.Deadline,
 			Ticket: w.Ticket, Checkpoint: w.Checkpoint,
 		}}
@@ -205,7 +205,7 @@
 
 type workerStopWire struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Order    workerOrderWire
+	Order    workerCallWire
 	Worker   string
 	Task     taskWire
 	Run      int
@@ -220,7 +220,7 @@
 	},
 	fromWire: func(w workerStopWire) WorkerStop {
 		stop := cell.SendStop{Worker: cell.WorkerID(w.Worker), Task: w.Task.task(), Run: w.Run}
-		return WorkerStop{WorkerOrder: w.Order.fromWire(), Stop: stop}
+		return WorkerStop{WorkerCall: w.Order.fromWire(), Stop: stop}
 	},
 }
 
@@ -239,7 +239,7 @@
 	},
 	fromWire: func(w workerStopWire) WorkerPace {
 		pace := cell.SetPace{Worker: cell.WorkerID(w.Worker), Task: w.Task.task(), Run: w.Run, Percent: w.Percent}
-		return WorkerPace{WorkerOrder: w.Order.fromWire(), Pace: pace}
+		return WorkerPace{WorkerCall: w.Order.fromWire(), Pace: pace}
 	},
 }
 
--- a/internal/owner/committer.go
+++ b/internal/owner/committer.go
@@ -25,10 +25,10 @@
 	// lateRenewal is the time without a renewal above which it is logged. Hosts then
 	// take over unless the owner answers their pings.
 	lateRenewal = 600 * time.Millisecond
-	// maxRoundTime is how long the event loop may take for an iteration while the row
+	// maxIterationTime is how long the event loop may take for an iteration while the row
 	// is still renewed. An owner that decides nothing for longer has to be replaced
 	// before the leases of its workers expire.
-	maxRoundTime = 1 * time.Second
+	maxIterationTime = 1 * time.Second
 )
 
 // committer writes the transactions of an owner, one at a time, in a goroutine of
@@ -116,7 +116,7 @@
 // names, to which alone early starts may have been sent.
 func (o *Owner) renew(c *committer) {
 	c.renewAt = o.timers.Now().Add(renewalGrace)
-	if c.releasing || o.sinceDecision() > maxRoundTime {
+	if c.releasing || o.sinceDecision() > maxIterationTime {
 		return
 	}
 	if err := o.write(c, rowstore.Transaction{}, c.earlyStartWorkers, false); err != nil {
--- a/internal/owner/committer_test.go
+++ b/internal/owner/committer_test.go
@@ -104,7 +104,7 @@
 		defer o.Close()
 		time.Sleep(time.Second)
 		o.put(loopFunc(func(*Owner) { time.Sleep(10 * time.Second) }))
-		time.Sleep(maxRoundTime + ownerTimeout)
+		time.Sleep(maxIterationTime + ownerTimeout)
 		if gap := p.longestRenewalGap(5 * time.Second); gap < 5*time.Second-time.Millisecond {
 			t.Errorf("the row was renewed after %v", gap)
 		}
@@ -125,8 +125,8 @@
 		defer o.Close()
 		time.Sleep(time.Second)
 		_, before := p.ownerRow()
-		o.put(loopFunc(func(*Owner) { time.Sleep(maxRoundTime) }))
-		time.Sleep(maxRoundTime)
+		o.put(loopFunc(func(*Owner) { time.Sleep(maxIterationTime) }))
+		time.Sleep(maxIterationTime)
 		if row, version := p.ownerRow(); version == before || !slices.Equal(row.EarlyStartWorkers, p.inherited) {
 			t.Errorf("version %d after %d names %v; want %v", version, before, row.EarlyStartWorkers, p.inherited)
 		}
@@ -144,11 +144,11 @@
 		p.hang(true)
 		o.put(releaseRequested{})
 		time.Sleep(commitTimeout - 100*time.Millisecond)
-		o.put(loopFunc(func(*Owner) { time.Sleep(maxRoundTime) }))
+		o.put(loopFunc(func(*Owner) { time.Sleep(maxIterationTime) }))
 		time.Sleep(150 * time.Millisecond)
 		_, before := p.ownerRow()
 		p.hang(false)
-		time.Sleep(maxRoundTime - 200*time.Millisecond)
+		time.Sleep(maxIterationTime - 200*time.Millisecond)
 		if _, version := p.ownerRow(); version != before {
 			t.Error("the row was renewed although it may have been released")
 		}
@@ -190,14 +190,14 @@
 		if late := logs.FilterMessage("the row was renewed late").Len(); late > 0 {
 			t.Errorf("an idle owner renewed its row late %d times", late)
 		}
-		o.put(loopFunc(func(*Owner) { time.Sleep(2 * maxRoundTime) }))
-		time.Sleep(3 * maxRoundTime)
+		o.put(loopFunc(func(*Owner) { time.Sleep(2 * maxIterationTime) }))
+		time.Sleep(3 * maxIterationTime)
 		late := logs.FilterMessage("the row was renewed late").All()
 		if len(late) == 0 {
 			t.Fatal("a late renewal was not logged")
 		}
 		known := late[0].ContextMap()
-		if since, ok := known["Unrenewed"].(time.Duration); !ok || since < maxRoundTime {
+		if since, ok := known["Unrenewed"].(time.Duration); !ok || since < maxIterationTime {
 			t.Errorf("logged %v", known)
 		}
 	})
--- a/internal/owner/firstholds.go
+++ b/internal/owner/firstholds.go
@@ -10,9 +10,9 @@
 const (
 	// maxFirstHolds limits the first hold calls without an answer.
 	maxFirstHolds = 64
-	// firstHoldPatience is how long a first hold call counts, so that workers that do
+	// firstHoldTimeout is how long a first hold call counts, so that workers that do
 	// not answer delay the others no longer.
-	firstHoldPatience = 100 * time.Millisecond
+	firstHoldTimeout = 100 * time.Millisecond
 )
 
 // firstHolds paces the first hold calls to the workers. A new owner would otherwise
@@ -42,7 +42,7 @@
 // mayBegin reports whether the first call of another loop may begin.
 func (f *firstHolds) mayBegin(now time.Time) bool {
 	f.unanswered = slices.DeleteFunc(f.unanswered, func(h *holdLoop) bool {
-		return h.answered || now.Sub(h.begunAt) >= firstHoldPatience
+		return h.answered || now.Sub(h.begunAt) >= firstHoldTimeout
 	})
 	return len(f.unanswered) < maxFirstHolds
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -75,7 +75,7 @@
 		defer end()
 		report, err := o.workers.Hold(ctx, request, o.Epoch())
 		if err != nil {
-			o.handleFailure("look", id, err)
+			o.handleFailure("request report", id, err)
 			return
 		}
 		o.put(reportReceived{id, report})
--- a/internal/owner/orderqueue.go
+++ b/internal/owner/orderqueue.go
@@ -35,27 +35,27 @@
 	call    func(ctx context.Context) error
 }
 
-// orderLane holds the orders to one worker, which are sent in order.
-type orderLane struct {
+// workerQueue holds the orders to one worker, which are sent in order.
+type workerQueue struct {
 	waiting  []*order
 	inFlight []*order
 	// limit limits the orders in flight. It rises with each answer.
 	limit int
 	// silent is set while the worker has not answered its last order or hold call.
 	silent bool
-	// inTurns is set while the lane is in the turns of its group.
+	// inTurns is set while the queue is in the turns of its group.
 	inTurns bool
 }
 
 // ready reports whether the next order may be sent as far as its worker is concerned.
-func (l *orderLane) ready() bool {
+func (l *workerQueue) ready() bool {
 	return len(l.waiting) > 0 && len(l.inFlight) < l.limit
 }
 
 // orderGroup holds the orders to the workers that answer, or to those that are silent.
 type orderGroup struct {
-	// turns holds the lanes that are ready, in the order of their turns.
-	turns   []*orderLane
+	// turns holds the queues that are ready, in the order of their turns.
+	turns   []*workerQueue
 	waiting int
 	// inFlight does not count overdue orders.
 	inFlight int
@@ -69,8 +69,8 @@
 	metrics *ownerMetrics
 
 	mu sync.Mutex
-	// lanes holds the lanes of silent workers, and those with orders.
-	lanes     map[cell.WorkerID]*orderLane
+	// queues holds the queues of silent workers, and those with orders.
+	queues    map[cell.WorkerID]*workerQueue
 	answering orderGroup
 	silent    orderGroup
 	// overdue counts the overdue orders of workers that are not silent yet.
@@ -85,29 +85,29 @@
 }
 
 func newOrderQueue(metrics *ownerMetrics) *orderQueue {
-	return &orderQueue{metrics: metrics, lanes: make(map[cell.WorkerID]*orderLane), limiter: newOrderLimiter()}
+	return &orderQueue{metrics: metrics, queues: make(map[cell.WorkerID]*workerQueue), limiter: newOrderLimiter()}
 }
 
-// group returns the group of a lane.
-func (q *orderQueue) group(l *orderLane) *orderGroup {
+// group returns the group of a queue.
+func (q *orderQueue) group(l *workerQueue) *orderGroup {
 	if l.silent {
 		return &q.silent
 	}
 	return &q.answering
 }
 
-// lane returns the lane of a worker, which may be new.
-func (q *orderQueue) lane(id cell.WorkerID) *orderLane {
-	l, ok := q.lanes[id]
+// queueOf returns the queue of a worker, which may be new.
+func (q *orderQueue) queueOf(id cell.WorkerID) *workerQueue {
+	l, ok := q.queues[id]
 	if !ok {
-		l = &orderLane{limit: minOrdersPerWorker}
-		q.lanes[id] = l
+		l = &workerQueue{limit: minOrdersPerWorker}
+		q.queues[id] = l
 	}
 	return l
 }
 
-// enterTurns gives a lane its turn if it has become ready.
-func (q *orderQueue) enterTurns(l *orderLane) {
+// enterTurns gives a queue its turn if it has become ready.
+func (q *orderQueue) enterTurns(l *workerQueue) {
 	g := q.group(l)
 	if l.ready() && !l.inTurns {
 		l.inTurns = true
@@ -115,10 +115,10 @@
 	}
 }
 
-// dropIdle removes the lane of a worker that answers and has no orders.
-func (q *orderQueue) dropIdle(id cell.WorkerID, l *orderLane) {
+// dropIdle removes the queue of a worker that answers and has no orders.
+func (q *orderQueue) dropIdle(id cell.WorkerID, l *workerQueue) {
 	if !l.silent && len(l.waiting) == 0 && len(l.inFlight) == 0 {
-		delete(q.lanes, id)
+		delete(q.queues, id)
 	}
 }
 
@@ -126,7 +126,7 @@
 func (q *orderQueue) add(n *order) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.lane(n.worker)
+	l := q.queueOf(n.worker)
 	l.waiting = append(l.waiting, n)
 	q.group(l).waiting++
 	q.enterTurns(l)
@@ -166,7 +166,7 @@
 func (q *orderQueue) done(n *order) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.lanes[n.worker]
+	l := q.queues[n.worker]
 	l.inFlight = slices.DeleteFunc(l.inFlight, func(other *order) bool { return other == n })
 	q.noteOverdue(l, n, false)
 	q.group(l).inFlight--
@@ -179,7 +179,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answers++
-	l := q.lanes[id]
+	l := q.queues[id]
 	q.regroup(id, l, false)
 	l.limit = min(l.limit+1, maxOrdersPerWorker)
 	q.enterTurns(l)
@@ -189,13 +189,13 @@
 func (q *orderQueue) setSilent(id cell.WorkerID, silent bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, known := q.lanes[id]; known || silent {
-		q.regroup(id, q.lane(id), silent)
+	if _, known := q.queues[id]; known || silent {
+		q.regroup(id, q.queueOf(id), silent)
 	}
 }
 
-// regroup moves a lane to the group of workers that are silent, or that answer.
-func (q *orderQueue) regroup(id cell.WorkerID, l *orderLane, silent bool) {
+// regroup moves a queue to the group of workers that are silent, or that answer.
+func (q *orderQueue) regroup(id cell.WorkerID, l *workerQueue, silent bool) {
 	if l.silent == silent {
 		return
 	}
@@ -211,7 +211,7 @@
 	to := q.group(l)
 	if l.inTurns {
 		l.inTurns = false
-		from.turns = slices.DeleteFunc(from.turns, func(other *orderLane) bool { return other == l })
+		from.turns = slices.DeleteFunc(from.turns, func(other *workerQueue) bool { return other == l })
 	}
 	from.waiting -= len(l.waiting)
 	from.inFlight -= len(l.inFlight)
@@ -222,7 +222,7 @@
 }
 
 // noteOverdue records whether an order in flight is overdue.
-func (q *orderQueue) noteOverdue(l *orderLane, n *order, overdue bool) {
+func (q *orderQueue) noteOverdue(l *workerQueue, n *order, overdue bool) {
 	if n.overdue == overdue {
 		return
 	}
@@ -241,7 +241,7 @@
 	defer q.mu.Unlock()
 	q.limiter.observe(load, q.peak, q.answers)
 	q.peak, q.answers = q.answering.inFlight, 0
-	for _, l := range q.lanes {
+	for _, l := range q.queues {
 		if l.silent {
 			continue
 		}
@@ -254,11 +254,11 @@
 }
 
 // retain takes silent workers that are not known any longer to answer, so that their
-// lanes do not remain.
+// queues do not remain.
 func (q *orderQueue) retain(known func(id cell.WorkerID) bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for id, l := range q.lanes {
+	for id, l := range q.queues {
 		if l.silent && !known(id) {
 			q.regroup(id, l, false)
 		}
@@ -289,7 +289,7 @@
 	defer q.mu.Unlock()
 	answering = groupStats{waiting: q.answering.waiting, inFlight: q.answering.inFlight, overdue: q.overdue}
 	silent = groupStats{waiting: q.silent.waiting, inFlight: q.silent.inFlight}
-	for _, l := range q.lanes {
+	for _, l := range q.queues {
 		if len(l.waiting) == 0 {
 			continue
 		}
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -117,7 +117,7 @@
 		p.mu.Unlock()
 		time.Sleep(8 * time.Second)
 		o.put(loopFunc(func(o *Owner) {
-			if waiting, _ := o.orders.stats(); waiting > 0 || len(o.pendingStops) > 0 || len(o.orders.lanes) > 0 {
+			if waiting, _ := o.orders.stats(); waiting > 0 || len(o.pendingStops) > 0 || len(o.orders.queues) > 0 {
 				t.Errorf("%d stops wait after all workers have answered, %d have not ended", waiting, len(o.pendingStops))
 			}
 		}))
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -110,12 +110,12 @@
 type rowLoader struct {
 	cell          *cell.Cell
 	registrations Registrations
-	rejected      *rejectedEntries
+	rejected      *malformedRegistrations
 	log           *zap.Logger
 }
 
 func (o *Owner) rowLoader(c *cell.Cell) rowLoader {
-	return rowLoader{cell: c, registrations: o.registrations, rejected: &o.rejectedEntries, log: o.log}
+	return rowLoader{cell: c, registrations: o.registrations, rejected: &o.malformedRegistrations, log: o.log}
 }
 
 func (l rowLoader) loadJobs(now time.Time, rows []rowstore.Row) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -24,9 +24,9 @@
 	orderShare = 0.85
 	// defaultTimeout is the time for a call whose context has no deadline.
 	defaultTimeout = 1 * time.Second
-	// localDelay is how late this process may notice that an answer is overdue. Beyond
-	// that it lacks processor time itself, and the answer may wait for it.
-	localDelay = 50 * time.Millisecond
+	// deadlineTolerance is by how much this process may notice the end of a timeout late.
+	// Beyond that it lacks processor time itself, and the answer may wait unread.
+	deadlineTolerance = 50 * time.Millisecond
 	// maxHoldRelays is the number of relays that a hold call is made through before
 	// the owner makes it itself.
 	maxHoldRelays = 2
@@ -50,12 +50,12 @@
 		if err == nil || errors.Is(err, cell.ErrFenced) || ctx.Err() != nil {
 			return report, err
 		}
-		if !certain(err) {
+		if !hadNoEffect(err) {
 			request = readOnly(request)
 		}
-		next := r.other(request.Worker, relay)
+		next := r.alternative(request.Worker, relay)
 		if workerFailed(err) {
-			r.detour(request.Worker, relay)
+			r.avoid(request.Worker, relay)
 			if next == nil || attempt == maxHoldRelays {
 				return report, err
 			}
@@ -63,7 +63,7 @@
 		relay = next
 	}
 	r.metrics.direct.Inc(1)
-	return r.local.Hold(ctx, request, epoch)
+	return r.direct.Hold(ctx, request, epoch)
 }
 
 // workerFailed reports whether a relay did not reach the worker.
@@ -88,8 +88,8 @@
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+share(margin, relayShare))
 	defer cancel()
 	defer context.AfterFunc(outstanding, cancel)()
-	order := message.WorkerOrder{Epoch: epoch, Timeout: request.Wait + share(margin, workerShare), Addr: request.Addr}
-	reply, err := r.ask(ctx, relay, message.EncodeWorkerHold(message.WorkerHold{WorkerOrder: order, Request: request}))
+	common := message.WorkerCall{Epoch: epoch, Timeout: request.Wait + share(margin, workerShare), Addr: request.Addr}
+	reply, err := r.ask(ctx, relay, message.EncodeWorkerHold(message.WorkerHold{WorkerCall: common, Request: request}))
 	if err != nil {
 		return cell.Report{}, err
 	}
@@ -116,7 +116,7 @@
 		relay.misses.Store(0)
 		return reply, nil
 	}
-	if deadline, ok := ctx.Deadline(); !ok || time.Since(deadline) < localDelay {
+	if deadline, ok := ctx.Deadline(); !ok || time.Since(deadline) < deadlineTolerance {
 		r.missed(relay, err)
 	}
 	kind := KindRelaySilent
@@ -155,7 +155,7 @@
 	var outcome cell.StartOutcome
 	err := r.order(ctx, s.Worker, func(relay *relayState) (err error) {
 		if relay == nil {
-			outcome, err = r.local.Start(ctx, to, s, epoch)
+			outcome, err = r.direct.Start(ctx, to, s, epoch)
 			return err
 		}
 		outcome, err = r.relayedStart(ctx, relay, to, s, epoch)
@@ -176,13 +176,13 @@
 		m, err = r.askStart(ctx, relay, to, call, epoch)
 	}
 	if err != nil {
-		return cell.StartOutcome{NotSent: certain(err), Unknown: !certain(err)}, err
+		return cell.StartOutcome{NotSent: hadNoEffect(err), Unknown: !hadNoEffect(err)}, err
 	}
 	err = r.result(op, m.WorkerResult)
 	if err != nil && !m.Outcome.NotSent && m.Outcome.Refused == "" {
 		m.Outcome.Unknown = true
 	}
-	if certain(err) && !m.Outcome.NotSent {
+	if hadNoEffect(err) && !m.Outcome.NotSent {
 		err = fault.New(op, KindWorkerSilent, "%s", m.Error)
 	}
 	return m.Outcome, err
@@ -192,7 +192,7 @@
 func (r *Router) askStart(
 	ctx context.Context, relay *relayState, to netip.AddrPort, call message.WorkerStart, epoch uint64,
 ) (message.WorkerStarted, error) {
-	call.WorkerOrder = r.workerOrder(ctx, to, epoch)
+	call.WorkerCall = r.workerCall(ctx, to, epoch)
 	reply, err := r.ask(ctx, relay, message.EncodeWorkerStart(call))
 	if err != nil {
 		return message.WorkerStarted{}, err
@@ -204,9 +204,9 @@
 	return m, nil
 }
 
-// workerOrder returns the common part of an order that is passed to a relay.
-func (r *Router) workerOrder(ctx context.Context, to netip.AddrPort, epoch uint64) message.WorkerOrder {
-	return message.WorkerOrder{Epoch: epoch, Timeout: share(r.timeLeft(ctx), orderShare), Addr: to}
+// workerCall returns the common part of an order that is passed to a relay.
+func (r *Router) workerCall(ctx context.Context, to netip.AddrPort, epoch uint64) message.WorkerCall {
+	return message.WorkerCall{Epoch: epoch, Timeout: share(r.timeLeft(ctx), orderShare), Addr: to}
 }
 
 // order makes an order through the relay of a worker, and in one other way if the
@@ -215,10 +215,10 @@
 	relay := r.route(id)
 	if relay != nil {
 		err := call(relay)
-		if err == nil || !certain(err) || ctx.Err() != nil {
+		if err == nil || !hadNoEffect(err) || ctx.Err() != nil {
 			return err
 		}
-		relay = r.other(id, relay)
+		relay = r.alternative(id, relay)
 	}
 	if relay == nil {
 		r.metrics.direct.Inc(1)
@@ -231,11 +231,11 @@
 	var clock time.Duration
 	err := r.order(ctx, s.Worker, func(relay *relayState) (err error) {
 		if relay == nil {
-			clock, err = r.local.Stop(ctx, to, s, epoch)
+			clock, err = r.direct.Stop(ctx, to, s, epoch)
 			return err
 		}
-		order := r.workerOrder(ctx, to, epoch)
-		clock, err = r.command(ctx, relay, "stop", message.EncodeWorkerStop(message.WorkerStop{WorkerOrder: order, Stop: s}))
+		common := r.workerCall(ctx, to, epoch)
+		clock, err = r.command(ctx, relay, "stop", message.EncodeWorkerStop(message.WorkerStop{WorkerCall: common, Stop: s}))
 		return err
 	})
 	return clock, err
@@ -245,10 +245,10 @@
 func (r *Router) SetPace(ctx context.Context, to netip.AddrPort, p cell.SetPace, epoch uint64) error {
 	return r.order(ctx, p.Worker, func(relay *relayState) error {
 		if relay == nil {
-			return r.local.SetPace(ctx, to, p, epoch)
+			return r.direct.SetPace(ctx, to, p, epoch)
 		}
-		order := r.workerOrder(ctx, to, epoch)
-		_, err := r.command(ctx, relay, "set pace", message.EncodeWorkerPace(message.WorkerPace{WorkerOrder: order, Pace: p}))
+		common := r.workerCall(ctx, to, epoch)
+		_, err := r.command(ctx, relay, "set pace", message.EncodeWorkerPace(message.WorkerPace{WorkerCall: common, Pace: p}))
 		return err
 	})
 }
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -47,5 +47,5 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// certain reports whether a call that failed has certainly had no effect.
-func certain(err error) bool { return fault.Is(err, KindRefused) || fault.Is(err, KindNotSent) }
+// hadNoEffect reports whether a call that failed has certainly had no effect.
+func hadNoEffect(err error) bool { return fault.Is(err, KindRefused) || fault.Is(err, KindNotSent) }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -36,9 +36,9 @@
 	suspectBackoff    = 2 * time.Second
 	maxSuspectBackoff = 16 * time.Second
 	forgiveAfter      = 60 * time.Second
-	// detourTime is how long the calls to a worker avoid a relay through which the
+	// avoidDuration is how long the calls to a worker avoid a relay through which the
 	// worker did not answer.
-	detourTime = 5 * time.Second
+	avoidDuration = 5 * time.Second
 	// forgetWorkerAfter is the time after its last call at which a worker is removed.
 	forgetWorkerAfter = time.Minute
 )
@@ -56,7 +56,7 @@
 // Router makes the calls of the owner to workers, each through the relay of its
 // worker if there is one.
 type Router struct {
-	local   Workers
+	direct  Workers
 	peers   Peers
 	members Members
 	timers  timer.Service
@@ -100,7 +100,7 @@
 	// outstanding ends when the relay is suspected or lost. The hold calls in progress
 	// are then made through another one.
 	outstanding context.Context
-	fail        context.CancelFunc
+	cancelHolds context.CancelFunc
 	// specs holds which specs the relay has been sent.
 	specs *specCache
 }
@@ -141,14 +141,14 @@
 	}
 }
 
-// NewRouter returns a router and starts to observe the hosts. local makes the calls to
-// workers without a relay.
+// NewRouter returns a router and starts to observe the hosts. direct makes the calls
+// that go through no relay.
 func NewRouter(
-	local Workers, peers Peers, members Members, timers timer.Service, scope tally.Scope, log *zap.Logger,
+	direct Workers, peers Peers, members Members, timers timer.Service, scope tally.Scope, log *zap.Logger,
 ) *Router {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Router{
-		local: local, peers: peers, members: members, timers: timers, log: log.Named("relay"), metrics: newRouterMetrics(scope),
+		direct: direct, peers: peers, members: members, timers: timers, log: log.Named("relay"), metrics: newRouterMetrics(scope),
 		cancel: cancel, done: make(chan struct{}), relays: make(map[netip.AddrPort]*relayState),
 		workers: make(map[cell.WorkerID]*workerState), refreshed: timers.Now(), version: 1,
 	}
@@ -177,7 +177,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.relays {
-		s.fail()
+		s.cancelHolds()
 	}
 }
 
@@ -232,21 +232,21 @@
 	return nil
 }
 
-// other returns another relay for a worker, or nil if there is none.
-func (r *Router) other(id cell.WorkerID, than *relayState) *relayState {
+// alternative returns a relay for a worker other than the given one, or nil if there is none.
+func (r *Router) alternative(id cell.WorkerID, failed *relayState) *relayState {
 	r.metrics.retried.Inc(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pick(id, r.worker(id).dataCentre, than)
+	return r.pick(id, r.worker(id).dataCentre, failed)
 }
 
-// detour makes the next calls to a worker avoid a relay through which the worker did
+// avoid makes the next calls to a worker avoid a relay through which the worker did
 // not answer, since their link may be cut.
-func (r *Router) detour(id cell.WorkerID, relay *relayState) {
+func (r *Router) avoid(id cell.WorkerID, relay *relayState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.worker(id)
-	w.avoid, w.avoidUntil, w.version = relay, r.timers.Now().Add(detourTime), 0
+	w.avoid, w.avoidUntil, w.version = relay, r.timers.Now().Add(avoidDuration), 0
 }
 
 // refresh reads which hosts are alive, and chooses the relays among them.
@@ -275,7 +275,7 @@
 			delete(r.workers, id)
 		}
 	}
-	r.rechoose()
+	r.chooseRelays()
 }
 
 // join records that a host is alive.
@@ -283,11 +283,11 @@
 	s, known := r.relays[h.Addr]
 	if !known {
 		s = &relayState{addr: h.Addr, specs: newSpecCache()}
-		s.outstanding, s.fail = context.WithCancel(context.Background())
+		s.outstanding, s.cancelHolds = context.WithCancel(context.Background())
 		r.relays[h.Addr] = s
 	}
 	if !s.alive && s.outstanding.Err() != nil && !now.Before(s.suspectedUntil) {
-		s.outstanding, s.fail = context.WithCancel(context.Background())
+		s.outstanding, s.cancelHolds = context.WithCancel(context.Background())
 	}
 	if !s.alive {
 		s.misses.Store(0)
@@ -301,7 +301,7 @@
 	switch {
 	case s.alive && !alive && !now.Before(r.graceUntil):
 		s.alive = false
-		s.fail()
+		s.cancelHolds()
 		r.log.Warn("relay is lost: it does not ping the owner", zap.Stringer("Relay", addr))
 	case !s.alive && !now.Before(s.suspectedUntil) && now.Sub(s.suspectedAt) > forgiveAfter:
 		delete(r.relays, addr)
@@ -309,7 +309,7 @@
 		s.suspectedUntil = time.Time{}
 		s.misses.Store(0)
 		if s.outstanding.Err() != nil {
-			s.outstanding, s.fail = context.WithCancel(context.Background())
+			s.outstanding, s.cancelHolds = context.WithCancel(context.Background())
 		}
 		r.log.Info("relay is used again", zap.Stringer("Relay", addr))
 	}
@@ -318,8 +318,8 @@
 // usable reports whether a relay gets calls.
 func (s *relayState) usable() bool { return s.alive && s.suspectedUntil.IsZero() }
 
-// rechoose chooses the relays of each data centre. The caller holds the lock.
-func (r *Router) rechoose() {
+// chooseRelays chooses the relays of each data centre. The caller holds the lock.
+func (r *Router) chooseRelays() {
 	hosts, workers := make(map[string][]Host), make(map[string]int)
 	count := 0
 	for _, s := range r.relays {
@@ -379,8 +379,8 @@
 		s.backoff = suspectBackoff
 	}
 	s.suspectedAt, s.suspectedUntil = now, now.Add(s.backoff)
-	s.fail()
+	s.cancelHolds()
 	r.metrics.suspects.Inc(1)
 	r.log.Warn("relay is suspected", zap.Stringer("Relay", s.addr), zap.Duration("Backoff", s.backoff), zap.Error(cause))
-	r.rechoose()
+	r.chooseRelays()
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -64,7 +64,7 @@
 // Hold makes a hold call. An error means that the call was certainly not sent.
 func (s *Server) Hold(ctx context.Context, m message.WorkerHold) (message.WorkerReport, error) {
 	var out message.WorkerReport
-	err := s.make(ctx, s.holds, m.WorkerOrder, &out.WorkerResult, func(ctx context.Context) (err error) {
+	err := s.make(ctx, s.holds, m.WorkerCall, &out.WorkerResult, func(ctx context.Context) (err error) {
 		out.Report, err = s.workers.Hold(ctx, m.Request, m.Epoch)
 		return err
 	})
@@ -78,7 +78,7 @@
 		out.Failure, out.Outcome.NotSent = message.WorkerNeedsSpec, true
 		return out, nil
 	}
-	err := s.make(ctx, s.orders, m.WorkerOrder, &out.WorkerResult, func(ctx context.Context) (err error) {
+	err := s.make(ctx, s.orders, m.WorkerCall, &out.WorkerResult, func(ctx context.Context) (err error) {
 		out.Outcome, err = s.workers.Start(ctx, m.Addr, m.Start, m.Epoch)
 		return err
 	})
@@ -88,7 +88,7 @@
 // Stop makes a stop. An error means that the call was certainly not sent.
 func (s *Server) Stop(ctx context.Context, m message.WorkerStop) (message.WorkerDone, error) {
 	var out message.WorkerDone
-	err := s.make(ctx, s.orders, m.WorkerOrder, &out.WorkerResult, func(ctx context.Context) (err error) {
+	err := s.make(ctx, s.orders, m.WorkerCall, &out.WorkerResult, func(ctx context.Context) (err error) {
 		out.Clock, err = s.workers.Stop(ctx, m.Addr, m.Stop, m.Epoch)
 		return err
 	})
@@ -98,7 +98,7 @@
 // SetPace sets a pace. An error means that the call was certainly not sent.
 func (s *Server) SetPace(ctx context.Context, m message.WorkerPace) (message.WorkerDone, error) {
 	var out message.WorkerDone
-	err := s.make(ctx, s.orders, m.WorkerOrder, &out.WorkerResult, func(ctx context.Context) error {
+	err := s.make(ctx, s.orders, m.WorkerCall, &out.WorkerResult, func(ctx context.Context) error {
 		return s.workers.SetPace(ctx, m.Addr, m.Pace, m.Epoch)
 	})
 	return out, err
@@ -106,19 +106,19 @@
 
 // make makes a call if there is a permission and a free slot, and stores its result.
 func (s *Server) make(
-	ctx context.Context, slots chan struct{}, order message.WorkerOrder, result *message.WorkerResult,
+	ctx context.Context, slots chan struct{}, to message.WorkerCall, result *message.WorkerResult,
 	call func(context.Context) error,
 ) error {
-	if err := s.admit(slots, order); err != nil {
+	if err := s.admit(slots, to); err != nil {
 		s.metrics.refused.Inc(1)
 		return err
 	}
 	defer func() { <-slots }()
 	var sent atomic.Bool
-	ctx, cancel := context.WithTimeout(ctx, min(order.Timeout, maxTimeout))
+	ctx, cancel := context.WithTimeout(ctx, min(to.Timeout, maxTimeout))
 	defer cancel()
 	err := call(permit.With(ctx, func() error {
-		err := s.permission.verify(order.Epoch)
+		err := s.permission.verify(to.Epoch)
 		if err == nil {
 			sent.Store(true)
 		}
@@ -141,12 +141,12 @@
 }
 
 // admit takes a slot, or returns why the call is refused.
-func (s *Server) admit(slots chan struct{}, order message.WorkerOrder) error {
+func (s *Server) admit(slots chan struct{}, to message.WorkerCall) error {
 	const op = "relay"
-	if !order.Addr.IsValid() || order.Timeout <= 0 {
-		return fault.New(op, KindRefused, "address %v, timeout %v", order.Addr, order.Timeout)
+	if !to.Addr.IsValid() || to.Timeout <= 0 {
+		return fault.New(op, KindRefused, "address %v, timeout %v", to.Addr, to.Timeout)
 	}
-	if err := s.permission.verify(order.Epoch); err != nil {
+	if err := s.permission.verify(to.Epoch); err != nil {
 		return err
 	}
 	select {
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -14,8 +14,8 @@
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
-func workerOrder(epoch uint64) message.WorkerOrder {
-	return message.WorkerOrder{Epoch: epoch, Timeout: 3 * time.Second, Addr: workerAddr}
+func workerCall(epoch uint64) message.WorkerCall {
+	return message.WorkerCall{Epoch: epoch, Timeout: 3 * time.Second, Addr: workerAddr}
 }
 
 // A relay that was paused must not send a call that it had received before, nor one
@@ -28,7 +28,7 @@
 		s.Grant(fakeEpoch, timers.Latest(), 2*time.Second)
 		result := make(chan message.WorkerStarted, 1)
 		go func() {
-			out, err := s.Start(t.Context(), message.WorkerStart{WorkerOrder: workerOrder(fakeEpoch)})
+			out, err := s.Start(t.Context(), message.WorkerStart{WorkerCall: workerCall(fakeEpoch)})
 			if err != nil {
 				t.Errorf("the start that was admitted: %v", err)
 			}
@@ -39,7 +39,7 @@
 		if out := <-result; out.Failure != message.WorkerNotSent {
 			t.Errorf("the start that waited for its connection: %+v", out)
 		}
-		if _, err := s.Hold(t.Context(), message.WorkerHold{WorkerOrder: workerOrder(fakeEpoch)}); !fault.Is(err, KindRefused) {
+		if _, err := s.Hold(t.Context(), message.WorkerHold{WorkerCall: workerCall(fakeEpoch)}); !fault.Is(err, KindRefused) {
 			t.Errorf("a hold call after the pause: %v", err)
 		}
 		if holds, starts := workers.count(); holds+starts > 0 {
@@ -56,7 +56,7 @@
 		sent := timers.Latest()
 		time.Sleep(3 * time.Second)
 		s.Grant(fakeEpoch, sent, 2*time.Second)
-		if _, err := s.Stop(t.Context(), message.WorkerStop{WorkerOrder: workerOrder(fakeEpoch)}); !fault.Is(err, KindRefused) {
+		if _, err := s.Stop(t.Context(), message.WorkerStop{WorkerCall: workerCall(fakeEpoch)}); !fault.Is(err, KindRefused) {
 			t.Errorf("a stop after the permission: %v", err)
 		}
 	})
@@ -71,7 +71,7 @@
 		s.Grant(fakeEpoch, timers.Latest(), 2*time.Second)
 		s.Grant(fakeEpoch-1, timers.Latest(), time.Hour)
 		for _, epoch := range []uint64{fakeEpoch - 1, fakeEpoch + 1} {
-			if _, err := s.Start(t.Context(), message.WorkerStart{WorkerOrder: workerOrder(epoch)}); !fault.Is(err, KindRefused) {
+			if _, err := s.Start(t.Context(), message.WorkerStart{WorkerCall: workerCall(epoch)}); !fault.Is(err, KindRefused) {
 				t.Errorf("a start of epoch %d: %v", epoch, err)
 			}
 		}
@@ -89,17 +89,17 @@
 		s := NewServer(workers, timers, tally.NoopScope)
 		s.Grant(fakeEpoch, timers.Latest(), time.Hour)
 		for range maxOrders {
-			go func() { _, _ = s.Start(t.Context(), message.WorkerStart{WorkerOrder: workerOrder(fakeEpoch)}) }()
+			go func() { _, _ = s.Start(t.Context(), message.WorkerStart{WorkerCall: workerCall(fakeEpoch)}) }()
 		}
 		time.Sleep(100 * time.Millisecond)
 		begin := time.Now()
-		if _, err := s.Start(t.Context(), message.WorkerStart{WorkerOrder: workerOrder(fakeEpoch)}); !fault.Is(err, KindRefused) || time.Since(begin) > 0 {
+		if _, err := s.Start(t.Context(), message.WorkerStart{WorkerCall: workerCall(fakeEpoch)}); !fault.Is(err, KindRefused) || time.Since(begin) > 0 {
 			t.Errorf("one more start: %v after %v", err, time.Since(begin))
 		}
 		workers.mu.Lock()
 		workers.silent = false
 		workers.mu.Unlock()
-		out, err := s.Hold(context.Background(), message.WorkerHold{WorkerOrder: workerOrder(fakeEpoch), Request: cell.HoldRequest{Worker: "w"}})
+		out, err := s.Hold(context.Background(), message.WorkerHold{WorkerCall: workerCall(fakeEpoch), Request: cell.HoldRequest{Worker: "w"}})
 		if err != nil || out.Failure != message.WorkerAnswered {
 			t.Errorf("a hold call beside the starts: %+v, %v", out, err)
 		}
