Find the queue of a job once a manifest and not once a decision

Cause: Cell.queueOf searched the manifest's queues one by one, and decisions call it for each step that waits, several times.

Change: the cell keeps the queues by name and resolves the queue of each job when a manifest or a job arrives. Manifest.Queue has no other use.

Ruled out: the limits of calls. No call timed out until 26 s.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -85,6 +85,8 @@
 	observer Observer
 	log      *zap.Logger
 	manifest *manifest.Manifest
+	// queues holds the manifest's queues by name.
+	queues map[string]*manifest.Queue
 	// ownedSince is when this owner took over.
 	ownedSince time.Time
 	// predecessorEnded is set when the predecessor's process has certainly
@@ -192,6 +194,16 @@
 		return
 	}
 	c.manifest = m
+	c.queues = make(map[string]*manifest.Queue, len(m.Queues))
+	for i := range m.Queues {
+		q := &m.Queues[i]
+		if _, known := c.queues[q.Name]; !known {
+			c.queues[q.Name] = q
+		}
+	}
+	for _, j := range c.jobs {
+		c.resolveQueue(j)
+	}
 	c.evalQueue.ranksStale = true
 	c.placementPending = true
 }
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -18,6 +19,9 @@
 	return c.hasNextStep() && !c.dispatch.full(now, startOther)
 }
 
+// QueueOf returns the queue that decisions about a job use.
+func (c *Cell) QueueOf(id workload.JobID) manifest.Queue { return *c.queueOf(c.jobs[id]) }
+
 // TickWithoutSweep is Tick without its sweep, so that steps are evaluated only
 // after a change or when one of their timers is due.
 func (c *Cell) TickWithoutSweep(now time.Time) {
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -20,9 +20,12 @@
 
 // jobState is a job and its progress.
 type jobState struct {
-	job   *workload.Job
-	queue manifest.Queue
-	state workload.State
+	job *workload.Job
+	// queue is the manifest's queue of the job, or acceptedQueue if the manifest does
+	// not have it.
+	queue         *manifest.Queue
+	acceptedQueue manifest.Queue
+	state         workload.State
 	// visibleState is the state shown to the clients that submit jobs. A final
 	// state becomes visible only once it is durable.
 	visibleState workload.State
@@ -203,8 +206,9 @@
 		return
 	}
 	j := &jobState{
-		job: &a.Job, queue: a.Queue, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
+		job: &a.Job, acceptedQueue: a.Queue, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
 	}
+	c.resolveQueue(j)
 	c.jobs[a.Job.ID] = j
 	c.pending[a.Job.Queue]++
 	c.unfinishedJobs++
@@ -213,13 +217,16 @@
 
 // queueOf returns the queue of a job: the manifest's, or the queue as of the
 // job's acceptance if the manifest no longer has it.
-func (c *Cell) queueOf(j *jobState) *manifest.Queue {
-	if c.manifest != nil {
-		if q := c.manifest.Queue(j.job.Queue); q != nil {
-			return q
-		}
+func (c *Cell) queueOf(j *jobState) *manifest.Queue { return j.queue }
+
+// resolveQueue finds the queue of a job in the current manifest. Decisions read queues
+// far more often than manifests change, and a manifest may have many queues.
+func (c *Cell) resolveQueue(j *jobState) {
+	if q, ok := c.queues[j.job.Queue]; ok {
+		j.queue = q
+		return
 	}
-	return &j.queue
+	j.queue = &j.acceptedQueue
 }
 
 // createDueOccurrences creates the occurrences that are due by the wall clock.
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -208,8 +208,8 @@
 // accept parses a job. Each line is a step, described by words such as
 // "tasks=2".
 func (s *script) accept(t *testing.T, id, queue, input string) {
-	q := s.manifest.Queue(queue)
-	a := cell.AcceptedJob{Job: workload.Job{ID: workload.JobID(id), Queue: queue, Spec: "spec"}, Queue: *q}
+	q := slices.IndexFunc(s.manifest.Queues, func(q manifest.Queue) bool { return q.Name == queue })
+	a := cell.AcceptedJob{Job: workload.Job{ID: workload.JobID(id), Queue: queue, Spec: "spec"}, Queue: s.manifest.Queues[q]}
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
 		step := workload.Step{
 			Tasks: 1, Size: job.Size{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second,
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -100,13 +100,3 @@
 	}
 	return queue, path[len(queue.Prefix):]
 }
-
-// Queue returns the queue with the given name, or nil.
-func (m *Manifest) Queue(name string) *Queue {
-	for i := range m.Queues {
-		if m.Queues[i].Name == name {
-			return &m.Queues[i]
-		}
-	}
-	return nil
-}
