Ask for advice without a walk over all workers

Change: a list of usable workers serves for 100 ms or until another worker becomes usable; each worker named is checked. Questions take turns over the workers: one begins after the last worker of the previous one, which keeps questions apart as setting workers aside did. Walks end once enough workers are named. A question alone begins with the first worker, as before.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -18,10 +18,8 @@
 	denied     map[WorkerID]bool
 	// askedAt is when the open question was asked; zero if there is none.
 	askedAt time.Time
-	// workersNamed is how many workers the open question names, and limiter is
-	// the limiter that counts it.
-	workersNamed int
-	limiter      *questionLimiter
+	// limiter is the limiter that counts the open question.
+	limiter *questionLimiter
 	// notBefore is the earliest time at which the step may ask again after a
 	// failed question, and backoff is the current delay.
 	notBefore time.Time
@@ -145,13 +143,13 @@
 // ask asks for advice on a step if further advice would help to place its tasks
 // now, and reports whether it asked.
 func (c *Cell) ask(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) bool {
-	workers := c.workersToAsk(now, s, q, usable)
+	workers, last := c.workersToAsk(now, s, q, usable)
 	if len(workers) == 0 {
 		return false
 	}
 	s.advice.askedAt = now
-	s.advice.workersNamed, s.advice.limiter = len(workers), c.limiterFor(q)
-	s.advice.limiter.acquire(len(workers))
+	s.advice.limiter = c.limiterFor(q)
+	s.advice.limiter.acquire(last)
 	c.setTimer(now, s, s.advice.answerDeadline(q))
 	c.emit(AskAdvice{Step: s.id, Workers: workers, Urgent: q.Priority == 0, Cost: q.Advice.Cost(len(workers))})
 	return true
@@ -164,7 +162,7 @@
 	if s.advice.limiter == nil {
 		return
 	}
-	s.advice.limiter.release(s.advice.workersNamed)
+	s.advice.limiter.release()
 	s.advice.limiter = nil
 	c.placementPending = true
 }
--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -50,41 +50,41 @@
 
 // workersToAsk returns the workers to ask about: those with capacity for the
 // waiting tasks, as many as should provide enough of it. Workers that are known
-// to be allowed and only need a new ticket come first. Of the others, as many
-// are set aside as the open questions already name; they are used only if there
-// are not enough without them.
-func (c *Cell) workersToAsk(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) []WorkerID {
+// to be allowed and only need a new ticket come first. The others take turns:
+// last is the last of them, after which the next question begins.
+func (c *Cell) workersToAsk(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) (ids []WorkerID, last WorkerID) {
 	tasks, idleOnly := c.adviceDemand(now, s, q)
 	if tasks == 0 {
-		return nil
+		return nil, ""
 	}
 	out := &candidates{step: s, wanted: float64(tasks) * capacityMargin, share: c.allowedShare(q), idleOnly: idleOnly}
 	c.addRenewals(now, out, q)
-	skip := c.limiterFor(q).workersNamed
-	var skipped []*worker
-	need := s.spec.Reserved()
-	for _, w := range usable.of(q.Service) {
-		if out.enough() {
+	last = c.addUnknown(now, out, q, usable)
+	if len(out.ids) > 0 && !out.enough() && !idleOnly {
+		c.addOccupied(now, out, float64(tasks)*spareCapacityMargin, q, usable)
+	}
+	return out.ids[:min(len(out.ids), maxWorkersAsked)], last
+}
+
+// addUnknown names workers with free capacity of which it is not known whether they
+// are allowed, and returns the last one. It begins after those that the last open
+// question named, so that the open questions do not compete for the same capacity.
+func (c *Cell) addUnknown(now time.Time, n *candidates, q *manifest.Queue, usable *usableWorkers) (last WorkerID) {
+	s, need := n.step, n.step.spec.Reserved()
+	workers := usable.recent(q.Service)
+	begin := c.limiterFor(q).begin(workers)
+	for i := range workers {
+		if n.enough() {
 			break
 		}
-		if !need.Fits(w.freeCapacity()) || s.advice.isKnown(w.id) || !s.fits(w) || idleOnly && !w.idle() {
+		w := workers[(begin+i)%len(workers)]
+		if !need.Fits(w.freeCapacity()) || s.advice.isKnown(w.id) || !s.fits(w) || n.idleOnly && !w.idle() || !c.usable(now, w) {
 			continue
 		}
-		if len(skipped) < skip {
-			skipped = append(skipped, w)
-			continue
-		}
-		out.add(w)
-	}
-	for i := range skipped {
-		// Starting at an offset avoids naming the same first workers in every
-		// question.
-		out.add(skipped[(skip+i)%len(skipped)])
-	}
-	if len(out.ids) > 0 && !out.enough() && !idleOnly {
-		c.addOccupied(now, out, float64(tasks)*spareCapacityMargin, q, usable)
+		n.add(w)
+		last = w.id
 	}
-	return out.ids[:min(len(out.ids), maxWorkersAsked)]
+	return last
 }
 
 // addOccupied extends a question by workers that have no free capacity yet, so
@@ -97,25 +97,26 @@
 		limit = min(limit, int(q.Advice.Fixed/q.Advice.PerWorker))
 	}
 	s := n.step
-	named := make(map[WorkerID]bool, len(n.ids))
-	for _, id := range n.ids {
-		named[id] = true
-	}
+	enough := func() bool { return wanted <= 0 || len(n.ids) >= limit }
+	// The workers that are named already have capacity for the step.
 	add := func(w *worker, share float64) {
-		if wanted <= 0 || len(n.ids) >= limit || named[w.id] || s.capacityOn(w) > 0 {
-			return
-		}
 		n.ids = append(n.ids, w.id)
 		wanted -= share * float64(s.capacityIn(w, w.registration.Capacity))
 	}
 	for _, id := range s.advice.allowedIDs {
+		if enough() {
+			return
+		}
 		w, known := c.workers[id]
-		if known && w.registration.Service == q.Service && s.fits(w) && c.usable(now, w) && !s.advice.hasTicket(now, w) {
+		if known && w.registration.Service == q.Service && s.capacityOn(w) == 0 && s.fits(w) && !s.advice.hasTicket(now, w) && c.usable(now, w) {
 			add(w, 1)
 		}
 	}
-	for _, w := range usable.of(q.Service) {
-		if !s.advice.isKnown(w.id) && s.fits(w) {
+	for _, w := range usable.recent(q.Service) {
+		if enough() {
+			return
+		}
+		if s.capacityOn(w) == 0 && !s.advice.isKnown(w.id) && s.fits(w) && c.usable(now, w) {
 			add(w, n.share)
 		}
 	}
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -75,7 +75,8 @@
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.avoidWorker != "" }) {
 		return false
 	}
-	return slices.ContainsFunc(c.workersToAsk(now, s, q, usable), func(id WorkerID) bool { return c.workers[id].usableAtTick })
+	workers, _ := c.workersToAsk(now, s, q, usable)
+	return slices.ContainsFunc(workers, func(id WorkerID) bool { return c.workers[id].usableAtTick })
 }
 
 // Describe describes the state of a cell, for the messages of failed tests.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -76,10 +76,15 @@
 	byService map[string][]*worker
 	// buffer is reused for the list of eligible workers of one step.
 	buffer []*worker
+	// recentByService holds the workers that were usable at recentAt. It is stale once
+	// another worker has become usable.
+	recentByService map[string][]*worker
+	recentAt        time.Time
+	stale           bool
 }
 
 func newUsableWorkers(c *Cell) usableWorkers {
-	return usableWorkers{cell: c, byService: make(map[string][]*worker)}
+	return usableWorkers{cell: c, byService: make(map[string][]*worker), recentByService: make(map[string][]*worker)}
 }
 
 // begin starts a round.
@@ -92,16 +97,39 @@
 func (u *usableWorkers) of(service string) []*worker {
 	if !u.computed {
 		u.computed = true
-		for known, workers := range u.byService {
-			u.byService[known] = workers[:0]
-		}
+		u.collect(u.byService)
+	}
+	return u.byService[service]
+}
+
+// recentInterval is how long a list of usable workers serves for questions.
+const recentInterval = 100 * time.Millisecond
+
+// recent returns the workers of a service that may be usable, sorted by ID. Most
+// rounds of placement ask about a few workers, so the list serves for many rounds:
+// the caller checks the workers that it uses.
+func (u *usableWorkers) recent(service string) []*worker {
+	if u.stale || u.now.Sub(u.recentAt) >= recentInterval {
+		u.stale = false
+		u.recentAt = u.now
+		u.collect(u.recentByService)
 		for _, w := range u.cell.sortedWorkers {
-			if u.cell.usable(u.now, w) {
-				u.byService[w.registration.Service] = append(u.byService[w.registration.Service], w)
-			}
+			w.recentlyUsable = u.cell.usable(u.now, w)
+		}
+	}
+	return u.recentByService[service]
+}
+
+// collect replaces the lists of the usable workers.
+func (u *usableWorkers) collect(byService map[string][]*worker) {
+	for known, workers := range byService {
+		byService[known] = workers[:0]
+	}
+	for _, w := range u.cell.sortedWorkers {
+		if u.cell.usable(u.now, w) {
+			byService[w.registration.Service] = append(byService[w.registration.Service], w)
 		}
 	}
-	return u.byService[service]
 }
 
 // placeStep places as many tasks of a step as possible.
--- a/internal/cell/questionlimiter.go
+++ b/internal/cell/questionlimiter.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
+
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
@@ -10,8 +13,8 @@
 type questionLimiter struct {
 	open  int
 	limit int
-	// workersNamed is how many workers the open questions name in total.
-	workersNamed int
+	// lastNamed is the last worker that the last question has named.
+	lastNamed WorkerID
 	// waiting holds the steps that wait until another question is closed.
 	waiting stepList
 }
@@ -22,17 +25,30 @@
 // ready reports whether a waiting step may ask now.
 func (l *questionLimiter) ready() bool { return l.available() > 0 && l.waiting.len() > 0 }
 
-// acquire counts a question that names the given number of workers.
-func (l *questionLimiter) acquire(workers int) {
+// begin returns the index of the first worker, of those sorted by ID, that the next
+// question should name.
+func (l *questionLimiter) begin(workers []*worker) int {
+	if l.open == 0 {
+		return 0
+	}
+	at, found := slices.BinarySearchFunc(workers, l.lastNamed, func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) })
+	if found {
+		at++
+	}
+	return at
+}
+
+// acquire counts a question. last is the last worker that it names; empty if it only
+// renews tickets.
+func (l *questionLimiter) acquire(last WorkerID) {
 	l.open++
-	l.workersNamed += workers
+	if last != "" {
+		l.lastNamed = last
+	}
 }
 
 // release uncounts a question that was answered or timed out.
-func (l *questionLimiter) release(workers int) {
-	l.open--
-	l.workersNamed -= workers
-}
+func (l *questionLimiter) release() { l.open-- }
 
 // urgentPerHost is how many urgent questions may be open per host. With two,
 // the next question is already there when one is answered.
--- a/internal/cell/waverecord.go
+++ b/internal/cell/waverecord.go
@@ -42,6 +42,9 @@
 // mayGoDown reports whether a maintenance order may take a machine down at any
 // time, including an order of a predecessor whose wave is not known yet.
 func (c *Cell) mayGoDown(machine string) bool {
+	if len(c.waves) == 0 && len(c.waveRecords) == 0 {
+		return false // decisions ask about all workers
+	}
 	for _, w := range c.waves {
 		if _, ordered := w.ordered[machine]; ordered && !w.settled[machine] {
 			return true
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -101,6 +101,8 @@
 	// usableAtTick is set if the worker was usable at the last tick or offer, and
 	// has not been silent since.
 	usableAtTick bool
+	// recentlyUsable is set if the worker is in the list of usableWorkers.recent.
+	recentlyUsable bool
 }
 
 // pendingEnd is an end that may not be acknowledged yet: its effect on a job is
