Add a worker that becomes usable to the list that questions use

Cause: the list of usable workers for questions was made anew whenever another worker had become usable. With orders that stay unanswered (applied_late) many workers become usable again in each second. What callers saw: nothing by itself; it is part of the owner's processor time.

Change: such a worker is inserted. Two other searches for a worker by ID use the same function.

--- a/internal/cell/offer.go
+++ b/internal/cell/offer.go
@@ -23,7 +23,9 @@
 		// A worker that is not usable is offered by the first tick that finds
 		// it usable.
 		w.usableAtTick = c.usable(now, w)
-		c.usableNow.stale = c.usableNow.stale || w.usableAtTick && !w.recentlyUsable
+		if w.usableAtTick {
+			c.usableNow.addRecent(w)
+		}
 		w.offerPending = w.usableAtTick && c.offerSteps(now, w)
 		if w.offerPending {
 			remaining = append(remaining, w)
--- a/internal/cell/questionlimiter.go
+++ b/internal/cell/questionlimiter.go
@@ -1,9 +1,6 @@
 package cell
 
 import (
-	"cmp"
-	"slices"
-
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 )
 
@@ -31,7 +28,7 @@
 	if l.open == 0 {
 		return 0
 	}
-	at, found := slices.BinarySearchFunc(workers, l.lastNamed, func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) })
+	at, found := findWorker(workers, l.lastNamed)
 	if found {
 		at++
 	}
--- a/internal/cell/queue_test.go
+++ b/internal/cell/queue_test.go
@@ -16,7 +16,9 @@
 // manifest does not have the queue.
 func TestJobFollowsItsQueueThroughManifests(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	queue := func(attempts int) manifest.Queue { return manifest.Queue{Name: "q", Service: "s", MaxAttempts: attempts} }
+	queue := func(attempts int) manifest.Queue {
+		return manifest.Queue{Name: "q", Service: "s", MaxAttempts: attempts}
+	}
 	other := manifest.Queue{Name: "other", Service: "s", MaxAttempts: 9}
 	c := cell.New(now, scriptConfig, nopObserver{}, zap.NewNop())
 	step := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 1000}}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -101,8 +100,6 @@
 	// usableAtTick is set if the worker was usable at the last tick or offer, and
 	// has not been silent since.
 	usableAtTick bool
-	// recentlyUsable is set if the worker is in the list of usableWorkers.recent.
-	recentlyUsable bool
 }
 
 // pendingEnd is an end that may not be acknowledged yet: its effect on a job is
@@ -144,7 +141,7 @@
 func (c *Cell) addWorker(id WorkerID) *worker {
 	w := &worker{id: id, runs: newRunSet(), unknownRuns: make(map[workload.TaskID]unknownRun)}
 	c.workers[id] = w
-	at, _ := slices.BinarySearchFunc(c.sortedWorkers, id, func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) })
+	at, _ := findWorker(c.sortedWorkers, id)
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
 	return w
 }
