Measure what gathering the load for decisions on new jobs costs

The owner gathers the demand every 200 ms (not on each tick: decideAdmission returns before its time). BenchmarkLoad measures it with 1,100 workers and 500 open steps, for steps that wait for advice, for capacity and for allowed workers.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -59,3 +59,17 @@
 		l.report(l.workers[i%len(l.workers)])
 	}
 }
+
+// BenchmarkLoad gathers what decides on new jobs, with a backlog.
+func BenchmarkLoad(b *testing.B) {
+	const workers, steps = 1100, 500
+	for _, why := range []waitReason{whyUnanswered, whyFull, whyDenied} {
+		b.Run(fmt.Sprintf("%s-%d-%d", why, workers, steps), func(b *testing.B) {
+			l := newBacklog(b, workers, steps, why)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.cell.Load(l.now)
+			}
+		})
+	}
+}
