Keep one copy of the wire form of refusals

The form of a refusal and its conversion stood in internal/message (the second value of an owner's pong) and in internal/ledger (the second value of the owner's row), so a change of one could miss the other. Both now use internal/admission/admissionwire, as jobs use internal/job/jobwire. The bytes stay the same: the fields, their order and what is left out if nothing is refused are unchanged. Callers see no difference. Ran: the tests of message, ledger and election, which read what they wrote and the forms of earlier releases.

--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/admission/admissionwire"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
@@ -74,16 +75,10 @@
 // releases read the first value only.
 type admissionWire struct {
 	_msgpack    struct{} `msgpack:",as_array"`
-	Priorities  []refusalWire
+	Priorities  []admissionwire.Refusal
 	LongRunning time.Duration
 }
 
-type refusalWire struct {
-	_msgpack   struct{} `msgpack:",as_array"`
-	Priority   int
-	RetryAfter time.Duration
-}
-
 // EncodeOwner encodes the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
 	value, err := msgpack.Marshal(&ownerWire{
@@ -93,11 +88,9 @@
 	if err != nil || len(o.Admission.Priorities) == 0 && o.Admission.LongRunning == 0 {
 		return value, err
 	}
-	w := admissionWire{LongRunning: o.Admission.LongRunning}
-	for _, r := range o.Admission.Priorities {
-		w.Priorities = append(w.Priorities, refusalWire{Priority: r.Priority, RetryAfter: r.RetryAfter})
-	}
-	second, err := msgpack.Marshal(&w)
+	second, err := msgpack.Marshal(&admissionWire{
+		Priorities: admissionwire.EncodePriorities(o.Admission), LongRunning: o.Admission.LongRunning,
+	})
 	return append(value, second...), err
 }
 
@@ -111,11 +104,7 @@
 	if err := wire.Unmarshal(value[size:], &w); err != nil {
 		return admission.Decision{}, err
 	}
-	out := admission.Decision{LongRunning: w.LongRunning}
-	for _, r := range w.Priorities {
-		out.Priorities = append(out.Priorities, admission.Refusal{Priority: r.Priority, RetryAfter: r.RetryAfter})
-	}
-	return out, nil
+	return admissionwire.Decode(w.Priorities, w.LongRunning), nil
 }
 
 // DecodeOwner decodes the owner's row.
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/admission/admissionwire"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
 
@@ -146,18 +147,12 @@
 // ownerPongExtension follows ownerPongWire as a second value, which hosts of earlier
 // releases ignore. It is a map, so that further fields can be added.
 type ownerPongExtension struct {
-	Refusals    []refusalWire `msgpack:"refusals,omitempty"`
-	LongRunning time.Duration `msgpack:"lasting,omitempty"`
-	RelayEpoch  uint64        `msgpack:"epoch,omitempty"`
-	RelayFor    time.Duration `msgpack:"for,omitempty"`
-	RowVersion  uint64        `msgpack:"version,omitempty"`
-	SameHosts   bool          `msgpack:"same,omitempty"`
-}
-
-type refusalWire struct {
-	_msgpack   struct{} `msgpack:",as_array"`
-	Priority   int
-	RetryAfter time.Duration
+	Refusals    []admissionwire.Refusal `msgpack:"refusals,omitempty"`
+	LongRunning time.Duration           `msgpack:"lasting,omitempty"`
+	RelayEpoch  uint64                  `msgpack:"epoch,omitempty"`
+	RelayFor    time.Duration           `msgpack:"for,omitempty"`
+	RowVersion  uint64                  `msgpack:"version,omitempty"`
+	SameHosts   bool                    `msgpack:"same,omitempty"`
 }
 
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
@@ -184,9 +179,7 @@
 		return p
 	}
 	return appendExtension(p, ownerPongExtension{
-		Refusals: mapSlice(m.Admission.Priorities, func(r admission.Refusal) refusalWire {
-			return refusalWire{Priority: r.Priority, RetryAfter: r.RetryAfter}
-		}),
+		Refusals:    admissionwire.EncodePriorities(m.Admission),
 		LongRunning: m.Admission.LongRunning, RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion, SameHosts: m.SameHosts,
 	})
 }
@@ -202,10 +195,7 @@
 	if err := decodeExtension(p, &e); err != nil {
 		return OwnerPong{}, err
 	}
-	for _, r := range e.Refusals {
-		m.Admission.Priorities = append(m.Admission.Priorities, admission.Refusal{Priority: r.Priority, RetryAfter: r.RetryAfter})
-	}
-	m.Admission.LongRunning = e.LongRunning
+	m.Admission = admissionwire.Decode(e.Refusals, e.LongRunning)
 	m.RelayEpoch, m.RelayFor, m.RowVersion = e.RelayEpoch, e.RelayFor, e.RowVersion
 	m.SameHosts = e.SameHosts
 	return m, nil
