Refuse new jobs by service, and by the wait that they would have

Cause: the decision added up the waiting tasks and the free capacity of all services. A full service made jobs for free workers of another one look delayed; free workers of one hid that large tasks of another wait; and while the dispatch queue was over 250 ms long, the tasks that wait for capacity of another service counted as starts that the owner had to send first, so long-running and urgent jobs were refused although workers were free. The rate was the best of ten intervals, with or without a backlog: too high for 5 s after a peak, too low where the demand had limited it. A lower limit for the end refused jobs that would have been in time.

Change: each service and priority has its own demand: the starts that the owner sends before those of a new job (queued ones, and tasks of any service for which there is capacity), and the capacity that its own service lacks. The wait is the longer of the two, each at the rate shown while work waited for it: the median of five intervals; for a service that has just become full the rate by the estimates of its running tasks. The decision carries the wait, and hosts accept a job whose objective leaves more time (cell.StartSlack). In the row, refusals by service are a third value, in the pong a further field of the second one. The old fields hold what all services refuse, which earlier releases read; the decision of an owner of such a release (no refusals by service) is obeyed as before.

Evidence: TestCallersAreRefusedOnlyWhatCannotBeServedInTime plays loads in virtual time and counts what callers got.

Changed tests: the expectation that 45 waiting tasks at 100 a second are still refused after 60 (TestRefusalsEndSoonAfterTheBacklog) is wrong, since they start within the target of 0.5 s. It is replaced by TestRefusalsEndWithTheWait, with more steps and closer to the limit (49, 51). TestDemandIsWhatGoesBeforeANewJob compares the exact missing capacity in place of the exact number of tasks. The others in admission_test.go got the new types only.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,7 +1,8 @@
 // Package admission decides whether new jobs are refused because the cell cannot keep
-// up. It answers load above what the owner can start, or above what the workers have
-// capacity for: work that would start too late to be of use is refused at once, so
-// that what was accepted is still served and the backlog is gone soon after the load.
+// up. It answers load above what the owner can start, or above what the workers of a
+// service have capacity for: work that would start too late to be of use is refused at
+// once, so that what was accepted is still served and the backlog is gone soon after
+// the load.
 //
 // The package does no input or output. It is given what the owner knows of its cell,
 // and the time.
@@ -9,65 +10,6 @@
 
 import "time"
 
-// Load is what an owner knows of its cell at one moment.
-type Load struct {
-	// Started counts the starts that workers have accepted since the owner took over.
-	Started uint64
-	// StartsFail is set while starts on many workers fail although these answer, as when
-	// the owner's host has too little processor time for its calls. All demand is then
-	// delayed, whatever capacity is free.
-	StartsFail bool
-	// Priorities has the demand before new jobs of the queues of each priority.
-	Priorities []Demand
-	// LongRunning is the demand before new long-running jobs, whatever their queue.
-	LongRunning Demand
-}
-
-// Demand is the work that goes before that of a new job.
-type Demand struct {
-	// Priority is that of the queues; 0 is the highest. Target is the shortest latency
-	// that their jobs aim at besides their run time.
-	Priority int
-	Target   time.Duration
-	// Tasks counts the tasks that wait to be started before those of a new job.
-	Tasks int
-	// Delayed is set while their starts wait to be sent, or while there is too little
-	// free capacity for them. Otherwise a new job is started at once, however many
-	// tasks have just become ready.
-	Delayed bool
-}
-
-// Refusal tells that new jobs of the queues of a priority are refused, and after how
-// long the backlog should be worked off.
-type Refusal struct {
-	Priority   int
-	RetryAfter time.Duration
-}
-
-// Decision tells which new jobs are refused.
-type Decision struct {
-	// Priorities has the priorities whose queues refuse jobs. It does not concern
-	// long-running jobs.
-	Priorities []Refusal
-	// LongRunning is how long callers should wait before they submit long-running
-	// jobs again; 0 means that these are accepted.
-	LongRunning time.Duration
-}
-
-// RetryAfter returns after how long a new job should be submitted again, and false if
-// it is not refused.
-func (d Decision) RetryAfter(priority int, longRunning bool) (time.Duration, bool) {
-	if longRunning {
-		return d.LongRunning, d.LongRunning > 0
-	}
-	for _, r := range d.Priorities {
-		if r.Priority == priority {
-			return r.RetryAfter, true
-		}
-	}
-	return 0, false
-}
-
 const (
 	// minWait is the least expected wait at which jobs are refused. A wait below it
 	// may come from a single large job.
@@ -75,94 +17,111 @@
 	// longRunningWait is the expected wait at which long-running jobs are refused. They
 	// are started before all others, and gain from running late.
 	longRunningWait = 3 * time.Second
-	// resumeDivisor of the wait at which jobs are refused gives the one at which they
-	// are accepted again.
+	// resumeDivisor of the wait at which jobs are refused gives the one that is aimed at
+	// by the time when their callers try again.
 	resumeDivisor = 2
 	// minRetryAfter and maxRetryAfter bound the time after which callers try again.
 	minRetryAfter = 1 * time.Second
 	maxRetryAfter = 30 * time.Second
+	// inheritedFor is how long the decision of a predecessor may hold.
+	inheritedFor = 5 * time.Second
 )
 
-// Limiter decides on new jobs. Jobs that are refused are accepted again only when the
-// expected wait has fallen well below the one at which they began to be refused.
+// Limiter decides on new jobs, by the wait that they would have.
 type Limiter struct {
-	// inherited is the decision of the predecessor, which holds for delayed demand until
-	// the first start.
-	inherited   Decision
-	rate        startRate
-	priorities  map[int]demandState
-	longRunning demandState
-}
-
-// demandState is what was found about a Demand so far.
-type demandState struct {
-	refusing bool
-	// delayedSince is zero while the demand is not delayed.
-	delayedSince time.Time
+	// inherited is the decision of the predecessor. It holds for delayed demand until
+	// starts were seen.
+	inherited Decision
+	// begin is the time of the first call of Observe.
+	begin time.Time
+	// starts is the rate at which the owner starts tasks while that is what delays them,
+	// and capacity the rate at which the workers of each service take tasks while
+	// their capacity is short, in millicores.
+	starts   throughput
+	capacity map[string]*throughput
 }
 
 // NewLimiter returns the Limiter of a new owner, whose predecessor made the given
 // decision last. It refuses nothing else before it has seen starts.
 func NewLimiter(inherited Decision) *Limiter {
-	return &Limiter{inherited: inherited, priorities: make(map[int]demandState)}
+	return &Limiter{inherited: inherited, capacity: make(map[string]*throughput)}
 }
 
 // Observe returns the decision for the current load.
 func (l *Limiter) Observe(now time.Time, load Load) Decision {
-	l.rate.observe(now, load.Started)
-	if l.rate.best() > 0 {
-		l.inherited = Decision{}
+	if l.begin.IsZero() {
+		l.begin = now
 	}
+	l.observeRates(now, load)
+	l.endInherited(now)
 	var out Decision
-	for _, d := range load.Priorities {
-		d.Delayed = d.Delayed || load.StartsFail
-		state := l.priorities[d.Priority]
-		before, _ := l.inherited.RetryAfter(d.Priority, false)
-		if retry := l.decide(now, d, max(d.Target, minWait), before, &state); retry > 0 {
-			out.Priorities = append(out.Priorities, Refusal{Priority: d.Priority, RetryAfter: retry})
+	decide := func(j Job, d Demand, limit time.Duration) {
+		if r := l.decide(now, load, j, d, limit); r.RetryAfter > 0 {
+			out.Services = append(out.Services, r)
 		}
-		l.priorities[d.Priority] = state
 	}
-	lasting := load.LongRunning
-	lasting.Delayed = lasting.Delayed || load.StartsFail
-	out.LongRunning = l.decide(now, lasting, longRunningWait, l.inherited.LongRunning, &l.longRunning)
+	for _, s := range load.Services {
+		for _, d := range s.Priorities {
+			decide(Job{Service: s.Service, Priority: d.Priority}, d, max(d.Target, minWait))
+		}
+		decide(Job{Service: s.Service, LongRunning: true}, s.LongRunning, longRunningWait)
+	}
+	out.addCommon(load)
 	return out
 }
 
-// Rate returns the number of starts a second that the cell has shown lately.
-func (l *Limiter) Rate() float64 { return l.rate.best() }
+// Rate returns the number of starts a second that the owner has shown while starts
+// waited to be sent; 0 if it is unknown.
+func (l *Limiter) Rate(now time.Time) float64 { return l.starts.rate(now) }
 
-// decide returns after how long callers should try again, or 0 if jobs are accepted.
-// inherited is the predecessor's answer.
-func (l *Limiter) decide(now time.Time, d Demand, limit, inherited time.Duration, state *demandState) time.Duration {
-	retry := l.retryAfter(now, d, limit, inherited, state)
-	state.refusing = retry > 0
-	return retry
+// observeRates measures what the cell does with the tasks that wait.
+func (l *Limiter) observeRates(now time.Time, load Load) {
+	l.starts.observe(now, progress{load.Started, float64(load.Started)}, load.StartsWait || load.StartsFail)
+	for _, s := range load.Services {
+		t, known := l.capacity[s.Service]
+		if !known {
+			t = new(throughput)
+			l.capacity[s.Service] = t
+		}
+		t.expected = s.FreedPerSecond
+		t.observe(now, progress{s.Started, float64(s.StartedMilliCores)}, s.CapacityShort)
+	}
 }
 
-func (l *Limiter) retryAfter(now time.Time, d Demand, limit, inherited time.Duration, state *demandState) time.Duration {
-	if !d.Delayed || d.Tasks == 0 {
-		state.delayedSince = time.Time{}
-		return 0
+// endInherited drops the decision of the predecessor once a rate is known.
+func (l *Limiter) endInherited(now time.Time) {
+	known := now.Sub(l.begin) > inheritedFor || l.starts.rate(now) > 0
+	for _, t := range l.capacity {
+		known = known || t.rate(now) > 0
 	}
-	if state.delayedSince.IsZero() {
-		state.delayedSince = now
+	if known {
+		l.inherited = Decision{}
 	}
-	rate := l.rate.best()
-	if rate == 0 {
-		// A cell that was idle has no rate either, but has not kept tasks waiting.
-		if now.Sub(state.delayedSince) > rateIntervals*rateInterval {
-			return maxRetryAfter
-		}
-		return inherited
+}
+
+// decide returns whether jobs like j are refused, whose demand is d; limit is the wait at
+// which they are. If they are accepted, RetryAfter is 0.
+func (l *Limiter) decide(now time.Time, load Load, j Job, d Demand, limit time.Duration) ServiceRefusal {
+	wait, delayed := l.wait(now, load, j.Service, d)
+	r := ServiceRefusal{Service: j.Service, Priority: j.Priority, LongRunning: j.LongRunning, Wait: wait}
+	inherited, _ := l.inherited.Refuses(j)
+	switch {
+	case delayed && inherited > 0:
+		r.Wait, r.RetryAfter = maxRetryAfter, inherited
+	case r.Wait > limit:
+		r.RetryAfter = min(max(r.Wait-limit/resumeDivisor, minRetryAfter), maxRetryAfter)
 	}
-	resume := limit / resumeDivisor
-	if state.refusing {
-		limit = resume
+	return r
+}
+
+// wait returns after what time a new job with a demand would be started, and whether
+// anything delays it. The time is 0 if it is unknown.
+func (l *Limiter) wait(now time.Time, load Load, service string, d Demand) (wait time.Duration, delayed bool) {
+	if (d.StartsDelayed || load.StartsFail) && d.Starts > 0 {
+		wait, delayed = l.starts.wait(now, float64(d.Starts)), true
 	}
-	wait := time.Duration(float64(d.Tasks) / rate * float64(time.Second))
-	if wait <= limit {
-		return 0
+	if d.MissingMilliCores > 0 {
+		wait, delayed = max(wait, l.capacity[service].wait(now, float64(d.MissingMilliCores))), true
 	}
-	return min(max(wait-resume, minRetryAfter), maxRetryAfter)
+	return wait, delayed
 }
--- a/internal/admission/admissionwire/admissionwire.go
+++ b/internal/admission/admissionwire/admissionwire.go
@@ -15,7 +15,17 @@
 	RetryAfter time.Duration
 }
 
-// EncodePriorities converts the refusals by priority.
+// ServiceRefusal is the msgpack form of an admission.ServiceRefusal. It is a map, so that
+// further fields can be added.
+type ServiceRefusal struct {
+	Service     string        `msgpack:"service"`
+	LongRunning bool          `msgpack:"lasting,omitempty"`
+	Priority    int           `msgpack:"priority,omitempty"`
+	Wait        time.Duration `msgpack:"wait"`
+	RetryAfter  time.Duration `msgpack:"retry"`
+}
+
+// EncodePriorities converts the refusals that hosts of earlier releases read.
 func EncodePriorities(d admission.Decision) []Refusal {
 	var out []Refusal
 	for _, r := range d.Priorities {
@@ -24,11 +34,27 @@
 	return out
 }
 
-// Decode converts the parts of a decision back.
-func Decode(priorities []Refusal, longRunning time.Duration) admission.Decision {
+// EncodeServices converts the refusals by service.
+func EncodeServices(d admission.Decision) []ServiceRefusal {
+	var out []ServiceRefusal
+	for _, r := range d.Services {
+		out = append(out, ServiceRefusal{
+			Service: r.Service, LongRunning: r.LongRunning, Priority: r.Priority, Wait: r.Wait, RetryAfter: r.RetryAfter,
+		})
+	}
+	return out
+}
+
+// Decode converts the parts of a decision back. Earlier releases leave out services.
+func Decode(priorities []Refusal, longRunning time.Duration, services []ServiceRefusal) admission.Decision {
 	out := admission.Decision{LongRunning: longRunning}
 	for _, r := range priorities {
 		out.Priorities = append(out.Priorities, admission.Refusal{Priority: r.Priority, RetryAfter: r.RetryAfter})
 	}
+	for _, r := range services {
+		out.Services = append(out.Services, admission.ServiceRefusal{
+			Service: r.Service, LongRunning: r.LongRunning, Priority: r.Priority, Wait: r.Wait, RetryAfter: r.RetryAfter,
+		})
+	}
 	return out
 }
--- /dev/null
+++ b/internal/admission/decision.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Refusal tells that new jobs of the queues of a priority are refused, and after how
+// long the backlog should be worked off.
+type Refusal struct {
+	Priority   int
+	RetryAfter time.Duration
+}
+
+// ServiceRefusal tells that new jobs for the workers of one service are refused.
+type ServiceRefusal struct {
+	Service string
+	// LongRunning is set if it concerns long-running jobs, of whatever priority;
+	// otherwise it concerns the others, of the given priority.
+	LongRunning bool
+	Priority    int
+	// Wait is the time after which a new job would probably be started.
+	Wait time.Duration
+	// RetryAfter is after how long the backlog should be worked off.
+	RetryAfter time.Duration
+}
+
+// Decision tells which new jobs are refused.
+type Decision struct {
+	// Services has the refusals by service and priority.
+	Services []ServiceRefusal
+	// Priorities and LongRunning are the decision for hosts of earlier releases, which
+	// decide by priority only: what all services refuse. If Services is empty, an owner of
+	// such a release has made the decision. Priorities does not concern long-running jobs,
+	// and LongRunning is 0 if these are accepted.
+	Priorities  []Refusal
+	LongRunning time.Duration
+}
+
+// Job is what the answer to a submission depends on.
+type Job struct {
+	Service     string
+	Priority    int
+	LongRunning bool
+	// Slack is how long the start of the job may wait without a delay beyond its
+	// objective.
+	Slack time.Duration
+}
+
+// Refuses returns after how long a new job should be submitted again, and false if it
+// is not refused. A job that is started soon enough to meet its objective is not.
+func (d Decision) Refuses(j Job) (time.Duration, bool) {
+	if len(d.Services) == 0 {
+		return d.RetryAfter(j.Priority, j.LongRunning)
+	}
+	r, refused := d.find(j.Service, j.Priority, j.LongRunning)
+	if !refused || r.Wait <= j.Slack {
+		return 0, false
+	}
+	return r.RetryAfter, true
+}
+
+// RetryAfter returns after how long new jobs that all services refuse should be
+// submitted again, and false if there is a service that accepts them.
+func (d Decision) RetryAfter(priority int, longRunning bool) (time.Duration, bool) {
+	if longRunning {
+		return d.LongRunning, d.LongRunning > 0
+	}
+	for _, r := range d.Priorities {
+		if r.Priority == priority {
+			return r.RetryAfter, true
+		}
+	}
+	return 0, false
+}
+
+// IsZero reports whether all jobs are accepted.
+func (d Decision) IsZero() bool {
+	return len(d.Services) == 0 && len(d.Priorities) == 0 && d.LongRunning == 0
+}
+
+// find returns the refusal that concerns jobs for a service.
+func (d Decision) find(service string, priority int, longRunning bool) (ServiceRefusal, bool) {
+	at := slices.IndexFunc(d.Services, func(r ServiceRefusal) bool {
+		return r.Service == service && r.LongRunning == longRunning && (longRunning || r.Priority == priority)
+	})
+	if at < 0 {
+		return ServiceRefusal{}, false
+	}
+	return d.Services[at], true
+}
+
+// addCommon sets what earlier releases read: what each service with such queues refuses,
+// with the shortest time after which one of them should accept it.
+func (d *Decision) addCommon(load Load) {
+	services := make(map[int]int)
+	for _, s := range load.Services {
+		for _, demand := range s.Priorities {
+			services[demand.Priority]++
+		}
+	}
+	refused := make(map[int]Refusal)
+	refusing := 0
+	for _, r := range d.Services {
+		if r.LongRunning {
+			refusing++
+			d.LongRunning = shorter(d.LongRunning, r.RetryAfter)
+			continue
+		}
+		services[r.Priority]--
+		refused[r.Priority] = Refusal{Priority: r.Priority, RetryAfter: shorter(refused[r.Priority].RetryAfter, r.RetryAfter)}
+	}
+	if refusing < len(load.Services) {
+		d.LongRunning = 0
+	}
+	for priority, r := range refused {
+		if services[priority] == 0 {
+			d.Priorities = append(d.Priorities, r)
+		}
+	}
+	slices.SortFunc(d.Priorities, func(a, b Refusal) int { return a.Priority - b.Priority })
+}
+
+// shorter returns the shorter one of two times of which the first one may be unset.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -159,8 +159,8 @@
 	actions []Action
 	// placementPending is set when a placement may have become possible.
 	placementPending bool
-	// startsAccepted counts the starts that workers have accepted.
-	startsAccepted uint64
+	// startsAccepted counts the starts that workers have accepted, by service.
+	startsAccepted map[string]acceptedStarts
 	// stepsEvaluated counts the steps that decisions have evaluated.
 	stepsEvaluated int
 	// longWaitsCheckedAt is when long waits were last looked for.
@@ -178,6 +178,7 @@
 		scheduled:       make(map[workload.JobID]*jobState),
 		openSteps:       make(map[workload.StepID]*stepState),
 		pending:         make(map[string]int),
+		startsAccepted:  make(map[string]acceptedStarts),
 		urgentQuestions: questionLimiter{limit: urgentPerHost}, longQuestions: questionLimiter{limit: 1}, allowedShares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), earlyStarts: newEarlyStartState(),
 		estimates: make(map[string]*estimateStats), dispatch: dispatchQueue{limit: unlimitedStarts},
--- a/internal/cell/demand.go
+++ b/internal/cell/demand.go
@@ -4,96 +4,162 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// waitingWork is work that waits to be started.
+// StartSlack returns how long the start of a job of a queue may wait without a delay
+// beyond its objective. Long-running jobs have no end to be in time for.
+func StartSlack(j *workload.Job, q *manifest.Queue) time.Duration {
+	if j.LongRunning() {
+		return q.TargetLatency
+	}
+	return max(Objective(j, q)-criticalPath(j), q.TargetLatency)
+}
+
+// acceptedStarts is what workers have accepted since the owner took over.
+type acceptedStarts struct {
+	starts     uint64
+	milliCores int64
+}
+
+// countAccepted counts a run whose start a worker has accepted.
+func (c *Cell) countAccepted(r *run) {
+	accepted := c.startsAccepted[r.worker.registration.Service]
+	accepted.starts++
+	accepted.milliCores += r.task.step.spec.Reserved().MilliCores
+	c.startsAccepted[r.worker.registration.Service] = accepted
+}
+
+// serviceDemand is the work that waits for the workers of a service.
+type serviceDemand struct {
+	// waiting has the tasks that wait to be placed by the class of their rank, with all
+	// long-running ones in classLongRunning.
+	waiting map[int]waitingWork
+	// freeMilliCores is the free capacity of the workers that may get starts.
+	freeMilliCores int64
+	// short is set while the free capacity is too small for all tasks that wait, and
+	// freedPerSecond is the capacity that the tasks on the workers then free in a second
+	// by their estimates.
+	short          bool
+	freedPerSecond float64
+	// targets has the shortest target latency of the queues of each priority.
+	targets map[int]time.Duration
+}
+
+// waitingWork is tasks that wait to be placed.
 type waitingWork struct {
 	tasks      int
 	milliCores int64
 }
 
-func (w *waitingWork) add(tasks int, s *stepState) {
-	w.tasks += tasks
-	w.milliCores += int64(tasks) * s.spec.Reserved().MilliCores
+// upTo returns the tasks that wait in a class or in an earlier one.
+func (d *serviceDemand) upTo(class int) waitingWork {
+	var out waitingWork
+	for c, work := range d.waiting {
+		if c <= class {
+			out.tasks += work.tasks
+			out.milliCores += work.milliCores
+		}
+	}
+	return out
+}
+
+// missing returns the capacity that tasks wait for besides the free one.
+func (d *serviceDemand) missing(w waitingWork) int64 { return max(w.milliCores-d.freeMilliCores, 0) }
+
+// fitting returns about how many of the tasks fit into the free capacity.
+func (d *serviceDemand) fitting(w waitingWork) int {
+	if w.milliCores <= d.freeMilliCores {
+		return w.tasks
+	}
+	return int(float64(w.tasks) * float64(d.freeMilliCores) / float64(w.milliCores))
 }
 
 // Load returns what decides whether new jobs are accepted.
 func (c *Cell) Load(now time.Time) admission.Load {
-	out := admission.Load{Started: c.startsAccepted}
+	out := admission.Load{StartsWait: c.dispatch.full(now, startClasses-1)}
+	for _, accepted := range c.startsAccepted {
+		out.Started += accepted.starts
+	}
 	if c.manifest == nil {
 		return out
 	}
-	waiting, free := c.waitingByClass(), c.freeMilliCores(now)
-	out.StartsFail = c.startsFail(now)
-	longRunning := waiting[classLongRunning]
-	out.LongRunning = admission.Demand{
-		Tasks:   longRunning.tasks + c.dispatch.parts[startLongRunning].waiting,
-		Delayed: c.dispatch.full(now, startLongRunning) || longRunning.milliCores > free,
-	}
-	targets := make(map[int]time.Duration)
-	for i := range c.manifest.Queues {
-		q := &c.manifest.Queues[i]
-		if known, ok := targets[q.Priority]; !ok || q.TargetLatency < known {
-			targets[q.Priority] = q.TargetLatency
+	services := c.serviceDemands()
+	out.StartsFail = c.addCapacity(now, services)
+	c.addFreed(services)
+	for _, name := range sortedKeys(services) {
+		d, accepted := services[name], c.startsAccepted[name]
+		s := admission.ServiceLoad{
+			Service: name, Started: accepted.starts, StartedMilliCores: accepted.milliCores,
+			CapacityShort: d.short, FreedPerSecond: d.freedPerSecond,
+			LongRunning: c.demandOf(now, services, d, classLongRunning),
 		}
-	}
-	for _, priority := range sortedKeys(targets) {
-		d := c.demandOf(now, priority, waiting, free)
-		d.Target = targets[priority]
-		out.Priorities = append(out.Priorities, d)
+		for _, priority := range sortedKeys(d.targets) {
+			s.Priorities = append(s.Priorities, c.demandOf(now, services, d, priority))
+		}
+		out.Services = append(out.Services, s)
 	}
 	return out
 }
 
-// demandOf returns the demand before a new job of a priority: long-running tasks, and
-// those of its priority or a higher one. Jobs in classExpired go after it.
-func (c *Cell) demandOf(now time.Time, priority int, waiting map[int]waitingWork, free int64) admission.Demand {
+// demandOf returns the demand before a new job for the workers of a service: the tasks of
+// its priority or a higher one, and long-running ones. Jobs in classExpired go after it.
+// Starts for workers of other services go before it too, but only those for which there
+// is capacity.
+func (c *Cell) demandOf(now time.Time, services map[string]*serviceDemand, d *serviceDemand, priority int) admission.Demand {
 	class := startOther
-	if priority == 0 {
+	switch priority {
+	case classLongRunning:
+		class = startLongRunning
+	case 0:
 		class = startUrgent
 	}
-	out := admission.Demand{Priority: priority, Delayed: c.dispatch.full(now, class)}
-	milliCores := int64(0)
-	for before, work := range waiting {
-		if before <= priority {
-			out.Tasks += work.tasks
-			milliCores += work.milliCores
-		}
+	out := admission.Demand{
+		Priority: priority, Target: d.targets[priority],
+		StartsDelayed: c.dispatch.full(now, class), MissingMilliCores: d.missing(d.upTo(priority)),
+	}
+	for _, other := range services {
+		out.Starts += other.fitting(other.upTo(priority))
 	}
 	for earlier := range class + 1 {
-		out.Tasks += c.dispatch.parts[earlier].waiting
+		out.Starts += c.dispatch.parts[earlier].waiting
 	}
-	out.Delayed = out.Delayed || milliCores > free
 	return out
 }
 
-// waitingByClass returns the tasks that wait to be placed by the class of their rank,
-// with all long-running ones in classLongRunning.
-func (c *Cell) waitingByClass() map[int]waitingWork {
-	out := make(map[int]waitingWork)
+// serviceDemands returns what waits for the workers of each service of the manifest's
+// queues.
+func (c *Cell) serviceDemands() map[string]*serviceDemand {
+	out := make(map[string]*serviceDemand)
+	for i := range c.manifest.Queues {
+		q := &c.manifest.Queues[i]
+		d, known := out[q.Service]
+		if !known {
+			d = &serviceDemand{waiting: make(map[int]waitingWork), targets: make(map[int]time.Duration)}
+			out[q.Service] = d
+		}
+		if target, known := d.targets[q.Priority]; !known || q.TargetLatency < target {
+			d.targets[q.Priority] = q.TargetLatency
+		}
+	}
 	for _, s := range c.openSteps {
+		d, known := out[c.queueOf(s.job).Service]
+		if !known {
+			continue // no new jobs can be submitted for it
+		}
 		class := s.key.rank.class
 		if s.spec.LongRunning {
 			class = classLongRunning
 		}
-		work := out[class]
-		work.add(s.waiting, s)
-		out[class] = work
+		work := d.waiting[class]
+		work.tasks += s.waiting
+		work.milliCores += int64(s.waiting) * s.spec.Reserved().MilliCores
+		d.waiting[class] = work
 	}
 	return out
 }
 
-// freeMilliCores returns the free capacity of the workers that may get starts.
-func (c *Cell) freeMilliCores(now time.Time) int64 {
-	free := int64(0)
-	for _, w := range c.sortedWorkers {
-		if c.usable(now, w) {
-			free += max(w.freeCapacity().MilliCores, 0)
-		}
-	}
-	return free
-}
-
 const (
 	// failedStartAge is how long a start without an answer counts, unless the worker
 	// accepts one after it.
@@ -103,9 +169,9 @@
 	failingDivisor = 4
 )
 
-// startsFail reports whether the last starts on many of the workers that answer hold
-// calls had no answer.
-func (c *Cell) startsFail(now time.Time) bool {
+// addCapacity adds the capacity of the workers that may get starts, and reports whether
+// the last starts on many of them had no answer.
+func (c *Cell) addCapacity(now time.Time, services map[string]*serviceDemand) (startsFail bool) {
 	usable, failing := 0, 0
 	for _, w := range c.sortedWorkers {
 		if !c.usable(now, w) {
@@ -115,6 +181,38 @@
 		if now.Sub(w.startFailedAt) < failedStartAge {
 			failing++
 		}
+		if d, known := services[w.registration.Service]; known {
+			d.freeMilliCores += max(w.freeCapacity().MilliCores, 0)
+		}
 	}
 	return failing > usable/failingDivisor
 }
+
+// addFreed adds what the running tasks of the services without enough free capacity free.
+func (c *Cell) addFreed(services map[string]*serviceDemand) {
+	anyShort := false
+	for _, d := range services {
+		d.short = d.missing(d.upTo(classExpired)) > 0
+		anyShort = anyShort || d.short
+	}
+	if !anyShort {
+		return
+	}
+	for _, w := range c.sortedWorkers {
+		if d, known := services[w.registration.Service]; known && d.short {
+			d.freedPerSecond += w.freedPerSecond()
+		}
+	}
+}
+
+// freedPerSecond returns the capacity in millicores that the worker's tasks free in a
+// second by their estimates.
+func (w *worker) freedPerSecond() float64 {
+	freed := 0.0
+	for _, r := range w.runs.list {
+		if s := r.task.step.spec; !s.LongRunning && s.Estimate > 0 {
+			freed += float64(s.Reserved().MilliCores) / s.Estimate.Seconds()
+		}
+	}
+	return freed
+}
--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
@@ -81,7 +82,10 @@
 // errRepeated for it. If that cannot be found out, the job is not refused.
 func (h *Host) checkAdmission(ctx context.Context, queue *manifest.Queue, job *workload.Job) error {
 	decision, age := h.currentAdmission()
-	retry, refused := decision.RetryAfter(queue.Priority, job.LongRunning())
+	slack := cell.StartSlack(job, queue)
+	retry, refused := decision.Refuses(admission.Job{
+		Service: queue.Service, Priority: queue.Priority, LongRunning: job.LongRunning(), Slack: slack,
+	})
 	if !refused {
 		return nil
 	}
@@ -99,6 +103,6 @@
 	}
 	h.scope.Counter("jobs_refused").Inc(1)
 	h.log.Info("job refused, since the cell cannot keep up", zap.String("Job", string(job.ID)), zap.String("Queue", queue.Name),
-		zap.Int("Priority", queue.Priority), zap.Bool("LongRunning", job.LongRunning()), zap.Duration("RetryAfter", retry), zap.Duration("Age", age))
+		zap.String("Service", queue.Service), zap.Duration("Slack", slack), zap.Int("Priority", queue.Priority), zap.Bool("LongRunning", job.LongRunning()), zap.Duration("RetryAfter", retry), zap.Duration("Age", age))
 	return fault.New("submit", KindOverloaded, "%w", &OverloadError{Queue: queue.Name, RetryAfter: retry})
 }
--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -94,6 +95,37 @@
 	})
 }
 
+// A full service must not have jobs refused that run on the workers of another one, nor
+// jobs that the owner starts in time for their objective.
+func TestJobsAreRefusedByTheWaitForTheirService(t *testing.T) {
+	withCluster(t, func(t *testing.T, w *fakeCluster, owner *fakeHost) {
+		other := w.order[0]
+		if other == owner {
+			other = w.order[1]
+		}
+		w.setCut(other, true, owner.name)
+		time.Sleep(pingTimeout)
+		pong := message.OwnerPong{Owning: true, Epoch: w.ownerRow().Epoch}
+		pong.Admission = admission.Decision{Services: []admission.ServiceRefusal{{Service: "s", Wait: 3 * time.Second, RetryAfter: 4 * time.Second}}}
+		other.host.applyPong(pong)
+		for i, c := range []struct {
+			queue   manifest.Queue
+			refused bool
+		}{
+			{manifest.Queue{Service: "s", SlackFactor: 1, TargetLatency: 2 * time.Second}, true},
+			{manifest.Queue{Service: "s", SlackFactor: 2, TargetLatency: 2 * time.Second}, false},
+			{manifest.Queue{Service: "s", SlackFactor: 1, TargetLatency: 2 * time.Second, Priority: 1}, false},
+			{manifest.Queue{Service: "t", SlackFactor: 1, TargetLatency: 2 * time.Second}, false},
+		} {
+			c.queue.Name = "full"
+			err := other.host.checkAdmission(t.Context(), &c.queue, new(testJob(workload.JobID(fmt.Sprintf("%016x", i)), false)))
+			if fault.Is(err, KindOverloaded) != c.refused {
+				t.Errorf("a job of %+v is answered %v", c.queue, err)
+			}
+		}
+	})
+}
+
 func (w *fakeCluster) refusal(h *fakeHost) (time.Duration, bool) {
 	decision, _ := h.host.currentAdmission()
 	return decision.RetryAfter(2, false)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -17,6 +17,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -54,7 +55,13 @@
 	o := ledger.Owner{
 		Host: "h", Incarnation: "h/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 7, Released: true,
 		WrittenAfter: time.Second, TransactionNumber: 3, EarlyStartWorkers: []string{"w"}, PredecessorsEnded: true,
-		Admission: admission.Decision{Priorities: []admission.Refusal{{Priority: 2, RetryAfter: time.Second}}, LongRunning: time.Minute},
+		Admission: admission.Decision{
+			Priorities: []admission.Refusal{{Priority: 2, RetryAfter: time.Second}}, LongRunning: time.Minute,
+			Services: []admission.ServiceRefusal{
+				{Service: "s", Priority: 2, Wait: time.Second, RetryAfter: time.Minute},
+				{Service: "t", LongRunning: true, Wait: time.Hour, RetryAfter: time.Second},
+			},
+		},
 	}
 	value, err := ledger.EncodeOwner(o)
 	if err != nil {
@@ -66,6 +73,47 @@
 	}
 }
 
+// An owner's row may be read by hosts of earlier releases, which know one or two of its
+// values, and rows of such owners by hosts of this one.
+func TestOwnersWithRefusalsAreReadAcrossReleases(t *testing.T) {
+	priorities := []admission.Refusal{{Priority: 2, RetryAfter: time.Second}}
+	o := ledger.Owner{Host: "h", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Admission: admission.Decision{
+		Priorities: priorities, LongRunning: time.Minute, Services: []admission.ServiceRefusal{{Service: "s", Wait: time.Hour}},
+	}}
+	value, err := ledger.EncodeOwner(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := wire.Measure(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := wire.Measure(value[first:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read []any
+	if err := msgpack.Unmarshal(value[first:first+second], &read); err != nil || len(read) != 2 {
+		t.Errorf("an earlier release reads %v, %v", read, err)
+	}
+	for name, c := range map[string]struct {
+		value []byte
+		want  admission.Decision
+	}{
+		"no refusals":            {value[:first], admission.Decision{}},
+		"refusals by priority":   {value[:first+second], admission.Decision{Priorities: priorities, LongRunning: time.Minute}},
+		"refusals by service":    {value, o.Admission},
+		"values of later owners": {append(slices.Clone(value), 7), o.Admission},
+	} {
+		if got, err := ledger.DecodeOwner(c.value); err != nil || !reflect.DeepEqual(got.Admission, c.want) {
+			t.Errorf("%s are read as %+v, %v", name, got.Admission, err)
+		}
+	}
+	if _, err := ledger.DecodeOwner(value[:len(value)-1]); !fault.Is(err, ledger.KindMalformed) {
+		t.Errorf("a truncated row gives %v", err)
+	}
+}
+
 // A row that was written by an older version of the software, which had no
 // PredecessorsEnded, is decoded with the field unset.
 func TestOwnersOfOlderVersionsAreRead(t *testing.T) {
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -72,7 +72,8 @@
 const minOwnerFields = 8
 
 // admissionWire follows ownerWire as a second value if the owner refuses jobs. Earlier
-// releases read the first value only.
+// releases read it or the first value only. A third value, which they do not read, has
+// the refusals by service.
 type admissionWire struct {
 	_msgpack    struct{} `msgpack:",as_array"`
 	Priorities  []admissionwire.Refusal
@@ -85,26 +86,41 @@
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
 		EarlyStartWorkers: o.EarlyStartWorkers, WrittenAfter: o.WrittenAfter, TransactionNumber: o.TransactionNumber, PredecessorsEnded: o.PredecessorsEnded,
 	})
-	if err != nil || len(o.Admission.Priorities) == 0 && o.Admission.LongRunning == 0 {
+	if err != nil || o.Admission.IsZero() {
 		return value, err
 	}
-	second, err := msgpack.Marshal(&admissionWire{
-		Priorities: admissionwire.EncodePriorities(o.Admission), LongRunning: o.Admission.LongRunning,
-	})
-	return append(value, second...), err
+	refused, err := encodeAdmission(o.Admission)
+	return append(value, refused...), err
 }
 
-// decodeAdmission decodes the second value of an owner's row, if there is one.
-func decodeAdmission(value []byte) (admission.Decision, error) {
-	size, err := wire.Measure(value)
-	if err != nil || size == len(value) {
-		return admission.Decision{}, err
+// encodeAdmission encodes the values after the first one.
+func encodeAdmission(d admission.Decision) ([]byte, error) {
+	value, err := msgpack.Marshal(&admissionWire{Priorities: admissionwire.EncodePriorities(d), LongRunning: d.LongRunning})
+	if err != nil {
+		return nil, err
 	}
+	services, err := msgpack.Marshal(admissionwire.EncodeServices(d))
+	return append(value, services...), err
+}
+
+// decodeAdmission decodes the values after the first one, if there are any.
+func decodeAdmission(value []byte) (admission.Decision, error) {
 	var w admissionWire
-	if err := wire.Unmarshal(value[size:], &w); err != nil {
-		return admission.Decision{}, err
+	var services []admissionwire.ServiceRefusal
+	for _, part := range []any{&w, &services} {
+		size, err := wire.Measure(value)
+		if err != nil {
+			return admission.Decision{}, err
+		}
+		value = value[size:]
+		if len(value) == 0 {
+			break
+		}
+		if err := wire.Unmarshal(value, part); err != nil {
+			return admission.Decision{}, err
+		}
 	}
-	return admissionwire.Decode(w.Priorities, w.LongRunning), nil
+	return admissionwire.Decode(w.Priorities, w.LongRunning, services), nil
 }
 
 // DecodeOwner decodes the owner's row.
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -24,7 +24,10 @@
 	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr}, SameHosts: true,
 		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"), RelayEpoch: 1, RelayFor: time.Second, RowVersion: 4,
-		Admission: admission.Decision{Priorities: []admission.Refusal{{Priority: 1, RetryAfter: time.Second}}, LongRunning: time.Second},
+		Admission: admission.Decision{
+			Priorities: []admission.Refusal{{Priority: 1, RetryAfter: time.Second}}, LongRunning: time.Second,
+			Services: []admission.ServiceRefusal{{Service: "s", LongRunning: true, Priority: 1, Wait: time.Hour, RetryAfter: time.Second}},
+		},
 	}
 	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
 	checkRoundTrip(t, StepAdviceRequest{Step: step, Workers: []cell.WorkerID{"w"}, Timeout: time.Second}, EncodeStepAdviceRequest, DecodeStepAdviceRequest)
@@ -68,6 +71,22 @@
 	if got, err := ownerPongCodec.decode(p); err != nil || !got.Owning || got.Epoch != 4 {
 		t.Errorf("an earlier release reads %+v, %v", got, err)
 	}
+	// The form of the second value in earlier releases.
+	var earlier struct {
+		Refusals []struct {
+			_msgpack   struct{} `msgpack:",as_array"`
+			Priority   int
+			RetryAfter time.Duration
+		} `msgpack:"refusals,omitempty"`
+		LongRunning time.Duration `msgpack:"lasting,omitempty"`
+	}
+	p = EncodeOwnerPong(OwnerPong{Admission: admission.Decision{
+		Priorities: []admission.Refusal{{Priority: 2, RetryAfter: time.Minute}}, LongRunning: time.Second,
+		Services: []admission.ServiceRefusal{{Service: "s"}},
+	}})
+	if err := decodeExtension(p, &earlier); err != nil || len(earlier.Refusals) != 1 || earlier.Refusals[0].RetryAfter != time.Minute || earlier.LongRunning != time.Second {
+		t.Errorf("an earlier release reads the refusals %+v, %v", earlier, err)
+	}
 	if got, err := DecodeOwnerPong(ownerPongCodec.encode(OwnerPong{Owning: true})); err != nil || !got.Owning || got.Admission.LongRunning > 0 {
 		t.Errorf("an earlier pong is read as %+v, %v", got, err)
 	}
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -147,12 +147,13 @@
 // ownerPongExtension follows ownerPongWire as a second value, which hosts of earlier
 // releases ignore. It is a map, so that further fields can be added.
 type ownerPongExtension struct {
-	Refusals    []admissionwire.Refusal `msgpack:"refusals,omitempty"`
-	LongRunning time.Duration           `msgpack:"lasting,omitempty"`
-	RelayEpoch  uint64                  `msgpack:"epoch,omitempty"`
-	RelayFor    time.Duration           `msgpack:"for,omitempty"`
-	RowVersion  uint64                  `msgpack:"version,omitempty"`
-	SameHosts   bool                    `msgpack:"same,omitempty"`
+	Refusals    []admissionwire.Refusal        `msgpack:"refusals,omitempty"`
+	LongRunning time.Duration                  `msgpack:"lasting,omitempty"`
+	Services    []admissionwire.ServiceRefusal `msgpack:"services,omitempty"`
+	RelayEpoch  uint64                         `msgpack:"epoch,omitempty"`
+	RelayFor    time.Duration                  `msgpack:"for,omitempty"`
+	RowVersion  uint64                         `msgpack:"version,omitempty"`
+	SameHosts   bool                           `msgpack:"same,omitempty"`
 }
 
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
@@ -175,12 +176,12 @@
 // EncodeOwnerPong returns the encoded message.
 func EncodeOwnerPong(m OwnerPong) peer.Message {
 	p := ownerPongCodec.encode(m)
-	if m.RelayEpoch == 0 && !m.SameHosts && m.RowVersion == 0 && len(m.Admission.Priorities) == 0 && m.Admission.LongRunning == 0 {
+	if m.RelayEpoch == 0 && !m.SameHosts && m.RowVersion == 0 && m.Admission.IsZero() {
 		return p
 	}
 	return appendExtension(p, ownerPongExtension{
-		Refusals:    admissionwire.EncodePriorities(m.Admission),
-		LongRunning: m.Admission.LongRunning, RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion, SameHosts: m.SameHosts,
+		Refusals: admissionwire.EncodePriorities(m.Admission), LongRunning: m.Admission.LongRunning,
+		Services: admissionwire.EncodeServices(m.Admission), RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion, SameHosts: m.SameHosts,
 	})
 }
 
@@ -195,7 +196,7 @@
 	if err := decodeExtension(p, &e); err != nil {
 		return OwnerPong{}, err
 	}
-	m.Admission = admissionwire.Decode(e.Refusals, e.LongRunning)
+	m.Admission = admissionwire.Decode(e.Refusals, e.LongRunning, e.Services)
 	m.RelayEpoch, m.RelayFor, m.RowVersion = e.RelayEpoch, e.RelayFor, e.RowVersion
 	m.SameHosts = e.SameHosts
 	return m, nil
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -23,8 +23,7 @@
 	// decideAt is when the next decision is due.
 	decideAt time.Time
 	current  atomic.Pointer[admissionDecision]
-	// refusing is the number of refused priorities when it was last logged, counting
-	// long-running jobs as one.
+	// refusing is the number of refusals when it was last logged.
 	refusing int
 	loggedAt time.Time
 }
@@ -59,7 +58,7 @@
 }
 
 // decideAdmission decides which new jobs are refused, and logs when the number of
-// refused priorities has changed.
+// refusals has changed.
 func (o *Owner) decideAdmission(now time.Time) {
 	if now.Before(o.admission.decideAt) {
 		return
@@ -68,31 +67,21 @@
 	load := o.cell.Load(now)
 	decision := o.admission.limiter.Observe(now, load)
 	o.admission.current.Store(&admissionDecision{decision, now})
-	refusing := len(decision.Priorities)
-	if decision.LongRunning > 0 {
-		refusing++
-	}
+	refusing := len(decision.Services)
 	o.metrics.scope.Gauge("priorities_refused").Update(float64(refusing))
 	if refusing == o.admission.refusing || now.Sub(o.admission.loggedAt) < reportInterval {
 		return
 	}
 	o.admission.refusing, o.admission.loggedAt = refusing, now
-	o.logAdmission(load, decision)
+	o.logAdmission(now, load, decision)
 }
 
 // logAdmission logs a decision with the inputs that decided it.
-func (o *Owner) logAdmission(load admission.Load, decision admission.Decision) {
-	message := "new jobs of all priorities are accepted"
+func (o *Owner) logAdmission(now time.Time, load admission.Load, decision admission.Decision) {
+	message := "all new jobs are accepted"
 	if o.admission.refusing > 0 {
 		message = "new jobs are refused, since the cell cannot keep up"
 	}
-	most := load.LongRunning
-	for _, d := range load.Priorities {
-		if (d.Delayed || load.StartsFail) && d.Tasks >= most.Tasks {
-			most = d
-		}
-	}
-	o.log.Warn(message, zap.Any("Priorities", decision.Priorities),
-		zap.Duration("LongRunning", decision.LongRunning), zap.Float64("StartsPerSecond", o.admission.limiter.Rate()),
-		zap.Bool("StartsFail", load.StartsFail), zap.Bool("Delayed", most.Delayed), zap.Int("TasksAhead", most.Tasks), zap.Int("LongRunningAhead", load.LongRunning.Tasks))
+	o.log.Warn(message, zap.Any("Refused", decision.Services), zap.Any("Load", load.Services),
+		zap.Float64("StartsPerSecond", o.admission.limiter.Rate(now)), zap.Bool("StartsWait", load.StartsWait), zap.Bool("StartsFail", load.StartsFail))
 }
