Count refused callers as a backlog in Retry-After

Cause: Retry-After was the time until the accepted backlog is short, which refusals keep near the target latency. So after a surge all refused callers were told to come back in 1 to 2 s, found the queue at its limit again, and were refused up to twelve times. Change: it is at least the time for which jobs of the service and priority were lately refused, less that for which they were accepted: roughly how long the refused work takes. The platform spreads the header over as long again, as before.

Considered, not run: the time since the first refusal. It would tell callers 30 s even while only one in ten is refused.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -32,25 +32,28 @@
 	// inherited is the decision of the predecessor. It holds for delayed demand until
 	// starts were seen.
 	inherited Decision
-	// begin is the time of the first call of Observe.
-	begin time.Time
+	// begin and last are the times of the first and the last call of Observe.
+	begin, last time.Time
 	// starts is the rate at which the owner starts tasks while that is what delays them,
 	// and capacity the rate at which the workers of each service take tasks while
 	// their capacity is short, in millicores.
 	starts   throughput
 	capacity map[string]*throughput
+	// refused has for how much longer jobs were lately refused than accepted. Their
+	// callers come back, and are a backlog too.
+	refused map[Job]time.Duration
 }
 
 // NewLimiter returns the Limiter of a new owner, whose predecessor made the given
 // decision last. It refuses nothing else before it has seen starts.
 func NewLimiter(inherited Decision) *Limiter {
-	return &Limiter{inherited: inherited, capacity: make(map[string]*throughput)}
+	return &Limiter{inherited: inherited, capacity: make(map[string]*throughput), refused: make(map[Job]time.Duration)}
 }
 
 // Observe returns the decision for the current load.
 func (l *Limiter) Observe(now time.Time, load Load) Decision {
 	if l.begin.IsZero() {
-		l.begin = now
+		l.begin, l.last = now, now
 	}
 	l.observeRates(now, load)
 	l.endInherited(now)
@@ -67,6 +70,7 @@
 		decide(Job{Service: s.Service, LongRunning: true}, s.LongRunning, longRunningWait)
 	}
 	out.addCommon(load)
+	l.last = now
 	return out
 }
 
@@ -111,6 +115,13 @@
 	case r.Wait > limit:
 		r.RetryAfter = min(max(r.Wait-limit/resumeDivisor, minRetryAfter), maxRetryAfter)
 	}
+	passed := now.Sub(l.last)
+	if r.RetryAfter == 0 {
+		l.refused[j] = max(l.refused[j]-passed, 0)
+		return r
+	}
+	l.refused[j] = min(l.refused[j]+passed, maxRetryAfter)
+	r.RetryAfter = max(r.RetryAfter, l.refused[j])
 	return r
 }
 
--- a/internal/admission/callers_test.go
+++ b/internal/admission/callers_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -207,3 +208,45 @@
 		})
 	}
 }
+
+// Callers that come back when they are told to must not be refused again and again, nor
+// come back all at once, so that the capacity lies idle in between.
+func TestCallersThatComeBackAreServed(t *testing.T) {
+	const (
+		perSecond   = 200
+		begin       = 5 * time.Second
+		maxAttempts = 7
+	)
+	c := newCluster(map[string]int64{"s": 1000 * cores}, []simRate{{0, perSecond}}, []simLoad{
+		{service: "s", target: time.Second, tasks: 10, milliCores: cores, runTime: time.Second, end: time.Minute, jobsPerSecond: 8},
+		{service: "s", target: time.Second, tasks: 10, milliCores: cores, runTime: time.Second, begin: begin, end: 11 * time.Second, jobsPerSecond: 60},
+	})
+	c.retries = rand.New(rand.NewPCG(1, 2))
+	c.play(time.Minute)
+	attempts, last := make(map[int]int), time.Duration(0)
+	for _, j := range c.jobs {
+		attempts[j.attempt]++
+		if j.refused {
+			last = j.at
+		}
+	}
+	started := 0
+	for _, j := range c.jobs {
+		if j.refused {
+			continue
+		}
+		if j.wait < 0 || j.wait > 3*(j.target+j.runTime) {
+			t.Errorf("a job that was accepted at %v waited %v", j.at, j.wait)
+		}
+		if at := j.at + j.wait; at > begin && at <= last {
+			started += j.tasks
+		}
+	}
+	t.Logf("submissions by attempt: %v; the last refusal at %v; %d tasks started by then", attempts, last, started)
+	if could := (last - begin).Seconds() * perSecond; float64(started) < 0.95*could || last > 40*time.Second {
+		t.Errorf("%d of %v tasks were started until the last refusal, at %v", started, could, last)
+	}
+	if len(attempts) > maxAttempts {
+		t.Errorf("submissions by attempt: %v", attempts)
+	}
+}
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -21,7 +21,8 @@
 	Priority    int
 	// Wait is the time after which a new job would probably be started.
 	Wait time.Duration
-	// RetryAfter is after how long the backlog should be worked off.
+	// RetryAfter is after how long the backlog should be worked off, with the jobs that
+	// were refused before.
 	RetryAfter time.Duration
 }
 
