--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
+	"cicadabarrow.example/cicadabarrow/internal/admission/admissionwire"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
@@ -71,51 +72,55 @@
 const minOwnerFields = 8
 
 // admissionWire follows ownerWire as a second value if the owner refuses jobs. Earlier
-// releases read the first value only.
+// releases read it or the first value only. A third value, which they do not read, has
+// the refusals by service.
 type admissionWire struct {
 	_msgpack    struct{} `msgpack:",as_array"`
-	Priorities  []refusalWire
+	Priorities  []admissionwire.Refusal
 	LongRunning time.Duration
 }
 
-type refusalWire struct {
-	_msgpack   struct{} `msgpack:",as_array"`
-	Priority   int
-	RetryAfter time.Duration
-}
-
 // EncodeOwner encodes the owner's row.
 func EncodeOwner(o Owner) ([]byte, error) {
 	value, err := msgpack.Marshal(&ownerWire{
 		Host: o.Host, Incarnation: o.Incarnation, Addr: o.Addr.String(), Epoch: o.Epoch, Released: o.Released,
 		EarlyStartWorkers: o.EarlyStartWorkers, WrittenAfter: o.WrittenAfter, TransactionNumber: o.TransactionNumber, PredecessorsEnded: o.PredecessorsEnded,
 	})
-	if err != nil || len(o.Admission.Priorities) == 0 && o.Admission.LongRunning == 0 {
+	if err != nil || o.Admission.IsZero() {
 		return value, err
 	}
-	w := admissionWire{LongRunning: o.Admission.LongRunning}
-	for _, r := range o.Admission.Priorities {
-		w.Priorities = append(w.Priorities, refusalWire{Priority: r.Priority, RetryAfter: r.RetryAfter})
+	refused, err := encodeAdmission(o.Admission)
+	return append(value, refused...), err
+}
+
+// encodeAdmission encodes the values after the first one.
+func encodeAdmission(d admission.Decision) ([]byte, error) {
+	value, err := msgpack.Marshal(&admissionWire{Priorities: admissionwire.EncodePriorities(d), LongRunning: d.LongRunning})
+	if err != nil {
+		return nil, err
 	}
-	second, err := msgpack.Marshal(&w)
-	return append(value, second...), err
+	services, err := msgpack.Marshal(admissionwire.EncodeServices(d))
+	return append(value, services...), err
 }
 
-// decodeAdmission decodes the second value of an owner's row, if there is one.
+// decodeAdmission decodes the values after the first one, if there are any.
 func decodeAdmission(value []byte) (admission.Decision, error) {
-	size, err := wire.Measure(value)
-	if err != nil || size == len(value) {
-		return admission.Decision{}, err
-	}
 	var w admissionWire
-	if err := wire.Unmarshal(value[size:], &w); err != nil {
-		return admission.Decision{}, err
-	}
-	out := admission.Decision{LongRunning: w.LongRunning}
-	for _, r := range w.Priorities {
-		out.Priorities = append(out.Priorities, admission.Refusal{Priority: r.Priority, RetryAfter: r.RetryAfter})
+	var services []admissionwire.ServiceRefusal
+	for _, part := range []any{&w, &services} {
+		size, err := wire.Measure(value)
+		if err != nil {
+			return admission.Decision{}, err
+		}
+		value = value[size:]
+		if len(value) == 0 {
+			break
+		}
+		if err := wire.Unmarshal(value, part); err != nil {
+			return admission.Decision{}, err
+		}
 	}
-	return out, nil
+	return admissionwire.Decode(w.Priorities, w.LongRunning, services), nil
 }
 
 // DecodeOwner decodes the owner's row.
