Take the silence of all workers for a local delay of the owner

Cause: a hold call has 0.9 s beyond its wait. When nothing came back for 2 s, all hold calls in flight timed out although their answers arrived right after it. A worker whose call timed out may have begun a new incarnation, so its lease is renewed by the third call only: after a backoff of 100 ms comes one without a deadline, and then the renewal. With 300 workers on one virtual processor these rounds ended after the leases did, and long-running tasks were killed on workers that answered.

Evidence: traces of TestOverloadLeavesTasksWaiting/owner_stalled. Stall from 8.040 s; call sent 7.233 s, answered by the worker 8.235 s, failed 10.041 s, next call 10.300 s, renewal sent 10.495 s, at the worker 10.567 s; lease over 10.431 s. The call clock saw no delay: the test charges calls, events and commits with the virtual processor, but not the timers, so its stall looks to the owner like a link that carries nothing. A suspended process was covered already.

Now the time counts as a local delay in which no call at all returns although most hold calls, and at least four, are overdue; up to 1.2 s, since leases are over soon after that. One worker that answers ends it, so dead workers among others time out as before. The check looks at the calls in flight only after 150 ms without any answer.

Ruled out: the second halves of calls and the order of events alone (renewals that did not fail first reached the workers in time); a longer margin for every call, which would leave no time for a second attempt after a lost answer.

Not covered: hold calls through a relay, whose router has a timeout of its own.

--- a/internal/owner/callclock.go
+++ b/internal/owner/callclock.go
@@ -17,6 +17,13 @@
 	probeInterval = 20 * time.Millisecond
 	// delayTolerance is the local delay of a probe that is ordinary scheduling.
 	delayTolerance = 5 * time.Millisecond
+	// minSilentPolls is the smallest number of polls without an answer that show that
+	// this host, or its link, is the cause and not their workers.
+	minSilentPolls = 4
+	// maxSilence is how long the silence of all workers counts as a local delay. A lease
+	// that was renewed by a poll in flight has expired soon after it, so that waiting
+	// longer for the answer gains nothing.
+	maxSilence = 1200 * time.Millisecond
 )
 
 // errCallTimeout is the cause of a call that got no response within its timeout.
@@ -25,7 +32,8 @@
 // callClock measures the timeouts of calls in the time in which this host was able to
 // read the responses. Its goroutine sleeps for probeInterval and then lets the
 // runnable goroutines run; what this takes longer is the local delay, in which a
-// response may wait unread.
+// response may wait unread. The time in which no worker at all answers, although most
+// polls are overdue, is a local delay too, up to maxSilence.
 type callClock struct {
 	timers timer.Service
 	start  time.Time
@@ -37,6 +45,11 @@
 	due   time.Time
 	// calls holds the calls in flight, and calls that have returned since.
 	calls callHeap
+	// answeredAt is when a call last returned, by the time since the start of the clock
+	// without local delays, and silence is the part of delay since then in which all
+	// workers were silent.
+	answeredAt time.Duration
+	silence    time.Duration
 }
 
 func newCallClock(timers timer.Service) *callClock {
@@ -66,6 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.delay += c.pending(now)
+	c.delay += c.silent(now)
 	c.due = now.Add(probeInterval)
 	elapsed := now.Sub(c.start) - c.delay
 	for len(c.calls) > 0 && c.calls[0].deadline <= elapsed {
@@ -81,6 +95,33 @@
 	return 0
 }
 
+// silent returns the part of the last interval in which all workers were silent. The
+// caller holds mu.
+func (c *callClock) silent(now time.Time) time.Duration {
+	elapsed := now.Sub(c.start) - c.delay
+	if elapsed-c.answeredAt < answerOverdue || c.silence >= maxSilence || !c.mostOverdue(elapsed) {
+		return 0
+	}
+	c.silence += probeInterval
+	return probeInterval
+}
+
+// mostOverdue reports whether most polls in flight have no answer although they are
+// overdue. The caller holds mu.
+func (c *callClock) mostOverdue(elapsed time.Duration) bool {
+	polls, overdue := 0, 0
+	for _, t := range c.calls {
+		if !t.poll || t.returned {
+			continue
+		}
+		polls++
+		if elapsed >= t.answerDue+answerOverdue {
+			overdue++
+		}
+	}
+	return overdue >= minSilentPolls && overdue > polls/2
+}
+
 // localDelay returns the sum of the local delays so far.
 func (c *callClock) localDelay() time.Duration {
 	now := c.timers.Now()
@@ -106,6 +147,12 @@
 	// deadline is when the call times out, by the time since the start of the clock
 	// without local delays.
 	deadline time.Duration
+	// poll is set for a call that waits at its worker, whose answer is due at answerDue
+	// by the same clock.
+	poll      bool
+	answerDue time.Duration
+	// returned is set once the call has returned. The mutex of the clock guards it.
+	returned bool
 	// timedOut is set once the call has timed out. The mutex of the clock guards it.
 	timedOut bool
 }
@@ -113,13 +160,27 @@
 // begin starts a call that is cancelled after the timeout, not counting the local
 // delay meanwhile. The caller calls end when the call has returned.
 func (c *callClock) begin(ctx context.Context, timeout time.Duration) (context.Context, *timedCall) {
+	return c.add(ctx, timeout, &timedCall{})
+}
+
+// beginPoll is begin for a call that waits at its worker and is to be answered within a
+// margin after that.
+func (c *callClock) beginPoll(ctx context.Context, wait, margin time.Duration) (context.Context, *timedCall) {
+	return c.add(ctx, wait+margin, &timedCall{poll: true, answerDue: wait})
+}
+
+// add adds a call, whose times count from now.
+func (c *callClock) add(ctx context.Context, timeout time.Duration, t *timedCall) (context.Context, *timedCall) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := c.timers.Now()
 	ctx = timer.WithSoftDeadline(ctx, now.Add(timeout))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	begun := c.delay + c.pending(now)
-	t := &timedCall{clock: c, cancel: cancel, begun: begun, deadline: now.Sub(c.start) - begun + timeout}
+	t.clock, t.cancel = c, cancel
+	t.begun = c.delay + c.pending(now)
+	elapsed := now.Sub(c.start) - t.begun
+	t.deadline = elapsed + timeout
+	t.answerDue += elapsed
 	heap.Push(&c.calls, t)
 	return ctx, t
 }
@@ -140,10 +201,16 @@
 // end releases the resources of a call that has returned.
 func (t *timedCall) end() callEnd {
 	t.cancel(nil)
-	delayed := t.clock.localDelay() - t.begun
-	t.clock.mu.Lock()
-	defer t.clock.mu.Unlock()
-	return callEnd{timedOut: t.timedOut, delayed: delayed}
+	c := t.clock
+	now := c.timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delay := c.delay + c.pending(now)
+	t.returned = true
+	if !t.timedOut {
+		c.answeredAt, c.silence = now.Sub(c.start)-delay, 0
+	}
+	return callEnd{timedOut: t.timedOut, delayed: delay - t.begun}
 }
 
 // callHeap orders calls by deadline.
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -69,7 +69,18 @@
 // the call has returned.
 func (o *Owner) beginCall(kind callKind, timeout time.Duration) (context.Context, func() callEnd) {
 	ctx, call := o.callClock.begin(o.ctx, timeout)
-	return ctx, func() callEnd {
+	return ctx, o.noteEnd(kind, call)
+}
+
+// beginHold is beginCall for a hold call that waits at its worker.
+func (o *Owner) beginHold(wait time.Duration) (context.Context, func() callEnd) {
+	ctx, call := o.callClock.beginPoll(o.ctx, wait, holdMargin)
+	return ctx, o.noteEnd(callHold, call)
+}
+
+// noteEnd returns a function that ends and counts a call.
+func (o *Owner) noteEnd(kind callKind, call *timedCall) func() callEnd {
+	return func() callEnd {
 		end := call.end()
 		o.callStats.note(kind, end)
 		return end
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -163,7 +163,7 @@
 }
 
 func (o *Owner) callHold(h *holdLoop, request cell.HoldRequest) event {
-	ctx, end := o.beginCall(callHold, request.Wait+holdMargin)
+	ctx, end := o.beginHold(request.Wait)
 	defer end()
 	report, err := o.workers.Hold(ctx, request, o.Epoch())
 	if errors.Is(err, cell.ErrFenced) {
