Send the next hold call before the lease of a late report ends

Cause: a renewal counts from the worker's clock in the last report. A report that waited at this host for 2 s gives a lease that is 2 s shorter than it looks, but the next call still waited for 1 s at the worker. Its answer came when the lease had almost ended, and any further delay killed what ran there.

Now the report carries how old its reading of the clock can be: the time since its call was sent. The wait of the next call leaves a quarter of the lease for the renewal after it. Reports that are late by up to 0.35 s change nothing with the lease of 3.2 s, so a healthy or somewhat busy owner makes no further call. A late one makes at most one immediate call to a worker, which makes the reading new again. A lease that may not be extended changes no wait, so that an owner without confirmation does not call in a loop.

Ruled out: to take the time of arrival instead of the time of handling for the clock, since the answers wait unread; to assume that a worker without an end has waited for all of its time, which the calls do not promise.

The scripts' report takes an age for it.

--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -19,6 +19,11 @@
 	return w.deadline
 }
 
+// leaseLeft returns for how long, at least, the lease of a worker lasts.
+func (w *worker) leaseLeft(now time.Time) time.Duration {
+	return w.deadline - w.clockNow(now) - w.clockAge
+}
+
 // leaseExpired reports whether everything that ran on the worker has certainly
 // ended because its lease expired.
 func (c *Cell) leaseExpired(now time.Time, w *worker) bool { return now.After(c.leaseEnd(w)) }
--- a/internal/cell/registration.go
+++ b/internal/cell/registration.go
@@ -102,7 +102,10 @@
 type Report struct {
 	Incarnation Incarnation
 	// Clock is the reading of the worker's monotonic clock.
-	Clock   time.Duration
+	Clock time.Duration
+	// Age is how old, at most, the reading is: the time since the call was sent, by the
+	// owner's clock. The owner sets it.
+	Age     time.Duration
 	Running []Running
 	Ended   []Ended
 	// EndsTruncated is set when the worker has more ends than it listed.
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -38,7 +38,7 @@
 		w.incarnationUnsure = false
 		c.capacityFreed(w)
 	}
-	w.clock, w.clockAt = report.Clock, now
+	w.clock, w.clockAt, w.clockAge = report.Clock, now, report.Age
 	if first {
 		// A predecessor may have granted the worker a lease shortly before this
 		// owner took over.
--- a/internal/cell/scriptinput_test.go
+++ b/internal/cell/scriptinput_test.go
@@ -84,6 +84,9 @@
 // RUN KIND [CHECKPOINT]".
 func report(t *testing.T, arg func(string) string, input string) cell.Report {
 	out := cell.Report{Incarnation: 1, Clock: parseDuration(t, arg("clock"))}
+	if v := arg("age"); v != "" {
+		out.Age = parseDuration(t, v)
+	}
 	if v := arg("life"); v != "" {
 		out.Incarnation = cell.Incarnation(parseInt(t, v))
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -36,6 +36,8 @@
 	// clock is the worker's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Time
+	// clockAge is how old, at most, the reading of the clock was then.
+	clockAge time.Duration
 	// deadline is the latest lease deadline that was sent to the worker.
 	deadline time.Duration
 	// lateDeadline is the lease that a late call to an earlier incarnation may have
@@ -240,6 +242,10 @@
 	// unknownRunHoldWait is the wait while a commit decides whether a run is to be
 	// stopped, which happens with the next report.
 	unknownRunHoldWait = 300 * time.Millisecond
+	// leaseReserve divides the lease to give the part that is left for the next renewal
+	// when the wait of a hold call is over. A report that was late, since this owner was
+	// busy, shortens the lease that it renews, and so the wait.
+	leaseReserve = 4
 )
 
 // NextHold returns the next hold call to a worker, and false if the worker
@@ -277,6 +283,7 @@
 	hold.Deadline = w.deadline
 	if !c.silent(now, w) && !c.unconfirmed {
 		hold.Deadline = w.extendLease(now, c.config.Lease)
+		hold.Wait = min(hold.Wait, max(w.leaseLeft(now)-c.config.Lease/leaseReserve, 0))
 	}
 	return hold, true
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -37,6 +37,8 @@
 	// last one returned.
 	notBefore time.Time
 	idleSince time.Time
+	// sentAt is when the last call was passed to the goroutine of the loop.
+	sentAt time.Time
 	// failures counts the calls that have failed since the last success.
 	failures int
 	// begunAt is when the loop began, and answered is set once its first call has
@@ -59,13 +61,15 @@
 	e.loop.answered = true
 	e.loop.idleSince = now
 	o.idleHolds.add(e.loop, now)
+	e.report.Age = now.Sub(e.loop.sentAt)
 	o.cell.Reported(now, e.loop.id, e.report)
 }
 
 // requestReport requests an immediate report from a worker, in addition to the calls
 // of its holdLoop.
 func (o *Owner) requestReport(id cell.WorkerID) {
-	request, ok := o.cell.NextHold(o.timers.Now(), id)
+	now := o.timers.Now()
+	request, ok := o.cell.NextHold(now, id)
 	if !ok || !request.Addr.IsValid() {
 		return
 	}
@@ -78,16 +82,19 @@
 			o.handleFailure("request report", id, err)
 			return
 		}
-		o.put(reportReceived{id, report})
+		o.put(reportReceived{id, report, now})
 	})
 }
 
 type reportReceived struct {
 	id     cell.WorkerID
 	report cell.Report
+	// sentAt is when the report was requested.
+	sentAt time.Time
 }
 
 func (e reportReceived) apply(o *Owner, now time.Time) {
+	e.report.Age = now.Sub(e.sentAt)
 	o.cell.Reported(now, e.id, e.report)
 	if h, ok := o.holdLoops[e.id]; ok {
 		o.idleHolds.advance(h, now)
@@ -138,6 +145,7 @@
 			o.idleHolds.addAcknowledging(h, durableBy)
 			continue
 		}
+		h.sentAt = now
 		h.requests <- request
 	}
 }
