Let the owner decide at the latest 100 ms into a batch of events

Cause: up to 256 events are applied before a decision, however long each takes. Hold calls that the reports among them made due wait for that decision, and so do starts and commits. With slow events (many jobs at once, many changed rows) the leases of workers that answer expired meanwhile, and the owner, which decided nothing for seconds, was to be replaced.

Now a batch ends after 100 ms; the other events stay in the queue for the next iteration. An owner that handles 256 events in less time decides as often as before.

Evidence: with 128 queued events of 40 ms each the leases of four workers had expired after 5 s; the new test shows it without the change and passes with it. The test beside it, with events of 1 ms, passed before too, since 256 of them take less than a lease. All tests of internal/owner pass.

Ruled out, by trial: to make the due hold calls between the events of a batch as well.

--- a/internal/owner/eventloop.go
+++ b/internal/owner/eventloop.go
@@ -21,6 +21,10 @@
 	// maxEventsPerDecision limits the queued events that are applied before the
 	// cell decides.
 	maxEventsPerDecision = 256
+	// maxApplyTime is how long queued events are applied before the cell decides: hold
+	// calls that are due renew leases, and an owner that decides nothing for long has to
+	// be replaced.
+	maxApplyTime = 100 * time.Millisecond
 )
 
 func (o *Owner) run() {
@@ -98,10 +102,11 @@
 }
 
 // applyQueued applies events that are queued already, reports first, at most
-// maxEventsPerDecision, and returns their number.
+// maxEventsPerDecision and for maxApplyTime, and returns their number.
 func (o *Owner) applyQueued() int {
+	begin := o.timers.Now()
 	n := o.applyReports()
-	for n < maxEventsPerDecision {
+	for n < maxEventsPerDecision && o.timers.Now().Sub(begin) < maxApplyTime {
 		select {
 		case e := <-o.events.C():
 			o.applyEvent(e, o.timers.Now())
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -24,3 +24,23 @@
 		}
 	})
 }
+
+// Renewals must not wait until as many slow events have been handled as may go before a
+// decision.
+func TestRenewalsDoNotWaitForManySlowEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(4)
+		o := p.startOwner()
+		defer o.Close()
+		time.Sleep(2 * time.Second)
+		for range maxEventsPerDecision / 2 {
+			o.put(loopFunc(func(*Owner) { time.Sleep(40 * time.Millisecond) }))
+		}
+		for range 5 {
+			time.Sleep(time.Second)
+			if p.longestLease() < p.clock() {
+				t.Fatalf("%v after the start the leases have expired", p.clock())
+			}
+		}
+	})
+}
