Let the limits recover on a host whose ticks are never in time

Cause: a limit of calls in flight grew only while ticks were less than 10 ms late. On a host where they never are, one overload halved the limit down to its lowest value, 8 starts without a response, and nothing raised it again although starts waited in the dispatch queue and those that were sent did not wait for this host. Callers would see starts delayed for as long as the owner stays.

Now a host whose ticks are late by 10 to 50 ms, while starts do not take longer than their workers need, is late and not busy. After five ticks at which the limit was reached with answers it grows by the step that it takes after an overload. When starts wait for the host, the limit stays, as before; an overload halves it, as before. The same limiter serves stops and changes of pace.

Evidence: the new test has 10 s of overload and then a host that is always late and bears 100 calls. Before, the limit was 8 after 60 s; now it is 50 or more and is above 100 in less than a tenth of the ticks. The other tests of the limiter pass unchanged, and all of internal/owner.

--- a/internal/owner/limiter.go
+++ b/internal/owner/limiter.go
@@ -24,6 +24,9 @@
 	// limitHold is the number of ticks after a decrease in which the latencies are
 	// still those of calls sent before it.
 	limitHold = 3
+	// maxLateTicks is the number of ticks for which a late host reaches a limit until the
+	// limit grows by one step.
+	maxLateTicks = 5
 )
 
 // limiter adapts a limit of calls in flight to the load of this host. The limit grows
@@ -37,8 +40,9 @@
 	lowest, highest, step int
 	// overloaded is set from the first overload on.
 	overloaded bool
-	// hold is the number of ticks until the limit may fall again.
-	hold int
+	// hold is the number of ticks until the limit may fall again, and lateTicks that of
+	// the ticks since the last change for which a late host has reached it.
+	hold, lateTicks int
 }
 
 func newStartLimiter() limiter {
@@ -51,7 +55,8 @@
 
 // observe takes the load of this host at a tick, the largest number of calls in flight
 // since the last tick, and the number of answers. A limit that is not reached stays, and
-// without an answer nothing shows that the host can bear more.
+// without an answer nothing shows that the host can bear more. On a late host it grows
+// slowly.
 func (l *limiter) observe(load hostLoad, inFlight, answers int) {
 	l.hold = max(l.hold-1, 0)
 	switch {
@@ -59,11 +64,16 @@
 		l.overloaded = true
 		l.hold = limitHold
 		l.limit = max(l.limit/limitDivisor, l.lowest)
-	case load != hostIdle || inFlight < l.limit || answers == 0:
-	case l.overloaded:
+		l.lateTicks = 0
+	case load >= hostBusy || inFlight < l.limit || answers == 0:
+	case load == hostLate && l.lateTicks < maxLateTicks:
+		l.lateTicks++
+	case load == hostLate || l.overloaded:
 		l.limit = min(l.limit+min(l.step, max(l.limit/growthDivisor, 1)), l.highest)
+		l.lateTicks = 0
 	default:
 		l.limit = min(l.limit*slowStartFactor, l.highest)
+		l.lateTicks = 0
 	}
 }
 
@@ -73,6 +83,9 @@
 const (
 	// hostIdle means that there is capacity for more calls.
 	hostIdle hostLoad = iota
+	// hostLate means that its timers are late, and that starts do not wait for it. The
+	// timers of some hosts are never in time.
+	hostLate
 	// hostBusy means that there is capacity for the present calls.
 	hostBusy
 	// hostOverloaded means that calls wait for this host.
@@ -97,8 +110,10 @@
 	switch {
 	case delay >= overloadTickDelay || excess >= overloadExcess:
 		return hostOverloaded
-	case delay <= idleTickDelay && excess <= idleExcess:
-		return hostIdle
+	case excess > idleExcess:
+		return hostBusy
+	case delay > idleTickDelay:
+		return hostLate
 	}
-	return hostBusy
+	return hostIdle
 }
--- a/internal/owner/limiter_test.go
+++ b/internal/owner/limiter_test.go
@@ -54,6 +54,37 @@
 	}
 }
 
+// A host whose ticks are never in time must not keep its lowest limit after an overload,
+// unless starts wait for it, and must not exceed what it can bear for long.
+func TestLateHostRecoversFromAnOverload(t *testing.T) {
+	const bearable = 100
+	late := loadOf(idleTickDelay+1, 0)
+	l := newStartLimiter()
+	for range 100 {
+		l.observe(hostOverloaded, l.limit, 1)
+	}
+	for range 10 * time.Second / tickInterval {
+		l.observe(late, l.limit-1, 1)
+		l.observe(late, l.limit, 0)
+		l.observe(loadOf(idleTickDelay+1, idleExcess+1), l.limit, 1)
+	}
+	if l.limit != minStartsInFlight {
+		t.Errorf("the limit is %d although it was not reached, or starts wait", l.limit)
+	}
+	above, ticks := 0, int(60*time.Second/tickInterval)
+	for range ticks {
+		load := late
+		if l.limit > bearable {
+			above++
+			load = hostOverloaded
+		}
+		l.observe(load, l.limit, 1)
+	}
+	if l.limit < bearable/limitDivisor || above > ticks/10 {
+		t.Errorf("the limit is %d, and was above %d in %d of %d ticks", l.limit, bearable, above, ticks)
+	}
+}
+
 // Workers that are far away, and single slow ones, must not look like an overloaded host.
 func TestExcessLatencyTellsTheHostFromItsWorkers(t *testing.T) {
 	near, far, slow := cell.WorkerID("near"), cell.WorkerID("far"), cell.WorkerID("slow")
