Renew first the leases that end first

Cause: after a delay of the event loop many reports are handled together. Their workers are due for the next call at the same time, and the queue gave them out in the order of its heap, which is as good as random. With 300 workers on one virtual processor the last call was sent 0.1 s after the first, and a worker whose lease ended first could be last.

Now the worker whose last call is the oldest goes first among those that are due at the same time. The number of calls is unchanged.

The new test of the queue fails without the change ("539182" instead of "123589").

--- a/internal/owner/holdqueue.go
+++ b/internal/owner/holdqueue.go
@@ -61,11 +61,19 @@
 // notIdle is the position of a loop that is not in the queue.
 const notIdle = -1
 
-// dueLoops is a heap by the time at which a loop is due.
+// dueLoops is a heap by the time at which a loop is due. Of those that are due at the
+// same time, since their reports were handled together, the one with the earliest last
+// call goes first: its lease ends first.
 type dueLoops []*holdLoop
 
-func (l dueLoops) Len() int           { return len(l) }
-func (l dueLoops) Less(i, j int) bool { return l[i].due.Before(l[j].due) }
+func (l dueLoops) Len() int { return len(l) }
+
+func (l dueLoops) Less(i, j int) bool {
+	if l[i].due.Equal(l[j].due) {
+		return l[i].sentAt.Before(l[j].sentAt)
+	}
+	return l[i].due.Before(l[j].due)
+}
 
 func (l dueLoops) Swap(i, j int) {
 	l[i], l[j] = l[j], l[i]
--- a/internal/owner/holdqueue_test.go
+++ b/internal/owner/holdqueue_test.go
@@ -136,3 +136,17 @@
 		}
 	})
 }
+
+// Of the workers whose reports were handled together, the one whose lease ends first must
+// get its next call first.
+func TestHoldQueueOrderOfReportsHandledTogether(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var q holdQueue
+	for _, sent := range []int{5, 2, 8, 1, 9, 3} {
+		h := &holdLoop{id: cell.WorkerID(fmt.Sprint(sent)), position: notIdle, sentAt: now.Add(time.Duration(sent-10) * time.Millisecond)}
+		q.add(h, now)
+	}
+	if got, want := q.takeDue(now), "123589"; got != want {
+		t.Errorf("the order is %q, want %q", got, want)
+	}
+}
