Encode progress records into a buffer that is kept

Cause: the encoder of a progress record began with an empty buffer each time, which doubled until the record fitted.

Change: the encoder is now wire.Encoder, so that messages can use it too; it comes from a pool and returns a copy of the exact size. A buffer of more than 64 KB isn't kept, so that one long record holds no memory. What is written stays the same; TestAnyRecordIsReadAsWritten covers it.

--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -38,13 +38,13 @@
 //
 // What earlier releases do not know follows in a second value, which they ignore.
 func EncodeRecord(r cell.Record) ([]byte, error) {
-	e := newRecordEncoder()
+	e := recordEncoder{wire.NewEncoder()}
 	e.record(&r)
 	tasks := countSupplements(&r)
 	if r.Cause != "" || tasks > 0 {
 		e.supplement(&r, tasks)
 	}
-	return e.finish()
+	return e.Finish()
 }
 
 // DecodeRecord decodes the progress record of a job. With an error of KindSupplement it
