Encode frames between hosts without reflection or copies

Cause: each frame was encoded and decoded by the reflection of the msgpack library, which for an array tries a map first and allocates an error; a buffer grew from nothing, and the body of a message was copied out of the frame that had been read. An owner of a large deployment sends and receives a frame for each of its few thousand calls a second.

Change: wire.Encoder and wire.Decoder, both kept in pools, encode and decode the fields one by one. The body of a message is a part of the frame, whose length is read without an allocation. An envelope or a hello in the form of a map, of nil or of an empty array, which reflection accepted and no release sends, is now malformed.

In transport_test.go only types are narrower (content in place of any) and readFrame gets a bufio.Reader.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -1,12 +1,10 @@
 package peer
 
 import (
-	"bytes"
+	"bufio"
 	"encoding/binary"
 	"io"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/wire"
 )
@@ -24,9 +22,19 @@
 	lengthSize = 4
 )
 
-// envelope is the content of a frame on the wire.
+// content is the content of a frame. It is encoded without reflection, as an array of
+// its fields.
+type content interface {
+	encode(e *wire.Encoder)
+}
+
+// decodable is a content that can be decoded.
+type decodable interface {
+	decode(d *wire.Decoder)
+}
+
+// envelope is the content of a frame after the hellos.
 type envelope struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Call is the number that matches an answer to its call.
 	Call   uint64
 	Answer bool
@@ -36,52 +44,95 @@
 	Fault string
 }
 
+// envelopeFields is the number of fields of an envelope.
+const envelopeFields = 5
+
+func (v envelope) encode(e *wire.Encoder) {
+	e.Array(envelopeFields)
+	e.Unsigned(v.Call)
+	e.Flag(v.Answer)
+	e.Unsigned(uint64(v.Kind))
+	e.Bytes(v.Body)
+	e.Text(v.Fault)
+}
+
+// decode decodes the envelope, whose Body stays a part of the frame.
+func (v *envelope) decode(d *wire.Decoder) {
+	d.Array(envelopeFields)
+	v.Call = d.Unsigned()
+	v.Answer = d.Flag()
+	v.Kind = uint8(d.Unsigned())
+	v.Body = d.Bytes()
+	v.Fault = d.Text()
+}
+
 // hello is the content of the first frame that each side sends.
 type hello struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Version     int
 	Name        string
 	DataCentre  string
 	Incarnation string
 }
 
+// helloFields is the number of fields of a hello.
+const helloFields = 4
+
+func (v hello) encode(e *wire.Encoder) {
+	e.Array(helloFields)
+	e.Number(int64(v.Version))
+	e.Text(v.Name)
+	e.Text(v.DataCentre)
+	e.Text(v.Incarnation)
+}
+
+func (v *hello) decode(d *wire.Decoder) {
+	d.Array(helloFields)
+	v.Version = int(d.Number())
+	v.Name = d.Text()
+	v.DataCentre = d.Text()
+	v.Incarnation = d.Text()
+}
+
 // encodeFrame returns a frame including its length field. It fails when the
 // frame is larger than MaxFrame.
-func encodeFrame(v any) ([]byte, error) {
-	var frame bytes.Buffer
-	frame.Write(make([]byte, lengthSize))
-	encoder := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(encoder)
-	encoder.Reset(&frame)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(v); err != nil {
+func encodeFrame(c content) ([]byte, error) {
+	e := wire.NewEncoder()
+	e.Reserve(lengthSize)
+	c.encode(e)
+	frame, err := e.Finish()
+	if err != nil {
 		return nil, fault.New("encode frame", KindMalformed, "%w", err)
 	}
-	size := frame.Len() - lengthSize
+	size := len(frame) - lengthSize
 	if size > MaxFrame {
 		return nil, fault.New("encode frame", KindMalformed, "frame of %d bytes; at most %d are allowed", size, MaxFrame)
 	}
-	binary.BigEndian.PutUint32(frame.Bytes(), uint32(size))
-	return frame.Bytes(), nil
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	return frame, nil
 }
 
-// readFrame reads one frame of at most limit bytes into v and returns its size
+// readFrame reads one frame of at most limit bytes into c and returns its size
 // including the length field. A larger frame is rejected before its body is
 // read.
-func readFrame(r io.Reader, limit uint32, v any) (int, error) {
-	var length [lengthSize]byte
-	if _, err := io.ReadFull(r, length[:]); err != nil {
+func readFrame(r *bufio.Reader, limit uint32, c decodable) (int, error) {
+	length, err := r.Peek(lengthSize)
+	if err != nil {
 		return 0, err
 	}
-	n := binary.BigEndian.Uint32(length[:])
+	n := binary.BigEndian.Uint32(length)
 	if n > limit {
 		return 0, fault.New("read frame", KindMalformed, "frame of %d bytes; at most %d are allowed", n, limit)
 	}
+	if _, err := r.Discard(lengthSize); err != nil {
+		return 0, err
+	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return 0, err
 	}
-	if err := wire.Unmarshal(body, v); err != nil {
+	d := wire.NewDecoder(body)
+	c.decode(d)
+	if err := d.Finish(); err != nil {
 		return 0, fault.New("read frame", KindMalformed, "%w", err)
 	}
 	return lengthSize + int(n), nil
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -52,7 +53,7 @@
 	return c
 }
 
-func frameOf(t *testing.T, v any) []byte {
+func frameOf(t *testing.T, v content) []byte {
 	t.Helper()
 	f, err := encodeFrame(v)
 	if err != nil {
@@ -268,7 +269,7 @@
 // FuzzReadFrame checks that readFrame stays within its limit on any input, and
 // that a frame it accepts survives another round of encoding and decoding.
 func FuzzReadFrame(f *testing.F) {
-	for _, v := range []any{validHello(), envelope{Call: 1, Kind: 2, Body: []byte("body")}, envelope{Answer: true, Fault: "x"}} {
+	for _, v := range []content{validHello(), envelope{Call: 1, Kind: 2, Body: []byte("body")}, envelope{Answer: true, Fault: "x"}} {
 		frame, err := encodeFrame(v)
 		if err != nil {
 			f.Fatal(err)
@@ -280,7 +281,7 @@
 	f.Add("\x00\x00\x00\x01\xc1")
 	f.Fuzz(func(t *testing.T, input string) {
 		var e envelope
-		size, err := readFrame(strings.NewReader(input), maxHello, &e)
+		size, err := readFrame(bufio.NewReader(strings.NewReader(input)), maxHello, &e)
 		if err != nil {
 			return
 		}
@@ -292,7 +293,7 @@
 			t.Fatal(err)
 		}
 		var same envelope
-		if _, err := readFrame(strings.NewReader(string(again)), MaxFrame, &same); err != nil ||
+		if _, err := readFrame(bufio.NewReader(strings.NewReader(string(again))), MaxFrame, &same); err != nil ||
 			same.Call != e.Call || same.Fault != e.Fault || string(same.Body) != string(e.Body) {
 			t.Fatalf("%+v became %+v, %v", e, same, err)
 		}
--- a/internal/wire/encoder.go
+++ b/internal/wire/encoder.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -44,6 +45,12 @@
 	}
 }
 
+// Reserve appends bytes that the caller sets in the encoded values.
+func (e *Encoder) Reserve(size int) {
+	_, err := e.buffer.Write(make([]byte, size))
+	e.note(err)
+}
+
 // Array begins an array; its values follow.
 func (e *Encoder) Array(length int) { e.note(e.enc.EncodeArrayLen(length)) }
 
@@ -59,11 +66,20 @@
 // Text appends a string.
 func (e *Encoder) Text(s string) { e.note(e.enc.EncodeString(s)) }
 
+// Bytes appends bytes.
+func (e *Encoder) Bytes(b []byte) { e.note(e.enc.EncodeBytes(b)) }
+
 // Number appends an integer in as few bytes as possible.
 func (e *Encoder) Number(n int64) { e.note(e.enc.EncodeInt(n)) }
 
 // Unsigned appends an unsigned integer in as few bytes as possible.
 func (e *Encoder) Unsigned(n uint64) { e.note(e.enc.EncodeUint(n)) }
 
+// Duration appends a duration in nanoseconds.
+func (e *Encoder) Duration(d time.Duration) { e.Number(int64(d)) }
+
+// Float appends a floating-point number.
+func (e *Encoder) Float(f float64) { e.note(e.enc.EncodeFloat64(f)) }
+
 // Flag appends a boolean.
 func (e *Encoder) Flag(b bool) { e.note(e.enc.EncodeBool(b)) }
