Restore what fits of a record that does not fit its job

Cause: Cell.Restore indexed the steps of a job by those of its progress record. A row of the record with one step or occurrence too many, as another writer or another release could leave it, panicked with "index out of range [2] with length 2" in the event loop. What callers saw: every host that took the cell over read the same row and ended too.

Now the occurrences, steps and tasks that the job has are restored, and one line says that there were more. The record is not skipped whole, since tasks that are done would run again. A run number below 0 or above 2^53 makes the record malformed: the number of the next run overflowed. Ruled out: the parts of a split record (bounded by one byte), and the supplement (its indexes are checked).

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -159,11 +159,14 @@
 		c.restoreEnded(now, j, rec)
 		return
 	}
-	for k := range rec.Occurrences {
+	if !rec.fits(j.job) {
+		c.log.Error("a progress record has more occurrences, steps or tasks than its job; the others are ignored", jobField(j))
+	}
+	for k := range min(len(rec.Occurrences), j.job.Occurrences()) {
 		if k == len(j.occurrences) {
 			c.createOccurrence(now, j, k)
 		}
-		for i := range rec.Occurrences[k] {
+		for i := range min(len(rec.Occurrences[k]), len(j.occurrences[k])) {
 			c.restoreStep(j.occurrences[k][i], rec.Occurrences[k][i])
 		}
 		c.openReadySteps(now, j.occurrences[k])
@@ -173,6 +176,21 @@
 	}
 }
 
+// fits reports whether a job has all occurrences, steps and tasks of a record.
+func (rec *Record) fits(j *workload.Job) bool {
+	for _, steps := range rec.Occurrences {
+		if len(steps) > len(j.Steps) {
+			return false
+		}
+		for i := range steps {
+			if len(steps[i].Tasks) > j.Steps[i].Tasks {
+				return false
+			}
+		}
+	}
+	return len(rec.Occurrences) <= j.Occurrences()
+}
+
 // restoreEnded restores a job that has ended. Runs of it that still exist are
 // stopped as unknown runs when their workers report them.
 func (c *Cell) restoreEnded(now time.Time, j *jobState, rec Record) {
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -58,6 +58,9 @@
 	if err != nil {
 		return cell.Record{}, fault.New("decode record", KindMalformed, "%w", err)
 	}
+	if err := w.check(); err != nil {
+		return cell.Record{}, err
+	}
 	r := cell.Record{Job: workload.JobID(w.Job), Revision: w.Revision, State: workload.State(w.State)}
 	r.Occurrences = make([][]cell.StepRecord, len(w.Occurrences))
 	for k, steps := range w.Occurrences {
@@ -69,6 +72,38 @@
 	return r, decodeSupplement(value[size:], &r)
 }
 
+// check checks the numbers of the runs. Its error is of KindMalformed.
+func (w *recordWire) check() error {
+	for _, steps := range w.Occurrences {
+		for _, s := range steps {
+			if err := checkRuns(s.FailedRuns...); err != nil {
+				return err
+			}
+			for _, t := range s.Tasks {
+				if err := checkRuns(t.LastRun, t.Run); err != nil {
+					return err
+				}
+				if err := checkRuns(t.FailedRuns...); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// maxRun is the largest number of a run in a record. It leaves room for further runs.
+const maxRun = 1 << 53
+
+func checkRuns(numbers ...int) error {
+	for _, n := range numbers {
+		if n < 0 || n > maxRun {
+			return fault.New("decode record", KindMalformed, "run number %d; 0 to %d are allowed", n, int64(maxRun))
+		}
+	}
+	return nil
+}
+
 func decodeSteps(steps []stepRecordWire) []cell.StepRecord {
 	out := make([]cell.StepRecord, len(steps))
 	for i, s := range steps {
