Never say that a call whose answer is too long did not run

Cause: an answer larger than a frame was replaced by an answer with an error text, which a caller takes for a refusal, so that it made the call again or told its client that nothing had run. Now the answer has a kind that no message has and no text: the caller gets KindUnknown, and a host of an earlier release finds a malformed answer, which all callers (host, entry, relay) take for unknown.

An error text is cut to 1 KiB, since one that is too long for a frame closed the connection or came as another error.

Ruled out: a sixth field of the envelope, which earlier releases reject.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 const (
 	helloTimeout = 2 * time.Second
 	writeTimeout = 2 * time.Second
+	// maxFaultBytes bounds the error text of a refusal.
+	maxFaultBytes = 1 << 10
 )
 
 // handshake exchanges hellos and returns the connection. It fails when its
@@ -110,7 +113,7 @@
 				c.serve(ctx, e)
 			})
 		default:
-			c.answer(envelope{Call: e.Call, Answer: true, Kind: e.Kind, Fault: "too many calls in progress"})
+			c.answer(refusal(e, ErrBusy))
 		}
 	}
 }
@@ -135,15 +138,30 @@
 		return
 	}
 	if err != nil {
-		out.Kind, out.Body, out.Fault = e.Kind, nil, err.Error()
+		out = refusal(e, err)
 	}
 	c.answer(out)
 }
 
+// refusal returns the answer to a call that was refused.
+func refusal(e envelope, err error) envelope {
+	out := envelope{Call: e.Call, Answer: true, Kind: e.Kind, Fault: err.Error()}
+	if errors.Is(err, ErrBusy) {
+		out.Kind = kindBusy
+	}
+	if len(out.Fault) > maxFaultBytes {
+		out.Fault = out.Fault[:maxFaultBytes]
+	}
+	return out
+}
+
+// answer queues an answer. If the reply of a handler is too large for a frame, the
+// answer does not claim that the call had no effect.
 func (c *conn) answer(e envelope) {
 	frame, err := encodeFrame(e)
 	if err != nil {
-		frame, err = encodeFrame(envelope{Call: e.Call, Answer: true, Kind: e.Kind, Fault: err.Error()})
+		c.transport.log.Error("an answer is too large", zap.String("Peer", c.remote.Name), zap.Uint8("Kind", e.Kind), zap.Error(err))
+		frame, err = encodeFrame(envelope{Call: e.Call, Answer: true, Kind: kindTooLong})
 	}
 	if err != nil || !c.enqueue(outFrame{kind: e.Kind, data: frame}) {
 		c.close()
@@ -174,10 +192,7 @@
 		if !ok {
 			return Message{}, c.lost(call)
 		}
-		if e.Fault != "" {
-			return Message{}, fault.New("call", KindRefused, "%s: %s", c.remote.Name, e.Fault)
-		}
-		return Message{Kind: e.Kind, Body: e.Body}, nil
+		return c.reply(e)
 	case <-ctx.Done():
 		if c.withdraw(call) {
 			return Message{}, fault.New("call", KindNotSent, "%s reads no calls: %w", c.remote.Name, ctx.Err())
@@ -186,6 +201,19 @@
 	}
 }
 
+// reply returns the reply in an answer, or the error that it reports.
+func (c *conn) reply(e envelope) (Message, error) {
+	switch {
+	case e.Fault != "" && e.Kind == kindBusy:
+		return Message{}, fault.New("call", KindRefused, "%s: %w", c.remote.Name, ErrBusy)
+	case e.Fault != "":
+		return Message{}, fault.New("call", KindRefused, "%s: %s", c.remote.Name, e.Fault)
+	case e.Kind == kindTooLong:
+		return Message{}, fault.New("call", KindUnknown, "the answer of %s is too large", c.remote.Name)
+	}
+	return Message{Kind: e.Kind, Body: e.Body}, nil
+}
+
 // register returns a new call. It returns false if the connection is closed.
 func (c *conn) register() (*pendingCall, bool) {
 	c.mu.Lock()
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -1,6 +1,10 @@
 package peer
 
-import "cicadabarrow.example/cicadabarrow/internal/fault"
+import (
+	"errors"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+)
 
 // Kind classifies failed calls by what the caller can conclude from them.
 type Kind string
@@ -15,9 +19,13 @@
 	// a hello was invalid.
 	KindMalformed Kind = "malformed frame"
 	// KindRefused means that the peer answered with an error of its handler, so
-	// the call had no effect.
+	// the call had no effect. The error is ErrBusy too if the peer had too many calls.
 	KindRefused Kind = "refused"
 )
 
+// ErrBusy is the error of a call that the peer has refused because it is making too many
+// others. Handlers return it; the peer is not at fault.
+var ErrBusy = errors.New("too many calls in progress")
+
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -24,6 +25,16 @@
 	lengthSize = 4
 )
 
+// Kinds of answers that no message has. Hosts of earlier releases do not know them: they
+// take the first for a malformed answer and the second for any refusal.
+const (
+	// kindTooLong is the kind of an answer without a body, in place of one that is larger
+	// than MaxFrame. The call has taken effect.
+	kindTooLong uint8 = 0
+	// kindBusy is the kind of a refusal with ErrBusy.
+	kindBusy uint8 = 255
+)
+
 // envelope is the content of a frame on the wire.
 type envelope struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -77,8 +88,8 @@
 	if n > limit {
 		return 0, fault.New("read frame", KindMalformed, "frame of %d bytes; at most %d are allowed", n, limit)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(n))
+	if err != nil {
 		return 0, err
 	}
 	if err := wire.Unmarshal(body, v); err != nil {
@@ -86,3 +97,22 @@
 	}
 	return lengthSize + int(n), nil
 }
+
+// reservedBytes is the memory that is reserved for a frame before it arrives.
+const reservedBytes = 64 << 10
+
+// readBody reads n bytes.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, 0, min(n, reservedBytes))
+	for len(body) < n {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, min(n-len(body), len(body)))
+		}
+		read, err := io.ReadFull(r, body[len(body):min(cap(body), n)])
+		if err != nil {
+			return nil, err
+		}
+		body = body[:len(body)+read]
+	}
+	return body, nil
+}
