Keep the specs of permitted starts only

Cause: a relay kept the spec of a start, or waited 30 ms for one, before it checked that the call was permitted, and kept specs of any length: 1024 of up to 4 MiB each. In the test a start of another epoch left a spec behind, and one of 4 MiB was kept. Now the permission and the address are checked first, and only specs that a job may have (4,000 bytes) are kept or left out of a start; a longer one is passed on with each start. The permission is checked again right before each send, as before.

Full slots are reported with peer.ErrBusy, which changes nothing yet.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -11,6 +11,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/message"
+	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/permit"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
@@ -74,6 +75,10 @@
 // Start makes a start. An error means that the call was certainly not sent.
 func (s *Server) Start(ctx context.Context, m message.WorkerStart) (message.WorkerStarted, error) {
 	var out message.WorkerStarted
+	if err := s.check(m.WorkerCall); err != nil {
+		s.metrics.refused.Inc(1)
+		return out, err
+	}
 	if !s.specs.complete(ctx, &m) {
 		out.Failure, out.Outcome.NotSent = message.WorkerNeedsSpec, true
 		return out, nil
@@ -140,19 +145,23 @@
 	return nil
 }
 
-// admit takes a slot, or returns why the call is refused.
-func (s *Server) admit(slots chan struct{}, to message.WorkerCall) error {
-	const op = "relay"
+// check returns why a call is refused if it is malformed or not permitted.
+func (s *Server) check(to message.WorkerCall) error {
 	if !to.Addr.IsValid() || to.Timeout <= 0 {
-		return fault.New(op, KindRefused, "address %v, timeout %v", to.Addr, to.Timeout)
+		return fault.New("relay", KindRefused, "address %v, timeout %v", to.Addr, to.Timeout)
 	}
-	if err := s.permission.verify(to.Epoch); err != nil {
+	return s.permission.verify(to.Epoch)
+}
+
+// admit takes a slot, or returns why the call is refused.
+func (s *Server) admit(slots chan struct{}, to message.WorkerCall) error {
+	if err := s.check(to); err != nil {
 		return err
 	}
 	select {
 	case slots <- struct{}{}:
 		return nil
 	default:
-		return fault.New(op, KindRefused, "%d calls in progress", cap(slots))
+		return fault.New("relay", KindRefused, "%d calls in progress: %w", cap(slots), peer.ErrBusy)
 	}
 }
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,3 +107,36 @@
 		time.Sleep(maxTimeout)
 	})
 }
+
+// A sender without a permission must not fill the memory of a host with specs, nor one
+// with a permission beyond the specs of jobs, and it gets its refusal at once.
+func TestSpecsAreKeptOfPermittedStartsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.NewSystem()
+		s := NewServer(&fakeWorkers{}, timers, tally.NoopScope)
+		s.Grant(fakeEpoch, timers.Latest(), time.Hour)
+		start := func(epoch uint64, carried, spec string) error {
+			m := message.WorkerStart{WorkerCall: workerCall(epoch), SpecSum: sumOf(spec), Start: cell.SendStart{Spec: carried}}
+			_, err := s.Start(t.Context(), m)
+			return err
+		}
+		spec, long := strings.Repeat("s", 500), strings.Repeat("s", 4<<20)
+		begin := time.Now()
+		for name, carried := range map[string]string{"with its spec": spec, "without its spec": ""} {
+			if err := start(fakeEpoch+1, carried, spec); !fault.Is(err, KindRefused) || time.Since(begin) > 0 {
+				t.Errorf("a start %s of another epoch: %v after %v", name, err, time.Since(begin))
+			}
+		}
+		if n := len(s.specs.specs); n > 0 {
+			t.Errorf("%d specs of another epoch are kept", n)
+		}
+		for _, spec := range []string{long, spec} {
+			if err := start(fakeEpoch, spec, spec); err != nil {
+				t.Errorf("a start with a spec of %d bytes: %v", len(spec), err)
+			}
+		}
+		if n := len(s.specs.specs); n != 1 {
+			t.Errorf("%d specs are kept, want the one that a job may have", n)
+		}
+	})
+}
--- a/internal/relay/specs.go
+++ b/internal/relay/specs.go
@@ -71,7 +71,7 @@
 
 // abbreviate leaves the spec of a start out if the relay has been sent it.
 func (c *specCache) abbreviate(m *message.WorkerStart) bool {
-	if len(m.Start.Spec) < minSpecBytes {
+	if len(m.Start.Spec) < minSpecBytes || len(m.Start.Spec) > workload.MaxSpecBytes {
 		return false
 	}
 	m.SpecSum = xxhash.Sum64String(m.Start.Spec)
@@ -90,7 +90,7 @@
 	}
 	key := specKey{m.Start.Task.Job, m.SpecSum}
 	if m.Start.Spec != "" {
-		if xxhash.Sum64String(m.Start.Spec) == m.SpecSum {
+		if len(m.Start.Spec) <= workload.MaxSpecBytes && xxhash.Sum64String(m.Start.Spec) == m.SpecSum {
 			c.add(key, m.Start.Spec)
 		}
 		return true
