Do not suspect a relay that is full

Cause: the router counted each refused call as a miss. Three starts that a full relay refused within a moment made it suspected for 2 s or more, which ended its hold calls and moved all its workers to relays that had no fewer calls. Now a refusal with peer.ErrBusy, of the relay's slots or of the transport's, is a sign of life; only that call goes another way. Refusals for want of a permission still count, since each call to such a relay costs a round trip.

Ruled out: a new WorkerFailure, which an owner of an earlier release would take for an answered call with an empty report. TestFullRelayIsNotSuspected fails without the change ("relay 10.0.0.1:1 is Suspected", "the worker has another relay"), with one and with two hosts. go test of relay and peer passes, linter clean.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -116,7 +116,9 @@
 		relay.misses.Store(0)
 		return reply, nil
 	}
-	if deadline, ok := ctx.Deadline(); !ok || time.Since(deadline) < deadlineTolerance {
+	if errors.Is(err, peer.ErrBusy) {
+		relay.misses.Store(0)
+	} else if deadline, ok := ctx.Deadline(); !ok || time.Since(deadline) < deadlineTolerance {
 		r.missed(relay, err)
 	}
 	kind := KindRelaySilent
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -29,7 +29,8 @@
 	busyThreshold = 130 * time.Millisecond
 	busyGrace     = 500 * time.Millisecond
 	// maxMisses is the number of calls in succession that a relay may leave
-	// unanswered or refuse before it is suspected.
+	// unanswered or refuse before it is suspected. A refusal because it makes too many
+	// calls does not count.
 	maxMisses = 3
 	// suspectBackoff is how long a suspected relay gets no calls. It doubles with
 	// each suspicion within forgiveAfter of the last one, up to maxSuspectBackoff.
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -130,6 +130,46 @@
 	})
 }
 
+// A relay that makes as many calls as it may must stay in use: a suspicion would end its
+// hold calls. Each call that it refuses is made in another way at once.
+func TestFullRelayIsNotSuspected(t *testing.T) {
+	for hosts := 1; hosts <= 2; hosts++ {
+		withCluster(t, hosts, func(t *testing.T, c *fakeCluster) {
+			full := c.relay()
+			for range maxOrders {
+				full.server.orders <- struct{}{}
+			}
+			for range maxHolds {
+				full.server.holds <- struct{}{}
+			}
+			begin := time.Now()
+			for run := range 2 * maxMisses {
+				if outcome, err := c.start(t, run+1); err != nil || outcome.Unknown || outcome.NotSent {
+					t.Errorf("start %d: %+v, %v", run+1, outcome, err)
+				}
+			}
+			if took := time.Since(begin); took > 2*maxMisses*4*fakeLatency {
+				t.Errorf("the starts took %v", took)
+			}
+			if err := c.hold(t); err != nil {
+				t.Errorf("the hold call: %v", err)
+			}
+			if n := c.starts(); n != 2*maxMisses {
+				t.Errorf("%d starts were sent", n)
+			}
+			relays, _ := c.router.Overview()
+			for _, v := range relays {
+				if v.State != StateUsed {
+					t.Errorf("relay %v is %s", v.Host.Addr, v.State)
+				}
+			}
+			if r := c.router.route("w"); r == nil || r.addr != full.Addr {
+				t.Error("the worker has another relay")
+			}
+		})
+	}
+}
+
 // A worker that doesn't answer must be told apart from a relay that doesn't.
 func TestSilentWorkerIsNotBlamedOnItsRelay(t *testing.T) {
 	withCluster(t, 3, func(t *testing.T, c *fakeCluster) {
