--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,10 +3,14 @@
 //
 // The msgpack library recurses into nested values, also into those of unknown fields,
 // and a goroutine that exceeds the limit of its stack ends the process. So a value is
-// checked first, without recursion: its size, its depth, and whether it is complete.
+// checked first, without recursion: its size, its depth, the number of its values, and
+// whether it is complete. An element of one byte may decode into a struct of hundreds,
+// so that the number of values bounds the memory of the decoded value.
 package wire
 
 import (
+	"cmp"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
@@ -28,9 +32,20 @@
 	maxDepth = 32
 )
 
-// Unmarshal decodes the first value in data into v.
-func Unmarshal(data []byte, v any) error {
-	if _, err := Measure(data); err != nil {
+// Limits bounds a value. A number of 0 is no limit beyond MaxBytes.
+type Limits struct {
+	Bytes int
+	// Values is the number of values, including those in arrays and maps.
+	Values int
+}
+
+// Unmarshal decodes the first value in data into v. It is for values that this project's
+// own programs have written.
+func Unmarshal(data []byte, v any) error { return UnmarshalWithin(Limits{}, data, v) }
+
+// UnmarshalWithin decodes the first value in data into v, if data is within limits.
+func UnmarshalWithin(limits Limits, data []byte, v any) error {
+	if _, err := measure(limits, data); err != nil {
 		return err
 	}
 	if err := msgpack.Unmarshal(data, v); err != nil {
@@ -40,10 +55,14 @@
 }
 
 // Measure checks the first value in data and returns its size in bytes.
-func Measure(data []byte) (int, error) {
-	if len(data) > MaxBytes {
-		return 0, fault.New("check", KindMalformed, "%d bytes; at most %d are allowed", len(data), MaxBytes)
+func Measure(data []byte) (int, error) { return measure(Limits{}, data) }
+
+func measure(limits Limits, data []byte) (int, error) {
+	maxBytes, maxValues := cmp.Or(limits.Bytes, MaxBytes), cmp.Or(limits.Values, MaxBytes)
+	if len(data) > maxBytes {
+		return 0, fault.New("check", KindMalformed, "%d bytes; at most %d are allowed", len(data), maxBytes)
 	}
+	values := 0
 	var open [maxDepth]uint64 // values that each open array or map still contains
 	depth, at := 0, 0
 	for {
@@ -55,6 +74,9 @@
 		if h.bytes > left || h.values > left {
 			return 0, fault.New("check", KindMalformed, "a value exceeds the %d bytes that follow it", left)
 		}
+		if values++; values > maxValues {
+			return 0, fault.New("check", KindMalformed, "more than %d values", maxValues)
+		}
 		at += h.size + int(h.bytes)
 		if h.values > 0 {
 			if depth == maxDepth {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+func TestValuesBeyondTheirLimitsAreRejected(t *testing.T) {
+	for _, test := range []struct {
+		limits wire.Limits
+		data   string
+		ok     bool
+	}{
+		{wire.Limits{Bytes: 3, Values: 3}, "\x92\xc0\xc0", true},
+		{wire.Limits{Bytes: 3, Values: 2}, "\x92\xc0\xc0", false},
+		{wire.Limits{Bytes: 2, Values: 3}, "\x92\xc0\xc0", false},
+		{wire.Limits{Values: 5}, "\x82\xa1a\xc0\xa1b\xa3abc", true},
+		{wire.Limits{Values: 4}, "\x82\xa1a\xc0\xa1b\xa3abc", false},
+	} {
+		var v any
+		if err := wire.UnmarshalWithin(test.limits, []byte(test.data), &v); (err == nil) != test.ok || err != nil && !fault.Is(err, wire.KindMalformed) {
+			t.Errorf("%x within %+v: %v", test.data, test.limits, err)
+		}
+	}
+}
+
 // maxCuts limits the incomplete values that are tried for each drawn one.
 const maxCuts = 300
 
