--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -31,14 +31,18 @@
 // followManifest keeps the operator's newest manifest in force.
 func (h *Host) followManifest() {
 	version, err := h.readManifest()
+	compacted := false
 	for h.ctx.Err() == nil {
 		if err == nil {
 			version, err = h.nextManifest(version)
 		}
 		if err == nil {
+			compacted = false
 			continue
 		}
-		if h.ctx.Err() == nil && !fault.Is(err, rowstore.KindCompacted) {
+		compactedBefore := compacted
+		compacted = fault.Is(err, rowstore.KindCompacted)
+		if h.ctx.Err() == nil && (!compacted || compactedBefore) {
 			h.log.Warn("cannot follow the manifest", zap.Error(err))
 			h.sleep(manifestRetryDelay/2 + rand.N(manifestRetryDelay))
 		}
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -79,18 +79,24 @@
 
 // follow passes the changes of a table to the event loop until the owner ends.
 func (o *Owner) follow(f *feed) {
+	reread := false
 	for o.ctx.Err() == nil {
 		err := o.followOnce(f)
-		if fault.Is(err, rowstore.KindCompacted) {
-			o.log.Info("the store has compacted its history; rereading the table", zap.String("Table", f.table))
+		rereadBefore := reread
+		reread = fault.Is(err, rowstore.KindCompacted)
+		if reread {
+			o.log.Info("the store has no changes to follow; rereading the table", zap.String("Table", f.table), zap.Error(err))
 			err = o.reread(f)
 		}
 		pause := f.interval
-		if err != nil {
-			if o.ctx.Err() == nil {
-				o.log.Warn("following a table failed", zap.String("Table", f.table), zap.Error(err))
-			}
-			pause = feedBackoff/2 + rand.N(feedBackoff)
+		if err != nil && o.ctx.Err() == nil {
+			o.log.Warn("following a table failed", zap.String("Table", f.table), zap.Error(err))
+		}
+		switch backoff := feedBackoff/2 + rand.N(feedBackoff); {
+		case err != nil:
+			pause = backoff
+		case reread && rereadBefore:
+			pause = max(f.interval, backoff)
 		}
 		if pause > 0 {
 			o.sleep(pause)
