--- a/internal/cell/rank.go
+++ b/internal/cell/rank.go
@@ -62,13 +62,18 @@
 	return s.job.acceptedAt
 }
 
+// maxObjective limits the objective, so that expiredFactor times it does not overflow.
+const maxObjective = workload.MaxDuration / 2
+
 // Objective returns how long a job of a queue may take from its acceptance,
 // according to its declared estimates.
 func Objective(j *workload.Job, q *manifest.Queue) time.Duration {
-	return time.Duration(q.SlackFactor*float64(criticalPath(j))) + q.TargetLatency
+	slack := min(max(q.SlackFactor*float64(criticalPath(j)), 0), float64(workload.MaxDuration))
+	return min(time.Duration(slack)+min(q.TargetLatency, workload.MaxDuration), maxObjective)
 }
 
-// criticalPath returns the length of the longest path through a job's steps.
+// criticalPath returns the length of the longest path through a job's steps, at most
+// workload.MaxDuration.
 func criticalPath(j *workload.Job) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
@@ -77,7 +82,7 @@
 		for _, after := range j.Steps[i].After {
 			begin = max(begin, ends[after])
 		}
-		ends[i] = begin + j.Steps[i].Estimate
+		ends[i] = min(begin+j.Steps[i].Estimate, workload.MaxDuration)
 		longest = max(longest, ends[i])
 	}
 	return longest
