--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/wire"
@@ -22,6 +23,16 @@
 	lengthSize = 4
 )
 
+// Kinds of answers that no message has. Hosts of earlier releases do not know them: they
+// take the first for a malformed answer and the second for any refusal.
+const (
+	// kindTooLong is the kind of an answer without a body, in place of one that is larger
+	// than MaxFrame. The call has taken effect.
+	kindTooLong uint8 = 0
+	// kindBusy is the kind of a refusal with ErrBusy.
+	kindBusy uint8 = 255
+)
+
 // content is the content of a frame. It is encoded without reflection, as an array of
 // its fields.
 type content interface {
@@ -61,7 +72,7 @@
 	d.Array(envelopeFields)
 	v.Call = d.Unsigned()
 	v.Answer = d.Flag()
-	v.Kind = uint8(d.Unsigned())
+	v.Kind = d.Octet()
 	v.Body = d.Bytes()
 	v.Fault = d.Text()
 }
@@ -126,8 +137,8 @@
 	if _, err := r.Discard(lengthSize); err != nil {
 		return 0, err
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(n))
+	if err != nil {
 		return 0, err
 	}
 	d := wire.NewDecoder(body)
@@ -137,3 +148,22 @@
 	}
 	return lengthSize + int(n), nil
 }
+
+// reservedBytes is the memory that is reserved for a frame before it arrives.
+const reservedBytes = 64 << 10
+
+// readBody reads n bytes.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, 0, min(n, reservedBytes))
+	for len(body) < n {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, min(n-len(body), len(body)))
+		}
+		read, err := io.ReadFull(r, body[len(body):min(cap(body), n)])
+		if err != nil {
+			return nil, err
+		}
+		body = body[:len(body)+read]
+	}
+	return body, nil
+}
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -83,3 +83,12 @@
 		}
 	}
 }
+
+// A kind of more than one byte must not be taken for another kind.
+func TestFrameWithAKindOutOfRangeIsMalformed(t *testing.T) {
+	frame := earlierFrame(t, []any{1, true, 256, []byte{}, ""})
+	var read envelope
+	if _, err := readFrame(bufio.NewReader(bytes.NewReader(frame)), MaxFrame, &read); err == nil {
+		t.Errorf("a frame of kind 256 is read as %+v", read)
+	}
+}
--- a/internal/wire/decoder.go
+++ b/internal/wire/decoder.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -90,6 +92,16 @@
 // Unsigned reads an unsigned integer.
 func (d *Decoder) Unsigned() uint64 { return read(d, (*msgpack.Decoder).DecodeUint64) }
 
+// Octet reads an unsigned integer of one byte.
+func (d *Decoder) Octet() uint8 {
+	n := d.Unsigned()
+	if n > math.MaxUint8 {
+		d.note(errors.New("a number exceeds one byte"))
+		return 0
+	}
+	return uint8(n)
+}
+
 // Duration reads a duration.
 func (d *Decoder) Duration() time.Duration { return time.Duration(d.Number()) }
 
