Record which runs of a suspect were not started

After the third crash under a task its starts are limited, and those that certainly did not happen don't count. Only the owner that planned a run knew that: the numbers were not in the record, and a predecessor's run that its worker does not list was released without being noted. So each owner that was replaced between the record of the run and its start used up one of the starts, and the job ended as Failed.

Callers saw a job as failed although fewer than two workers had crashed under its tasks.

Ruled out: not counting the lost run. Its worker fell silent under it and was followed by a later one, which a crash under the run gives too, and the limit on starts needs it.

The record names the runs that were not started, as ranges, in a third value of the row: a release that knows the second value ignores what follows it, and one field more there would cost it all crashes. A run that a predecessor recorded counts as not started if its worker checks fencing tokens and reports under the recorded incarnation without it: a run that had ended would be listed until its end is durable, and then no record names it.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -28,6 +28,15 @@
 	SentListed bool
 }
 
+// RunRange is a range of successive run numbers of a task.
+type RunRange struct {
+	First int
+	Last  int
+}
+
+// after returns how many numbers of a range are later than a given one.
+func (r RunRange) after(number int) int { return max(r.Last-max(r.First-1, number), 0) }
+
 const (
 	// settledAfter is how long a run has to be at work before a crash of its
 	// worker is more likely due to another run.
@@ -305,10 +314,8 @@
 	slices.Sort(runs)
 	last := runs[aloneCrashLimit-1]
 	starts := t.lastRun - last
-	for _, number := range t.notStarted {
-		if number > last {
-			starts--
-		}
+	for _, numbers := range t.notStarted {
+		starts -= numbers.after(last)
 	}
 	if t.sentCrashes() < aloneCrashLimit {
 		return starts < maxStartsAfterUnsentCrashes
@@ -316,12 +323,18 @@
 	return starts < maxStartsAfterCrashes
 }
 
-// noteNotStarted records that a run certainly did not start: its start was not sent, or
-// refused.
+// noteNotStarted records that a run certainly did not start: its start was not sent,
+// or refused, or its worker would list it. It is called before the run is released.
 func (r *run) noteNotStarted() {
-	if t := r.task; t.current == r && t.mayHaveCrashedWorkers() {
-		t.notStarted = append(t.notStarted, r.number)
+	t := r.task
+	if t.current != r || !t.mayHaveCrashedWorkers() {
+		return
+	}
+	if n := len(t.notStarted); n > 0 && t.notStarted[n-1].Last == r.number-1 {
+		t.notStarted[n-1].Last = r.number
+		return
 	}
+	t.notStarted = append(t.notStarted, RunRange{First: r.number, Last: r.number})
 }
 
 // failForCrashes ends the job of a task that crashes its workers.
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -105,8 +105,8 @@
 	crashes []Crash
 	lost    []LostRun
 	// notStarted has the numbers of later runs that certainly did not start. It is
-	// kept only while the task has crashes or lost runs, and is not in the record.
-	notStarted []int
+	// kept only while the task has crashes or lost runs.
+	notStarted []RunRange
 	checkpoint string
 	current    *run
 	// avoidWorker is the worker to avoid: that of the last run that failed or was
--- a/internal/cell/lostrun.go
+++ b/internal/cell/lostrun.go
@@ -55,6 +55,9 @@
 			}
 		}
 		if len(t.lost) < len(lost) {
+			if !t.mayHaveCrashedWorkers() {
+				t.notStarted = nil
+			}
 			c.recordChanged(t.step.job)
 			// The durable record still names the lost run, so that a successor skips
 			// no run number: the next start waits for the new record.
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -50,6 +50,9 @@
 	// worker may have crashed.
 	Crashes []Crash
 	Lost    []LostRun
+	// NotStarted has the numbers of runs after the first of these that certainly did
+	// not start.
+	NotStarted []RunRange
 }
 
 // TakeRecords returns up to limit records to make durable next. A job whose
@@ -136,6 +139,7 @@
 		rec.Tasks[i] = TaskRecord{
 			Done: t.phase == phaseDone, LastRun: t.lastRun, FailedRuns: slices.Clone(t.failedRuns),
 			Checkpoint: t.checkpoint, Crashes: slices.Clone(t.crashes), Lost: slices.Clone(t.lost),
+			NotStarted: slices.Clone(t.notStarted),
 		}
 		if r := t.current; r != nil {
 			rec.Tasks[i].Worker, rec.Tasks[i].Run = r.worker.id, r.number
@@ -203,7 +207,7 @@
 
 func (c *Cell) restoreTask(t *task, rec TaskRecord) {
 	t.lastRun, t.failedRuns, t.checkpoint = rec.LastRun, rec.FailedRuns, rec.Checkpoint
-	t.crashes, t.lost = rec.Crashes, rec.Lost
+	t.crashes, t.lost, t.notStarted = rec.Crashes, rec.Lost, slices.Clone(rec.NotStarted)
 	for _, l := range t.lost {
 		c.watchLostRuns(t, l.Machine)
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -137,6 +137,9 @@
 		}
 		// The fencing token of this owner keeps a start that is still in flight
 		// from being accepted.
+		if r.incarnation == r.worker.incarnation {
+			r.noteNotStarted() // its end would be listed until it is durable
+		}
 		c.release(now, r, EndStopped)
 	case runStarted:
 		if clock > r.startedClock {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -86,11 +86,12 @@
 	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning, Cause: workload.CauseCrashes}
 	crash := cell.Crash{Run: 2, JustStarted: true, Accepted: true, SentListed: true}
 	lost := cell.LostRun{Crash: cell.Crash{Run: 4, Alone: true}, Machine: "m1", Incarnation: 7}
+	notStarted := []cell.RunRange{{First: 2, Last: 2}, {First: 4, Last: 5}}
 	sent := cell.LostRun{Crash: cell.Crash{Run: 6, SentListed: true}, Machine: "m2", Incarnation: 9}
 	r.Occurrences = [][]cell.StepRecord{{{FailedRuns: []int{2}, Tasks: []cell.TaskRecord{
 		{Done: true, LastRun: 1},
 		{LastRun: 4, FailedRuns: []int{1, 3}, Checkpoint: "c", Worker: "w", Run: 3, Machine: "m", Incarnation: 8},
-		{LastRun: 6, Crashes: []cell.Crash{{Run: 1}, crash}, Lost: []cell.LostRun{lost, sent}},
+		{LastRun: 6, Crashes: []cell.Crash{{Run: 1}, crash}, Lost: []cell.LostRun{lost, sent}, NotStarted: notStarted},
 		{LastRun: 2, Worker: "w", Run: 2, Machine: "m", Incarnation: 8, Accepted: true, Crashes: []cell.Crash{{Run: 1}}},
 	}}}}
 	value, err := ledger.EncodeRecord(r)
@@ -123,6 +124,31 @@
 	}
 }
 
+// A release that knows only the supplement decodes the second value of a row as before.
+func TestReleasesWithASupplementReadRecordsWithRunsThatDidNotStart(t *testing.T) {
+	r := cell.Record{Job: "00000000000000a1", Revision: 9, State: workload.StateRunning}
+	task := cell.TaskRecord{LastRun: 3, Crashes: []cell.Crash{{Run: 1}}}
+	r.Occurrences = [][]cell.StepRecord{{{Tasks: []cell.TaskRecord{task}}}}
+	before, err := ledger.EncodeRecord(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Occurrences[0][0].Tasks[0].NotStarted = []cell.RunRange{{First: 2, Last: 3}}
+	value, err := ledger.EncodeRecord(r)
+	if err != nil || !bytes.HasPrefix(value, before) {
+		t.Fatalf("written %x, %v; want it to begin with %x", value, err, before)
+	}
+	var third []any
+	if err := msgpack.Unmarshal(value[len(before):], &third); err != nil || len(third) != 1 {
+		t.Errorf("the third value is %v, %v", third, err)
+	}
+	for size := len(before) + 1; size < len(value); size++ {
+		if _, err := ledger.DecodeRecord(value[:size]); !fault.Is(err, ledger.KindSupplement) {
+			t.Errorf("%d bytes of the third value give %v", size-len(before), err)
+		}
+	}
+}
+
 // An earlier release wrote neither the machine of a run nor crashes.
 func TestRecordsOfEarlierReleasesAreRead(t *testing.T) {
 	task := []any{false, 4, []int{1, 3}, "c", "w", 3}
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -36,14 +36,18 @@
 // EncodeRecord encodes the progress record of a job. The record of a job in a
 // final state holds no occurrences.
 //
-// What earlier releases do not know follows in a second value, which they ignore.
+// What earlier releases do not know follows in a second value, which they ignore, and
+// what releases with two values do not know in a third.
 func EncodeRecord(r cell.Record) ([]byte, error) {
 	e := newRecordEncoder()
 	e.record(&r)
-	tasks := countSupplements(&r)
+	tasks, notStarted := countSupplements(&r)
 	if r.Cause != "" || tasks > 0 {
 		e.supplement(&r, tasks)
 	}
+	if notStarted > 0 {
+		e.notStarted(&r, notStarted)
+	}
 	return e.finish()
 }
 
--- a/internal/ledger/recordencoder.go
+++ b/internal/ledger/recordencoder.go
@@ -109,15 +109,24 @@
 	if tasks == 0 {
 		return
 	}
-	for k, steps := range r.Occurrences {
-		for i := range steps {
-			for n := range steps[i].Tasks {
-				if t := &steps[i].Tasks[n]; needsSupplement(t) {
-					e.taskSupplement(k, i, n, t)
-				}
-			}
+	eachTask(r, needsSupplement, e.taskSupplement)
+}
+
+// notStarted encodes a list of the given number of notStartedWire.
+func (e *recordEncoder) notStarted(r *cell.Record, tasks int) {
+	e.array(tasks)
+	eachTask(r, hasNotStarted, func(occurrence, step, task int, t *cell.TaskRecord) {
+		e.array(4)
+		e.number(int64(occurrence))
+		e.number(int64(step))
+		e.number(int64(task))
+		e.array(len(t.NotStarted))
+		for _, numbers := range t.NotStarted {
+			e.array(2)
+			e.number(int64(numbers.First))
+			e.number(int64(numbers.Last))
 		}
-	}
+	})
 }
 
 // taskSupplement encodes a taskSupplementWire.
--- a/internal/ledger/recordencoder_test.go
+++ b/internal/ledger/recordencoder_test.go
@@ -24,6 +24,9 @@
 			Incarnation: cell.Incarnation(rapid.Int64().Draw(t, "incarnation")),
 		}
 	})
+	anyRange = rapid.Custom(func(t *rapid.T) cell.RunRange {
+		return cell.RunRange{First: anyNumber.Draw(t, "first"), Last: anyNumber.Draw(t, "last")}
+	})
 	anyTask = rapid.Custom(func(t *rapid.T) cell.TaskRecord {
 		return cell.TaskRecord{
 			LastRun: anyNumber.Draw(t, "last"), FailedRuns: listOf(t, anyNumber), Checkpoint: anyText.Draw(t, "checkpoint"),
@@ -45,6 +48,7 @@
 	r.Machine = "m" + anyText.Draw(t, "machine")
 	r.Incarnation = cell.Incarnation(rapid.Int64().Draw(t, "incarnation"))
 	r.Crashes, r.Lost, r.Accepted = listOf(t, anyCrash), listOf(t, anyLostRun), rapid.Bool().Draw(t, "accepted")
+	r.NotStarted = listOf(t, anyRange)
 	return r
 }
 
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -29,6 +29,22 @@
 	Accepted bool
 }
 
+// notStartedWire is an entry of the third value of a progress record, which releases
+// with only a supplement ignore.
+type notStartedWire struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Occurrence int
+	Step       int
+	Task       int
+	Ranges     []runRangeWire
+}
+
+type runRangeWire struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	First    int
+	Last     int
+}
+
 type crashWire struct {
 	_msgpack    struct{} `msgpack:",as_array"`
 	Run         int
@@ -45,62 +61,102 @@
 	Incarnation int64
 }
 
-// countSupplements returns the number of tasks in the supplement of a record. A record
-// in a final state has only the cause.
-func countSupplements(r *cell.Record) int {
+// countSupplements returns for how many tasks the second and the third value of a
+// record have an entry. A record in a final state has only the cause.
+func countSupplements(r *cell.Record) (supplements, notStarted int) {
 	if r.State.Final() {
-		return 0
+		return 0, 0
 	}
-	count := 0
-	for _, steps := range r.Occurrences {
+	eachTask(r, needsSupplement, func(_, _, _ int, t *cell.TaskRecord) {
+		supplements++
+		if hasNotStarted(t) {
+			notStarted++
+		}
+	})
+	return supplements, notStarted
+}
+
+// eachTask calls do for each task of a record for which a condition holds, with the
+// indexes of its occurrence, its step and the task.
+func eachTask(r *cell.Record, holds func(*cell.TaskRecord) bool, do func(occurrence, step, task int, t *cell.TaskRecord)) {
+	for k, steps := range r.Occurrences {
 		for i := range steps {
 			for n := range steps[i].Tasks {
-				if needsSupplement(&steps[i].Tasks[n]) {
-					count++
+				if t := &steps[i].Tasks[n]; holds(t) {
+					do(k, i, n, t)
 				}
 			}
 		}
 	}
-	return count
 }
 
 // needsSupplement reports whether a task has content that earlier releases do not know.
 func needsSupplement(t *cell.TaskRecord) bool {
-	return t.Machine != "" || len(t.Crashes) > 0 || len(t.Lost) > 0
+	return t.Machine != "" || len(t.Crashes) > 0 || len(t.Lost) > 0 || hasNotStarted(t)
 }
 
-// decodeSupplement decodes the supplement of a record and adds it to the record. On an
-// error the record is unchanged.
+// hasNotStarted reports whether a task has an entry in the third value.
+func hasNotStarted(t *cell.TaskRecord) bool { return len(t.NotStarted) > 0 }
+
+// decodeSupplement decodes the values after the first one of a record and adds them to
+// the record. On an error the record is unchanged.
 func decodeSupplement(value []byte, r *cell.Record) error {
 	var w supplementWire
-	if err := wire.Unmarshal(value, &w); err != nil {
+	var notStarted []notStartedWire
+	size, err := wire.Measure(value)
+	if err == nil {
+		err = wire.Unmarshal(value, &w)
+	}
+	if err == nil && size < len(value) {
+		err = wire.Unmarshal(value[size:], &notStarted)
+	}
+	if err != nil {
 		return fault.New("decode record", KindSupplement, "%w", err)
 	}
-	tasks := make([]*cell.TaskRecord, len(w.Tasks))
-	for i, s := range w.Tasks {
-		if tasks[i] = taskOf(r, s); tasks[i] == nil {
-			return fault.New("decode record", KindSupplement, "no task %d of step %d in occurrence %d", s.Task, s.Step, s.Occurrence)
+	for _, s := range w.Tasks {
+		if taskOf(r, s.Occurrence, s.Step, s.Task) == nil {
+			return noTask(s.Occurrence, s.Step, s.Task)
+		}
+	}
+	for _, s := range notStarted {
+		if taskOf(r, s.Occurrence, s.Step, s.Task) == nil {
+			return noTask(s.Occurrence, s.Step, s.Task)
 		}
 	}
 	r.Cause = workload.Cause(w.Cause)
-	for i, s := range w.Tasks {
-		t := tasks[i]
+	for _, s := range notStarted {
+		taskOf(r, s.Occurrence, s.Step, s.Task).NotStarted = decodeRanges(s.Ranges)
+	}
+	for _, s := range w.Tasks {
+		t := taskOf(r, s.Occurrence, s.Step, s.Task)
 		t.Machine, t.Incarnation = s.Machine, cell.Incarnation(s.Incarnation)
 		t.Crashes, t.Lost, t.Accepted = decodeCrashes(s.Crashes), decodeLostRuns(s.Lost), s.Accepted
 	}
 	return nil
 }
 
-// taskOf returns the task of a record that an entry of the supplement is about, or nil.
-func taskOf(r *cell.Record, s taskSupplementWire) *cell.TaskRecord {
-	if s.Occurrence < 0 || s.Occurrence >= len(r.Occurrences) {
+// taskOf returns the task of a record with the given indexes, or nil.
+func taskOf(r *cell.Record, occurrence, step, task int) *cell.TaskRecord {
+	if occurrence < 0 || occurrence >= len(r.Occurrences) {
 		return nil
 	}
-	steps := r.Occurrences[s.Occurrence]
-	if s.Step < 0 || s.Step >= len(steps) || s.Task < 0 || s.Task >= len(steps[s.Step].Tasks) {
+	steps := r.Occurrences[occurrence]
+	if step < 0 || step >= len(steps) || task < 0 || task >= len(steps[step].Tasks) {
 		return nil
 	}
-	return &steps[s.Step].Tasks[s.Task]
+	return &steps[step].Tasks[task]
+}
+
+func noTask(occurrence, step, task int) error {
+	return fault.New("decode record", KindSupplement, "no task %d of step %d in occurrence %d", task, step, occurrence)
+}
+
+func decodeRanges(ranges []runRangeWire) []cell.RunRange {
+	var out []cell.RunRange
+	for _, r := range ranges {
+		out = append(out, cell.RunRange{First: r.First, Last: r.Last})
+	}
+	return out
 }
 
 func decodeCrashes(crashes []crashWire) []cell.Crash {
