Don't count a failed run as the start that decides about a suspect

After the third crash under a task its next run decides: unless the worker crashes, too, the run was expected to end as done, and any other end gave the job up. A run that ends as `failed` ended by itself, so it crashed no worker, and it already counts as a failed attempt of the task. The job was given up for crashes after its first failed attempt.

Callers saw a job as failed although fewer than two workers had crashed under its tasks and it had attempts left.

Ruled out: to leave out stopped and lost runs, too. They may have ended before the crash that they would have caused, and would then have no limit. Gangs count as before: the failed member may be another one than the task in question.

Starts are still limited: a task ends as failed at most max_attempts times.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -317,6 +317,11 @@
 	for _, numbers := range t.notStarted {
 		starts -= numbers.after(last)
 	}
+	for _, number := range t.failedRuns {
+		if number > last {
+			starts-- // it crashed no worker, and counts as a failed attempt
+		}
+	}
 	if t.sentCrashes() < aloneCrashLimit {
 		return starts < maxStartsAfterUnsentCrashes
 	}
