Don't stop the run that decides about a suspect for want of progress

After the third crash under a task its next run decides, and if it ends without success the job is given up. The owner stopped that run itself, because it made too little progress, and then gave the job up because the run had ended. A run that stays on a slow worker ends later, and its end shows that the task crashes no worker.

Of the three crashes that are counted one is real; one is under a run that was never accepted, one under a worker that had been told to leave, which only an owner without a later commit knew.

Callers saw a job as failed although fewer than two workers had crashed under its tasks.

Ruled out: to leave stopped runs out of the count. A task that crashes its worker after a while would then have no limit if it is stopped before. Preemption of such a run and the draining of its worker still stop it; the second cannot wait for its end.

--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -64,8 +64,12 @@
 
 // stalled reports whether a run should be rescheduled to another worker: it
 // makes no progress, or it is several times slower than the other runs of its
-// step.
+// step. A run after which its task may not be started again is left alone: to stop
+// it would give the job up, and its end may show that the task crashes no worker.
 func (c *Cell) stalled(now time.Time, r *run) bool {
+	if !r.task.mayStartAgain() {
+		return false
+	}
 	step := r.task.step
 	spec := step.spec
 	if spec.LongRunning && !spec.Gang && !r.stopping {
