Don't let runs that may not have been sent decide the fourth crash

Four counted crashes gave a job up if two of the workers had accepted the task, whatever was known of the two others. A run that is only on record may not have been sent, as when its owner is replaced between the record and the start. The limit at five asks that four starts were sent, and the starts after the third crash allow for one more if some were not; the limit at four asked nothing.

The script four-crashes-with-two-runs-only-on-record gives the job up at the fourth on.

Callers saw a job as failed although fewer than two workers had crashed under its tasks.

Ruled out: to ask that all four were sent. The limit on starts leaves one more start at least where the first of the four is not known to be sent, and so it was meant.

Four crashes decide if three of the starts were sent, to listed workers, or accepted. Otherwise the task gets its second start after the third crash, after which the bound on starts gives it up: it is started five times at most, as before.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -44,7 +44,8 @@
 	// A job fails once workers have crashed under one of its tasks
 	//   - aloneCrashLimit times, if all had accepted the start and the task was
 	//     alone on the last,
-	//   - crashLimit times, if minAcceptedCrashes had accepted the start, or
+	//   - crashLimit times, if minAcceptedCrashes had accepted the start and all but
+	//     one of the starts were sent, or
 	//   - sentCrashLimit times, if minSentCrashes of the starts were sent to listed
 	//     workers: a task may crash its workers before they answer.
 	// The first two may have crashed by chance on a day with many crashes, and
@@ -264,7 +265,7 @@
 func (t *task) crashesItsWorkers() bool {
 	n, accepted := len(t.crashes), t.acceptedCrashes()
 	switch {
-	case n >= crashLimit && accepted >= minAcceptedCrashes:
+	case n >= crashLimit && accepted >= minAcceptedCrashes && t.sentCrashes() >= crashLimit-1:
 		return true
 	case n >= sentCrashLimit && t.sentCrashes() >= minSentCrashes:
 		return true
