Hear the worker of a lost start before its task is given up

The one start after the third crash may never arrive: its worker falls silent first, and answers again after its lease. The run was lost by then, and counted as a start for good, although the worker's report did not list it. The job ended as Failed without a run that could have decided. The task was given up at once, before the worker could answer.

Callers saw a job as failed although its task was not started after its third crash.

Ruled out: to wait for accepted runs, too. They have started, whatever their worker says (script crashes-of-one-machine-after-the-lease). Gangs don't wait, since they are placed as a whole.

A lost run that was not accepted counts as not started if its worker checks fencing tokens and reports under the same incarnation without it. A task that would be given up waits for that up to five seconds, as one that is one crash short does already.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -332,15 +332,17 @@
 // noteNotStarted records that a run certainly did not start: its start was not sent,
 // or refused, or its worker would list it. It is called before the run is released.
 func (r *run) noteNotStarted() {
-	t := r.task
-	if t.current != r || !t.mayHaveCrashedWorkers() {
-		return
+	if t := r.task; t.current == r && t.mayHaveCrashedWorkers() {
+		t.noteNotStarted(r.number)
 	}
-	if n := len(t.notStarted); n > 0 && t.notStarted[n-1].Last == r.number-1 {
-		t.notStarted[n-1].Last = r.number
+}
+
+func (t *task) noteNotStarted(number int) {
+	if n := len(t.notStarted); n > 0 && t.notStarted[n-1].Last == number-1 {
+		t.notStarted[n-1].Last = number
 		return
 	}
-	t.notStarted = append(t.notStarted, RunRange{First: r.number, Last: r.number})
+	t.notStarted = append(t.notStarted, RunRange{First: number, Last: number})
 }
 
 // failForCrashes ends the job of a task that crashes its workers.
@@ -352,13 +354,19 @@
 }
 
 // failIfExhausted ends the job of a step with a task that may not be started again,
-// and reports whether it did.
+// and reports whether it did. First it waits a while for the workers of lost runs that
+// were not accepted, which may tell that these did not start.
 func (c *Cell) failIfExhausted(now time.Time, s *stepState) bool {
 	for _, t := range s.tasks {
-		if t.phase == phaseWaiting && !t.mayStartAgain() {
-			c.failForCrashes(now, t)
-			return true
+		if t.phase != phaseWaiting || t.mayStartAgain() {
+			continue
 		}
+		unaccepted := slices.ContainsFunc(t.lost, func(l LostRun) bool { return !l.Crash.Accepted })
+		if unaccepted && !s.spec.Gang && t.awaitsLostRun(now.Sub(t.waitingSince)) {
+			continue
+		}
+		c.failForCrashes(now, t)
+		return true
 	}
 	return false
 }
--- a/internal/cell/lostrun.go
+++ b/internal/cell/lostrun.go
@@ -25,6 +25,13 @@
 	c.watchLostRuns(t, machine)
 }
 
+// neverStarted reports whether the report of the incarnation on which a run was lost
+// shows that the run did not start and will not: the end of a run is listed until it is
+// durable, and a fencing token refuses the start of a predecessor.
+func (c *Cell) neverStarted(t *task, l LostRun, report *Report) bool {
+	return !l.Crash.Accepted && !c.config.Unfenced && !report.EndsTruncated && !report.listsRun(t.id, l.Crash.Run)
+}
+
 // watchLostRuns has the lost runs of a task on a machine resolved once the
 // machine is heard of.
 func (c *Cell) watchLostRuns(t *task, machine string) {
@@ -35,8 +42,8 @@
 
 // resolveLostRuns resolves the lost runs on the machine of a worker. Those of an
 // earlier incarnation were lost in a crash. Those of this incarnation were not, if
-// notCrashed is set: it has answered, or leaves.
-func (c *Cell) resolveLostRuns(now time.Time, w *worker, incarnation Incarnation, notCrashed bool) {
+// notCrashed is set: it has answered, with the given report, or leaves.
+func (c *Cell) resolveLostRuns(now time.Time, w *worker, incarnation Incarnation, notCrashed bool, report *Report) {
 	machine := w.registration.Machine
 	watched := c.lostRuns[machine]
 	delete(c.lostRuns, machine)
@@ -50,6 +57,9 @@
 				crashed = true
 				c.countTaskCrash(now, t, l.Crash, "")
 			case l.Machine == machine && l.Incarnation == incarnation && notCrashed:
+				if report != nil && c.neverStarted(t, l, report) {
+					t.noteNotStarted(l.Crash.Run)
+				}
 			default:
 				t.lost = append(t.lost, l)
 			}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -26,7 +26,7 @@
 	if first {
 		c.endInheritedOfEarlier(now, w, report)
 	}
-	c.resolveLostRuns(now, w, report.Incarnation, true)
+	c.resolveLostRuns(now, w, report.Incarnation, true, &report)
 	// A worker that was silent is offered by the next tick, although it may have
 	// been usable at the last one.
 	w.usableAtTick = w.usableAtTick && c.inContact(now, w)
@@ -78,14 +78,16 @@
 }
 
 // lists reports whether the report lists a run, as running or as ended.
-func (r *Report) lists(known *run) bool {
+func (r *Report) lists(known *run) bool { return r.listsRun(known.task.id, known.number) }
+
+func (r *Report) listsRun(task workload.TaskID, number int) bool {
 	for i := range r.Running {
-		if r.Running[i].Task == known.task.id && r.Running[i].Run == known.number {
+		if r.Running[i].Task == task && r.Running[i].Run == number {
 			return true
 		}
 	}
 	for i := range r.Ended {
-		if r.Ended[i].Task == known.task.id && r.Ended[i].Run == known.number {
+		if r.Ended[i].Task == task && r.Ended[i].Run == number {
 			return true
 		}
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -173,7 +173,7 @@
 	w.listed = true
 	c.noteLaterWorkers(r.Machine)
 	c.capacityFreed(w)
-	c.resolveLostRuns(now, w, r.Incarnation, r.Leaving)
+	c.resolveLostRuns(now, w, r.Incarnation, r.Leaving, nil)
 }
 
 // Addr returns the address at which a worker takes calls.
