--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -28,6 +28,15 @@
 	SentListed bool
 }
 
+// RunRange is a range of successive run numbers of a task.
+type RunRange struct {
+	First int
+	Last  int
+}
+
+// after returns how many numbers of a range are later than a given one.
+func (r RunRange) after(number int) int { return max(r.Last-max(r.First-1, number), 0) }
+
 const (
 	// settledAfter is how long a run has to be at work before a crash of its
 	// worker is more likely due to another run.
@@ -35,7 +44,8 @@
 	// A job fails once workers have crashed under one of its tasks
 	//   - aloneCrashLimit times, if all had accepted the start and the task was
 	//     alone on the last,
-	//   - crashLimit times, if minAcceptedCrashes had accepted the start, or
+	//   - crashLimit times, if minAcceptedCrashes had accepted the start and all but
+	//     one of the starts were sent, or
 	//   - sentCrashLimit times, if minSentCrashes of the starts were sent to listed
 	//     workers: a task may crash its workers before they answer.
 	// The first two may have crashed by chance on a day with many crashes, and
@@ -255,7 +265,7 @@
 func (t *task) crashesItsWorkers() bool {
 	n, accepted := len(t.crashes), t.acceptedCrashes()
 	switch {
-	case n >= crashLimit && accepted >= minAcceptedCrashes:
+	case n >= crashLimit && accepted >= minAcceptedCrashes && t.sentCrashes() >= crashLimit-1:
 		return true
 	case n >= sentCrashLimit && t.sentCrashes() >= minSentCrashes:
 		return true
@@ -305,9 +315,12 @@
 	slices.Sort(runs)
 	last := runs[aloneCrashLimit-1]
 	starts := t.lastRun - last
-	for _, number := range t.notStarted {
+	for _, numbers := range t.notStarted {
+		starts -= numbers.after(last)
+	}
+	for _, number := range t.failedRuns {
 		if number > last {
-			starts--
+			starts-- // it crashed no worker, and counts as a failed attempt
 		}
 	}
 	if t.sentCrashes() < aloneCrashLimit {
@@ -316,14 +329,22 @@
 	return starts < maxStartsAfterCrashes
 }
 
-// noteNotStarted records that a run certainly did not start: its start was not sent, or
-// refused.
+// noteNotStarted records that a run certainly did not start: its start was not sent,
+// or refused, or its worker would list it. It is called before the run is released.
 func (r *run) noteNotStarted() {
 	if t := r.task; t.current == r && t.mayHaveCrashedWorkers() {
-		t.notStarted = append(t.notStarted, r.number)
+		t.noteNotStarted(r.number)
 	}
 }
 
+func (t *task) noteNotStarted(number int) {
+	if n := len(t.notStarted); n > 0 && t.notStarted[n-1].Last == number-1 {
+		t.notStarted[n-1].Last = number
+		return
+	}
+	t.notStarted = append(t.notStarted, RunRange{First: number, Last: number})
+}
+
 // failForCrashes ends the job of a task that crashes its workers.
 func (c *Cell) failForCrashes(now time.Time, t *task) {
 	j := t.step.job
@@ -333,13 +354,19 @@
 }
 
 // failIfExhausted ends the job of a step with a task that may not be started again,
-// and reports whether it did.
+// and reports whether it did. First it waits a while for the workers of lost runs that
+// were not accepted, which may tell that these did not start.
 func (c *Cell) failIfExhausted(now time.Time, s *stepState) bool {
 	for _, t := range s.tasks {
-		if t.phase == phaseWaiting && !t.mayStartAgain() {
-			c.failForCrashes(now, t)
-			return true
+		if t.phase != phaseWaiting || t.mayStartAgain() {
+			continue
+		}
+		unaccepted := slices.ContainsFunc(t.lost, func(l LostRun) bool { return !l.Crash.Accepted })
+		if unaccepted && !s.spec.Gang && t.awaitsLostRun(now.Sub(t.waitingSince)) {
+			continue
 		}
+		c.failForCrashes(now, t)
+		return true
 	}
 	return false
 }
