Allocate the fields of a log line once

Cause: the lines "starting" and "run ended", one of each for every run, built four fields and appended others, which copied them into a second, larger slice; the name of a task was put together from two strings.

Change: runFields takes the further fields and allocates for all of them. Names of steps and tasks are written into a buffer on the stack. A slice that is kept for the next line was ruled out: loggers of tests keep the fields.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -166,7 +166,7 @@
 	t := r.task
 	took, timed := r.elapsed(now)
 	c.markStarted(t.step.job)
-	c.log.Info("run ended", append(runFields(r), zap.String("How", string(e.Kind)), zap.Duration("Took", took))...)
+	c.log.Info("run ended", runFields(r, zap.String("How", string(e.Kind)), zap.Duration("Took", took))...)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -36,7 +36,7 @@
 		r.deadline = r.worker.clockNow(now) + earlyStartValidity
 	}
 	c.observe(StageDispatch, r.task.step.job, now.Sub(r.queuedAt))
-	c.log.Info("starting", append(runFields(r), zap.Duration("Waited", now.Sub(r.task.waitingSince)))...)
+	c.log.Info("starting", runFields(r, zap.Duration("Waited", now.Sub(r.task.waitingSince)))...)
 	c.emit(SendStart{
 		Worker: r.worker.id, Task: r.task.id, Run: r.number, Spec: r.task.step.job.job.Spec,
 		Deadline: r.deadline, Ticket: r.ticket, Checkpoint: r.task.checkpoint,
@@ -79,7 +79,7 @@
 }
 
 func (c *Cell) refused(now time.Time, r *run, reason Refusal) {
-	c.log.Warn("start was refused", append(runFields(r), zap.String("Reason", string(reason)))...)
+	c.log.Warn("start was refused", runFields(r, zap.String("Reason", string(reason)))...)
 	switch reason {
 	case RefusedTicket:
 		r.task.step.advice.invalidateTicket(r.worker.id)
--- a/internal/workload/task.go
+++ b/internal/workload/task.go
@@ -27,7 +27,17 @@
 
 // String returns the text form JOB.OCCURRENCE.STEP, such as "5c0e7a21d94b36f8.0.1".
 func (s StepID) String() string {
-	return string(s.Job) + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
+	var name [nameSize]byte
+	return string(s.appendTo(name[:0]))
+}
+
+// nameSize is the size in bytes that most names of tasks fit in.
+const nameSize = 64
+
+func (s StepID) appendTo(name []byte) []byte {
+	name = append(append(name, s.Job...), '.')
+	name = append(strconv.AppendInt(name, int64(s.Occurrence), 10), '.')
+	return strconv.AppendInt(name, int64(s.Step), 10)
 }
 
 // TaskID identifies one task of an occurrence of a step.
@@ -38,7 +48,10 @@
 
 // String returns the task's name: the text form JOB.OCCURRENCE.STEP.INDEX, such as
 // "5c0e7a21d94b36f8.0.1.17".
-func (t TaskID) String() string { return t.StepID.String() + "." + strconv.Itoa(t.Index) }
+func (t TaskID) String() string {
+	var name [nameSize]byte
+	return string(strconv.AppendInt(append(t.appendTo(name[:0]), '.'), int64(t.Index), 10))
+}
 
 // nameParts is the number of parts of a task's name.
 const nameParts = 4
