Forget malformed registrations that are gone

Cause: the names of malformed registrations, kept so that each is logged once, were removed only by a deletion in the change feed. A complete reading of the table left those that were gone.

--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -70,6 +70,7 @@
 	for _, row := range rows {
 		listed[cell.WorkerID(row.Name)] = true
 	}
+	o.malformedRegistrations.retain(listed)
 	for _, id := range o.cell.Workers() {
 		if !listed[id] {
 			o.cell.Unlist(now, id)
--- a/internal/owner/malformedregistrations.go
+++ b/internal/owner/malformedregistrations.go
@@ -1,5 +1,7 @@
 package owner
 
+import "cicadabarrow.example/cicadabarrow/internal/cell"
+
 // malformedRegistrations holds the names of the registrations that cannot be decoded. A
 // registration may change with every heartbeat and is logged only once.
 type malformedRegistrations struct {
@@ -18,4 +20,13 @@
 	return true
 }
 
+// retain removes the names that a complete list of registrations lacks.
+func (r *malformedRegistrations) retain(listed map[cell.WorkerID]bool) {
+	for name := range r.names {
+		if !listed[cell.WorkerID(name)] {
+			delete(r.names, name)
+		}
+	}
+}
+
 func (r *malformedRegistrations) remove(name string) { delete(r.names, name) }
--- a/internal/owner/registrations_test.go
+++ b/internal/owner/registrations_test.go
@@ -41,6 +41,25 @@
 	}
 }
 
+// Entries that are gone must not be kept, since a writer may use a new name each time.
+func TestMalformedEntriesThatAreGoneAreForgotten(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	o := &Owner{
+		registrations: registrationsWithMalformed{}, log: zap.NewNop(), timers: timer.NewSystem(),
+		cell: cell.New(now, fakeConfig().Cell, newOwnerMetrics(tally.NoopScope), zap.NewNop()),
+	}
+	for i := range 100 {
+		row := rowstore.Row{Key: rowstore.Key{Table: tableWorkers, Name: string(workerID(i))}, Value: []byte("malformed")}
+		workersChanged([]rowstore.Row{row}, true).apply(o, now)
+	}
+	if n := len(o.malformedRegistrations.names); n != 1 {
+		t.Errorf("%d entries are kept, want the one that is listed", n)
+	}
+	if n := len(o.cell.Workers()); n > 0 {
+		t.Errorf("%d workers have an entry that cannot be decoded", n)
+	}
+}
+
 func TestWorkerWithMalformedEntryIsNotUsed(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	o := &Owner{
