Log a malformed row of the operator once, not at each read

Cause: the operator's rows are read again after each failed call and compaction, and a newer manifest comes with each ping of a host that has it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,6 +102,8 @@
 	handlers map[uint8]callHandler
 
 	manifests *manifest.Holder
+	// malformedRows holds the operator's rows that cannot be decoded.
+	malformedRows malformedRows
 	// rawManifest is the manifest in force, encoded as the operator wrote it.
 	rawManifest atomic.Pointer[[]byte]
 	detector    *election.FailureDetector
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		wave, ok, err := h.platform.Manifests.Wave(row)
-		if err != nil {
+		if h.malformedRows.changed(row.Name, err) {
 			h.log.Error("cannot decode a maintenance wave", zap.String("Row", row.Name), zap.Error(err))
 		}
 		if ok {
@@ -116,8 +116,10 @@
 // adopt puts a manifest in force if it is newer than the current one.
 func (h *Host) adopt(raw []byte, from string) {
 	m, err := h.platform.Manifests.Decode(raw)
-	if err != nil {
+	if h.malformedRows.changed(h.platform.Manifests.Name(), err) {
 		h.log.Error("cannot decode a manifest; the last one stays in force", zap.String("From", from), zap.Error(err))
+	}
+	if err != nil {
 		return
 	}
 	if !h.manifests.Adopt(m) {
