Bound the number of values in rows of the record and in messages

Left as they are: rows of the owner and of waves and a peer's hello (short, fields of fixed number), and JSON rows, whose depth the library bounds.

--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -74,10 +74,13 @@
 	return msgpack.Marshal(&w)
 }
 
+// jobLimits bounds the row of a job, which also comes from other hosts.
+var jobLimits = wire.Limits{Bytes: 1 << 20, Values: 64 << 10}
+
 // DecodeJob decodes the row of an accepted job and validates the job.
 func DecodeJob(value []byte) (cell.AcceptedJob, error) {
 	var w jobWire
-	if err := wire.Unmarshal(value, &w); err != nil {
+	if err := wire.UnmarshalWithin(jobLimits, value, &w); err != nil {
 		return cell.AcceptedJob{}, fault.New("decode job", KindMalformed, "%w", err)
 	}
 	a := cell.AcceptedJob{Queue: w.Queue.queue()}
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -47,11 +47,15 @@
 	return e.finish()
 }
 
+// recordLimits bounds a record. One of workload.MaxJobTasks tasks with 40 failed runs each
+// has fewer values.
+var recordLimits = wire.Limits{Values: 1 << 20}
+
 // DecodeRecord decodes the progress record of a job. With an error of KindSupplement it
 // returns the record without its supplement, which may be of a later release.
 func DecodeRecord(value []byte) (cell.Record, error) {
 	var w recordWire
-	size, err := wire.Measure(value)
+	size, err := wire.MeasureWithin(recordLimits, value)
 	if err == nil {
 		err = msgpack.Unmarshal(value[:size], &w)
 	}
--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -73,7 +73,7 @@
 // error the record is unchanged.
 func decodeSupplement(value []byte, r *cell.Record) error {
 	var w supplementWire
-	if err := wire.Unmarshal(value, &w); err != nil {
+	if err := wire.UnmarshalWithin(recordLimits, value, &w); err != nil {
 		return fault.New("decode record", KindSupplement, "%w", err)
 	}
 	tasks := make([]*cell.TaskRecord, len(w.Tasks))
--- a/internal/message/celllookup.go
+++ b/internal/message/celllookup.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return JobLookupReply{}, err
 	}
-	size, err := wire.Measure(p.Body)
+	size, err := wire.MeasureWithin(limits, p.Body)
 	if err != nil {
 		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
 	}
@@ -122,7 +122,7 @@
 		return m, nil
 	}
 	var cause string
-	if err := wire.Unmarshal(p.Body[size:], &cause); err != nil {
+	if err := wire.UnmarshalWithin(limits, p.Body[size:], &cause); err != nil {
 		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: cause: %w", p.Kind, err)
 	}
 	m.Cause = workload.Cause(cause)
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -19,6 +19,10 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
+// limits bounds a message. The shortest lists of jobs and workers that fill a frame have
+// fewer values.
+var limits = wire.Limits{Bytes: peer.MaxFrame, Values: 1 << 20}
+
 // codec converts a message to its wire type and back, and encodes the wire type.
 type codec[M, W any] struct {
 	kind     uint8
@@ -46,7 +50,7 @@
 		return zero, fault.New("decode", KindMalformed, "kind %d; %d was expected", p.Kind, c.kind)
 	}
 	var w W
-	if err := wire.Unmarshal(p.Body, &w); err != nil {
+	if err := wire.UnmarshalWithin(limits, p.Body, &w); err != nil {
 		return zero, fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
 	}
 	return c.fromWire(w), nil
@@ -66,9 +70,9 @@
 // decodeExtension decodes the second value of a body. If there is none, since the
 // sender is of an earlier release, it leaves extension unchanged.
 func decodeExtension(p peer.Message, extension any) error {
-	size, err := wire.Measure(p.Body)
+	size, err := wire.MeasureWithin(limits, p.Body)
 	if err == nil && size < len(p.Body) {
-		err = wire.Unmarshal(p.Body[size:], extension)
+		err = wire.UnmarshalWithin(limits, p.Body[size:], extension)
 	}
 	if err != nil {
 		return fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,13 +39,12 @@
 	Values int
 }
 
-// Unmarshal decodes the first value in data into v. It is for values that this project's
-// own programs have written.
+// Unmarshal decodes the first value in data into v. It is for short values.
 func Unmarshal(data []byte, v any) error { return UnmarshalWithin(Limits{}, data, v) }
 
 // UnmarshalWithin decodes the first value in data into v, if data is within limits.
 func UnmarshalWithin(limits Limits, data []byte, v any) error {
-	if _, err := measure(limits, data); err != nil {
+	if _, err := MeasureWithin(limits, data); err != nil {
 		return err
 	}
 	if err := msgpack.Unmarshal(data, v); err != nil {
@@ -55,9 +54,10 @@
 }
 
 // Measure checks the first value in data and returns its size in bytes.
-func Measure(data []byte) (int, error) { return measure(Limits{}, data) }
+func Measure(data []byte) (int, error) { return MeasureWithin(Limits{}, data) }
 
-func measure(limits Limits, data []byte) (int, error) {
+// MeasureWithin is like Measure, and also checks that data is within limits.
+func MeasureWithin(limits Limits, data []byte) (int, error) {
 	maxBytes, maxValues := cmp.Or(limits.Bytes, MaxBytes), cmp.Or(limits.Values, MaxBytes)
 	if len(data) > maxBytes {
 		return 0, fault.New("check", KindMalformed, "%d bytes; at most %d are allowed", len(data), maxBytes)
