--- a/internal/ledger/supplement.go
+++ b/internal/ledger/supplement.go
@@ -105,10 +105,10 @@
 	var notStarted []notStartedWire
 	size, err := wire.Measure(value)
 	if err == nil {
-		err = wire.Unmarshal(value, &w)
+		err = wire.UnmarshalWithin(recordLimits, value, &w)
 	}
 	if err == nil && size < len(value) {
-		err = wire.Unmarshal(value[size:], &notStarted)
+		err = wire.UnmarshalWithin(recordLimits, value[size:], &notStarted)
 	}
 	if err != nil {
 		return fault.New("decode record", KindSupplement, "%w", err)
