Name four log fields by the terms of the field

The line about a suspected owner whose row cannot be read says suspected, as the others do, and the list of log trace with it. Nothing outside of the repository reads these fields.

--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		h.lastReadFailure = h.timers.Now()
 		if *failures == 0 && h.ctx.Err() == nil {
-			h.log.Warn("the owner is in doubt and its row cannot be read", zap.Error(err))
+			h.log.Warn("the owner is suspected and its row cannot be read", zap.Error(err))
 		}
 		*failures++
 		h.queryPeers()
--- a/internal/host/suspicion.go
+++ b/internal/host/suspicion.go
@@ -44,7 +44,7 @@
 	h.suspectedSince = now
 	h.metrics.suspicions.Inc(1)
 	fields := append(h.contact.fields(now, h.suspicion.epoch), zap.Duration("HostDelay", h.delay.Recent(now)))
-	h.log.Info("the owner is suspected", append(fields, zap.Uint64("Epoch", h.suspicion.epoch), zap.String("Doubt", h.suspicion.reason))...)
+	h.log.Info("the owner is suspected", append(fields, zap.Uint64("Epoch", h.suspicion.epoch), zap.String("Reason", h.suspicion.reason))...)
 }
 
 // trust logs the end of a suspicion, since the owner answers as a healthy one.
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -71,7 +71,7 @@
 	}
 	h.log.Info("becoming the owner", append(evidence,
 		zap.Uint64("Epoch", row.Epoch), zap.String("After", state.Owner.Host), zap.Duration("RowUnchanged", idle),
-		zap.Bool("Released", state.Owner.Released), zap.Duration("Deference", delay))...)
+		zap.Bool("Released", state.Owner.Released), zap.Duration("TakeoverDelay", delay))...)
 	h.assumeOwnership(owner.InitialState{
 		Row: row, Version: result.Version, PredecessorsEnded: previousEnded, PredecessorIdle: idle,
 	})
@@ -94,7 +94,7 @@
 // clock.
 func (h *Host) evidence(due time.Time, state election.State, seen election.Observation) []zap.Field {
 	return append(h.contact.fields(due, state.Owner.Epoch),
-		zap.String("Doubt", h.suspicion.reason), zap.Bool("Gone", seen.ProcessExited), zap.Int("Short", seen.ShortTenures),
+		zap.String("Reason", h.suspicion.reason), zap.Bool("Gone", seen.ProcessExited), zap.Int("Short", seen.ShortTenures),
 		zap.Duration("Unrenewed", seen.SinceRenewal), zap.Duration("RowWritten", state.SinceWrittenAfter()),
 		zap.Duration("ReadLatency", seen.ReadLatency), zap.Duration("HostDelay", h.delay.Recent(due)))
 }
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -32,7 +32,7 @@
 // dropped log lines. They are part of the trace of every job.
 var commonMessages = []string{
 	"becoming the owner", "took over", "no longer the owner", "released the cell",
-	"the owner is in doubt and its row cannot be read", "log lines were left out",
+	"the owner is suspected and its row cannot be read", "log lines were left out",
 }
 
 // Trace collects the log lines that may be relevant to one job. Lines selects
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -110,7 +110,7 @@
 		zap.Duration("RunQueueDelay", processor.queueDelay),
 		zap.Int("EventsWaiting", o.events.Len()),
 		zap.Int("OrdersWaiting", waiting), zap.Duration("LongestOrderWait", longest),
-		zap.Int("StartsInLine", backlog.DispatchQueueLen), zap.Duration("LineWait", backlog.DispatchQueueWait), zap.Int("StartsOut", o.starts.inFlight), zap.Int("StartsOverdue", o.starts.overdue), zap.Int("StartLimit", o.startLimiter.limit),
+		zap.Int("StartsQueued", backlog.DispatchQueueLen), zap.Duration("StartQueueWait", backlog.DispatchQueueWait), zap.Int("StartsOut", o.starts.inFlight), zap.Int("StartsOverdue", o.starts.overdue), zap.Int("StartLimit", o.startLimiter.limit),
 		zap.Int("RecordsWaiting", backlog.Records), zap.Int("Jobs", backlog.Jobs),
 		zap.Int("StepsWaiting", backlog.Steps), zap.Int("TasksWaiting", backlog.Tasks),
 		zap.Int("Questions", backlog.Questions), zap.Int("Workers", backlog.Workers), zap.Int64("FreeMilliCores", backlog.FreeMilliCores))
