Keep the steps to evaluate by class, so that waiting ones cost nothing

Cause: while the dispatch queue is full for a class, each decision walked over all pending steps of that class, twice, to find one of another class; and it added up to as many waiting steps to the pending ones as questions may be open (294 on 147 hosts), although one decision evaluates 40 and most were there already. Callers saw nothing by itself: it is processor time of an owner that is overloaded already.

Change: pending steps, and those that wait for a question, are kept in a list for each class of starts, and only lists of classes that are not full are looked at. The class is computed with the rank, and moves with it; a manifest can change it without the rank, which rerank now sees. At most maxEvaluations waiting steps are marked in a decision. Order and what is evaluated stay the same.

Tests: TestStepFollowsItsClassThroughManifests guards the list of a step whose class changes alone (it fails if rerank compares the rank only).

--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -13,7 +13,7 @@
 	// all holds the open steps.
 	all stepList
 	// pending holds the steps that the next decisions evaluate.
-	pending stepList
+	pending classifiedSteps
 	// unplaceable holds the steps that have no worker left to start on or to
 	// ask about.
 	unplaceable stepList
@@ -57,6 +57,7 @@
 	if !s.open {
 		s.open = true
 		s.key = stepKey{c.rank(now, s), s.id}
+		s.class = c.startClassOf(s, s.key.rank)
 		c.openSteps[s.id] = s
 		c.evalQueue.all.add(s)
 		for _, l := range c.allowedStepLists(s) {
@@ -91,9 +92,19 @@
 	return out
 }
 
+// sortedSteps is a list of open steps.
+type sortedSteps interface {
+	add(s *stepState)
+	remove(s *stepState) bool
+}
+
 // stepLists returns all lists that may contain a step.
-func (c *Cell) stepLists(s *stepState) []*stepList {
-	return append(c.allowedStepLists(s), &c.evalQueue.all, &c.evalQueue.pending, &c.urgentQuestions.waiting, &c.longQuestions.waiting, &c.evalQueue.unplaceable)
+func (c *Cell) stepLists(s *stepState) []sortedSteps {
+	out := []sortedSteps{&c.evalQueue.all, &c.evalQueue.pending, &c.urgentQuestions.waiting, &c.longQuestions.waiting, &c.evalQueue.unplaceable}
+	for _, l := range c.allowedStepLists(s) {
+		out = append(out, l)
+	}
+	return out
 }
 
 // markStep marks a step for evaluation by the next decision.
@@ -112,15 +123,16 @@
 	c.placementPending = true
 }
 
-// rerank moves a step to the position of its current rank, and reports whether
-// the position changed.
+// rerank moves a step to the position of its current rank and to its current class,
+// and reports whether either has changed.
 func (c *Cell) rerank(now time.Time, s *stepState) bool {
 	key := stepKey{c.rank(now, s), s.id}
-	if key.compare(s.key) == 0 {
+	class := c.startClassOf(s, key.rank)
+	if key.compare(s.key) == 0 && class == s.class {
 		return false
 	}
-	lists := slices.DeleteFunc(c.stepLists(s), func(l *stepList) bool { return !l.remove(s) })
-	s.key = key
+	lists := slices.DeleteFunc(c.stepLists(s), func(l sortedSteps) bool { return !l.remove(s) })
+	s.key, s.class = key, class
 	for _, l := range lists {
 		l.add(s)
 	}
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -22,6 +22,27 @@
 // QueueOf returns the queue that decisions about a job use.
 func (c *Cell) QueueOf(id workload.JobID) manifest.Queue { return *c.queueOf(c.jobs[id]) }
 
+// Misfiled returns the open steps whose class is not that of their rank and queue, and
+// those that wait in the list of another class.
+func (c *Cell) Misfiled() []workload.StepID {
+	var out []workload.StepID
+	for _, s := range c.openSteps {
+		if s.class != c.startClassOf(s, s.key.rank) {
+			out = append(out, s.id)
+		}
+	}
+	for _, l := range []*classifiedSteps{&c.evalQueue.pending, &c.urgentQuestions.waiting, &c.longQuestions.waiting} {
+		for class := range l.lists {
+			for _, s := range l.lists[class].steps {
+				if !s.open || int(s.class) != class {
+					out = append(out, s.id)
+				}
+			}
+		}
+	}
+	return out
+}
+
 // TickWithoutSweep is Tick without its sweep, so that steps are evaluated only
 // after a change or when one of their timers is due.
 func (c *Cell) TickWithoutSweep(now time.Time) {
@@ -47,7 +68,7 @@
 		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.usableAtTick })
 	}
 	for _, s := range c.openSteps {
-		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, c.startClassOf(s)) {
+		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, s.class) {
 			continue
 		}
 		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtTick })
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -77,6 +77,8 @@
 	// evaluation queue, at the position given by key.
 	open bool
 	key  stepKey
+	// class is that of the starts of the step.
+	class startClass
 	// evaluatedIn is the round of the last decision that evaluated the step.
 	evaluatedIn uint64
 }
--- a/internal/cell/offer.go
+++ b/internal/cell/offer.go
@@ -76,7 +76,7 @@
 // offered. Otherwise it may have to ask for advice first, may find too little
 // capacity for a whole gang, may avoid the worker, or waits for the dispatch queue.
 func (c *Cell) certainToPlace(now time.Time, w *worker, s *stepState) bool {
-	if c.queueOf(s.job).Advice.Needed() && !s.advice.hasTicket(now, w) || s.spec.Gang || c.awaitingWorkers() || len(c.earlyStarts.unrecorded) > 0 || c.dispatch.full(now, c.startClassOf(s)) {
+	if c.queueOf(s.job).Advice.Needed() && !s.advice.hasTicket(now, w) || s.spec.Gang || c.awaitingWorkers() || len(c.earlyStarts.unrecorded) > 0 || c.dispatch.full(now, s.class) {
 		return false
 	}
 	for _, t := range s.tasks {
--- a/internal/cell/overloadbench_test.go
+++ b/internal/cell/overloadbench_test.go
@@ -153,12 +153,12 @@
 }
 
 // BenchmarkOverloadedDecision lets a millisecond pass in a cell that has had more
-// submitted than its owner can start for some seconds.
+// submitted than its owner can start for some time.
 func BenchmarkOverloadedDecision(b *testing.B) {
-	for _, queues := range []int{0, 1000} {
-		b.Run(fmt.Sprintf("1100-workers-%d-queues", queues+2), func(b *testing.B) {
-			f := newOverloadedFleet(1100, queues)
-			for range 4000 {
+	for _, c := range []struct{ queues, seconds int }{{0, 4}, {1000, 4}, {0, 40}} {
+		b.Run(fmt.Sprintf("1100-workers-%d-queues-%ds", c.queues+2, c.seconds), func(b *testing.B) {
+			f := newOverloadedFleet(1100, c.queues)
+			for range c.seconds * int(time.Second/overloadTick) {
 				f.advance()
 			}
 			f.took.decide = 0
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -13,8 +13,9 @@
 func (c *Cell) place(now time.Time) {
 	c.refreshRanks(now)
 	c.fireTimers(now)
+	mayPlace := c.placeableClasses(now)
 	for _, l := range c.questionLimiters() {
-		for _, s := range l.waiting.first(l.available()) {
+		for _, s := range l.waiting.first(min(l.available(), maxEvaluations), &mayPlace) {
 			c.evalQueue.pending.add(s)
 		}
 	}
@@ -38,29 +39,34 @@
 // which the dispatch queue is full stays in the queue; a step of an earlier startClass
 // may rank after it, since a long-running step waits in its queue's class at first.
 func (c *Cell) nextStep(now time.Time) *stepState {
-	var full [startClasses]bool
-	for class := range startClasses {
-		full[class] = c.dispatch.full(now, class)
-	}
-	mayPlace := func(s *stepState) bool { return !full[c.startClassOf(s)] }
-	if s := c.evalQueue.pending.popFirst(mayPlace); s != nil {
+	mayPlace := c.placeableClasses(now)
+	if s := c.evalQueue.pending.popFirst(&mayPlace); s != nil {
 		return s
 	}
 	c.offerFreedWorkers(now)
-	if s := c.evalQueue.pending.popFirst(mayPlace); s != nil {
+	if s := c.evalQueue.pending.popFirst(&mayPlace); s != nil {
 		return s
 	}
 	for _, l := range c.questionLimiters() {
 		if !l.ready() {
 			continue
 		}
-		if s := l.waiting.popFirst(mayPlace); s != nil {
+		if s := l.waiting.popFirst(&mayPlace); s != nil {
 			return s
 		}
 	}
 	return nil
 }
 
+// placeableClasses returns the classes for which the dispatch queue is not full.
+func (c *Cell) placeableClasses(now time.Time) classSet {
+	var out classSet
+	for class := range startClasses {
+		out[class] = !c.dispatch.full(now, class)
+	}
+	return out
+}
+
 // hasNextStep reports whether there is a step to evaluate.
 func (c *Cell) hasNextStep() bool {
 	return c.evalQueue.pending.len() > 0 || len(c.evalQueue.freedWorkers) > 0 || c.urgentQuestions.ready() || c.longQuestions.ready()
@@ -91,7 +97,7 @@
 	}
 	switch {
 	case s.waiting == 0:
-	case c.dispatch.full(now, c.startClassOf(s)):
+	case c.dispatch.full(now, s.class):
 		c.markStep(s)
 	default:
 		c.requestWorkers(now, s, q, usable)
@@ -154,7 +160,7 @@
 		if t.phase != phaseWaiting || c.earlyStarts.unrecorded[t.id] != nil {
 			continue
 		}
-		if c.dispatch.full(now, c.startClassOf(s)) {
+		if c.dispatch.full(now, s.class) {
 			break
 		}
 		w := c.workerFor(now, t, eligible)
@@ -279,7 +285,7 @@
 	c.recordChanged(s.job)
 	r.revision = s.job.revision
 	s.job.planned = append(s.job.planned, r)
-	r.class = c.startClassOf(s)
+	r.class = s.class
 	r.early = c.mayStartEarly(r)
 	c.isolate(r)
 	t.numberRevision = r.revision
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -17,7 +17,7 @@
 // lower-priority queues that can resume from a checkpoint, on workers that the
 // step is allowed on. A job in classExpired is not worth the work that is lost.
 func (c *Cell) preempt(now time.Time, s *stepState, eligible []*worker) {
-	if c.config.Policy.NoPreemption || c.startClassOf(s) != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < preemptAfter {
+	if c.config.Policy.NoPreemption || s.class != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < preemptAfter {
 		return
 	}
 	wanted := s.waiting - s.preemptedFor
--- a/internal/cell/questionlimiter.go
+++ b/internal/cell/questionlimiter.go
@@ -13,7 +13,7 @@
 	// lastNamed is the last worker that the last question has named.
 	lastNamed WorkerID
 	// waiting holds the steps that wait until another question is closed.
-	waiting stepList
+	waiting classifiedSteps
 }
 
 // available returns how many more questions may be asked now.
--- a/internal/cell/startclass.go
+++ b/internal/cell/startclass.go
@@ -18,9 +18,9 @@
 	startClasses
 )
 
-// startClassOf returns the class of the starts of an open step.
-func (c *Cell) startClassOf(s *stepState) startClass {
-	urgent, expired := c.queueOf(s.job).Priority == 0, s.key.rank.class == classExpired
+// startClassOf returns the class of the starts of a step with the given rank.
+func (c *Cell) startClassOf(s *stepState, r rank) startClass {
+	urgent, expired := c.queueOf(s.job).Priority == 0, r.class == classExpired
 	switch {
 	case s.spec.LongRunning:
 		return startLongRunning
--- a/internal/cell/startclass_test.go
+++ b/internal/cell/startclass_test.go
@@ -71,6 +71,41 @@
 	}
 }
 
+// A manifest can change the class of a step and not its rank. The step must neither stay
+// among those of its earlier class nor remain there after its job has ended.
+func TestStepFollowsItsClassThroughManifests(t *testing.T) {
+	b := newBacklog(t, 4, 0, whyUnanswered)
+	for i, queue := range []string{"first", "hold", "first", "hold"} {
+		id := workload.JobID(queue + string(rune('a'+i)))
+		b.accept(id, queue, workload.Step{Tasks: 1, Size: job.Size{MilliCores: minCapacity * 5}, Estimate: time.Second, LongRunning: i > 1})
+	}
+	b.wait(time.Minute)
+	b.cell.TakeActions(b.now) // the jobs expire
+	check := func(when string) {
+		t.Helper()
+		if steps := b.cell.Misfiled(); len(steps) > 0 {
+			t.Errorf("%s the class of %v is wrong", when, steps)
+		}
+	}
+	check("before the manifest")
+	m := backlogManifest
+	m.Version++
+	m.Queues = slices.Clone(m.Queues)
+	for i := range m.Queues {
+		m.Queues[i].Priority = 2 - m.Queues[i].Priority
+	}
+	b.cell.LimitStarts(0)
+	b.cell.Tick(b.now) // the steps are marked before their class changes
+	b.cell.SetManifest(&m)
+	b.cell.TakeActions(b.now)
+	check("with the manifest")
+	b.cell.Tick(b.now)
+	for _, id := range []workload.JobID{"firsta", "holdb", "firstc", "holdd"} {
+		b.cell.Cancel(b.now, id)
+	}
+	check("after the jobs")
+}
+
 func TestExpiredJobsPreemptOthers(t *testing.T) {
 	for _, waited := range []time.Duration{time.Second, time.Minute} {
 		b := newBacklog(t, 1, 0, whyUnanswered)
--- a/internal/cell/steplist.go
+++ b/internal/cell/steplist.go
@@ -50,19 +50,60 @@
 	return true
 }
 
-// popFirst removes and returns the first step that meets a condition, or returns
-// nil.
-func (l *stepList) popFirst(meets func(*stepState) bool) *stepState {
-	at := slices.IndexFunc(l.steps, meets)
-	if at < 0 {
-		return nil
-	}
-	first := l.steps[at]
-	l.steps = slices.Delete(l.steps, at, at+1)
-	return first
-}
-
 // first returns at most n steps from the start of the list.
 func (l *stepList) first(n int) []*stepState { return l.steps[:max(min(n, len(l.steps)), 0)] }
 
 func (l *stepList) len() int { return len(l.steps) }
+
+// classifiedSteps holds open steps by the class of their starts, so that steps of a class
+// for which the dispatch queue is full cost nothing.
+type classifiedSteps struct {
+	lists [startClasses]stepList
+}
+
+// classSet is a set of classes of starts.
+type classSet [startClasses]bool
+
+func (l *classifiedSteps) add(s *stepState) { l.lists[s.class].add(s) }
+
+// remove removes a step, and reports whether it was present.
+func (l *classifiedSteps) remove(s *stepState) bool { return l.lists[s.class].remove(s) }
+
+func (l *classifiedSteps) len() int {
+	n := 0
+	for class := range l.lists {
+		n += l.lists[class].len()
+	}
+	return n
+}
+
+// popFirst removes and returns the first step of the given classes, or returns nil.
+func (l *classifiedSteps) popFirst(of *classSet) *stepState {
+	steps := l.first(1, of)
+	if len(steps) == 0 {
+		return nil
+	}
+	l.remove(steps[0])
+	return steps[0]
+}
+
+// first returns at most n steps of the given classes in order.
+func (l *classifiedSteps) first(n int, of *classSet) []*stepState {
+	var out []*stepState
+	var next [startClasses]int
+	for len(out) < n {
+		var first *stepState
+		for class := range l.lists {
+			steps := l.lists[class].steps[next[class]:]
+			if of[class] && len(steps) > 0 && (first == nil || steps[0].key.compare(first.key) < 0) {
+				first = steps[0]
+			}
+		}
+		if first == nil {
+			break
+		}
+		next[first.class]++
+		out = append(out, first)
+	}
+	return out
+}
