Let the questions about each service take turns of their own

Cause: since a question begins after the last worker that the last one named. That worker was kept for the urgent and for the long questions, not by service. Where questions of two services alternate, the last worker is one of the other service, whose IDs sort before or after all of this one, so that each question began with the same first workers again: the open questions named the same free capacity, which is what the turns are to prevent. Found by reading; the large installation has one service, where nothing changes.

The list of usable workers serves for 100 ms, so it also named a worker that had registered for another service since, and kept the former entry of a worker that was forgotten and registered anew under its ID. Callers would see later starts: questions that bring tickets for taken capacity.

Change: the last worker is kept by service; a worker of the list is used for its service only; a newly usable worker replaces an entry of its ID.

Ruled out by reading: a worker is named twice (a step knows the allowed and denied ones, and occupied ones have no capacity for it); a worker that is never asked about (without open questions they begin at the first, and what is known is skipped); a worker out of service (checked when it is named).

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -72,13 +72,13 @@
 func (c *Cell) addUnknown(now time.Time, n *candidates, q *manifest.Queue, usable *usableWorkers) (last WorkerID) {
 	s, need := n.step, n.step.spec.Reserved()
 	workers := usable.recent(q.Service)
-	begin := c.limiterFor(q).begin(workers)
+	begin := c.limiterFor(q).begin(q.Service, workers)
 	for i := range workers {
 		if n.enough() {
 			break
 		}
 		w := workers[(begin+i)%len(workers)]
-		if !need.Fits(w.freeCapacity()) || s.advice.isKnown(w.id) || !s.fits(w) || n.idleOnly && !w.idle() || !c.usable(now, w) {
+		if !need.Fits(w.freeCapacity()) || s.advice.isKnown(w.id) || !s.fits(w) || n.idleOnly && !w.idle() || !c.usableFor(now, w, q) {
 			continue
 		}
 		n.add(w)
@@ -87,6 +87,12 @@
 	return last
 }
 
+// usableFor reports whether a worker of the recent ones may get new starts of a queue. It
+// may have registered for another service since.
+func (c *Cell) usableFor(now time.Time, w *worker, q *manifest.Queue) bool {
+	return w.registration.Service == q.Service && c.usable(now, w)
+}
+
 // addOccupied extends a question by workers that have no free capacity yet, so
 // that the step can use what becomes free while the answer is valid. Each
 // question takes a fixed time, however few workers it names; the added workers
@@ -116,7 +122,7 @@
 		if enough() {
 			return
 		}
-		if s.capacityOn(w) == 0 && !s.advice.isKnown(w.id) && s.fits(w) && c.usable(now, w) {
+		if s.capacityOn(w) == 0 && !s.advice.isKnown(w.id) && s.fits(w) && c.usableFor(now, w, q) {
 			add(w, n.share)
 		}
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -181,7 +181,7 @@
 		openSteps:       make(map[workload.StepID]*stepState),
 		pending:         make(map[string]int),
 		startsAccepted:  make(map[string]acceptedStarts),
-		urgentQuestions: questionLimiter{limit: urgentPerHost}, longQuestions: questionLimiter{limit: 1}, allowedShares: make(map[string]float64), waves: make(map[int]*waveState),
+		urgentQuestions: newQuestionLimiter(urgentPerHost), longQuestions: newQuestionLimiter(1), allowedShares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), earlyStarts: newEarlyStartState(),
 		estimates: make(map[string]*estimateStats), dispatch: dispatchQueue{limit: unlimitedStarts},
 	}
--- a/internal/cell/questionlimiter.go
+++ b/internal/cell/questionlimiter.go
@@ -10,37 +10,41 @@
 type questionLimiter struct {
 	open  int
 	limit int
-	// lastNamed is the last worker that the last question has named.
-	lastNamed WorkerID
+	// lastNamed has the last worker that the last question has named, by service.
+	lastNamed map[string]WorkerID
 	// waiting holds the steps that wait until another question is closed.
 	waiting classifiedSteps
 }
 
+func newQuestionLimiter(limit int) questionLimiter {
+	return questionLimiter{limit: limit, lastNamed: make(map[string]WorkerID)}
+}
+
 // available returns how many more questions may be asked now.
 func (l *questionLimiter) available() int { return l.limit - l.open }
 
 // ready reports whether a waiting step may ask now.
 func (l *questionLimiter) ready() bool { return l.available() > 0 && l.waiting.len() > 0 }
 
-// begin returns the index of the first worker, of those sorted by ID, that the next
-// question should name.
-func (l *questionLimiter) begin(workers []*worker) int {
+// begin returns the index of the first worker, of those of a service sorted by ID, that
+// the next question should name.
+func (l *questionLimiter) begin(service string, workers []*worker) int {
 	if l.open == 0 {
 		return 0
 	}
-	at, found := findWorker(workers, l.lastNamed)
+	at, found := findWorker(workers, l.lastNamed[service])
 	if found {
 		at++
 	}
 	return at
 }
 
-// acquire counts a question. last is the last worker that it names; empty if it only
-// renews tickets.
-func (l *questionLimiter) acquire(last WorkerID) {
+// acquire counts a question about workers of a service. last is the last worker that it
+// names; empty if it only renews tickets.
+func (l *questionLimiter) acquire(service string, last WorkerID) {
 	l.open++
 	if last != "" {
-		l.lastNamed = last
+		l.lastNamed[service] = last
 	}
 }
 
--- a/internal/cell/usable.go
+++ b/internal/cell/usable.go
@@ -57,9 +57,12 @@
 // addRecent adds a worker that has become usable to the list of recent.
 func (u *usableWorkers) addRecent(w *worker) {
 	workers := u.recentByService[w.registration.Service]
-	if at, found := findWorker(workers, w.id); !found {
-		u.recentByService[w.registration.Service] = slices.Insert(workers, at, w)
+	at, found := findWorker(workers, w.id)
+	if found {
+		workers[at] = w // it may have been forgotten and registered anew
+		return
 	}
+	u.recentByService[w.registration.Service] = slices.Insert(workers, at, w)
 }
 
 // collect replaces the lists of the usable workers.
