Keep the hashes of the hosts' addresses for the answers to pings

Cause: each ping of each host had the owner write out and hash the addresses of all hosts, to see whether the pinging host has the list: work that grows with the square of the hosts. On 147 hosts that is 588 pings a second.

Change: the hash of an address is computed when a host becomes known. The list is made only for hosts that do not have it. What is on the wire stays the same: the receiving host computes the hash from the list, as hosts of earlier releases do. If a host becomes silent between the sum and the list, the list is sent with that change, and its receiver hashes what it got.

Tests: TestHashOfHostsFollowsTheList compares the sum with the hash of the list while hosts come and go; TestPongLeavesOutAListThatThePingingHostHas is unchanged. go test ./internal/host passes.

--- a/internal/host/advisors.go
+++ b/internal/host/advisors.go
@@ -22,12 +22,18 @@
 	peers  Peers
 	timers timer.Service
 
-	mu       sync.Mutex
-	lastSeen map[netip.AddrPort]time.Time
+	mu    sync.Mutex
+	hosts map[netip.AddrPort]seenHost
+}
+
+// seenHost is when a host was last seen, and the hash of its address.
+type seenHost struct {
+	last time.Time
+	hash uint64
 }
 
 func newRemoteAdvisors(peers Peers, timers timer.Service) *remoteAdvisors {
-	return &remoteAdvisors{peers: peers, timers: timers, lastSeen: make(map[netip.AddrPort]time.Time)}
+	return &remoteAdvisors{peers: peers, timers: timers, hosts: make(map[netip.AddrPort]seenHost)}
 }
 
 // markAlive records that a host is alive now. An invalid address is ignored.
@@ -37,7 +43,12 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastSeen[addr] = h.timers.Now()
+	seen, known := h.hosts[addr]
+	if !known {
+		seen.hash = hashOf(addr)
+	}
+	seen.last = h.timers.Now()
+	h.hosts[addr] = seen
 }
 
 // forgetAfter is how long after its last ping a host is removed from the list.
@@ -45,19 +56,31 @@
 
 // List returns the hosts that count as alive.
 func (h *remoteAdvisors) List() []netip.AddrPort {
+	var out []netip.AddrPort
+	h.eachAlive(func(at netip.AddrPort, _ uint64) { out = append(out, at) })
+	return out
+}
+
+// sum returns sumHosts of List. It is computed for each ping of each host.
+func (h *remoteAdvisors) sum() uint64 {
+	var sum uint64
+	h.eachAlive(func(_ netip.AddrPort, hash uint64) { sum += hash })
+	return sum
+}
+
+// eachAlive calls f with the address of each host that counts as alive, and its hash.
+func (h *remoteAdvisors) eachAlive(f func(at netip.AddrPort, hash uint64)) {
 	now := h.timers.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []netip.AddrPort
-	for at, seen := range h.lastSeen {
-		switch age := now.Sub(seen); {
+	for at, seen := range h.hosts {
+		switch age := now.Sub(seen.last); {
 		case age > forgetAfter:
-			delete(h.lastSeen, at)
+			delete(h.hosts, at)
 		case age <= aliveFor:
-			out = append(out, at)
+			f(at, seen.hash)
 		}
 	}
-	return out
 }
 
 // CountActive returns the number of hosts that sent or answered a ping within
@@ -67,8 +90,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
-	for _, last := range h.lastSeen {
-		if now.Sub(last) <= within {
+	for _, seen := range h.hosts {
+		if now.Sub(seen.last) <= within {
 			n++
 		}
 	}
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -70,11 +70,13 @@
 func sumHosts(hosts []netip.AddrPort) uint64 {
 	var sum uint64
 	for _, addr := range hosts {
-		sum += xxhash.Sum64String(addr.String())
+		sum += hashOf(addr)
 	}
 	return sum
 }
 
+func hashOf(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
+
 // setOwner records the owner of the cell. The caller holds the lock.
 func (h *Host) setOwner(current ownerRef) {
 	if current.epoch != h.lastOwner.epoch {
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -197,12 +197,14 @@
 	}
 	known := h.knownOwner()
 	pong := message.OwnerPong{
-		Manifest: h.manifestVersion(), Hosts: h.advisors.List(),
+		Manifest:  h.manifestVersion(),
 		OwnerAddr: known.addr, OwnerIncarnation: known.incarnation, Epoch: known.epoch,
 	}
 	// The list of hosts is most of a pong, and seldom changes.
-	if sum := sumHosts(pong.Hosts); sum != 0 && sum == ping.HostsSum {
-		pong.Hosts, pong.SameHosts = nil, true
+	if sum := h.advisors.sum(); sum != 0 && sum == ping.HostsSum {
+		pong.SameHosts = true
+	} else {
+		pong.Hosts = h.advisors.List()
 	}
 	if raw := h.rawManifest.Load(); raw != nil && pong.Manifest > ping.Manifest {
 		pong.NewerManifest = *raw
--- a/internal/host/relays_test.go
+++ b/internal/host/relays_test.go
@@ -1,12 +1,15 @@
 package host
 
 import (
+	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/relay"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
 // A list of hosts in each pong grows with the square of the hosts.
@@ -26,6 +29,51 @@
 	})
 }
 
+// The hash in a pong is added up from kept ones, and other hosts compute it from the list.
+func TestHashOfHostsFollowsTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newRemoteAdvisors(nil, timer.NewSystem())
+		check := func(when string, want int) {
+			t.Helper()
+			list := hosts.List()
+			if len(list) != want || hosts.sum() != sumHosts(list) {
+				t.Errorf("%s there are %d hosts, want %d; their hash is %x, that of the list %x", when, len(list), want, hosts.sum(), sumHosts(list))
+			}
+		}
+		addr := func(i byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7000) }
+		check("at first", 0)
+		for i := range byte(3) {
+			hosts.markAlive(addr(i))
+		}
+		check("with three hosts", 3)
+		time.Sleep(aliveFor)
+		hosts.markAlive(addr(0))
+		time.Sleep(time.Millisecond)
+		check("after two are silent", 1)
+		hosts.markAlive(addr(1))
+		check("after one is back", 2)
+		time.Sleep(forgetAfter + time.Millisecond)
+		check("after all are forgotten", 0)
+		hosts.markAlive(addr(2))
+		check("after one is known again", 1)
+	})
+}
+
+// BenchmarkHashOfHosts does what each ping of each host has the owner do for the list.
+func BenchmarkHashOfHosts(b *testing.B) {
+	for _, n := range []byte{15, 146} {
+		b.Run(strconv.Itoa(int(n)), func(b *testing.B) {
+			hosts := newRemoteAdvisors(nil, timer.NewSystem())
+			for i := range n {
+				hosts.markAlive(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7000))
+			}
+			for range b.N {
+				hosts.sum()
+			}
+		})
+	}
+}
+
 // leaseGap returns the longest time in which the lease of a worker had expired.
 func (w *fakeCluster) leaseGap() time.Duration {
 	w.mu.Lock()
