List the hosts for advice once a tick and not for each question

Cause: to pick the host for a question, the owner copied and sorted the list of all hosts, and read the state of the best one again for each. The cost of a question so grew with the hosts. Callers saw nothing by itself; it is processor time of the owner, which asks most when it has most to do.

Change: the list is made where the number of hosts is read, which limits the open questions, once a tick of 100 ms; questions use the same list. A host that has ended may be asked for up to a tick longer; it counted as alive for 750 ms after its last ping before, too. A question before the first tick makes the list.

--- a/internal/cell/advicebalancer.go
+++ b/internal/cell/advicebalancer.go
@@ -23,14 +23,15 @@
 		hosts = hosts[UrgentAdviceHosts(len(hosts)):]
 	}
 	best := hosts[0]
+	busyUntil := b.busyUntil[best]
 	for _, h := range hosts[1:] {
-		if b.busyUntil[h].Before(b.busyUntil[best]) {
-			best = h
+		if until := b.busyUntil[h]; until.Before(busyUntil) {
+			best, busyUntil = h, until
 		}
 	}
 	begin := now
-	if b.busyUntil[best].After(now) {
-		begin = b.busyUntil[best]
+	if busyUntil.After(now) {
+		begin = busyUntil
 	}
 	end := begin.Add(question.Cost)
 	b.busyUntil[best] = end
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -41,6 +41,8 @@
 	log     *zap.Logger
 
 	mu sync.Mutex
+	// list holds the hosts as of the last call of hosts, sorted.
+	list []netip.AddrPort
 	// spread assigns the requests to hosts. The zero address denotes this host.
 	spread *cell.AdviceBalancer[netip.AddrPort]
 }
@@ -71,8 +73,20 @@
 	return advice
 }
 
-// hosts returns the number of hosts that can request advice, including this one.
-func (b *adviceBalancer) hosts() int { return len(b.remote.List()) + 1 }
+// hosts returns the number of hosts that can request advice, including this one. It limits
+// the open questions, so the next ones go to these hosts.
+func (b *adviceBalancer) hosts() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.refresh())
+}
+
+// refresh lists the hosts. The caller holds the lock.
+func (b *adviceBalancer) refresh() []netip.AddrPort {
+	b.list = append([]netip.AddrPort{{}}, b.remote.List()...)
+	slices.SortFunc(b.list, netip.AddrPort.Compare)
+	return b.list
+}
 
 // countActive returns the number of other hosts that have been active within a
 // time.
@@ -80,9 +94,10 @@
 
 // pick returns the host to ask and the expected time of its response.
 func (b *adviceBalancer) pick(a cell.AskAdvice) (netip.AddrPort, time.Duration) {
-	hosts := append([]netip.AddrPort{{}}, b.remote.List()...)
-	slices.SortFunc(hosts, netip.AddrPort.Compare)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.spread.Pick(b.timers.Now(), hosts, a)
+	if b.list == nil {
+		b.refresh()
+	}
+	return b.spread.Pick(b.timers.Now(), b.list, a)
 }
