--- a/internal/cell/overloadbench_test.go
+++ b/internal/cell/overloadbench_test.go
@@ -6,12 +6,8 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"cicadabarrow.example/cicadabarrow/internal/cell"
-	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
-	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
 // overloadedFleet is a cell to which more is submitted than its owner can start. The
@@ -61,22 +57,8 @@
 }
 
 func newOverloadedFleet(workers, otherQueues int) *overloadedFleet {
-	f := &fleet{
-		now: time.Unix(1_700_000_000, 0), workers: make(map[cell.WorkerID]*fleetWorker), left: make(map[workload.JobID]int),
-	}
-	f.cell = cell.New(f.now, scriptConfig, nopObserver{}, zap.NewNop())
-	f.cell.SetManifest(overloadQueues(otherQueues))
+	f := newIdleFleet(workers, overloadQueues(otherQueues))
 	f.cell.SetAdviceHosts(100)
-	for i := range workers {
-		id := cell.WorkerID(fmt.Sprintf("i-%010x", i*7919))
-		f.ids = append(f.ids, id)
-		f.workers[id] = &fleetWorker{}
-		f.cell.Register(f.now, cell.Registration{
-			ID: id, Incarnation: 1, Machine: "m-" + string(id), Service: "s", Labels: []string{"ka", "r1-1"},
-			Capacity: job.Size{MilliCores: 32_000, MemoryMB: 131_072},
-		})
-		f.report(id)
-	}
 	return &overloadedFleet{fleet: f}
 }
 
@@ -135,23 +117,6 @@
 	return out
 }
 
-// endRun has a worker report the end of a run.
-func (f *overloadedFleet) endRun(s cell.SendStart) {
-	w := f.workers[s.Worker]
-	for i, r := range w.running {
-		if r.Task == s.Task {
-			w.running = append(w.running[:i], w.running[i+1:]...)
-			break
-		}
-	}
-	w.ends++
-	f.report(s.Worker, cell.Ended{Number: w.ends, Task: s.Task, Run: s.Run, Kind: cell.EndDone})
-	if f.left[s.Task.Job]--; f.left[s.Task.Job] == 0 {
-		delete(f.left, s.Task.Job)
-		f.cell.Forget([]workload.JobID{s.Task.Job})
-	}
-}
-
 // BenchmarkOverloadedDecision lets a millisecond pass in a cell that has had more
 // submitted than its owner can start for some time.
 func BenchmarkOverloadedDecision(b *testing.B) {
--- a/internal/cell/sizebench_test.go
+++ b/internal/cell/sizebench_test.go
@@ -44,11 +44,21 @@
 }}
 
 func newFleet(workers int) *fleet {
+	f := newIdleFleet(workers, &fleetManifest)
+	for len(f.runs) < 3*workers {
+		f.accept()
+		f.step()
+	}
+	return f
+}
+
+// newIdleFleet returns a cell whose workers have reported and run nothing.
+func newIdleFleet(workers int, m *manifest.Manifest) *fleet {
 	f := &fleet{
 		now: time.Unix(1_700_000_000, 0), workers: make(map[cell.WorkerID]*fleetWorker), left: make(map[workload.JobID]int),
 	}
 	f.cell = cell.New(f.now, scriptConfig, nopObserver{}, zap.NewNop())
-	f.cell.SetManifest(&fleetManifest)
+	f.cell.SetManifest(m)
 	for i := range workers {
 		id := cell.WorkerID(fmt.Sprintf("i-%010x", i*7919))
 		f.ids = append(f.ids, id)
@@ -59,10 +69,6 @@
 		})
 		f.report(id)
 	}
-	for len(f.runs) < 3*workers {
-		f.accept()
-		f.step()
-	}
 	return f
 }
 
@@ -130,6 +136,13 @@
 	f.now = f.now.Add(time.Microsecond)
 	s := f.runs[0]
 	f.runs = f.runs[1:]
+	if f.endRun(s) {
+		f.accept()
+	}
+}
+
+// endRun has a worker report the end of a run, and reports whether its job is done.
+func (f *fleet) endRun(s cell.SendStart) bool {
 	w := f.workers[s.Worker]
 	for i, r := range w.running {
 		if r.Task == s.Task {
@@ -139,11 +152,12 @@
 	}
 	w.ends++
 	f.report(s.Worker, cell.Ended{Number: w.ends, Task: s.Task, Run: s.Run, Kind: cell.EndDone})
-	if f.left[s.Task.Job]--; f.left[s.Task.Job] == 0 {
-		delete(f.left, s.Task.Job)
-		f.cell.Forget([]workload.JobID{s.Task.Job})
-		f.accept()
+	if f.left[s.Task.Job]--; f.left[s.Task.Job] > 0 {
+		return false
 	}
+	delete(f.left, s.Task.Job)
+	f.cell.Forget([]workload.JobID{s.Task.Job})
+	return true
 }
 
 // BenchmarkRun ends a run, decides, commits and starts what follows.
