Pass a new manifest on only to hosts that miss it for a while

Cause: an answer to a ping carries the manifest if the pinging host has an earlier one. The owner has a new one among the first, and 146 hosts ping it four times a second: for as long as they read it from the store, each answer sent it to them as well, over the link of the owner's calls to workers.

Change: an answer carries the manifest once it has been in force here for 1.5 s. A host without the store gets it then; it is not in touch with the store, so no bound of the manifest counts for it.

The host of TestMalformedRowsOfTheOperatorAreLoggedOnce has timers now. Ruled out: a smaller manifest on the wire; the operator writes it as it is. Open: each host still reads it itself, over the link between the regions.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,8 +107,8 @@
 	manifests *manifest.Holder
 	// malformedRows holds the operator's rows that cannot be decoded.
 	malformedRows malformedRows
-	// rawManifest is the manifest in force, encoded as the operator wrote it.
-	rawManifest atomic.Pointer[[]byte]
+	// rawManifest is the manifest in force.
+	rawManifest atomic.Pointer[rawManifest]
 	detector    *election.FailureDetector
 	advisors    *remoteAdvisors
 	// relayHosts holds the hosts that make calls to workers for this host while it
--- a/internal/host/malformedrows_test.go
+++ b/internal/host/malformedrows_test.go
@@ -10,6 +10,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
 // textManifests decodes no row that has a value, which is the text of the error.
@@ -32,7 +33,7 @@
 func TestMalformedRowsOfTheOperatorAreLoggedOnce(t *testing.T) {
 	core, logged := observer.New(zap.WarnLevel)
 	h := &Host{
-		platform: Platform{Manifests: textManifests{}}, log: zap.New(core), manifests: manifest.NewHolder(),
+		platform: Platform{Manifests: textManifests{}}, log: zap.New(core), manifests: manifest.NewHolder(), timers: timer.NewSystem(),
 		waves: make(map[int]cell.Wave),
 	}
 	row := func(name, value string) rowstore.Row {
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -113,6 +113,28 @@
 	return slices.SortedFunc(maps.Values(h.waves), func(a, b cell.Wave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
+// manifestGrace is how long a manifest is in force on this host before it is passed on to
+// hosts that do not have it. Those that reach the store read it from there meanwhile; to
+// send a large manifest to all of them would fill the link that the owner's calls need.
+const manifestGrace = 1500 * time.Millisecond
+
+// rawManifest is a manifest, encoded as the operator wrote it, and since when it has been
+// in force on this host.
+type rawManifest struct {
+	content []byte
+	since   time.Time
+}
+
+// newerManifest returns the manifest in force if a host with an earlier version should
+// get it from this host, or nil.
+func (h *Host) newerManifest(version uint64) []byte {
+	m := h.rawManifest.Load()
+	if m == nil || h.manifestVersion() <= version || h.timers.Now().Sub(m.since) < manifestGrace {
+		return nil
+	}
+	return m.content
+}
+
 // adopt puts a manifest in force if it is newer than the current one.
 func (h *Host) adopt(raw []byte, from string) {
 	m, err := h.platform.Manifests.Decode(raw)
@@ -125,7 +147,7 @@
 	if !h.manifests.Adopt(m) {
 		return
 	}
-	h.rawManifest.Store(&raw)
+	h.rawManifest.Store(&rawManifest{content: raw, since: h.timers.Now()})
 	h.log.Info("manifest in force", zap.Uint64("Version", m.Version), zap.Int("Queues", len(m.Queues)),
 		zap.String("From", from))
 	if running := h.runningOwner(); running != nil {
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -204,9 +204,7 @@
 	if hosts.sum != 0 && hosts.sum == ping.HostsSum {
 		pong.Hosts, pong.SameHosts = nil, true
 	}
-	if raw := h.rawManifest.Load(); raw != nil && pong.Manifest > ping.Manifest {
-		pong.NewerManifest = *raw
-	}
+	pong.NewerManifest = h.newerManifest(ping.Manifest)
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
 		pong.SinceRenewal, pong.RowVersion = running.LastRenewal()
