Let a long answer of the store outlast its timeout while it arrives

Cause: each host reads the manifest itself. The link between the regions takes about two seconds for all of these copies; each call had 0.7 to 1.5 s, was given up with a part of its answer received, and began again. So all hosts failed for ever, and the link stayed full for the calls to workers too. It is the class of fault of this incident: a timeout that turns a delay into more load.

A call whose answer keeps arriving goes on, up to 10 s; one without an answer, or whose answer stalls for 0.7 s, ends as before. Only the calls for the operator's rows use it. And what a host passes on of its manifest in answers to pings is bounded to 512 KiB a second, since these answers would fill the link as well.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -138,6 +138,8 @@
 	stopping   atomic.Bool
 
 	mu sync.Mutex
+	// passManifestAt is when the manifest may be passed on to a further host.
+	passManifestAt time.Time
 	// running is the Owner that this host runs while it owns the cell, also
 	// while the Owner still reads the store and is not ready. It is nil
 	// otherwise.
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +12,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+	"cicadabarrow.example/cicadabarrow/internal/transfer"
 )
 
 const (
@@ -53,7 +53,7 @@
 // readManifest reads the operator's rows and returns the version from which to
 // follow changes.
 func (h *Host) readManifest() (uint64, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, readTimeout)
+	ctx, cancel := transfer.WithTimeout(h.ctx, readTimeout)
 	defer cancel()
 	table := h.platform.Manifests.Table()
 	snapshot, err := h.platform.Store.Read(ctx, rowstore.Range{Table: table})
@@ -67,7 +67,7 @@
 // nextManifest waits for changes after a version, applies them, and returns the
 // version from which to go on.
 func (h *Host) nextManifest(version uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, manifestWait+manifestMargin)
+	ctx, cancel := transfer.WithTimeout(h.ctx, manifestWait+manifestMargin)
 	defer cancel()
 	table := h.platform.Manifests.Table()
 	snapshot, err := h.platform.Store.Follow(ctx, table, version, manifestWait)
@@ -113,10 +113,15 @@
 	return slices.SortedFunc(maps.Values(h.waves), func(a, b cell.Wave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
-// manifestGrace is how long a manifest is in force on this host before it is passed on to
-// hosts that do not have it. Those that reach the store read it from there meanwhile; to
-// send a large manifest to all of them would fill the link that the owner's calls need.
-const manifestGrace = 1500 * time.Millisecond
+const (
+	// manifestGrace is how long a manifest is in force on this host before it is passed
+	// on to hosts that do not have it. Those that reach the store read it from there
+	// meanwhile.
+	manifestGrace = 1500 * time.Millisecond
+	// manifestBytesPerSecond bounds what is passed on. A large manifest for all hosts
+	// would fill the link that the owner's calls need.
+	manifestBytesPerSecond = 512 << 10
+)
 
 // rawManifest is a manifest, encoded as the operator wrote it, and since when it has been
 // in force on this host.
@@ -128,10 +133,17 @@
 // newerManifest returns the manifest in force if a host with an earlier version should
 // get it from this host, or nil.
 func (h *Host) newerManifest(version uint64) []byte {
+	now := h.timers.Now()
 	m := h.rawManifest.Load()
-	if m == nil || h.manifestVersion() <= version || h.timers.Now().Sub(m.since) < manifestGrace {
+	if m == nil || h.manifestVersion() <= version || now.Sub(m.since) < manifestGrace {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Before(h.passManifestAt) {
 		return nil
 	}
+	h.passManifestAt = now.Add(time.Duration(len(m.content)) * time.Second / manifestBytesPerSecond)
 	return m.content
 }
 
--- a/internal/host/manifest_test.go
+++ b/internal/host/manifest_test.go
@@ -42,4 +42,7 @@
 	timers.Advance(manifestGrace)
 	expect("with a newer manifest after the grace", 1, "ab")
 	expect("with a newer manifest after the grace", 2, "")
+	expect("right after another host", 0, "")
+	timers.Advance(time.Second)
+	expect("later", 0, "ab")
 }
