Finish the requests in progress at a graceful stop

Cause: http.Server.Serve returns when Shutdown is called, not when it is done. The actor of the clients' server returned with it, and an actor that returns has the whole group interrupted: the server was closed at once, with all requests in progress. It shows only if a request waits at that moment, here for the next owner, which had taken over 0.15 s before.

Change: the actor of a server goes on until it is interrupted, so that the group ends when Shutdown has returned.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -238,7 +238,11 @@
 	}
 }
 
+// httpActor returns an actor that runs a server. A server that shuts down accepts no more
+// connections but still finishes its requests, so the actor goes on until it is
+// interrupted: an actor that returns would have the whole group interrupted at once.
 func httpActor(server *http.Server, addr netip.AddrPort) (execute func() error, interrupt func(error)) {
+	interrupted := make(chan struct{})
 	execute = func() error {
 		listen, err := net.Listen("tcp", addr.String())
 		if err != nil {
@@ -247,7 +251,11 @@
 		if err := server.Serve(listen); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		<-interrupted
 		return nil
 	}
-	return execute, func(error) { _ = server.Close() }
+	return execute, func(error) {
+		close(interrupted)
+		_ = server.Close()
+	}
 }
