--- /dev/null
+++ b/review/_bed/cases.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// minionCPU is the room of an ordinary minion in thousandths of a core.
+const minionCPU = 32000
+
+// jobID returns the ID of a job of a case.
+func jobID(number int) string { return fmt.Sprintf("5c0e7a21%08x", number) }
+
+// addMinions starts minions of the given kinds.
+func (b *bed) addMinions(cpu int64, kinds ...string) {
+	for _, kind := range kinds {
+		b.minions = append(b.minions, newMinion(b, len(b.minions)+1, kind, cpu))
+	}
+}
+
+// running returns the minion that runs a task of a job, or nil.
+func (b *bed) running(job string) *minion {
+	for _, m := range b.minions {
+		m.mu.Lock()
+		found := false
+		for task := range m.runs {
+			found = found || task[:len(job)] == job
+		}
+		m.mu.Unlock()
+		if found {
+			return m
+		}
+	}
+	return nil
+}
+
+const (
+	// crashEvery is the time between two crashes, downFor how long the minion is down,
+	// and crashSeconds how long minions crash.
+	crashEvery   = 2500 * time.Millisecond
+	downFor      = 1 * time.Second
+	crashSeconds = 85 * time.Second
+	lastingJobs  = 8
+)
+
+// crashes plays jobs that last on minions that crash, one of eight at a time. None of
+// their runs ends failed.
+func crashes(b *bed) {
+	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a", "a", "a")
+	b.startHosts(3)
+	for i := range lastingJobs {
+		b.submit(jobID(i), "last", map[string]any{"count": 2, "cpu": 2000, "mem_mb": 1024, "long_running": true})
+	}
+	b.await("all tasks run", 20*time.Second, func() bool { return len(b.startsSoFar()) >= 2*lastingJobs })
+	random := rand.New(rand.NewPCG(1, 2))
+	for end := time.Now().Add(crashSeconds); time.Now().Before(end); time.Sleep(crashEvery - downFor) {
+		m := b.minions[random.IntN(len(b.minions))]
+		if b.trouble {
+			m.crash()
+		}
+		time.Sleep(downFor)
+		if b.trouble {
+			m.start()
+			b.record("minion %s starts again", m.id)
+		}
+		for i := range lastingJobs {
+			if b.state(jobID(i)) == "failed" {
+				end = time.Now() // the others need not be awaited
+			}
+		}
+	}
+	for i := range lastingJobs {
+		id := jobID(i)
+		state := b.state(id)
+		b.record("client: job %s is %q; %d of its runs ended failed", id, state, b.endsAs(id, "failed"))
+		if state == "failed" && b.endsAs(id, "failed") == 0 {
+			b.breaks("LOST: job %s, which lasts and was not cancelled, is shown as failed, and none of its runs ended failed", id)
+		}
+	}
+}
+
+const (
+	// finish is finish_s, after which jobs are asked for.
+	finish = 14 * time.Second
+	// idle is for how long a job may have nothing running with capacity for it.
+	idle        = 3 * time.Second
+	jobsBefore  = 4
+	jobsAfter   = 6
+	tasksPerJob = 4
+)
+
+// foreign plays entries of another writer, in which fields are missing, beside those of
+// the minions.
+func foreign(b *bed) {
+	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a")
+	b.startHosts(3)
+	step := map[string]any{"count": tasksPerJob, "cpu": 2000, "mem_mb": 1024, "estimate_ms": 300}
+	for i := range jobsBefore {
+		b.submit(jobID(i), "300ms", step)
+	}
+	for i := range jobsBefore {
+		b.await("the first jobs are completed", 20*time.Second, func() bool { return b.state(jobID(i)) == "completed" })
+	}
+	if b.trouble {
+		for i, m := range b.minions {
+			name := fmt.Sprintf("agent-%05d", i+1)
+			b.platform.Store.Put("servers", "", name, encode(map[string]any{
+				"service": service, "addr": m.addr, "state": "ready", "machine": m.machine, "born": time.Now().UnixMilli(),
+				"capacity": map[string]any{"cpu": m.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{m.kind, m.rack},
+			}))
+			b.record("another writer: entry %s for machine %s, without zone, version, slots, cold_left_ms and seq", name, m.machine)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	for i := range jobsAfter {
+		b.submit(jobID(jobsBefore+i), "300ms", step)
+	}
+	time.Sleep(finish)
+	for i := range jobsAfter {
+		b.checkIdle(jobID(jobsBefore + i))
+	}
+}
+
+// checkIdle checks that a job is done, or that something of it runs within idle.
+func (b *bed) checkIdle(id string) {
+	state := b.state(id)
+	b.record("client: job %s is %q", id, state)
+	if state == "completed" {
+		return
+	}
+	for end := time.Now().Add(idle); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if b.running(id) != nil {
+			return
+		}
+	}
+	used := 0
+	for _, m := range b.minions {
+		m.mu.Lock()
+		used += len(m.runs)
+		m.mu.Unlock()
+	}
+	b.breaks("LOST: job %s was accepted and has had nothing running for %v, %v after it was handed in, while %d tasks run on %d minions",
+		id, idle, finish, used, len(b.minions))
+}
+
+const (
+	// restarts is how often a minion crashes and starts again as another kind. It is
+	// away for minAway and up to awaySpread longer.
+	restarts     = 12
+	minAway      = 300 * time.Millisecond
+	awaySpread   = 1200 * time.Millisecond
+	betweenKinds = 700 * time.Millisecond
+	kindTasks    = 600
+	kindTaskCPU  = 16000
+)
+
+// kinds plays minions that crash and start again as another kind, under their ID, while
+// tasks wait that require the former kind.
+func kinds(b *bed) {
+	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "b", "b")
+	b.startHosts(3)
+	b.submit(jobID(1), "1s", map[string]any{"count": kindTasks, "cpu": kindTaskCPU, "mem_mb": 1024, "estimate_ms": 1000, "requires": "a"})
+	b.await("tasks run", 20*time.Second, func() bool { return len(b.startsSoFar()) >= 28 })
+	for i := range restarts {
+		time.Sleep(betweenKinds)
+		m := b.minions[i]
+		if b.trouble {
+			m.crash()
+		}
+		time.Sleep(minAway + awaySpread*time.Duration(i)/restarts)
+		if !b.trouble {
+			continue
+		}
+		m.mu.Lock()
+		m.kind = "b"
+		m.mu.Unlock()
+		m.start()
+		b.record("minion %s is registered as kind b under its ID, and takes calls", m.id)
+	}
+	time.Sleep(3 * time.Second)
+	for _, s := range b.startsSoFar() {
+		if s.kind != "a" {
+			b.breaks("ROUTE: %s run %d, which requires label a, was started on minion %s of kind %s", s.task, s.run, s.minion.id, s.kind)
+		}
+	}
+}
+
+// gang plays a gang of which at most one task may run on a minion. Larger minions are
+// added, on which two of its tasks have room.
+func gang(b *bed) {
+	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a", "a", "a")
+	b.startHosts(3)
+	id := jobID(1)
+	b.submit(id, "1s", map[string]any{"count": 10, "cpu": 20000, "mem_mb": 20000, "estimate_ms": 1000, "gang": true, "anti_affinity": 1})
+	time.Sleep(3 * time.Second)
+	if b.trouble {
+		b.addMinions(2*minionCPU, "a", "a")
+		b.record("two minions with twice the room are added")
+	}
+	time.Sleep(8 * time.Second)
+	on := make(map[string]int)
+	for _, s := range b.startsSoFar() {
+		on[fmt.Sprintf("%s run %d", s.minion.id, s.run)]++
+	}
+	for at, count := range on {
+		if count > 1 {
+			b.breaks("ROUTE: %d tasks of a step with anti_affinity 1 were started on one minion, %s", count, at)
+		}
+	}
+}
