--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+# With TROUBLE=0 it plays the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/cicadabarrow ] && [ -x target/review-bed ] || exit 2
+timeout 118 target/review-bed kinds review/5
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
--- a/review/_bed/bed.go
+++ b/review/_bed/bed.go
@@ -51,6 +51,10 @@
 	broken []string
 	starts []start
 	ends   []taskEnd
+	// at has the minion on which a run of a task is at work.
+	at map[string]*minion
+	// countTwice is set if the case is about tasks that run twice.
+	countTwice bool
 }
 
 // start is a start that a minion has accepted.
@@ -88,7 +92,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(statusImpossible)
 	}
-	b := &bed{began: time.Now(), dir: dir, platform: standin.New(0), trouble: os.Getenv("TROUBLE") != "0", out: out}
+	b := &bed{began: time.Now(), dir: dir, platform: standin.New(0), trouble: os.Getenv("TROUBLE") != "0", out: out, at: make(map[string]*minion)}
 	b.platform.SetManifest(1, queueHost)
 	return b
 }
@@ -118,13 +122,33 @@
 func (b *bed) started(m *minion, r *run) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if other := b.at[r.task]; other != nil && other != m {
+		line := fmt.Sprintf("TWICE: %s run %d starts on minion %s while a run of it is at work on minion %s", r.task, r.number, m.id, other.id)
+		if b.countTwice {
+			b.broken = append(b.broken, line)
+		}
+		b.write("BROKEN: %s", line)
+	}
+	b.at[r.task] = m
 	b.starts = append(b.starts, start{time.Now(), m, m.kind, r.task, r.number})
 	b.write("minion %s (%s, born %d) starts %s run %d", m.id, m.kind, m.born.UnixMilli(), r.task, r.number)
 }
 
+// lost notes that a run has ended with its minion.
+func (b *bed) lost(m *minion, r *run) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.at[r.task] == m {
+		delete(b.at, r.task)
+	}
+}
+
 func (b *bed) ended(m *minion, r *run, how string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.at[r.task] == m {
+		delete(b.at, r.task)
+	}
 	b.ends = append(b.ends, taskEnd{r.task, r.number, how})
 	b.write("minion %s: %s run %d ends %s", m.id, r.task, r.number, how)
 }
--- a/review/_bed/cases.go
+++ b/review/_bed/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -104,12 +105,7 @@
 	}
 	if b.trouble {
 		for i, m := range b.minions {
-			name := fmt.Sprintf("agent-%05d", i+1)
-			b.platform.Store.Put("servers", "", name, encode(map[string]any{
-				"service": service, "addr": m.addr, "state": "ready", "machine": m.machine, "born": time.Now().UnixMilli(),
-				"capacity": map[string]any{"cpu": m.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{m.kind, m.rack},
-			}))
-			b.record("another writer: entry %s for machine %s, without zone, version, slots, cold_left_ms and seq", name, m.machine)
+			b.foreignEntry(i, m)
 		}
 	}
 	time.Sleep(4 * time.Second)
@@ -122,6 +118,29 @@
 	}
 }
 
+// foreignEntry writes the entry of another writer for the machine of a minion.
+func (b *bed) foreignEntry(number int, m *minion) {
+	name := fmt.Sprintf("agent-%05d", number+1)
+	b.platform.Store.Put("servers", "", name, encode(map[string]any{
+		"service": service, "addr": m.addr, "state": "ready", "machine": m.machine, "born": time.Now().UnixMilli(),
+		"capacity": map[string]any{"cpu": m.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{m.kind, m.rack},
+	}))
+	b.record("another writer: entry %s for machine %s, without zone, version, slots, cold_left_ms and seq", name, m.machine)
+}
+
+// busiest returns the minions with the most runs.
+func (b *bed) busiest(count int) []*minion {
+	sorted := slices.Clone(b.minions)
+	runs := make(map[*minion]int)
+	for _, m := range sorted {
+		m.mu.Lock()
+		runs[m] = len(m.runs)
+		m.mu.Unlock()
+	}
+	slices.SortStableFunc(sorted, func(x, y *minion) int { return runs[y] - runs[x] })
+	return sorted[:count]
+}
+
 // checkIdle checks that a job is done, or that something of it runs within idle.
 func (b *bed) checkIdle(id string) {
 	state := b.state(id)
@@ -186,26 +205,32 @@
 	}
 }
 
-// gang plays a gang of which at most one task may run on a minion. Larger minions are
-// added, on which two of its tasks have room.
-func gang(b *bed) {
-	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a", "a", "a")
+const (
+	// cutFor is how long two of twelve minions are cut off. A lease lasts longer.
+	cutFor     = 2500 * time.Millisecond
+	cutMinions = 2
+)
+
+// twice plays entries of another writer for the machines of two minions, which are then
+// cut off for a shorter time than their lease lasts.
+func twice(b *bed) {
+	b.countTwice = true
+	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a")
 	b.startHosts(3)
-	id := jobID(1)
-	b.submit(id, "1s", map[string]any{"count": 10, "cpu": 20000, "mem_mb": 20000, "estimate_ms": 1000, "gang": true, "anti_affinity": 1})
-	time.Sleep(3 * time.Second)
-	if b.trouble {
-		b.addMinions(2*minionCPU, "a", "a")
-		b.record("two minions with twice the room are added")
-	}
-	time.Sleep(8 * time.Second)
-	on := make(map[string]int)
-	for _, s := range b.startsSoFar() {
-		on[fmt.Sprintf("%s run %d", s.minion.id, s.run)]++
+	for i := range 12 {
+		b.submit(jobID(i), "60s", map[string]any{"count": 4, "cpu": 3000, "mem_mb": 1024, "estimate_ms": 60000})
 	}
-	for at, count := range on {
-		if count > 1 {
-			b.breaks("ROUTE: %d tasks of a step with anti_affinity 1 were started on one minion, %s", count, at)
+	b.await("all tasks run", 20*time.Second, func() bool { return len(b.startsSoFar()) >= 48 })
+	time.Sleep(2 * time.Second)
+	busiest := b.busiest(cutMinions)
+	if b.trouble {
+		for i, m := range busiest {
+			b.foreignEntry(i, m)
 		}
 	}
+	time.Sleep(4 * time.Second)
+	for _, m := range busiest {
+		m.cutOff(cutFor)
+	}
+	time.Sleep(8 * time.Second)
 }
--- a/review/_bed/main.go
+++ b/review/_bed/main.go
@@ -15,7 +15,7 @@
 		"crashes": crashes,
 		"foreign": foreign,
 		"kinds":   kinds,
-		"gang":    gang,
+		"twice":   twice,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: bed CASE FOLDER")
--- a/review/_bed/minion.go
+++ b/review/_bed/minion.go
@@ -40,6 +40,8 @@
 	numbers int64
 	added   chan struct{}
 	seq     int
+	// cut is closed when the partition that the minion is behind has healed; nil without one.
+	cut chan struct{}
 }
 
 // run is a run of a task on a minion.
@@ -111,6 +113,7 @@
 	server := m.server
 	for task, r := range m.runs {
 		r.timer.Stop()
+		m.bed.lost(m, r)
 		m.bed.record("minion %s crashes under %s run %d", m.id, task, r.number)
 	}
 	m.runs = make(map[string]*run)
@@ -163,6 +166,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return in, false
 	}
+	if !m.reachable(r) {
+		panic(http.ErrAbortHandler)
+	}
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != m.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return in, false
@@ -180,6 +186,39 @@
 	return in, true
 }
 
+// cutOff puts the minion behind a partition for a while: it runs on and answers no call.
+func (m *minion) cutOff(d time.Duration) {
+	m.mu.Lock()
+	cut := make(chan struct{})
+	m.cut = cut
+	m.mu.Unlock()
+	m.bed.record("minion %s is cut off for %v and runs on", m.id, d)
+	time.AfterFunc(d, func() {
+		m.mu.Lock()
+		m.cut = nil
+		m.mu.Unlock()
+		close(cut)
+		m.bed.record("minion %s is reached again", m.id)
+	})
+}
+
+// reachable waits until no partition holds up a call. It returns false if the caller gives
+// up before that.
+func (m *minion) reachable(r *http.Request) bool {
+	m.mu.Lock()
+	cut := m.cut
+	m.mu.Unlock()
+	if cut == nil {
+		return true
+	}
+	select {
+	case <-cut:
+		return r.Context().Err() == nil
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 // handle serves a call that is answered at once.
 func (m *minion) handle(born time.Time, serve func(request) (int, map[string]any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -308,8 +347,11 @@
 		}
 		m.mu.Lock()
 	}
+	m.mu.Unlock()
+	passed := m.reachable(r)
+	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.up || !m.born.Equal(born) {
+	if !passed || !m.up || !m.born.Equal(born) {
 		panic(http.ErrAbortHandler)
 	}
 	running, finished := []any{}, []any{}
