--- a/review/_bed/cases.go
+++ b/review/_bed/cases.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -37,47 +36,48 @@
 }
 
 const (
-	// crashEvery is the time between two crashes, downFor how long the minion is down,
-	// and crashSeconds how long minions crash.
-	crashEvery   = 2500 * time.Millisecond
-	downFor      = 1 * time.Second
-	crashSeconds = 85 * time.Second
-	lastingJobs  = 8
+	// cuts is how often the minion of a task is cut off, for partitionFor. It crashes
+	// behind the partition after restartAfter, when no lease lasts any longer.
+	cuts         = 5
+	partitionFor = 5500 * time.Millisecond
+	restartAfter = 5 * time.Second
+	atWork       = 1500 * time.Millisecond
 )
 
-// crashes plays jobs that last on minions that crash, one of eight at a time. None of
-// their runs ends failed.
-func crashes(b *bed) {
+// cutoff plays a job that lasts, whose minion is cut off longer than its lease, again and
+// again. The minion crashes behind the partition, after its runs have ended with the lease.
+func cutoff(b *bed) {
 	b.addMinions(minionCPU, "a", "a", "a", "a", "a", "a", "a", "a")
 	b.startHosts(3)
-	for i := range lastingJobs {
-		b.submit(jobID(i), "last", map[string]any{"count": 2, "cpu": 2000, "mem_mb": 1024, "long_running": true})
-	}
-	b.await("all tasks run", 20*time.Second, func() bool { return len(b.startsSoFar()) >= 2*lastingJobs })
-	random := rand.New(rand.NewPCG(1, 2))
-	for end := time.Now().Add(crashSeconds); time.Now().Before(end); time.Sleep(crashEvery - downFor) {
-		m := b.minions[random.IntN(len(b.minions))]
-		if b.trouble {
-			m.crash()
+	id := jobID(1)
+	b.submit(id, "last", map[string]any{"count": 1, "cpu": 2000, "mem_mb": 1024, "long_running": true})
+	for range cuts {
+		for end := time.Now().Add(8 * time.Second); b.running(id) == nil && time.Now().Before(end); {
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(atWork)
+		m := b.running(id)
+		if m == nil {
+			break
 		}
-		time.Sleep(downFor)
 		if b.trouble {
-			m.start()
-			b.record("minion %s starts again", m.id)
+			m.cutOff(partitionFor)
 		}
-		for i := range lastingJobs {
-			if b.state(jobID(i)) == "failed" {
-				end = time.Now() // the others need not be awaited
+		time.Sleep(restartAfter)
+		if b.trouble {
+			if b.running(id) == m {
+				b.impossible("a run on minion %s outlasts its lease", m.id)
 			}
+			m.restartUnseen()
 		}
+		time.Sleep(partitionFor - restartAfter)
 	}
-	for i := range lastingJobs {
-		id := jobID(i)
-		state := b.state(id)
-		b.record("client: job %s is %q; %d of its runs ended failed", id, state, b.endsAs(id, "failed"))
-		if state == "failed" && b.endsAs(id, "failed") == 0 {
-			b.breaks("LOST: job %s, which lasts and was not cancelled, is shown as failed, and none of its runs ended failed", id)
-		}
+	time.Sleep(2 * time.Second)
+	state := b.state(id)
+	lapsed, failed := b.endsAs(id, "lapsed"), b.endsAs(id, "failed")
+	b.record("client: job %s is %q; of its runs %d ended lapsed and %d failed", id, state, lapsed, failed)
+	if state == "failed" && failed == 0 {
+		b.breaks("LOST: job %s, which lasts and was not cancelled, is shown as failed; %d of its runs ended lapsed, none failed, and none was lost in a crash", id, lapsed)
 	}
 }
 
--- a/review/_bed/main.go
+++ b/review/_bed/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	cases := map[string]func(*bed){
-		"crashes": crashes,
+		"cutoff":  cutoff,
 		"foreign": foreign,
 		"kinds":   kinds,
 		"twice":   twice,
--- a/review/_bed/minion.go
+++ b/review/_bed/minion.go
@@ -81,16 +81,14 @@
 // start begins an incarnation. It registers before it takes calls.
 func (m *minion) start() {
 	m.mu.Lock()
-	m.born, m.up = time.Now(), true
-	m.fence, m.lease, m.numbers, m.ends, m.seq = 0, time.Time{}, 0, nil, 0
-	m.runs, m.barred = make(map[string]*run), make(map[string]int)
+	m.begin()
 	born := m.born
 	m.mu.Unlock()
 	m.register()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", m.handle(born, m.runStart))
-	mux.HandleFunc("POST /v1/run-stop", m.handle(born, m.runStop))
-	mux.HandleFunc("POST /v1/pace", m.handle(born, func(request) (int, map[string]any) { return http.StatusOK, m.answer() }))
+	mux.HandleFunc("POST /v1/run-start", m.handle(m.runStart))
+	mux.HandleFunc("POST /v1/run-stop", m.handle(m.runStop))
+	mux.HandleFunc("POST /v1/pace", m.handle(func(request) (int, map[string]any) { return http.StatusOK, m.answer() }))
 	mux.HandleFunc("POST /v1/hold", m.hold)
 	var listen net.Listener
 	m.bed.await("minion "+m.id+" listens", 5*time.Second, func() (ok bool) {
@@ -106,6 +104,28 @@
 	go m.beat(born)
 }
 
+// begin forgets the earlier incarnation. The caller holds the lock.
+func (m *minion) begin() {
+	m.born, m.up = time.Now(), true
+	m.fence, m.lease, m.numbers, m.ends, m.seq = 0, time.Time{}, 0, nil, 0
+	m.runs, m.barred = make(map[string]*run), make(map[string]int)
+}
+
+// restartUnseen crashes a minion behind a partition, which starts again at once.
+func (m *minion) restartUnseen() {
+	m.mu.Lock()
+	m.bed.record("minion %s crashes behind the partition with %d runs, and starts again", m.id, len(m.runs))
+	for _, r := range m.runs {
+		r.timer.Stop()
+		m.bed.lost(m, r)
+	}
+	m.begin()
+	born := m.born
+	m.mu.Unlock()
+	m.register()
+	go m.beat(born)
+}
+
 // crash ends an incarnation without a word: its port refuses connections.
 func (m *minion) crash() {
 	m.mu.Lock()
@@ -166,6 +186,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return in, false
 	}
+	m.mu.Lock()
+	born := m.born
+	m.mu.Unlock()
 	if !m.reachable(r) {
 		panic(http.ErrAbortHandler)
 	}
@@ -175,6 +198,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.up || !m.born.Equal(born) {
+		panic(http.ErrAbortHandler)
+	}
 	if in.Fence < m.fence {
 		respond(w, http.StatusConflict, m.refusal("fence"))
 		return in, false
@@ -220,7 +246,7 @@
 }
 
 // handle serves a call that is answered at once.
-func (m *minion) handle(born time.Time, serve func(request) (int, map[string]any)) http.HandlerFunc {
+func (m *minion) handle(serve func(request) (int, map[string]any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		in, ok := m.read(w, r)
 		if !ok {
@@ -228,9 +254,6 @@
 		}
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if !m.up || !m.born.Equal(born) {
-			panic(http.ErrAbortHandler)
-		}
 		status, body := serve(in)
 		respond(w, status, body)
 	}
