--- a/internal/cell/backlog_capacity_test.go
+++ b/internal/cell/backlog_capacity_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	c := cell.New(now, scriptConfig, nopObserver{}, zap.NewNop())
 	register := func(id cell.WorkerID, cores int64) {
-		c.Register(now, cell.Registration{ID: id, Service: "s", Capacity: job.Size{MilliCores: cores, MemoryMB: 1000}})
+		c.Register(now, cell.Registration{ID: id, Incarnation: 1, Service: "s", Capacity: job.Size{MilliCores: cores, MemoryMB: 1000}})
 		c.NextHold(now, id)
 		c.Reported(now, id, cell.Report{Incarnation: 1, Clock: time.Second})
 	}
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -37,6 +37,9 @@
 	// WorkerIsolated workers run a task that may have crashed a worker, and get
 	// no other starts.
 	WorkerIsolated WorkerState = "Isolated"
+	// WorkerRestarted workers have reported an incarnation that is not the registered
+	// one, so their labels and capacity are not known yet.
+	WorkerRestarted WorkerState = "Restarted"
 	// WorkerUnlisted workers are not in the list of workers.
 	WorkerUnlisted WorkerState = "Unlisted"
 )
@@ -126,6 +129,8 @@
 		return WorkerSilent
 	case w.registration.Leaving:
 		return WorkerLeaving
+	case !w.registered():
+		return WorkerRestarted
 	case w.cordonedBy != nil || c.mayGoDown(w.registration.Machine):
 		return WorkerMaintenance
 	case w.health.quarantined(now):
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -267,9 +267,7 @@
 // durable, or before that if it may start early.
 func (c *Cell) planRun(now time.Time, t *task, w *worker, number int) {
 	s := t.step
-	r := &run{task: t, number: number, worker: w, phase: runPlanned, progressAt: now, pace: fullPace}
-	// A worker that restarts may register before it reports.
-	r.incarnation = max(w.incarnation, w.registration.Incarnation)
+	r := &run{task: t, number: number, worker: w, incarnation: w.incarnation, phase: runPlanned, progressAt: now, pace: fullPace}
 	if granted, ok := s.advice.allowed[w.id]; ok {
 		r.ticket = granted.value
 	}
--- a/internal/cell/record_test.go
+++ b/internal/cell/record_test.go
@@ -102,7 +102,7 @@
 // owner's row, since a successor would not wait for them otherwise.
 func TestWorkersOfARecordLeftOutAreNamed(t *testing.T) {
 	s := newScript(t)
-	s.cell.Register(s.now, cell.Registration{ID: "w1", Machine: "m", Service: "s", Capacity: job.Size{MilliCores: 8000, MemoryMB: 8000}})
+	s.cell.Register(s.now, cell.Registration{ID: "w1", Incarnation: 1, Machine: "m", Service: "s", Capacity: job.Size{MilliCores: 8000, MemoryMB: 8000}})
 	s.cell.Reported(s.now, "w1", cell.Report{Incarnation: 1, Clock: time.Second})
 	s.cell.SetEarlyStarts(true)
 	s.cell.EarlyStartWorkersCommitted([]cell.WorkerID{"w1"})
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -157,6 +157,10 @@
 		c.log.Info("worker registered", workerField(w), zap.Stringer("Addr", r.Addr), zap.String("Service", r.Service),
 			zap.String("Machine", r.Machine), zap.Int64("Incarnation", int64(r.Incarnation)))
 	}
+	if known && r.Incarnation != w.registration.Incarnation {
+		c.log.Info("worker registered a new incarnation", workerField(w), zap.Strings("Labels", r.Labels), zap.String("Service", r.Service),
+			zap.Int64("Incarnation", int64(r.Incarnation)), zap.Int64("Reported", int64(w.incarnation)))
+	}
 	if known && r.Leaving && !w.registration.Leaving {
 		c.log.Info("worker is leaving", workerField(w), zap.Duration("TimeLeft", r.TimeLeft))
 		for _, run := range w.runs.list {
@@ -328,12 +332,20 @@
 	return now.Sub(w.lastReport) > c.config.ContactTimeout+c.delay
 }
 
+// registered reports whether the registration is that of the incarnation that has
+// reported, which is the one that starts are sent to. The registration of another
+// incarnation says nothing about its labels, capacity, rack and service.
+func (w *worker) registered() bool { return w.registration.Incarnation == w.incarnation }
+
 // usable reports whether a worker may get new starts.
 func (c *Cell) usable(now time.Time, w *worker) bool {
 	listed := w.listed || now.Sub(w.unlistedAt) < unlistedGrace
 	if !listed || w.registration.Leaving || w.laterOnMachine || !c.inContact(now, w) {
 		return false
 	}
+	if !w.registered() {
+		return false
+	}
 	// A start with a deadline by the clock of an earlier incarnation could grant a
 	// new one the longest lease, unknown to a successor.
 	if w.incarnationUnsure || w.startOverdue {
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -87,7 +87,7 @@
 	o.cell = cell.New(now, cell.Config{ContactTimeout: time.Second}, newOwnerMetrics(tally.NoopScope), zap.NewNop())
 	queue := manifest.Queue{Name: queueUrgent, Service: "s", MaxAttempts: 1, SlackFactor: 2, TargetLatency: time.Second}
 	o.cell.SetManifest(&manifest.Manifest{Version: 1, Queues: []manifest.Queue{queue}})
-	o.cell.Register(now, cell.Registration{ID: "w", Machine: "m", Service: "s", Capacity: job.Size{MilliCores: 100_000, MemoryMB: 1000}})
+	o.cell.Register(now, cell.Registration{ID: "w", Incarnation: 1, Machine: "m", Service: "s", Capacity: job.Size{MilliCores: 100_000, MemoryMB: 1000}})
 	o.cell.Reported(now, "w", cell.Report{Incarnation: 1, Clock: time.Second})
 	o.cell.SetEarlyStarts(true)
 	o.cell.EarlyStartWorkersCommitted([]cell.WorkerID{"w"})
