--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -16,6 +16,9 @@
 	// Queue is the queue at the time of acceptance. It is used once the
 	// manifest no longer contains the queue.
 	Queue manifest.Queue
+	// Account has the terms of the job's account at the time of acceptance. It is the
+	// zero value for a job without an account.
+	Account manifest.Terms
 }
 
 // jobState is a job and its progress.
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -14,6 +14,10 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
+	// HasAccounts is set if the deployment has client accounts, even if Accounts is
+	// empty. Calls then need a key, except those of public queues.
+	HasAccounts bool
+	Accounts    []Account
 }
 
 // Queue configures one job queue. Clients submit the jobs of the queue under its
@@ -42,6 +46,9 @@
 	// Advice configures the advice service. It is zero for a queue whose steps
 	// may run on any worker.
 	Advice Advice
+	// Public is set if the calls of the queue need no key. Its jobs belong to no
+	// account.
+	Public bool
 }
 
 // Advice describes the advice service, which decides which workers may run a
