--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -123,20 +123,31 @@
 
 const (
 	// probeInterval is the mean period at which an unavailable store is probed,
-	// and probeTimeout bounds a probe.
+	// probeTimeout bounds a probe, and maxOpenProbes limits the probes without an answer.
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = 1 * time.Second
+	maxOpenProbes = 8
 )
 
 // probeStore probes the store while it is unavailable, to detect when it answers
-// again.
+// again. A silent store does not answer a probe that was sent before it came back, so
+// that further ones do not wait for it.
 func (h *Host) probeStore() {
+	open := make(chan struct{}, maxOpenProbes)
 	for h.sleep(probeInterval/2 + rand.N(probeInterval)) {
 		if !h.intake.StoreUnavailable() {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(h.ctx, probeTimeout)
-		h.intake.Probe(ctx)
-		cancel()
+		select {
+		case open <- struct{}{}:
+		default:
+			continue
+		}
+		h.background.Go(func() {
+			defer func() { <-open }()
+			ctx, cancel := context.WithTimeout(h.ctx, probeTimeout)
+			defer cancel()
+			h.intake.Probe(ctx)
+		})
 	}
 }
--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -10,12 +10,15 @@
 	// counts as unavailable. A store that answers 60 times slower than usual
 	// stays below this.
 	unavailableAfter = 1200 * time.Millisecond
-	// rejectionLimit is the number of calls that the store has to reject in a
-	// row before it counts as unavailable.
-	rejectionLimit = 3
+	// failureLimit is the number of calls in a row that the store has to reject, or
+	// whose connection has to break, before it counts as unavailable.
+	failureLimit = 3
 	// trialInterval is the minimum interval between two requests that are sent,
-	// as trials, to a store that rejects calls.
+	// as trials, to a store that rejects calls or breaks connections.
 	trialInterval = 300 * time.Millisecond
+	// brokenWithin is how soon after the start of a call its connection has to break
+	// for the call to be worth repeating at once. Later the store counts as silent.
+	brokenWithin = 500 * time.Millisecond
 )
 
 // storeHealth tracks whether the store answers the calls of this host, so that a
@@ -23,13 +26,17 @@
 type storeHealth struct {
 	mu   sync.Mutex
 	next int
-	// open maps each pending call to the time at which it began.
+	// open maps each pending call to the time at which it began. Calls are numbered in
+	// the order in which they began.
 	open map[int]time.Time
-	// unanswered is set when a call ended with noAnswer. rejections counts the
-	// calls that were rejected since the last call that ended with answered,
+	// answeredCall is the latest call that was answered. Earlier calls without an answer
+	// tell nothing of the store's present state.
+	answeredCall int
+	// unanswered is set when a call ended with noAnswer. failures counts the calls
+	// that were rejected or broken since the last call that ended with answered,
 	// which resets both.
 	unanswered  bool
-	rejections  int
+	failures    int
 	lastTrialAt time.Time
 }
 
@@ -49,7 +56,12 @@
 
 const (
 	answered outcome = iota
+	// rejected calls were certainly not carried out.
 	rejected
+	// broken calls lost their connection soon after they began. They may have been
+	// carried out.
+	broken
+	// noAnswer calls had no answer for longer. They may have been carried out.
 	noAnswer
 )
 
@@ -59,27 +71,29 @@
 	delete(h.open, call)
 	switch o {
 	case answered:
-		h.unanswered, h.rejections = false, 0
-	case rejected:
-		h.rejections++
+		h.answeredCall = max(h.answeredCall, call)
+		h.unanswered, h.failures = false, 0
+	case rejected, broken:
+		h.failures++
 	case noAnswer:
-		h.unanswered = true
+		h.unanswered = h.unanswered || call > h.answeredCall
 	}
 }
 
 // unavailable reports whether no request should be sent to the store, since it
-// rejects calls, a call is overdue, or a call has ended without an answer. If it
-// only rejects calls, unavailable returns false once per trialInterval, so that one
-// request finds out whether the store has recovered. While calls get no answer no
-// request is sent as a trial, since the outcome of the request would be unknown.
+// rejects calls, breaks connections, a call is overdue, or a call has ended without an
+// answer. If calls only fail soon, unavailable returns false once per trialInterval, so
+// that one request, which is repeated while its outcome is unknown, finds out whether
+// the store has recovered. While calls get no answer no request is sent as a trial,
+// since it would wait in vain and its outcome would be unknown.
 func (h *storeHealth) unavailable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	silent := h.unanswered
-	for _, since := range h.open {
-		silent = silent || now.Sub(since) > unavailableAfter
+	for call, since := range h.open {
+		silent = silent || call > h.answeredCall && now.Sub(since) > unavailableAfter
 	}
-	if silent || h.rejections < rejectionLimit {
+	if silent || h.failures < failureLimit {
 		return silent
 	}
 	if now.Sub(h.lastTrialAt) >= trialInterval {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,8 +48,11 @@
 	// minBackoff and maxBackoff bound the mean backoff before a call is retried.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 200 * time.Millisecond
-	// maxAttempts bounds the number of calls for one request.
+	// maxAttempts bounds the number of calls for a request that the store rejects.
 	maxAttempts = 4
+	// maxRetryTime bounds the time in which a call whose outcome is unknown is
+	// repeated, if the client waits for longer.
+	maxRetryTime = 5 * time.Second
 )
 
 // Intake writes the jobs and cancels of clients to the store.
@@ -74,7 +77,7 @@
 // the trial of StoreUnavailable, it sends no request of a client.
 func (i *Intake) Probe(ctx context.Context) {
 	key := ledger.OwnerKey()
-	_ = i.observed(ctx, func(ctx context.Context) error {
+	_, _ = i.observed(ctx, func(ctx context.Context) error {
 		_, err := i.store.Read(ctx, rowstore.Range{Table: key.Table, Partition: key.Partition})
 		return err
 	})
@@ -82,18 +85,21 @@
 
 // observed makes one call to the store and records how it ended. A store that
 // answers that a call is in conflict or invalid is available.
-func (i *Intake) observed(ctx context.Context, call func(context.Context) error) error {
-	number := i.health.begin(i.timers.Now())
+func (i *Intake) observed(ctx context.Context, call func(context.Context) error) (outcome, error) {
+	begin := i.timers.Now()
+	number := i.health.begin(begin)
 	err := call(ctx)
+	out := noAnswer
 	switch {
 	case err == nil, fault.Is(err, rowstore.KindConflict), fault.Is(err, rowstore.KindInvalid):
-		i.health.end(number, answered)
+		out = answered
 	case fault.Is(err, rowstore.KindNotDone):
-		i.health.end(number, rejected)
-	default:
-		i.health.end(number, noAnswer)
+		out = rejected
+	case i.timers.Now().Sub(begin) < brokenWithin && ctx.Err() == nil:
+		out = broken
 	}
-	return err
+	i.health.end(number, out)
+	return out, err
 }
 
 // Submit makes an accepted job durable. If the store already holds a job of the
@@ -194,37 +200,47 @@
 	})
 }
 
-// retry makes a call until it succeeds, ctx ends, maxAttempts is reached, the store
-// rejects the request as invalid, or the store is unavailable. The error is
-// KindUnknown if any attempt may have taken effect. A conflict is returned as it
-// is.
+// retry makes a call until it succeeds or cannot succeed in time. A call that may have
+// been carried out is repeated while the store only breaks connections, since a later
+// answer tells what became of it; all calls that retry makes are idempotent. The error
+// is KindUnknown if any attempt may have taken effect. A conflict is returned as it is.
 func (i *Intake) retry(ctx context.Context, op string, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, maxRetryTime)
+	defer cancel()
 	kind := KindNotDone
 	backoff := minBackoff
-	var lastErr error
-	for range maxAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		lastErr = i.observed(callCtx, call)
-		cancel()
-		if lastErr == nil || fault.Is(lastErr, rowstore.KindConflict) {
-			return lastErr
-		}
-		if fault.Is(lastErr, rowstore.KindInvalid) || i.StoreUnavailable() {
-			if fault.Is(lastErr, rowstore.KindUnknown) {
-				kind = KindUnknown
-			}
-			break
+	for attempt := 1; ; attempt++ {
+		callCtx, cancelCall := context.WithTimeout(ctx, callTimeout)
+		out, err := i.observed(callCtx, call)
+		cancelCall()
+		if err == nil || fault.Is(err, rowstore.KindConflict) {
+			return err
 		}
-		if !fault.Is(lastErr, rowstore.KindNotDone) {
+		if out == broken || out == noAnswer {
 			kind = KindUnknown
 		}
+		if !i.worthRetrying(out, kind, attempt) {
+			return fault.New(op, kind, "%w", err)
+		}
 		if !i.sleep(ctx, backoff/2+rand.N(backoff)) {
-			lastErr = errors.Join(lastErr, ctx.Err())
-			break
+			return fault.New(op, kind, "%w", errors.Join(err, ctx.Err()))
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
-	return fault.New(op, kind, "%w", lastErr)
+}
+
+// worthRetrying reports whether a request is sent again after a call with the given
+// outcome; kind tells whether any of its calls may have been carried out.
+func (i *Intake) worthRetrying(out outcome, kind Kind, attempt int) bool {
+	switch {
+	case out == answered: // the store rejects the request as invalid
+		return false
+	case out == noAnswer:
+		return !i.StoreUnavailable()
+	case kind == KindUnknown:
+		return true
+	}
+	return attempt < maxAttempts && !i.StoreUnavailable()
 }
 
 // sleep waits for a duration. It returns false when ctx ends first.
