--- a/internal/owner/committer.go
+++ b/internal/owner/committer.go
@@ -57,6 +57,8 @@
 	renewAt time.Time
 	// releasing is set once a commit may have marked the row as released.
 	releasing bool
+	// storeSilent is set if the last commit had no response within its timeout.
+	storeSilent bool
 }
 
 func newCommitter(now time.Time, initial InitialState, renewAt time.Time) *committer {
@@ -151,7 +153,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
 	defer cancel()
 	sent, begun := o.timers.Now(), o.timers.Latest()
-	result, err := o.commitConfirmed(ctx, t, c.transactionNumber)
+	result, err := o.commitConfirmed(ctx, c, t, c.transactionNumber)
 	if err != nil {
 		c.renewAt = o.timers.Now().Add(renewalGrace + rand.N(commitBackoff))
 		o.resolveConflict(c, err)
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -2,66 +2,119 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/election"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
-// confirmInterval is how long a commit may go without a response before the owner's
-// row is read to find out whether the commit has taken effect. The read is repeated
-// at this interval.
-const confirmInterval = 250 * time.Millisecond
+const (
+	// confirmInterval is how long a commit may go without a response before the owner's
+	// row is read to find out whether the commit has taken effect. The read is repeated
+	// at this interval, also while earlier ones have no response.
+	confirmInterval = 250 * time.Millisecond
+	// confirmTimeout bounds such a read. A store that is only slow responds in time.
+	confirmTimeout = 1 * time.Second
+)
 
 // commitConfirmed commits a transaction. If the response is lost, the transaction
 // number in the owner's row confirms that the commit has taken effect. A store that
-// is merely slow responds eventually and gets no second transaction.
-func (o *Owner) commitConfirmed(ctx context.Context, t rowstore.Transaction, number uint64) (rowstore.Result, error) {
+// is merely slow responds eventually and gets no second transaction. If the store was
+// silent and answers again, the commit that was sent meanwhile is given up, since its
+// response would never arrive.
+func (o *Owner) commitConfirmed(ctx context.Context, c *committer, t rowstore.Transaction, number uint64) (rowstore.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	confirmed := make(chan rowstore.Result, 1)
+	confirmed := make(chan confirmation, 1)
+	silent := c.storeSilent
 	o.calls.Go(func() {
-		if result, ok := o.awaitConfirmation(ctx, number); ok {
-			confirmed <- result
+		if c, ok := o.awaitConfirmation(ctx, number, silent); ok {
+			confirmed <- c
 			cancel()
 		}
 	})
 	result, err := o.store.Commit(ctx, t)
+	c.storeSilent = err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded)
 	if err == nil {
 		return result, nil
 	}
 	select {
-	case result := <-confirmed:
-		o.log.Info("the response to a commit was lost", zap.Uint64("Attempt", number), zap.Uint64("Version", result.Version))
-		return result, nil
+	case c := <-confirmed:
+		if c.lost {
+			return rowstore.Result{}, fault.New("commit", rowstore.KindUnknown, "the store was silent and answers again: %w", err)
+		}
+		o.log.Info("the response to a commit was lost", zap.Uint64("Attempt", number), zap.Uint64("Version", c.result.Version))
+		return c.result, nil
 	default:
 		return rowstore.Result{}, err
 	}
 }
 
+// confirmation is what reads of the owner's row tell of a commit without a response.
+type confirmation struct {
+	// result is that of the commit, which has taken effect.
+	result rowstore.Result
+	// lost is set instead if the store does not show the commit after it was silent.
+	lost bool
+}
+
+// confirmRead is the outcome of one read of the owner's row.
+type confirmRead struct {
+	begun     time.Time
+	confirmed bool
+	result    rowstore.Result
+	err       error
+}
+
 // awaitConfirmation polls the owner's row until it holds the given transaction number
-// of this owner. It returns false when the context is done.
-func (o *Owner) awaitConfirmation(ctx context.Context, number uint64) (rowstore.Result, bool) {
-	key := ledger.OwnerKey()
+// of this owner, or until the store answers after it was silent, which it may have been
+// already before the commit. It returns false when the context is done.
+func (o *Owner) awaitConfirmation(ctx context.Context, number uint64, silent bool) (confirmation, bool) {
+	reads := make(chan confirmRead, int(commitTimeout/confirmInterval)+1)
+	ticker := o.timers.Every(confirmInterval)
+	defer ticker.Stop()
 	for {
-		timer := o.timers.After(confirmInterval)
 		select {
-		case <-timer.C:
+		case <-ticker.C:
+			o.calls.Go(func() { reads <- o.readTransactionNumber(ctx, number) })
+		case r := <-reads:
+			switch {
+			case r.confirmed:
+				return confirmation{result: r.result}, true
+			case r.err != nil && o.timers.Now().Sub(r.begun) >= confirmTimeout:
+				silent = true
+			case r.err != nil:
+				o.log.Debug("the owner's row cannot be read", zap.Uint64("Attempt", number), zap.Error(r.err))
+			case silent:
+				return confirmation{lost: true}, true
+			}
 		case <-ctx.Done():
-			timer.Stop()
-			return rowstore.Result{}, false
-		}
-		snapshot, err := o.store.Read(ctx, rowstore.Range{Table: key.Table, Partition: key.Partition})
-		if err != nil {
-			o.log.Debug("the owner's row cannot be read", zap.Uint64("Attempt", number), zap.Error(err))
-			continue
-		}
-		state, err := election.DecodeState(snapshot.Rows)
-		if err == nil && state.Owner.Epoch == o.Epoch() && state.Owner.TransactionNumber == number {
-			return rowstore.Result{Version: state.Version, Clock: snapshot.Clock}, true
+			return confirmation{}, false
 		}
 	}
 }
+
+// readTransactionNumber reads the owner's row and reports whether it holds the given
+// transaction number of this owner.
+func (o *Owner) readTransactionNumber(ctx context.Context, number uint64) confirmRead {
+	out := confirmRead{begun: o.timers.Now()}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	key := ledger.OwnerKey()
+	snapshot, err := o.store.Read(ctx, rowstore.Range{Table: key.Table, Partition: key.Partition})
+	if err != nil {
+		out.err = err
+		return out
+	}
+	state, err := election.DecodeState(snapshot.Rows)
+	out.err = err
+	if err == nil && state.Owner.Epoch == o.Epoch() && state.Owner.TransactionNumber == number {
+		out.confirmed, out.result = true, rowstore.Result{Version: state.Version, Clock: snapshot.Clock}
+	}
+	return out
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -58,8 +58,12 @@
 	started map[workload.TaskID]bool
 	// readTakes is the latency of a read if it exceeds fakeLatency.
 	readTakes time.Duration
-	// commitsHang is set while commits get no response.
+	// commitsHang is set while commits get no response. commitTakes is the latency of a
+	// commit if it exceeds twice fakeLatency.
 	commitsHang bool
+	commitTakes time.Duration
+	// commits is the number of commits in flight, and mostCommits the most there were.
+	commits, mostCommits int
 	// leaseUntil is the latest lease deadline of the hold calls.
 	leaseUntil time.Duration
 	// otherHosts is the number of other hosts. heardAt is when the owner last heard
@@ -209,12 +213,19 @@
 // Commit applies the writes of a transaction. It ignores conditions and deletes, and
 // rejects values above maxRowBytes.
 func (p *fakePlatform) Commit(ctx context.Context, t rowstore.Transaction) (rowstore.Result, error) {
-	if err := sleep(ctx, 2*fakeLatency); err != nil {
-		return rowstore.Result{}, err
-	}
 	p.mu.Lock()
-	hang := p.commitsHang
+	p.commits++
+	p.mostCommits = max(p.mostCommits, p.commits)
+	takes, hang := max(2*fakeLatency, p.commitTakes), p.commitsHang
 	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.commits--
+	}()
+	if err := sleep(ctx, takes); err != nil {
+		return rowstore.Result{}, err
+	}
 	if hang {
 		<-ctx.Done()
 		return rowstore.Result{}, fault.New("commit", rowstore.KindUnknown, "%w", ctx.Err())
@@ -422,6 +433,7 @@
 type noHosts struct{ heard func(time.Duration) int }
 
 func (noHosts) List() []netip.AddrPort                 { return nil }
+func (noHosts) Successors() []netip.AddrPort           { return nil }
 func (h noHosts) CountActive(within time.Duration) int { return h.heard(within) }
 func (noHosts) Advise(context.Context, netip.AddrPort, workload.StepID, []cell.WorkerID) (cell.Advice, error) {
 	return cell.Advice{}, fault.New("advise", KindClosed, "there is no other host")
