--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
@@ -28,11 +29,15 @@
 	largestReadTime = 2200 * time.Millisecond
 	// hedgeCheckInterval is the interval at which an open read is checked, and the
 	// longest delay before a failed one is retried.
-	hedgeCheckInterval = 100 * time.Millisecond
+	hedgeCheckInterval = 25 * time.Millisecond
 	// maxOpenCalls limits the calls of one read that have no response, and
-	// maxFailedCalls is the number of failed calls after which the read fails.
-	maxOpenCalls   = 8
-	maxFailedCalls = 3
+	// maxRejectedCalls is the number of calls rejected by the store after which the
+	// read fails: another host may be served.
+	maxOpenCalls     = 8
+	maxRejectedCalls = 3
+	// maxBrokenCalls is the same number for calls that fail in another way. A store
+	// that breaks connections does so for all hosts, and seldom breaks all of them.
+	maxBrokenCalls = 24
 )
 
 // readLimiter limits the concurrency of a group of reads, and derives their hedge
@@ -132,7 +137,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan readOutcome, maxOpenCalls)
-	inFlight, failed := 0, 0
+	inFlight, rejected, broken := 0, 0, 0
 	var lastCall time.Time
 	call := func() {
 		inFlight++
@@ -152,8 +157,12 @@
 				return outcome.snapshot, nil
 			}
 			inFlight--
-			failed++
-			if failed == maxFailedCalls || ctx.Err() != nil {
+			if fault.Is(outcome.err, rowstore.KindNotDone) {
+				rejected++
+			} else {
+				broken++
+			}
+			if rejected == maxRejectedCalls || broken == maxBrokenCalls || ctx.Err() != nil {
 				return rowstore.Snapshot{}, outcome.err
 			}
 			o.log.Debug("a read of the store failed", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Error(outcome.err))
--- a/internal/owner/reads_test.go
+++ b/internal/owner/reads_test.go
@@ -1,8 +1,16 @@
 package owner
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
 func TestHedgeDelayFollowsTheOtherReads(t *testing.T) {
@@ -31,3 +39,44 @@
 		})
 	}
 }
+
+// failingReads fails a number of reads before it answers.
+type failingReads struct {
+	Store
+	kind  rowstore.Kind
+	fails int
+}
+
+func (f *failingReads) Read(context.Context, rowstore.Range) (rowstore.Snapshot, error) {
+	if f.fails > 0 {
+		f.fails--
+		return rowstore.Snapshot{}, fault.New("read", f.kind, "scripted")
+	}
+	return rowstore.Snapshot{}, nil
+}
+
+// A new owner must not release the cell because a store that breaks connections has broken
+// a few of its reads, since no other host would fare better. A store that rejects the
+// reads of this host may serve another one.
+func TestReadsOutlastBrokenConnections(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  rowstore.Kind
+		fails int
+		ok    bool
+	}{
+		{"a few broken connections", rowstore.KindUnknown, maxBrokenCalls - 1, true},
+		{"all connections broken", rowstore.KindUnknown, maxBrokenCalls, false},
+		{"rejected twice", rowstore.KindNotDone, maxRejectedCalls - 1, true},
+		{"rejected", rowstore.KindNotDone, maxRejectedCalls, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &Owner{store: &failingReads{kind: c.kind, fails: c.fails}, timers: timer.NewSystem(), log: zap.NewNop()}
+				if _, err := o.hedgedRead(t.Context(), rowstore.Range{}, newReadLimiter(1, 1)); (err == nil) != c.ok {
+					t.Errorf("the read gives %v", err)
+				}
+			})
+		})
+	}
+}
