--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,6 +8,8 @@
 package election
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
@@ -33,22 +35,33 @@
 	Version uint64
 	// Clock is the store's monotonic clock when the row was read; 0 means unknown.
 	Clock time.Duration
+	// Hosts has the other hosts that the owner last listed, its preferred successor
+	// first.
+	Hosts []netip.AddrPort
 }
 
-// DecodeState finds and decodes the owner's row among the rows of its partition.
-// Without such a row it returns the zero State.
+// DecodeState finds and decodes the rows of the owner and of the hosts among the rows of
+// their partition. Without an owner's row it returns the zero State. A row of the hosts
+// that cannot be decoded counts as missing, since it only saves time.
 func DecodeState(rows []rowstore.Row) (State, error) {
+	var s State
+	var hosts []netip.AddrPort
 	for _, row := range rows {
-		if row.Key != ledger.OwnerKey() {
-			continue
+		switch row.Key {
+		case ledger.OwnerKey():
+			o, err := ledger.DecodeOwner(row.Value)
+			if err != nil {
+				return State{}, fault.New("read state", KindMalformed, "row %s: %w", row.Name, err)
+			}
+			s.Owner, s.Version = o, row.Version
+		case ledger.HostsKey():
+			hosts, _ = ledger.DecodeHosts(row.Value)
 		}
-		o, err := ledger.DecodeOwner(row.Value)
-		if err != nil {
-			return State{}, fault.New("read state", KindMalformed, "row %s: %w", row.Name, err)
-		}
-		return State{Owner: o, Version: row.Version}, nil
 	}
-	return State{}, nil
+	if s.Version != 0 {
+		s.Hosts = hosts
+	}
+	return s, nil
 }
 
 // Takeover returns the transaction by which a host succeeds the owner of s, and
@@ -69,6 +82,13 @@
 	}, row, nil
 }
 
+// Rank returns the position of a host in the order in which the hosts succeed the owner
+// of s, from 0, and false if the owner did not list it.
+func (s State) Rank(addr netip.AddrPort) (int, bool) {
+	rank := slices.Index(s.Hosts, addr)
+	return rank, rank >= 0
+}
+
 // AllOwnersEnded reports whether neither the owner of s nor an earlier one can
 // grant a lease any longer. exited is set when the process of the owner of s is
 // known to have exited.
@@ -106,6 +126,10 @@
 // read of the store took, since a commit takes several times as long as a read.
 const minTimeoutPerLatency = 8
 
+// answeringFactor multiplies that limit while the owner answers. The age of its last
+// renewal then reaches twice the time of a commit, and a successor would commit no faster.
+const answeringFactor = 2
+
 // maxPingExtension bounds by how much the answers of a slow owner extend the timeout.
 // With it an owner that has failed is noticed after 1.2 s, which leaves its successor
 // the time to take over before the leases of the workers expire.
@@ -119,6 +143,9 @@
 	// SinceRenewal is the time since the last renewal, as reported by an owner that
 	// cannot renew its row; 0 if the owner in the row has reported none.
 	SinceRenewal time.Duration
+	// Answering is set if the owner in the row answers pings although it cannot renew
+	// its row.
+	Answering bool
 	// PingTime is how long the owner has recently taken to answer pings. It extends the
 	// timeout: an owner that answers late is busy, and renews its row late as well.
 	PingTime time.Duration
@@ -144,7 +171,11 @@
 		d.known, d.version, d.changedAt, d.readAt, d.readClock = true, s.Version, now.Add(-seen.SinceRenewal), now, s.Clock
 	}
 	d.lastClock = s.Clock
-	timeout := max(extendedTimeout(d.timeout, seen.ShortTenures), minTimeoutPerLatency*seen.ReadLatency)
+	slowStore := minTimeoutPerLatency * seen.ReadLatency
+	if seen.Answering {
+		slowStore *= answeringFactor
+	}
+	timeout := max(extendedTimeout(d.timeout, seen.ShortTenures), slowStore)
 	timeout += min(seen.PingTime, maxPingExtension) + seen.LocalDelay
 	return d.unchanged(now, s) >= timeout || d.staleFor(timeout, s)
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -46,6 +46,14 @@
 			{1900 * time.Millisecond, 5, election.Observation{ReadLatency: 250 * time.Millisecond}, false},
 			{2 * time.Second, 5, election.Observation{ReadLatency: 250 * time.Millisecond}, true},
 		}},
+		{"an owner that answers while the store is slow", []ownerRead{
+			{0, 5, election.Observation{ReadLatency: 250 * time.Millisecond, Answering: true, SinceRenewal: 2 * time.Second}, false},
+			{1900 * time.Millisecond, 5, election.Observation{ReadLatency: 250 * time.Millisecond, Answering: true}, false},
+			{2 * time.Second, 5, election.Observation{ReadLatency: 250 * time.Millisecond, Answering: true}, true},
+		}},
+		{"an owner that answers and cannot reach a fast store", []ownerRead{
+			{0, 5, election.Observation{ReadLatency: 10 * time.Millisecond, Answering: true, SinceRenewal: timeout}, true},
+		}},
 		{"an owner that reports that it cannot commit", []ownerRead{
 			{0, 5, election.Observation{SinceRenewal: 900 * time.Millisecond}, false},
 			{100 * time.Millisecond, 5, election.Observation{SinceRenewal: timeout}, true},
@@ -233,3 +241,35 @@
 		t.Errorf("a malformed row gives %v", err)
 	}
 }
+
+// The list of hosts must be found beside the owner's row, and a malformed one must not
+// keep the owner's row from being read.
+func TestHostsAreReadWithTheOwnersRow(t *testing.T) {
+	hosts := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")}
+	row, err := ledger.EncodeOwner(ledger.Owner{Host: "h", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := ledger.EncodeHosts(hosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		list []byte
+		rank int
+		ok   bool
+	}{{"a list", list, 1, true}, {"a malformed list", []byte{0xc1}, -1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := election.DecodeState([]rowstore.Row{
+				{Key: ledger.HostsKey(), Value: c.list, Version: 3}, {Key: ledger.OwnerKey(), Value: row, Version: 4},
+			})
+			if err != nil || s.Owner.Epoch != 2 || s.Version != 4 {
+				t.Fatalf("read %+v, %v", s, err)
+			}
+			if rank, ok := s.Rank(hosts[1]); rank != c.rank || ok != c.ok {
+				t.Errorf("rank %d, %v", rank, ok)
+			}
+		})
+	}
+}
--- a/internal/host/advisors.go
+++ b/internal/host/advisors.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -25,6 +26,7 @@
 
 	mu       sync.Mutex
 	lastSeen map[netip.AddrPort]time.Time
+	capacity map[netip.AddrPort]hostCapacity
 	// alive is the list of the hosts that count as alive.
 	alive hostList
 }
@@ -35,12 +37,21 @@
 	// addrs is in ascending order, and sum is its hash.
 	addrs []netip.AddrPort
 	sum   uint64
+	// successors has the same hosts, the best successor of this host first.
+	successors []netip.AddrPort
 	// until is when the first of the hosts ceases to count as alive unless it pings.
 	until time.Time
 }
 
+// hostCapacity is what decides how well a host is suited to own the cell.
+type hostCapacity struct {
+	cores float64
+	// near is set if the host is in the data centre of this one.
+	near bool
+}
+
 func newRemoteAdvisors(peers Peers, timers timer.Service) *remoteAdvisors {
-	return &remoteAdvisors{peers: peers, timers: timers, lastSeen: make(map[netip.AddrPort]time.Time)}
+	return &remoteAdvisors{peers: peers, timers: timers, lastSeen: make(map[netip.AddrPort]time.Time), capacity: make(map[netip.AddrPort]hostCapacity)}
 }
 
 // markAlive records that a host is alive now. An invalid address is ignored.
@@ -57,6 +68,40 @@
 	h.lastSeen[addr] = now
 }
 
+// noteCapacity records what a host says of itself.
+func (h *remoteAdvisors) noteCapacity(addr netip.AddrPort, cores float64, near bool) {
+	if !addr.IsValid() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	said := hostCapacity{cores: cores, near: near}
+	if h.capacity[addr] != said {
+		h.capacity[addr] = said
+		h.alive = hostList{}
+	}
+}
+
+// Successors returns the hosts that count as alive, the best successor of this host
+// first. The caller must not change the list.
+func (h *remoteAdvisors) Successors() []netip.AddrPort { return h.list().successors }
+
+// compare orders hosts by how well they are suited to own the cell: those with more
+// processor capacity first, then those in the data centre of this one, whose latency to
+// the store is like its own.
+func (c hostCapacity) compare(o hostCapacity) int {
+	if c.cores != o.cores {
+		return cmp.Compare(o.cores, c.cores)
+	}
+	switch {
+	case c.near == o.near:
+		return 0
+	case c.near:
+		return -1
+	}
+	return 1
+}
+
 // forgetAfter is how long after its last ping a host is removed from the list.
 const forgetAfter = 30 * time.Second
 
@@ -82,6 +127,7 @@
 		switch age := now.Sub(seen); {
 		case age > forgetAfter:
 			delete(h.lastSeen, at)
+			delete(h.capacity, at)
 		case age <= aliveFor:
 			out.addrs = append(out.addrs, at)
 			if until := seen.Add(aliveFor); out.until.IsZero() || until.Before(out.until) {
@@ -92,6 +138,8 @@
 	slices.SortFunc(out.addrs, netip.AddrPort.Compare)
 	out.addrs = slices.Clip(out.addrs)
 	out.sum = sumHosts(out.addrs)
+	out.successors = slices.Clone(out.addrs)
+	slices.SortStableFunc(out.successors, func(a, b netip.AddrPort) int { return h.capacity[a].compare(h.capacity[b]) })
 	return out
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -213,6 +213,7 @@
 	if running := h.runningOwner(); running != nil {
 		running.Release(ctx)
 		h.endTenure(running)
+		h.announce(0) // the others learn that the cell has no owner
 	}
 }
 
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -39,11 +39,7 @@
 func (h *Host) applyPong(pong message.OwnerPong) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, addr := range append(pong.Hosts, pong.OwnerAddr) {
-		if addr.IsValid() && addr != h.config.Addr && len(h.members) < maxMembers {
-			h.members[addr] = true
-		}
-	}
+	h.addMembers(append(pong.Hosts, pong.OwnerAddr))
 	if !pong.SameHosts {
 		h.hostsSum, h.hostsCount = sumHosts(pong.Hosts), len(pong.Hosts)
 	}
@@ -59,6 +55,29 @@
 	h.otherCount = h.hostsCount
 }
 
+// addMembers remembers hosts. The caller holds the lock.
+func (h *Host) addMembers(addrs []netip.AddrPort) {
+	for _, addr := range addrs {
+		if addr.IsValid() && addr != h.config.Addr && len(h.members) < maxMembers {
+			h.members[addr] = true
+		}
+	}
+}
+
+// noteOwnerPing records what a ping tells of the owner: its sender owns the cell, or the
+// owner as this host knows it owns the cell no more. The latter is looked into at once.
+func (h *Host) noteOwnerPing(ping message.HostPing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ping.OwnEpoch > 0 {
+		h.applyReportedOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
+		return
+	}
+	if ping.Addr.IsValid() && ping.Addr == h.lastOwner.addr {
+		h.requestPing()
+	}
+}
+
 // knownHostsSum returns the hash of the list of hosts that this host has.
 func (h *Host) knownHostsSum() uint64 {
 	h.mu.Lock()
@@ -102,8 +121,8 @@
 // learns the owner and the newest manifest from them.
 func (h *Host) queryPeers() { h.pingAll(0) }
 
-// announce tells all known hosts that this host owns the cell. Hosts that answer
-// can be asked for advice from then on.
+// announce tells all known hosts that this host owns the cell in an epoch, or with 0 that
+// it owns the cell no more. Hosts that answer can be asked for advice from then on.
 func (h *Host) announce(epoch uint64) {
 	h.background.Go(func() { h.pingAll(epoch) })
 }
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -136,6 +136,7 @@
 		h.notifyReplaced(h.lastOwner.addr)
 	}
 	h.setOwner(ownerRef{addr: state.Owner.Addr, incarnation: state.Owner.Incarnation, epoch: state.Owner.Epoch})
+	h.addMembers(state.Hosts)
 	h.noteRowAdmission(state)
 	if state.Owner.Released {
 		h.tenures.Release(state.Owner.Epoch)
@@ -186,11 +187,8 @@
 // KnownEpoch is later than the epoch of that tenure.
 func (h *Host) pong(ping message.HostPing) message.OwnerPong {
 	h.advisors.markAlive(ping.Addr)
-	if ping.OwnEpoch > 0 {
-		h.mu.Lock()
-		h.applyReportedOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
-		h.mu.Unlock()
-	}
+	h.advisors.noteCapacity(ping.Addr, ping.Cores, ping.DataCentre == h.config.Self.DataCentre)
+	h.noteOwnerPing(ping)
 	running := h.runningOwner()
 	if running != nil {
 		running.Replaced(ping.KnownEpoch)
--- a/internal/host/suspicion.go
+++ b/internal/host/suspicion.go
@@ -28,8 +28,11 @@
 // renewal from that time is not counted.
 func (s suspicion) observation(state election.State, latency, readable time.Duration) election.Observation {
 	observation := election.Observation{ReadLatency: latency}
-	current := s.rowVersion == 0 || s.rowVersion == state.Version
-	if state.Owner.Epoch == s.epoch && current {
+	if state.Owner.Epoch != s.epoch {
+		return observation
+	}
+	observation.Answering = s.sinceRenewal > 0
+	if s.rowVersion == 0 || s.rowVersion == state.Version {
 		observation.SinceRenewal = min(s.sinceRenewal, readable)
 	}
 	return observation
--- a/internal/host/suspicion_test.go
+++ b/internal/host/suspicion_test.go
@@ -43,3 +43,21 @@
 		}
 	}
 }
+
+// TestAnsweringOwnerIsKnownWhateverTheVersion guards against the takeover from an owner
+// on a slow store whose row changes between its answer and the read.
+func TestAnsweringOwnerIsKnownWhateverTheVersion(t *testing.T) {
+	s := suspicion{epoch: 4, sinceRenewal: time.Second, rowVersion: 7}
+	for _, c := range []struct {
+		epoch, version uint64
+		want           bool
+	}{{4, 7, true}, {4, 8, true}, {5, 8, false}} {
+		state := election.State{Owner: ledger.Owner{Epoch: c.epoch}, Version: c.version}
+		if got := s.observation(state, time.Millisecond, time.Minute).Answering; got != c.want {
+			t.Errorf("epoch %d, version %d: answering is %v", c.epoch, c.version, got)
+		}
+	}
+	if (suspicion{epoch: 4}).observation(election.State{Owner: ledger.Owner{Epoch: 4}}, 0, 0).Answering {
+		t.Error("an owner without an answer counts as answering")
+	}
+}
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -24,6 +24,12 @@
 	// bounds it.
 	delayPerLatency = 8
 	maxLatencyDelay = 500 * time.Millisecond
+	// delayPerRank times the rank of a host in the owner's list is its delay after an
+	// owner has released its row. A takeover takes effect within that time. Added to it is
+	// rankedDelayPerLatency times the store's latency, so that a host far from the store
+	// lets one near to it go first.
+	delayPerRank          = 60 * time.Millisecond
+	rankedDelayPerLatency = 2
 	// yieldTime is how long a host leaves takeovers to others after its own
 	// tenure ended with owner.KindStore, for example because it could not
 	// read the store after its takeover.
@@ -38,7 +44,7 @@
 // an owner's commits wait for the store.
 func (h *Host) takeOver(state election.State, observation election.Observation) {
 	readAt := h.timers.Now()
-	delay := h.config.Capacity.TakeoverDelay() + min(delayPerLatency*observation.ReadLatency, maxLatencyDelay) + rand.N(takeoverJitter)
+	delay := h.takeoverDelay(state, observation)
 	if !h.sleep(delay) || h.stopping.Load() {
 		return
 	}
@@ -77,6 +83,19 @@
 	})
 }
 
+// takeoverDelay returns how long this host waits before a takeover. The hosts learn of a
+// released row at once, and follow the order in which the owner listed them. An owner that
+// was killed is noticed by each host with its next ping, so that only the first host of
+// the list does not wait for others that may have more capacity.
+func (h *Host) takeoverDelay(state election.State, observation election.Observation) time.Duration {
+	delay := h.config.Capacity.TakeoverDelay() + min(delayPerLatency*observation.ReadLatency, maxLatencyDelay) + rand.N(takeoverJitter)
+	rank, listed := state.Rank(h.config.Addr)
+	if !listed || !state.Owner.Released && (!observation.ProcessExited || rank > 0) {
+		return delay
+	}
+	return min(delay, time.Duration(rank)*delayPerRank+rankedDelayPerLatency*observation.ReadLatency)
+}
+
 // answersAgain reports whether the owner of an epoch has answered as a healthy owner
 // since the takeover became due.
 func (h *Host) answersAgain(epoch uint64) bool {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,14 +39,16 @@
 	TableProgress = "progress"
 	// TableWaves contains the progress of maintenance waves.
 	TableWaves = "waves"
-	// TableOwner contains the owner's row.
+	// TableOwner contains the owner's row and the row of the hosts.
 	TableOwner = "owner"
 
 	// partitionCell is the partition key of the owner's row and of all records that
 	// the owner writes with it.
 	partitionCell = "cell"
-	// ownerName is the name of the owner's row.
+	// ownerName is the name of the owner's row, and hostsName that of the row of the
+	// hosts.
 	ownerName = "owner"
+	hostsName = "hosts"
 
 	// intakePartitions is the number of partitions of TableIntake. The store executes
 	// the transactions of a partition serially, so with more partitions jobs are
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -24,6 +24,8 @@
 type RemoteAdvisors interface {
 	// List returns the hosts that have been active recently.
 	List() []netip.AddrPort
+	// Successors returns the same hosts, the best successor of this host first.
+	Successors() []netip.AddrPort
 	// CountActive returns the number of hosts that have been active within a time.
 	CountActive(within time.Duration) int
 	Advise(ctx context.Context, to netip.AddrPort, step workload.StepID, workers []cell.WorkerID) (cell.Advice, error)
--- a/internal/owner/advicebench_test.go
+++ b/internal/owner/advicebench_test.go
@@ -25,6 +25,8 @@
 	return out
 }
 
+func (l listedAdvisors) Successors() []netip.AddrPort { return l.List() }
+
 func (l listedAdvisors) CountActive(time.Duration) int { return len(l) }
 
 func (l listedAdvisors) Advise(context.Context, netip.AddrPort, workload.StepID, []cell.WorkerID) (cell.Advice, error) {
--- a/internal/owner/benchplatform_test.go
+++ b/internal/owner/benchplatform_test.go
@@ -246,6 +246,8 @@
 	return out
 }
 
+func (a benchAdvisors) Successors() []netip.AddrPort { return a.List() }
+
 func (benchAdvisors) CountActive(time.Duration) int { return benchHosts }
 
 func (a benchAdvisors) Advise(ctx context.Context, _ netip.AddrPort, step workload.StepID, asked []cell.WorkerID) (cell.Advice, error) {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,7 +16,7 @@
 
 const (
 	// maxEntriesPerCommit keeps a transaction within the store's limit of 100
-	// entries.
+	// entries, with the rows of the owner and of the hosts.
 	maxEntriesPerCommit = 90
 	// maxDeletesPerCommit and maxWavesPerCommit leave entries for records of jobs.
 	maxDeletesPerCommit = 60
@@ -49,7 +50,7 @@
 
 // nextBatch returns what the next commit writes, with the writes of its records.
 func (o *Owner) nextBatch(now time.Time) (batch, []rowstore.Write, error) {
-	b := batch{deletes: o.deletesForCommit()}
+	b := batch{deletes: o.deletesForCommit(), hosts: o.hostsRow.next(now, o.successors())}
 	b.waves = o.cell.WaveRecords()
 	b.waves = b.waves[:min(len(b.waves), maxWavesPerCommit)]
 	b.records = o.cell.TakeRecords(maxEntriesPerCommit - len(b.deletes) - len(b.waves))
@@ -71,6 +72,13 @@
 		}
 	}
 	t.Writes = append(t.Writes, records...)
+	if b.hosts != nil {
+		w, err := writeOfHosts(b.hosts)
+		if err != nil {
+			return rowstore.Transaction{}, err
+		}
+		t.Writes = append(t.Writes, w)
+	}
 	for _, r := range b.waves {
 		value, err := ledger.EncodeWave(r)
 		if err != nil {
@@ -137,6 +145,8 @@
 	earlyStartWorkers []cell.WorkerID
 	// deletes holds the expired jobs whose progress records are deleted.
 	deletes []workload.JobID
+	// hosts is the list of the other hosts; nil if it is not written.
+	hosts []netip.AddrPort
 }
 
 // committed is the outcome of the commit of a batch.
@@ -158,6 +168,7 @@
 		for _, id := range e.batch.deletes {
 			delete(o.recordParts, id)
 		}
+		o.hostsRow.committed(now, e.batch.hosts)
 		o.cell.WavesCommitted(e.batch.waves)
 		o.cell.EarlyStartWorkersCommitted(e.batch.earlyStartWorkers)
 		o.cell.Committed(now, e.batch.records)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -171,6 +171,7 @@
 	// release tells whether and why the owner releases the cell.
 	release   releaseState
 	isolation isolation
+	hostsRow  hostsRow
 	slowStore slowStore
 	load      load
 	processor *processorMeter
