--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -75,17 +75,20 @@
 }
 
 // recordPriority orders the dirty records: those whose commit has failed come
-// first, and then the others by the first class of starts that wait for them.
+// first, and then the others by what waits for them: the first class of starts, or the
+// client of an urgent job that has ended. Early starts do not wait.
 func (j *jobState) recordPriority() int {
 	if j.retryRecord {
 		return -1
 	}
-	if len(j.planned) == 0 {
-		return int(startOther)
+	class := startOther
+	if j.state.Final() && j.queue.Priority == 0 {
+		class = startUrgent
 	}
-	class := startClasses
 	for _, r := range j.planned {
-		class = min(class, r.class)
+		if !r.early {
+			class = min(class, r.class)
+		}
 	}
 	return int(class)
 }
--- a/internal/cell/record_test.go
+++ b/internal/cell/record_test.go
@@ -11,6 +11,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -116,3 +117,22 @@
 		t.Errorf("the row names %v", named)
 	}
 }
+
+// While commits are full, the end of an urgent job, which its client waits for, must not
+// wait behind the records of jobs that nobody waits for, nor behind those of early starts.
+func TestRecordsOfEndedUrgentJobsGoFirst(t *testing.T) {
+	c, now := earlyStartCell()
+	for i := range 100 {
+		acceptFree(c, now, fmt.Sprint("early", i))
+	}
+	c.TakeActions(now)
+	urgent := cell.AcceptedJob{
+		Job:   workload.Job{ID: "urgent", Queue: "urgent", Steps: []workload.Step{{Tasks: 1, Size: job.Size{MilliCores: 100}}}},
+		Queue: manifest.Queue{Name: "urgent", Service: "s"},
+	}
+	c.Accept(now, urgent)
+	c.Cancel(now, "urgent")
+	if _, ids := recordsOf(c, 50); !slices.Contains(ids, "urgent") {
+		t.Error("the record of an ended urgent job is not among the first 50 of 101")
+	}
+}
