--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -171,7 +171,7 @@
 	return host.Config{
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, OwnerTimeout: ownerTimeout, Capacity: capacity, OnTenure: setHeapGrowth,
 		Owner: owner.Config{
-			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(),
+			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(), Cores: s.Cores,
 			Cell: cell.Config{
 				Lease: min(workerLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease, ContactTimeout: contactTimeout,
 				StopRetryInterval: stopRetryInterval, KeepEnded: s.Bounds.KeepEnded, Unfenced: !s.Fenced,
--- a/internal/owner/limiter.go
+++ b/internal/owner/limiter.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// initialStartsInFlight is the first limit of starts without a response, and
-	// minStartsInFlight and maxStartsInFlight bound it.
+	// initialStartsInFlight is the first limit of starts without a response on a host
+	// whose processor share is unknown, and startsInFlightPerCore times the share that on
+	// other hosts. minStartsInFlight and maxStartsInFlight bound the limit.
 	initialStartsInFlight = 16
+	startsInFlightPerCore = 80
 	minStartsInFlight     = 8
 	maxStartsInFlight     = 512
 	startLimitStep        = 16
@@ -45,8 +47,12 @@
 	hold, lateTicks int
 }
 
-func newStartLimiter() limiter {
-	return limiter{limit: initialStartsInFlight, lowest: minStartsInFlight, highest: maxStartsInFlight, step: startLimitStep}
+// newStartLimiter returns the limiter of starts of a host with a processor share, which
+// is 0 if it is unknown. A new owner begins with all that has waited for it, so that a
+// strong host should not begin like the weakest one.
+func newStartLimiter(cores float64) limiter {
+	initial := max(initialStartsInFlight, min(int(cores*startsInFlightPerCore), maxStartsInFlight))
+	return limiter{limit: initial, lowest: minStartsInFlight, highest: maxStartsInFlight, step: startLimitStep}
 }
 
 func newOrderLimiter() limiter {
--- a/internal/owner/limiter_test.go
+++ b/internal/owner/limiter_test.go
@@ -11,7 +11,7 @@
 // until the first overload and slowly afterwards, and fall fast when it has none.
 func TestStartLimiter(t *testing.T) {
 	const ms = time.Millisecond
-	l := newStartLimiter()
+	l := newStartLimiter(0)
 	for i, c := range []struct {
 		delay    time.Duration
 		excess   time.Duration
@@ -59,7 +59,7 @@
 func TestLateHostRecoversFromAnOverload(t *testing.T) {
 	const bearable = 100
 	late := loadOf(idleTickDelay+1, 0)
-	l := newStartLimiter()
+	l := newStartLimiter(0)
 	for range 100 {
 		l.observe(hostOverloaded, l.limit, 1)
 	}
@@ -118,7 +118,7 @@
 
 // Workers that all become slow must not keep the limit at its lowest.
 func TestSlowWorkersDoNotKeepTheLimitLow(t *testing.T) {
-	starts, l := newStartTracker(), newStartLimiter()
+	starts, l := newStartTracker(), newStartLimiter(0)
 	for tick := range 60 {
 		latency := 20 * time.Millisecond
 		if tick >= 10 {
@@ -134,3 +134,13 @@
 		t.Errorf("the limit is %d, 5 s after all workers have become slow", l.limit)
 	}
 }
+
+// A new owner on a strong host must not begin with the limit of the weakest one, since all
+// that waits for it at the takeover waits for these starts.
+func TestFirstStartLimitFollowsTheProcessorShare(t *testing.T) {
+	for cores, want := range map[float64]int{0: 16, 0.1: 16, 0.192: 16, 0.4: 32, 0.8: 64, 64: maxStartsInFlight} {
+		if l := newStartLimiter(cores); l.limit != want {
+			t.Errorf("%v cores: limit %d, want %d", cores, l.limit, want)
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -80,6 +80,8 @@
 	RenewEvery time.Duration
 	// MaxReads limits the concurrent reads of the store.
 	MaxReads int
+	// Cores is the processor share of this host; 0 means unknown.
+	Cores float64
 }
 
 // InitialState is what the takeover passes to a new owner: its row and what is known
@@ -221,7 +223,7 @@
 		log:     log.Named("owner").With(zap.Uint64("Epoch", tenure.Row.Epoch)),
 		metrics: metrics,
 		events:  ring.New[queuedEvent](eventQueueSize), reports: ring.New[queuedEvent](eventQueueSize), moreStarts: make(chan struct{}, 1),
-		orders: newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
+		orders: newOrderQueue(metrics), starts: newStartTracker(), startLimiter: newStartLimiter(config.Cores), pendingStops: make(map[runKey]bool), wantedPaces: make(map[runKey]int),
 		holdLoops: make(map[cell.WorkerID]*holdLoop),
 		committer: newCommitter(now, tenure, now.Add(config.RenewEvery+renewalGrace)), renewAt: now.Add(config.RenewEvery),
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
