--- a/internal/cell/record_test.go
+++ b/internal/cell/record_test.go
@@ -119,20 +119,30 @@
 }
 
 // While commits are full, the end of an urgent job, which its client waits for, must not
-// wait behind the records of jobs that nobody waits for, nor behind those of early starts.
+// wait behind the records of early starts, which wait for nothing.
 func TestRecordsOfEndedUrgentJobsGoFirst(t *testing.T) {
-	c, now := earlyStartCell()
-	for i := range 100 {
-		acceptFree(c, now, fmt.Sprint("early", i))
+	now := time.Unix(1_700_000_000, 0)
+	c := cell.New(now, scriptConfig, nopObserver{}, zap.NewNop())
+	c.SetManifest(&backlogManifest)
+	c.Register(now, cell.Registration{ID: "w", Incarnation: 1, Machine: "m", Service: "s", Capacity: job.Size{MilliCores: 1000}})
+	c.Reported(now, "w", cell.Report{Incarnation: 1})
+	c.SetEarlyStarts(true)
+	c.EarlyStartWorkersCommitted(c.EarlyStartWorkers(now))
+	accept := func(id string) {
+		c.Accept(now, cell.AcceptedJob{
+			Job:   workload.Job{ID: workload.JobID(id), Queue: "urgent", Steps: []workload.Step{{Tasks: 1, Size: job.Size{MilliCores: 10}}}},
+			Queue: manifest.Queue{Name: "urgent", Service: "s"},
+		})
 	}
-	c.TakeActions(now)
-	urgent := cell.AcceptedJob{
-		Job:   workload.Job{ID: "urgent", Queue: "urgent", Steps: []workload.Step{{Tasks: 1, Size: job.Size{MilliCores: 100}}}},
-		Queue: manifest.Queue{Name: "urgent", Service: "s"},
-	}
-	c.Accept(now, urgent)
-	c.Cancel(now, "urgent")
-	if _, ids := recordsOf(c, 50); !slices.Contains(ids, "urgent") {
-		t.Error("the record of an ended urgent job is not among the first 50 of 101")
+	for i := range 30 {
+		accept(fmt.Sprint("early", i))
+	}
+	for range 10 {
+		c.TakeActions(now)
+	}
+	accept("last")
+	c.Cancel(now, "last")
+	if _, ids := recordsOf(c, 10); !slices.Contains(ids, "last") {
+		t.Errorf("the record of an ended urgent job is not among the first 10: %v", ids)
 	}
 }
