--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -73,7 +73,8 @@
 		h.applyReportedOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
 		return
 	}
-	if ping.Addr.IsValid() && ping.Addr == h.lastOwner.addr {
+	// A host that was the owner pings its own address until there is a successor.
+	if ping.Addr.IsValid() && ping.Addr == h.lastOwner.addr && ping.Addr != h.config.Addr {
 		h.requestPing()
 	}
 }
@@ -140,6 +141,10 @@
 	for _, addr := range h.config.Seeds {
 		peers[addr] = true
 	}
+	// An owner hears from the others, but is told of none.
+	for _, addr := range h.advisors.List() {
+		peers[addr] = true
+	}
 	delete(peers, h.config.Addr)
 	var pings sync.WaitGroup
 	for addr := range peers {
