--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -17,7 +17,8 @@
 )
 
 // hedgeDelay is how long a write of this host may take before the owner is also
-// asked to do it. The store may reject this host and still serve others.
+// asked to do it, if the store has not been slow of late. The store may reject this host
+// and still serve others.
 const hedgeDelay = 350 * time.Millisecond
 
 // writeFunc makes a client's request durable in one way.
@@ -34,7 +35,7 @@
 	}
 	results := make(chan error, 2)
 	go func() { results <- first(ctx) }()
-	timer := h.timers.After(hedgeDelay)
+	timer := h.timers.After(max(hedgeDelay, h.intake.SlowAfter()))
 	defer timer.Stop()
 	pending, started := 1, false
 	startSecond := func() {
--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -19,6 +19,9 @@
 	// brokenWithin is how soon after the start of a call its connection has to break
 	// for the call to be worth repeating at once. Later the store counts as silent.
 	brokenWithin = 500 * time.Millisecond
+	// latencyDecay is the part of the recent latency that is lost with each faster
+	// answer.
+	latencyDecay = 4
 )
 
 // storeHealth tracks whether the store answers the calls of this host, so that a
@@ -32,6 +35,9 @@
 	// answeredCall is the latest call that was answered. Earlier calls without an answer
 	// tell nothing of the store's present state.
 	answeredCall int
+	// latency is how long calls have recently taken that were answered: the longest one,
+	// which decays with each answer.
+	latency time.Duration
 	// unanswered is set when a call ended with noAnswer. failures counts the calls
 	// that were rejected or broken since the last call that ended with answered,
 	// which resets both.
@@ -65,12 +71,14 @@
 	noAnswer
 )
 
-func (h *storeHealth) end(call int, o outcome) {
+func (h *storeHealth) end(now time.Time, call int, o outcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	took := now.Sub(h.open[call])
 	delete(h.open, call)
 	switch o {
 	case answered:
+		h.latency = max(took, h.latency-h.latency/latencyDecay)
 		h.answeredCall = max(h.answeredCall, call)
 		h.unanswered, h.failures = false, 0
 	case rejected, broken:
@@ -80,6 +88,13 @@
 	}
 }
 
+// recentLatency returns how long answered calls have recently taken.
+func (h *storeHealth) recentLatency() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.latency
+}
+
 // unavailable reports whether no request should be sent to the store, since it
 // rejects calls, breaks connections, a call is overdue, or a call has ended without an
 // answer. If calls only fail soon, unavailable returns false once per trialInterval, so
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,8 +43,10 @@
 }
 
 const (
-	// callTimeout bounds one call to the store.
+	// callTimeout bounds one call to the store, if SlowAfter is not longer.
 	callTimeout = 1500 * time.Millisecond
+	// slowFactor times the recent latency of the store is SlowAfter.
+	slowFactor = 3
 	// minBackoff and maxBackoff bound the mean backoff before a call is retried.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 200 * time.Millisecond
@@ -73,6 +75,11 @@
 // is the trial that finds out whether the store has recovered.
 func (i *Intake) StoreUnavailable() bool { return i.health.unavailable(i.timers.Now()) }
 
+// SlowAfter returns after what time a call takes longer than the store's recent latency
+// explains. On a store that is slow for all, a second call would only wait behind the
+// first one in the row's partition.
+func (i *Intake) SlowAfter() time.Duration { return slowFactor * i.health.recentLatency() }
+
 // Probe reads a row to find out whether an unavailable store has recovered. Unlike
 // the trial of StoreUnavailable, it sends no request of a client.
 func (i *Intake) Probe(ctx context.Context) {
@@ -98,7 +105,7 @@
 	case i.timers.Now().Sub(begin) < brokenWithin && ctx.Err() == nil:
 		out = broken
 	}
-	i.health.end(number, out)
+	i.health.end(i.timers.Now(), number, out)
 	return out, err
 }
 
@@ -210,7 +217,7 @@
 	kind := KindNotDone
 	backoff := minBackoff
 	for attempt := 1; ; attempt++ {
-		callCtx, cancelCall := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancelCall := context.WithTimeout(ctx, max(callTimeout, i.SlowAfter()))
 		out, err := i.observed(callCtx, call)
 		cancelCall()
 		if err == nil || fault.Is(err, rowstore.KindConflict) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -237,18 +238,18 @@
 			t.Errorf("request %d is sent to a store with an overdue call", i+1)
 		}
 	}
-	h.end(call, noAnswer)
+	h.end(now, call, noAnswer)
 	for i := range 5 {
 		if !h.unavailable(now.Add(time.Duration(i) * time.Second)) {
 			t.Error("a store that does not answer is tested with a request")
 		}
 	}
-	h.end(h.begin(now), answered)
+	h.end(now, h.begin(now), answered)
 	if h.unavailable(now) {
 		t.Error("unavailable after an answer")
 	}
 	for range failureLimit {
-		h.end(h.begin(now), rejected)
+		h.end(now, h.begin(now), rejected)
 	}
 	later := now.Add(time.Minute)
 	if h.unavailable(later) {
@@ -265,14 +266,45 @@
 	now := time.Unix(0, 0)
 	h := newStoreHealth()
 	first, second := h.begin(now), h.begin(now)
-	h.end(first, noAnswer)
+	h.end(now, first, noAnswer)
 	now = now.Add(time.Minute)
-	h.end(h.begin(now), answered)
+	h.end(now, h.begin(now), answered)
 	if h.unavailable(now) {
 		t.Error("unavailable because of a pending call from before the answer")
 	}
-	h.end(second, noAnswer)
+	h.end(now, second, noAnswer)
 	if h.unavailable(now) {
 		t.Error("unavailable because of a call from before the answer that had none")
 	}
 }
+
+// On a store that is slow for all, a second write of the same row waits behind the first
+// one in its partition, so that hosts must not take the delay for a failure.
+func TestSlowAfterFollowsTheLatencyOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newScriptedStore()
+		in := New(store, timer.NewSystem())
+		submit := func(id workload.JobID, took time.Duration) {
+			store.answers = []answer{{applied: true, after: took}}
+			a := accepted()
+			a.Job.ID = id
+			if err := in.Submit(t.Context(), a); err != nil {
+				t.Fatal(err)
+			}
+		}
+		submit("00000000000000a1", 700*time.Millisecond)
+		if slow := in.SlowAfter(); slow != slowFactor*700*time.Millisecond {
+			t.Errorf("slow after %v while calls take 0.7 s", slow)
+		}
+		submit("00000000000000a2", 1900*time.Millisecond)
+		if store.calls != 2 {
+			t.Errorf("%d calls for two submissions", store.calls)
+		}
+		for i := range 12 {
+			submit(workload.JobID(fmt.Sprintf("00000000000000b%x", i)), 10*time.Millisecond)
+		}
+		if slow := in.SlowAfter(); slow > callTimeout/4 {
+			t.Errorf("slow after %v although twelve calls took 10 ms", slow)
+		}
+	})
+}
