--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -145,6 +145,7 @@
 	q := c.queueOf(s.job)
 	if q.Priority == 0 {
 		c.setTimer(now, s, s.readyAt.Add(preemptAfter))
+		c.setTimer(now, s, s.readyAt.Add(preemptWhileAsking))
 	}
 	if s.spec.LongRunning {
 		c.setTimer(now, s, s.readyAt.Add(longRunningWait+justAfter))
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -100,23 +100,29 @@
 	case c.dispatch.full(now, s.class):
 		c.markStep(s)
 	default:
-		c.requestWorkers(now, s, q, usable)
-		c.preempt(now, s, eligible)
+		asking := c.requestWorkers(now, s, q, usable)
+		c.preempt(now, s, eligible, asking)
 	}
 }
 
 // requestWorkers asks for advice about more workers for a step, or records what
-// it waits for.
-func (c *Cell) requestWorkers(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) {
+// it waits for. It reports whether an answer is expected.
+func (c *Cell) requestWorkers(now time.Time, s *stepState, q *manifest.Queue, usable *usableWorkers) bool {
 	switch {
 	case !q.Advice.Needed():
 		c.evalQueue.unplaceable.add(s)
-	case c.questionOpen(now, s, q) || now.Before(s.advice.notBefore):
+	case c.questionOpen(now, s, q):
+		return true
+	case now.Before(s.advice.notBefore):
 	case c.limiterFor(q).available() <= 0:
 		c.limiterFor(q).waiting.add(s)
-	case !c.ask(now, s, q, usable):
+		return true
+	case c.ask(now, s, q, usable):
+		return true
+	default:
 		c.evalQueue.unplaceable.add(s)
 	}
+	return false
 }
 
 // eligible returns the workers that a step may be started on now, whether they
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,11 +14,19 @@
 // before it preempts other tasks.
 const preemptAfter = 60 * time.Millisecond
 
+// preemptWhileAsking is the same while an answer about further workers with free
+// capacity is expected.
+const preemptWhileAsking = 300 * time.Millisecond
+
 // preempt frees capacity for a step of the highest priority: it stops runs of
 // lower-priority queues that can resume from a checkpoint, on workers that the
 // step is allowed on. A job in classExpired is not worth the work that is lost.
-func (c *Cell) preempt(now time.Time, s *stepState, eligible []*worker) {
-	if c.config.Policy.NoPreemption || s.class != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < preemptAfter {
+func (c *Cell) preempt(now time.Time, s *stepState, eligible []*worker, asking bool) {
+	after := preemptAfter
+	if asking {
+		after = preemptWhileAsking
+	}
+	if c.config.Policy.NoPreemption || s.class != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < after {
 		return
 	}
 	wanted := s.waiting - s.preemptedFor
@@ -40,17 +49,14 @@
 	}
 	need := s.spec.Reserved()
 	free := w.freeCapacity().Add(w.preempted)
-	if !need.Fits(free.Add(c.preemptibleCapacity(w))) {
+	if !need.Fits(free.Add(c.preemptibleCapacity(now, w))) {
 		return 0
 	}
 	gained := 0
-	for _, r := range w.runs.all() {
+	for _, r := range c.victims(now, w) {
 		if gained >= wanted {
 			break
 		}
-		if !c.preemptible(r) {
-			continue
-		}
 		freed := r.task.step.spec.Reserved()
 		free = free.Add(freed)
 		w.preempted = w.preempted.Add(freed)
@@ -69,23 +75,55 @@
 	return gained
 }
 
+// victims returns the runs on a worker that can be preempted, those first that would hold
+// their capacity for longest.
+func (c *Cell) victims(now time.Time, w *worker) []*run {
+	var out []*run
+	for _, r := range w.runs.list {
+		if c.preemptible(now, r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *run) int { return cmp.Compare(c.remaining(now, b), c.remaining(now, a)) })
+	return out
+}
+
+// remaining estimates how long a run still takes, from its progress or else from what is
+// expected of its step. Without either it is the estimate of the step.
+func (c *Cell) remaining(now time.Time, r *run) time.Duration {
+	worked, timed := r.elapsed(now)
+	if timed && r.fresh && r.percent > 0 {
+		return worked * time.Duration(fullPercent-r.percent) / time.Duration(r.percent)
+	}
+	expected, known := c.expectedRunTime(r.task.step)
+	if !known {
+		expected = r.task.step.spec.Estimate
+	}
+	return expected * time.Duration(fullPercent-r.percent) / fullPercent
+}
+
 // preemptibleCapacity returns the capacity held by the runs on a worker that can
 // be preempted.
-func (c *Cell) preemptibleCapacity(w *worker) job.Size {
+func (c *Cell) preemptibleCapacity(now time.Time, w *worker) job.Size {
 	var held job.Size
 	for _, r := range w.runs.list {
-		if c.preemptible(r) {
+		if c.preemptible(now, r) {
 			held = held.Add(r.task.step.spec.Reserved())
 		}
 	}
 	return held
 }
 
+// minPreemptedTime is the least remaining time of a run that is stopped for others. What a
+// stop and another start take, and the work since the last checkpoint, would exceed what
+// an earlier end of the run gains.
+const minPreemptedTime = 500 * time.Millisecond
+
 // preemptible reports whether a run can be stopped at little cost.
-func (c *Cell) preemptible(r *run) bool {
+func (c *Cell) preemptible(now time.Time, r *run) bool {
 	spec := r.task.step.spec
 	return spec.Checkpoints && !spec.Gang && !spec.LongRunning && !spec.BestEffort && !r.stopping &&
-		r.phase == runStarted && c.queueOf(r.task.step.job).Priority > 0
+		r.phase == runStarted && c.queueOf(r.task.step.job).Priority > 0 && c.remaining(now, r) >= minPreemptedTime
 }
 
 // preemption is a number of tasks of a step for which runs on one worker are
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -71,6 +71,10 @@
 			Name: "advised", Service: "s", Priority: 2, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second,
 			Advice: manifest.Advice{Fixed: 400 * time.Millisecond, PerWorker: 6 * time.Millisecond, ValidFor: 2 * time.Second},
 		},
+		{
+			Name: "urgent-advised", Service: "s", MaxAttempts: 2, SlackFactor: 1.5, TargetLatency: 500 * time.Millisecond,
+			Advice: manifest.Advice{Fixed: 30 * time.Millisecond, PerWorker: time.Millisecond, ValidFor: 2 * time.Second},
+		},
 	}}
 	s.restart()
 	return s
