--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -28,7 +28,9 @@
 	// not have it.
 	queue         *manifest.Queue
 	acceptedQueue manifest.Queue
-	state         workload.State
+	// account has the terms of the job's account at the time of acceptance.
+	account manifest.Terms
+	state   workload.State
 	// visibleState is the state shown to the clients that submit jobs. A final
 	// state becomes visible only once it is durable.
 	visibleState workload.State
@@ -211,7 +213,7 @@
 		return
 	}
 	j := &jobState{
-		job: &a.Job, acceptedQueue: a.Queue, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
+		job: &a.Job, acceptedQueue: a.Queue, account: a.Account, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
 	}
 	c.resolveQueue(j)
 	c.jobs[a.Job.ID] = j
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -34,6 +34,16 @@
 	return j.job.Queue
 }
 
+// AccountName returns the name of a job's account, or "" if the job has none or is
+// unknown.
+func (c *Cell) AccountName(id workload.JobID) string {
+	j, known := c.jobs[id]
+	if !known {
+		return ""
+	}
+	return j.account.Name
+}
+
 // Pending returns the number of accepted jobs in a queue that have neither
 // started a task nor ended.
 func (c *Cell) Pending(queue string) int { return c.pending[queue] }
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -71,7 +71,11 @@
 	for i := range a.Job.Steps {
 		w.Steps[i] = encodeStep(&a.Job.Steps[i])
 	}
-	return msgpack.Marshal(&w)
+	row, err := msgpack.Marshal(&w)
+	if err != nil {
+		return nil, err
+	}
+	return appendAccount(row, a.Account)
 }
 
 // jobLimits bounds the row of a job, which also comes from other hosts.
@@ -97,6 +101,10 @@
 	if err := a.Job.Check(); err != nil {
 		return cell.AcceptedJob{}, fault.New("decode job", KindMalformed, "%w", err)
 	}
+	var err error
+	if a.Account, err = decodeAccount(value); err != nil {
+		return cell.AcceptedJob{}, fault.New("decode job", KindMalformed, "%w", err)
+	}
 	return a, nil
 }
 
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -110,8 +110,10 @@
 	State workload.State
 	// Cause tells why the job has failed.
 	Cause workload.Cause
-	// Queue is the name of the job's queue.
-	Queue string
+	// Queue is the name of the job's queue, and Account that of its account, or empty if
+	// it has none.
+	Queue   string
+	Account string
 }
 
 type jobStateQuery struct {
@@ -121,7 +123,9 @@
 
 func (e jobStateQuery) apply(o *Owner, _ time.Time) {
 	state, known := o.cell.Status(e.id)
-	e.reply <- JobState{Known: known, State: state, Cause: o.cell.FailureCause(e.id), Queue: o.cell.QueueName(e.id)}
+	e.reply <- JobState{
+		Known: known, State: state, Cause: o.cell.FailureCause(e.id), Queue: o.cell.QueueName(e.id), Account: o.cell.AccountName(e.id),
+	}
 }
 
 // Job returns the durable state of a job.
