--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -80,7 +80,7 @@
 // checkAdmission returns a KindOverloaded error if a job is refused since the cell
 // cannot keep up. A repeated submission must not be told so: the job runs. It returns
 // errRepeated for it. If that cannot be found out, the job is not refused.
-func (h *Host) checkAdmission(ctx context.Context, queue *manifest.Queue, job *workload.Job) error {
+func (h *Host) checkAdmission(ctx context.Context, queue *manifest.Queue, client manifest.Client, job *workload.Job) error {
 	decision, age := h.currentAdmission()
 	slack := cell.StartSlack(job, queue)
 	retry, refused := decision.Refuses(admission.Job{
@@ -96,7 +96,7 @@
 	case err != nil:
 		h.log.Warn("job not refused, since it may have been accepted before", zap.String("Job", string(job.ID)), zap.Error(err))
 		return nil
-	case found.BelongsTo(queue.Name):
+	case found.In(client.Scope(queue.Name)):
 		return errRepeated
 	case found.Known:
 		return nil // Submit tells that the ID is taken
--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -35,7 +35,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			j.Queue = q.Name
-			return other.host.Submit(ctx, q, j)
+			return other.host.Submit(ctx, q, manifest.Client{}, j)
 		}
 		if err := submit(full, testJob("00000000000000a1", false)); err != nil {
 			t.Fatal(err)
@@ -118,7 +118,7 @@
 			{manifest.Queue{Service: "t", SlackFactor: 1, TargetLatency: 2 * time.Second}, false},
 		} {
 			c.queue.Name = "full"
-			err := other.host.checkAdmission(t.Context(), &c.queue, new(testJob(workload.JobID(fmt.Sprintf("%016x", i)), false)))
+			err := other.host.checkAdmission(t.Context(), &c.queue, manifest.Client{}, new(testJob(workload.JobID(fmt.Sprintf("%016x", i)), false)))
 			if fault.Is(err, KindOverloaded) != c.refused {
 				t.Errorf("a job of %+v is answered %v", c.queue, err)
 			}
--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -57,6 +57,21 @@
 	events []string
 	// busy holds the hosts that are short of processor time.
 	busy map[string]busyness
+	// manifests decodes the operator's rows; fakeManifests if it is nil.
+	manifests Manifests
+	// manifestRows holds all rows of the manifest that were written: the feed tells each
+	// change, while a read gives the last.
+	manifestRows []rowstore.Row
+	// confirmations counts the reads of the manifest that hosts made for unknown keys.
+	confirmations int
+	// stalledFeeds makes the calls for changes of the operator's rows end without an
+	// answer.
+	stalledFeeds bool
+	// manifestReadTime is the least time that a read of the operator's rows takes, and
+	// rejectsRead tells which of them fail, if it is set.
+	manifestReadTime time.Duration
+	rejectsRead      func(rowstore.Range) bool
+	revokeWithin     time.Duration
 	// logs also receives what the hosts log, if it is set before they start.
 	logs zapcore.Core
 }
@@ -154,7 +169,7 @@
 	w.mu.Unlock()
 	self := peer.Host{Name: h.name, DataCentre: "dc", Incarnation: fmt.Sprintf("%s/%d", h.name, h.starts)}
 	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, OwnerTimeout: fakeOwnerTimeout, Capacity: h.capacity}
-	config.OnTenure = h.owning.Store
+	config.OnTenure, config.RevokeWithin = h.owning.Store, w.revokeWithin
 	config.Owner = owner.Config{
 		RenewEvery: 400 * time.Millisecond, MaxReads: h.capacity.MaxReads(),
 		Cell: cell.Config{
@@ -165,7 +180,7 @@
 	port := &fakePort{cluster: w, host: h}
 	started := New(config, Platform{
 		Ports:     owner.Ports{Store: port, Workers: port, Registrations: fakeListing{}, Advisor: port, Machines: port, WaveRows: port},
-		Manifests: fakeManifests{},
+		Manifests: w.decoder(),
 	}, port, &lateTimers{timer.NewSystem(), port}, tally.NoopScope, w.logger(h))
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -92,6 +92,7 @@
 func (p *fakePort) Read(ctx context.Context, r rowstore.Range) (rowstore.Snapshot, error) {
 	w := p.cluster
 	defer func() { time.Sleep(w.busyness(p.host).response) }()
+	w.countManifestRead(r)
 	if err := p.delay(ctx, storeName, w.readTime(r)); err != nil {
 		return rowstore.Snapshot{}, err
 	}
@@ -101,7 +102,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Table == ledger.TableIntake && p.host.name == w.failingReads {
+	if r.Table == ledger.TableIntake && p.host.name == w.failingReads || w.rejectsManifestRead(r) {
 		return rowstore.Snapshot{}, fault.New("read", rowstore.KindNotDone, "refused")
 	}
 	out := rowstore.Snapshot{Version: w.version, Clock: w.clock()}
@@ -121,6 +122,9 @@
 	if r.Table == ledger.TableIntake {
 		return max(storeLatency, w.fullReadTime)
 	}
+	if r.Table == (fakeManifests{}).Table() {
+		return max(storeLatency, w.manifestReadTime)
+	}
 	return storeLatency
 }
 
@@ -144,6 +148,10 @@
 			return rowstore.Snapshot{}, err
 		}
 		w := p.cluster
+		if w.stalls(table) {
+			<-ctx.Done()
+			return rowstore.Snapshot{}, fault.New("follow", rowstore.KindUnknown, "%w", ctx.Err())
+		}
 		w.mu.Lock()
 		out := rowstore.Snapshot{Version: w.version}
 		for _, row := range w.rows {
@@ -151,6 +159,9 @@
 				out.Rows = append(out.Rows, row)
 			}
 		}
+		if table == (fakeManifests{}).Table() {
+			out.Rows = w.manifestsAfter(after)
+		}
 		changed := w.changed
 		w.mu.Unlock()
 		if len(out.Rows) > 0 || !time.Now().Before(until) {
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -49,12 +49,14 @@
 		message.KindRelayedSubmit: decodeAndHandle(message.DecodeRelayedSubmit, func(ctx context.Context, r message.RelayedSubmit) (peer.Message, error) {
 			return message.EncodeRelayReply(h.handleRelayedSubmit(ctx, r)), nil
 		}),
-		message.KindRelayedCancel:  decodeAndHandle(message.DecodeRelayedCancel, h.handleRelayedCancel),
-		message.KindQueueCancel:    decodeAndHandle(message.DecodeRelayedCancel, h.handleRelayedCancel),
-		message.KindJobLookup:      decodeAndHandle(message.DecodeJobLookup, h.lookUpJob),
-		message.KindQueueJobLookup: decodeAndHandle(message.DecodeJobLookup, h.lookUpJob),
-		message.KindQueueLookup:    decodeAndHandle(message.DecodeQueueLookup, h.lookUpQueue),
-		message.KindCellLookup:     decodeAndHandle(message.DecodeCellLookup, h.lookUpCell),
+		message.KindRelayedCancel:    decodeAndHandle(message.DecodeRelayedCancel, h.handleRelayedCancel),
+		message.KindQueueCancel:      decodeAndHandle(message.DecodeRelayedCancel, h.handleRelayedCancel),
+		message.KindAccountCancel:    decodeAndHandle(message.DecodeRelayedCancel, h.handleRelayedCancel),
+		message.KindJobLookup:        decodeAndHandle(message.DecodeJobLookup, h.lookUpJob),
+		message.KindQueueJobLookup:   decodeAndHandle(message.DecodeJobLookup, h.lookUpJob),
+		message.KindAccountJobLookup: decodeAndHandle(message.DecodeJobLookup, h.lookUpJob),
+		message.KindQueueLookup:      decodeAndHandle(message.DecodeQueueLookup, h.lookUpQueue),
+		message.KindCellLookup:       decodeAndHandle(message.DecodeCellLookup, h.lookUpCell),
 		message.KindWorkerHold: decodeAndHandle(message.DecodeWorkerHold, func(ctx context.Context, c message.WorkerHold) (peer.Message, error) {
 			report, err := h.relayServer.Hold(ctx, c)
 			return message.EncodeWorkerReport(report), err
@@ -123,7 +125,7 @@
 	if err != nil {
 		return peer.Message{}, err
 	}
-	if q.Queue != "" && job.Queue != q.Queue {
+	if !q.Scope.Contains(job.Queue, job.Account) {
 		job = owner.JobState{}
 	}
 	return message.EncodeJobLookupReply(message.JobLookupReply{Known: job.Known, State: job.State, Cause: job.Cause}), nil
@@ -163,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout(r.Timeout))
 	defer cancel()
-	outcome := relayOutcome(h.intake.Cancel(ctx, r.Queue, r.ID))
+	outcome := relayOutcome(h.intake.Cancel(ctx, r.Scope, r.ID))
 	return message.EncodeRelayReply(message.RelayReply{Outcome: outcome}), nil
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -46,6 +46,8 @@
 	KindUnknown Kind = "unknown"
 	// KindInvalid means that the request is malformed.
 	KindInvalid Kind = "invalid"
+	// KindUnauthorized means that the request has no key of an account.
+	KindUnauthorized Kind = "unauthorized"
 )
 
 // Error is the error type of this package.
@@ -78,6 +80,9 @@
 	// OwnerTimeout is how long the owner's row may remain unchanged before the
 	// host takes the cell over.
 	OwnerTimeout time.Duration
+	// RevokeWithin is for how long the host serves calls that need a key by a manifest
+	// that the store has not confirmed since. 0 means for any time.
+	RevokeWithin time.Duration
 	// Capacity is what the host can offer to the cell as its owner.
 	Capacity election.Capacity
 	// OnTenure is called when the host begins to own the cell, and when it has ceased
@@ -107,8 +112,12 @@
 	manifests *manifest.Holder
 	// malformedRows holds the operator's rows that cannot be decoded.
 	malformedRows malformedRows
-	// rawManifest is the manifest in force.
+	// rawManifest is the manifest in force. adopting is held while it is replaced.
 	rawManifest atomic.Pointer[rawManifest]
+	adopting    sync.Mutex
+	recency     recency
+	keyLog      keyLog
+	keyMetrics  keyMetrics
 	detector    *election.FailureDetector
 	advisors    *remoteAdvisors
 	// relayHosts holds the hosts that make calls to workers for this host while it
@@ -187,6 +196,7 @@
 		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope), pinger: newPinger(),
 		relayHosts: newRelayHosts(timers), pingSoon: make(chan struct{}, 1),
 		relayServer: relay.NewServer(platform.Workers, timers, scope),
+		recency:     recency{begin: timers.Now()}, keyMetrics: newKeyMetrics(scope),
 	}
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/host/malformed_test.go
+++ b/internal/host/malformed_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
@@ -14,7 +15,8 @@
 		random := rand.New(rand.NewPCG(22, 1))
 		valid := [][]byte{
 			message.EncodeHostPing(message.HostPing{Addr: owner.addr, Incarnation: "x"}).Body,
-			message.EncodeJobLookup(message.JobLookup{ID: "00000000000000d1", Queue: "q"}).Body,
+			message.EncodeJobLookup(message.JobLookup{ID: "00000000000000d1", Scope: manifest.JobScope{Queue: "q"}}).Body,
+			message.EncodeJobLookup(message.JobLookup{ID: "00000000000000d1", Scope: manifest.JobScope{Account: "a", HasAccounts: true}}).Body,
 			message.EncodeIntakeNotice(message.IntakeNotice{Job: []byte{0x99, 0x01}}).Body,
 			message.EncodeWorkerHold(message.WorkerHold{WorkerCall: message.WorkerCall{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
 			message.EncodeWorkerStart(message.WorkerStart{WorkerCall: message.WorkerCall{Epoch: 1, Timeout: 1, Addr: owner.addr}}).Body,
--- a/internal/host/malformedrows_test.go
+++ b/internal/host/malformedrows_test.go
@@ -40,7 +40,7 @@
 		return rowstore.Row{Key: rowstore.Key{Name: name}, Value: []byte(value), Version: 5}
 	}
 	for range 10 {
-		h.applyOperatorRows([]rowstore.Row{row("manifest", "odd"), row("wave/1", "odd"), row("wave/5", "")})
+		h.applyOperatorRows([]rowstore.Row{row("manifest", "odd"), row("wave/1", "odd"), row("wave/5", "")}, &storedManifest{}, true)
 		h.adopt([]byte("odd"), "other")
 	}
 	if n := logged.Len(); n != 2 {
@@ -49,8 +49,8 @@
 	if _, ok := h.waves[5]; !ok {
 		t.Error("the wave beside the malformed rows is not applied")
 	}
-	h.applyOperatorRows([]rowstore.Row{row("wave/1", "odd in another way"), row("manifest", "")})
-	h.applyOperatorRows([]rowstore.Row{row("manifest", "odd")})
+	h.applyOperatorRows([]rowstore.Row{row("wave/1", "odd in another way"), row("manifest", "")}, &storedManifest{}, true)
+	h.applyOperatorRows([]rowstore.Row{row("manifest", "odd")}, &storedManifest{}, true)
 	if n := logged.Len(); n != 4 {
 		t.Errorf("%d lines after two new errors", n)
 	}
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -11,6 +11,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 	"cicadabarrow.example/cicadabarrow/internal/transfer"
 )
@@ -30,11 +31,12 @@
 
 // followManifest keeps the operator's newest manifest in force.
 func (h *Host) followManifest() {
-	version, err := h.readManifest()
+	stored := &storedManifest{}
+	version, err := h.readManifest(stored)
 	compacted := false
 	for h.ctx.Err() == nil {
 		if err == nil {
-			version, err = h.nextManifest(version)
+			version, err = h.nextManifest(stored, version)
 		}
 		if err == nil {
 			compacted = false
@@ -46,42 +48,52 @@
 			h.log.Warn("cannot follow the manifest", zap.Error(err))
 			h.sleep(manifestRetryDelay/2 + rand.N(manifestRetryDelay))
 		}
-		version, err = h.readManifest()
+		version, err = h.readManifest(stored)
 	}
 }
 
 // readManifest reads the operator's rows and returns the version from which to
 // follow changes.
-func (h *Host) readManifest() (uint64, error) {
+func (h *Host) readManifest(stored *storedManifest) (uint64, error) {
 	ctx, cancel := transfer.WithTimeout(h.ctx, readTimeout)
 	defer cancel()
 	table := h.platform.Manifests.Table()
+	began := h.moment()
 	snapshot, err := h.platform.Store.Read(ctx, rowstore.Range{Table: table})
 	if err != nil {
 		return 0, err
 	}
-	h.applyOperatorRows(snapshot.Rows)
+	h.applyOperatorRows(snapshot.Rows, stored, false)
+	h.confirmStored(stored, began)
 	return snapshot.Version, nil
 }
 
 // nextManifest waits for changes after a version, applies them, and returns the
 // version from which to go on.
-func (h *Host) nextManifest(version uint64) (uint64, error) {
-	ctx, cancel := transfer.WithTimeout(h.ctx, manifestWait+manifestMargin)
+func (h *Host) nextManifest(stored *storedManifest, version uint64) (uint64, error) {
+	wait := h.manifestWait()
+	ctx, cancel := transfer.WithTimeout(h.ctx, wait+manifestMargin)
 	defer cancel()
 	table := h.platform.Manifests.Table()
-	snapshot, err := h.platform.Store.Follow(ctx, table, version, manifestWait)
+	began := h.moment()
+	snapshot, err := h.platform.Store.Follow(ctx, table, version, wait)
 	if err != nil {
 		return version, err
 	}
-	h.applyOperatorRows(snapshot.Rows)
+	h.applyOperatorRows(snapshot.Rows, stored, true)
+	h.confirmStored(stored, began)
 	return max(version, snapshot.Version), nil
 }
 
-func (h *Host) applyOperatorRows(rows []rowstore.Row) {
+// applyOperatorRows applies rows that were read, or changes from the feed.
+func (h *Host) applyOperatorRows(rows []rowstore.Row, stored *storedManifest, feed bool) {
 	for _, row := range rows {
-		if row.Name == h.platform.Manifests.Name() && !row.Deleted {
-			h.adopt(row.Value, "store")
+		if row.Name == h.platform.Manifests.Name() {
+			var decoded *manifest.Manifest
+			if !row.Deleted {
+				decoded = h.adopt(row.Value, "store")
+			}
+			stored.observe(row, decoded, feed)
 			continue
 		}
 		wave, ok, err := h.platform.Manifests.Wave(row)
@@ -147,24 +159,35 @@
 	return m.content
 }
 
-// adopt puts a manifest in force if it is newer than the current one.
-func (h *Host) adopt(raw []byte, from string) {
+// adopt puts a manifest in force if it is newer than the current one. It returns the
+// decoded manifest, or nil if it cannot be used.
+func (h *Host) adopt(raw []byte, from string) *manifest.Manifest {
 	m, err := h.platform.Manifests.Decode(raw)
 	if h.malformedRows.changed(h.platform.Manifests.Name(), err) {
 		h.log.Error("cannot decode a manifest; the last one stays in force", zap.String("From", from), zap.Error(err))
 	}
 	if err != nil {
-		return
+		return nil
 	}
-	if !h.manifests.Adopt(m) {
-		return
+	if !h.putInForce(m, raw) {
+		return m
 	}
-	h.rawManifest.Store(&rawManifest{content: raw, since: h.timers.Now()})
 	h.log.Info("manifest in force", zap.Uint64("Version", m.Version), zap.Int("Queues", len(m.Queues)),
 		zap.String("From", from))
 	if running := h.runningOwner(); running != nil {
 		running.SetManifest(m)
 	}
+	return m
+}
+
+func (h *Host) putInForce(m *manifest.Manifest, raw []byte) bool {
+	h.adopting.Lock()
+	defer h.adopting.Unlock()
+	if !h.manifests.Adopt(m) {
+		return false
+	}
+	h.rawManifest.Store(&rawManifest{content: raw, since: h.timers.Now()})
+	return true
 }
 
 // manifestVersion returns the version of the manifest in force, or 0 before the
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -197,13 +197,14 @@
 	}
 	known, hosts := h.knownOwner(), h.advisors.list()
 	pong := message.OwnerPong{
-		Manifest: h.manifestVersion(), Hosts: hosts.addrs,
+		Hosts:     hosts.addrs,
 		OwnerAddr: known.addr, OwnerIncarnation: known.incarnation, Epoch: known.epoch,
 	}
 	// The list of hosts is most of a pong, and seldom changes.
 	if hosts.sum != 0 && hosts.sum == ping.HostsSum {
 		pong.Hosts, pong.SameHosts = nil, true
 	}
+	h.pongManifest(&pong)
 	pong.NewerManifest = h.newerManifest(ping.Manifest)
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
--- a/internal/host/ping.go
+++ b/internal/host/ping.go
@@ -171,7 +171,7 @@
 		Relays:     h.mayRelay(), DataCentre: h.config.Self.DataCentre, Cores: h.config.Capacity.Cores,
 		HostsSum: h.knownHostsSum(),
 	})
-	sent := h.timers.Latest()
+	sent := h.moment()
 	from, reply, err := h.peers.Ask(ctx, to, ping)
 	if err != nil {
 		return from, message.OwnerPong{}, err
@@ -183,7 +183,8 @@
 	if len(pong.NewerManifest) > 0 {
 		h.adopt(pong.NewerManifest, from.Name)
 	}
+	h.confirmPong(pong, sent)
 	h.applyPong(pong)
-	h.applyPermission(pong, sent)
+	h.applyPermission(pong, sent.latest)
 	return from, pong, nil
 }
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -11,6 +11,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/intake"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -73,10 +74,13 @@
 }
 
 // relayCancel asks the owner to make a cancel durable.
-func (h *Host) relayCancel(ctx context.Context, queue string, id workload.JobID) error {
-	cancel := message.RelayedCancel{ID: id, Timeout: h.timeLeft(ctx), Queue: queue}
-	earlier := message.RelayedCancel{ID: id, Timeout: cancel.Timeout}
-	return h.relay(ctx, call{message: message.EncodeRelayedCancel(cancel), earlier: message.EncodeRelayedCancel(earlier)})
+func (h *Host) relayCancel(ctx context.Context, scope manifest.JobScope, id workload.JobID) error {
+	cancel := message.RelayedCancel{ID: id, Timeout: h.timeLeft(ctx), Scope: scope}
+	c := call{message: message.EncodeRelayedCancel(cancel)}
+	if !scope.HasAccounts {
+		c.earlier = message.EncodeRelayedCancel(message.RelayedCancel{ID: id, Timeout: cancel.Timeout})
+	}
+	return h.relay(ctx, c)
 }
 
 // timeLeft returns how long the client still waits, or lookupTimeout if the
@@ -113,7 +117,7 @@
 	case message.RelayMissing:
 		return fault.New(op, intake.KindNoJob, "host %s does not know the job", from.Name)
 	case message.RelayTaken:
-		return fault.New(op, intake.KindTaken, "host %s found a job of another queue", from.Name)
+		return fault.New(op, intake.KindTaken, "host %s found a job of another queue or account", from.Name)
 	case message.RelayNotDone:
 		return fault.New(op, intake.KindNotDone, "host %s did not write the request", from.Name)
 	case message.RelayUnknown:
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -17,19 +17,19 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// Submit accepts a job on a queue. The job is durable when Submit returns nil. While
-// the cell cannot keep up, it gives KindOverloaded.
-func (h *Host) Submit(ctx context.Context, queue *manifest.Queue, job workload.Job) error {
+// Submit accepts a job of a client on a queue. The job is durable when Submit returns
+// nil. While the cell cannot keep up, it gives KindOverloaded.
+func (h *Host) Submit(ctx context.Context, queue *manifest.Queue, client manifest.Client, job workload.Job) error {
 	if err := job.Check(); err != nil {
 		return fault.New("submit", KindInvalid, "%w", err)
 	}
-	switch err := h.checkAdmission(ctx, queue, &job); {
+	switch err := h.checkAdmission(ctx, queue, client, &job); {
 	case errors.Is(err, errRepeated):
 		return nil
 	case err != nil:
 		return err
 	}
-	accepted := cell.AcceptedJob{Job: job, Queue: *queue}
+	accepted := cell.AcceptedJob{Job: job, Queue: *queue, Account: client.Account}
 	err := h.hedge(ctx,
 		func(ctx context.Context) error { return h.intake.Submit(ctx, accepted) },
 		func(ctx context.Context) error { return h.relaySubmit(ctx, accepted) })
@@ -43,12 +43,13 @@
 	return nil
 }
 
-// Cancel cancels a job of a queue. The cancel is durable when Cancel returns nil.
-// A job of another queue gives KindNoJob.
-func (h *Host) Cancel(ctx context.Context, queue string, id workload.JobID) error {
+// Cancel cancels a job on a queue. The cancel is durable when Cancel returns nil.
+// A job of another queue or account gives KindNoJob.
+func (h *Host) Cancel(ctx context.Context, queue string, client manifest.Client, id workload.JobID) error {
+	scope := client.Scope(queue)
 	err := h.hedge(ctx,
-		func(ctx context.Context) error { return h.intake.Cancel(ctx, queue, id) },
-		func(ctx context.Context) error { return h.relayCancel(ctx, queue, id) })
+		func(ctx context.Context) error { return h.intake.Cancel(ctx, scope, id) },
+		func(ctx context.Context) error { return h.relayCancel(ctx, scope, id) })
 	if err != nil {
 		h.log.Warn("job not cancelled", zap.String("Job", string(id)), zap.Error(err))
 		return requestError("cancel", err)
@@ -71,12 +72,14 @@
 }
 
 // Status returns the state of a job of a queue. An unknown job, or one of another
-// queue, gives KindNoJob.
-func (h *Host) Status(ctx context.Context, queue string, id workload.JobID) (workload.Status, error) {
-	reply, err := askOwner(ctx, h, call{
-		message: message.EncodeJobLookup(message.JobLookup{ID: id, Queue: queue}),
-		earlier: message.EncodeJobLookup(message.JobLookup{ID: id}),
-	}, message.DecodeJobLookupReply)
+// queue or account, gives KindNoJob.
+func (h *Host) Status(ctx context.Context, queue string, client manifest.Client, id workload.JobID) (workload.Status, error) {
+	scope := client.Scope(queue)
+	lookup := call{message: message.EncodeJobLookup(message.JobLookup{ID: id, Scope: scope})}
+	if !scope.HasAccounts {
+		lookup.earlier = message.EncodeJobLookup(message.JobLookup{ID: id})
+	}
+	reply, err := askOwner(ctx, h, lookup, message.DecodeJobLookupReply)
 	if err != nil {
 		return workload.Status{}, err
 	}
@@ -88,7 +91,7 @@
 	switch {
 	case err != nil:
 		return workload.Status{}, requestError("state", err)
-	case !found.BelongsTo(queue):
+	case !found.In(scope):
 		return workload.Status{}, fault.New("state", KindNoJob, "job %s", id)
 	case found.Cancelled:
 		return workload.Status{State: workload.StateCancelled}, nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,6 +13,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -28,8 +29,8 @@
 	KindUnknown Kind = "unknown"
 	// KindNoJob means that the job does not exist.
 	KindNoJob Kind = "no such job"
-	// KindTaken means that a job of another queue has the ID. Nothing was
-	// written.
+	// KindTaken means that a job of another queue or account has the ID. Nothing
+	// was written.
 	KindTaken Kind = "ID in use"
 )
 
@@ -97,7 +98,7 @@
 }
 
 // Submit makes an accepted job durable. If the store already holds a job of the
-// same queue with the same ID, that counts as success.
+// same queue and account with the same ID, that counts as success.
 func (i *Intake) Submit(ctx context.Context, accepted cell.AcceptedJob) error {
 	value, err := ledger.EncodeJob(accepted)
 	if err != nil {
@@ -113,21 +114,21 @@
 		return err
 	}
 	found, err := findJob(conflict.Rows, accepted.Job.ID)
-	if err == nil && !found.BelongsTo(accepted.Queue.Name) {
-		err = fault.New("submit", KindTaken, "job %s belongs to another queue", accepted.Job.ID)
+	scope := manifest.JobScope{Queue: accepted.Queue.Name, Account: accepted.Account.Name, HasAccounts: true}
+	if err == nil && !found.In(scope) {
+		err = fault.New("submit", KindTaken, "job %s belongs to another queue or account", accepted.Job.ID)
 	}
 	return err
 }
 
-// Cancel makes the cancel of a job durable. A job of another queue counts as
-// missing; an empty queue stands for any.
-func (i *Intake) Cancel(ctx context.Context, queue string, id workload.JobID) error {
+// Cancel makes the cancel of a job durable. A job out of scope counts as missing.
+func (i *Intake) Cancel(ctx context.Context, scope manifest.JobScope, id workload.JobID) error {
 	found, err := i.Find(ctx, id)
 	if err != nil {
 		return err
 	}
 	switch {
-	case !found.Known, queue != "" && !found.BelongsTo(queue):
+	case !found.In(scope):
 		return fault.New("cancel", KindNoJob, "job %s", id)
 	case found.Cancelled:
 		return nil
@@ -143,11 +144,15 @@
 	Cancelled bool
 	// Queue is the name of the job's queue.
 	Queue string
+	// Account is the name of the job's account, or empty if it has none.
+	Account string
 }
 
-// BelongsTo reports whether the job is a job of a queue. The clients of a queue
-// must learn nothing of the jobs of other queues.
-func (f FindResult) BelongsTo(queue string) bool { return f.Known && f.Queue == queue }
+// In reports whether the job is in scope. The clients of a queue must learn nothing of
+// the jobs of other queues, nor those of an account of the jobs of others.
+func (f FindResult) In(scope manifest.JobScope) bool {
+	return f.Known && scope.Contains(f.Queue, f.Account)
+}
 
 // rowsOfJob is the number of rows whose names start with the ID of a job.
 const rowsOfJob = 2
@@ -181,7 +186,7 @@
 			if err != nil {
 				return FindResult{}, fault.New("find", KindUnknown, "job %s: %w", id, err)
 			}
-			found.Known, found.Queue = true, accepted.Queue.Name
+			found.Known, found.Queue, found.Account = true, accepted.Queue.Name, accepted.Account.Name
 		}
 	}
 	return found, nil
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -151,14 +151,14 @@
 func TestCancel(t *testing.T) {
 	store := newScriptedStore()
 	in := New(store, timer.NewSystem())
-	if err := in.Cancel(t.Context(), ownQueue, jobID); !fault.Is(err, KindNoJob) {
+	if err := in.Cancel(t.Context(), manifest.JobScope{Queue: ownQueue}, jobID); !fault.Is(err, KindNoJob) {
 		t.Errorf("the cancel of an unknown job gives %v", err)
 	}
 	if err := in.Submit(t.Context(), accepted()); err != nil {
 		t.Fatal(err)
 	}
 	for range 2 {
-		if err := in.Cancel(t.Context(), ownQueue, jobID); err != nil {
+		if err := in.Cancel(t.Context(), manifest.JobScope{Queue: ownQueue}, jobID); err != nil {
 			t.Errorf("a cancel gives %v", err)
 		}
 	}
@@ -177,11 +177,11 @@
 	if err := in.Submit(t.Context(), foreign); !fault.Is(err, KindTaken) {
 		t.Errorf("a submission under the ID of a job of another queue gives %v", err)
 	}
-	if err := in.Cancel(t.Context(), otherQueue, jobID); !fault.Is(err, KindNoJob) {
+	if err := in.Cancel(t.Context(), manifest.JobScope{Queue: otherQueue}, jobID); !fault.Is(err, KindNoJob) {
 		t.Errorf("the cancel of a job of another queue gives %v", err)
 	}
 	found, err := in.Find(t.Context(), jobID)
-	if err != nil || found.Cancelled || found.BelongsTo(otherQueue) || !found.BelongsTo(ownQueue) {
+	if err != nil || found.Cancelled || found.In(manifest.JobScope{Queue: otherQueue}) || !found.In(manifest.JobScope{Queue: ownQueue}) {
 		t.Errorf("found %+v, %v", found, err)
 	}
 }
@@ -223,3 +223,50 @@
 		t.Error("a store that rejects calls is tested with every request")
 	}
 }
+
+// The client of another account, or of none, must not learn from a submission, a cancel or a
+// lookup that a job has this ID, nor change the job. A job without an account, as those of
+// earlier releases are, is one of all clients of its queue.
+func TestJobsOfOtherAccountsAreHidden(t *testing.T) {
+	scopeOf := func(account string) manifest.JobScope {
+		return manifest.JobScope{Queue: ownQueue, Account: account, HasAccounts: true}
+	}
+	for _, c := range []struct {
+		account string
+		scope   manifest.JobScope
+		visible bool
+	}{
+		{"a", scopeOf("a"), true},
+		{"a", scopeOf("b"), false},
+		{"a", scopeOf(""), false},
+		{"a", manifest.JobScope{Queue: ownQueue}, true},
+		{"a", manifest.JobScope{Queue: otherQueue, Account: "a", HasAccounts: true}, false},
+		{"", scopeOf("b"), true},
+		{"", scopeOf(""), true},
+		{"", manifest.JobScope{Queue: ownQueue}, true},
+	} {
+		in := New(newScriptedStore(), timer.NewSystem())
+		job := accepted()
+		job.Account = manifest.Terms{Name: c.account, Weight: 1}
+		if err := in.Submit(t.Context(), job); err != nil {
+			t.Fatal(err)
+		}
+		found, err := in.Find(t.Context(), jobID)
+		if err != nil || found.Account != c.account || found.In(c.scope) != c.visible {
+			t.Errorf("%+v: found %+v, %v", c, found, err)
+		}
+		if c.scope.HasAccounts && c.scope.Queue == ownQueue {
+			again := accepted()
+			again.Account = manifest.Terms{Name: c.scope.Account, Weight: 2}
+			if err := in.Submit(t.Context(), again); (err == nil) != c.visible || err != nil && !fault.Is(err, KindTaken) {
+				t.Errorf("%+v: a submission under the ID gives %v", c, err)
+			}
+		}
+		if err := in.Cancel(t.Context(), c.scope, jobID); (err == nil) != c.visible || err != nil && !fault.Is(err, KindNoJob) {
+			t.Errorf("%+v: a cancel gives %v", c, err)
+		}
+		if found, err := in.Find(t.Context(), jobID); err != nil || found.Cancelled != c.visible {
+			t.Errorf("%+v: found %+v, %v", c, found, err)
+		}
+	}
+}
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -9,6 +9,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -23,7 +24,7 @@
 		hostPingCodec.encode(HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}))
 	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr}, SameHosts: true,
-		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"), RelayEpoch: 1, RelayFor: time.Second, RowVersion: 4,
+		SinceRenewal: time.Second, Manifest: 2, NewerManifest: []byte("m"), RelayEpoch: 1, RelayFor: time.Second, RowVersion: 4, ManifestAge: time.Minute,
 		Admission: admission.Decision{
 			Priorities: []admission.Refusal{{Priority: 1, RetryAfter: time.Second}}, LongRunning: time.Second,
 			Services: []admission.ServiceRefusal{{Service: "s", LongRunning: true, Priority: 1, Wait: time.Hour, RetryAfter: time.Second}},
@@ -34,9 +35,12 @@
 	checkRoundTrip(t, StepAdvice{Failed: true, Valid: time.Second, Allowed: []cell.Ticket{{Worker: "w", Value: "v"}}}, EncodeStepAdvice, DecodeStepAdvice)
 	checkRoundTrip(t, IntakeNotice{Job: []byte("j"), Cancelled: id}, EncodeIntakeNotice, DecodeIntakeNotice)
 	checkRoundTrip(t, RelayedSubmit{Job: []byte("j"), Timeout: time.Second}, EncodeRelayedSubmit, DecodeRelayedSubmit)
-	checkRoundTrip(t, RelayedCancel{ID: id, Timeout: time.Second, Queue: "q"}, EncodeRelayedCancel, DecodeRelayedCancel)
+	checkRoundTrip(t, RelayedCancel{ID: id, Timeout: time.Second, Scope: manifest.JobScope{Queue: "q"}}, EncodeRelayedCancel, DecodeRelayedCancel)
+	accountScope := manifest.JobScope{Queue: "q", Account: "a", HasAccounts: true}
+	checkRoundTrip(t, RelayedCancel{ID: id, Timeout: time.Second, Scope: accountScope}, EncodeRelayedCancel, DecodeRelayedCancel)
+	checkRoundTrip(t, JobLookup{ID: id, Scope: accountScope}, EncodeJobLookup, DecodeJobLookup)
 	checkRoundTrip(t, RelayReply{Outcome: RelayTaken}, EncodeRelayReply, DecodeRelayReply)
-	checkRoundTrip(t, JobLookup{ID: id, Queue: "q"}, EncodeJobLookup, DecodeJobLookup)
+	checkRoundTrip(t, JobLookup{ID: id, Scope: manifest.JobScope{Queue: "q"}}, EncodeJobLookup, DecodeJobLookup)
 	checkRoundTrip(t, JobLookupReply{Known: true, State: workload.StateFailed, Cause: workload.CauseCrashes}, EncodeJobLookupReply, DecodeJobLookupReply,
 		jobLookupReplyCodec.encode(JobLookupReply{Known: true, State: workload.StateFailed}))
 	checkRoundTrip(t, QueueLookup{Queue: "q"}, EncodeQueueLookup, DecodeQueueLookup)
@@ -162,3 +166,29 @@
 		t.Errorf("an earlier release reads %+v, %v", oldPong, err)
 	}
 }
+
+// Hosts of earlier releases must answer the calls of deployments without accounts, and must
+// not answer those with an account, which they cannot compare.
+func TestOnlyCallsWithAccountsHaveTheirForm(t *testing.T) {
+	for _, c := range []struct {
+		scope          manifest.JobScope
+		lookup, cancel uint8
+	}{
+		{manifest.JobScope{}, KindJobLookup, KindRelayedCancel},
+		{manifest.JobScope{Queue: "q"}, KindQueueJobLookup, KindQueueCancel},
+		{manifest.JobScope{Queue: "q", Account: "a", HasAccounts: true}, KindAccountJobLookup, KindAccountCancel},
+		{manifest.JobScope{Queue: "q", HasAccounts: true}, KindAccountJobLookup, KindAccountCancel},
+	} {
+		lookup := EncodeJobLookup(JobLookup{ID: "00000000000000e1", Scope: c.scope})
+		if got, err := DecodeJobLookup(lookup); lookup.Kind != c.lookup || err != nil || got.Scope != c.scope {
+			t.Errorf("%+v: kind %d, %+v, %v", c.scope, lookup.Kind, got, err)
+		}
+		cancel := EncodeRelayedCancel(RelayedCancel{ID: "00000000000000e1", Timeout: time.Second, Scope: c.scope})
+		if got, err := DecodeRelayedCancel(cancel); cancel.Kind != c.cancel || err != nil || got.Scope != c.scope {
+			t.Errorf("%+v: kind %d, %+v, %v", c.scope, cancel.Kind, got, err)
+		}
+	}
+	if p := EncodeOwnerPong(OwnerPong{Owning: true}); len(p.Body) != len(ownerPongCodec.encode(OwnerPong{Owning: true}).Body) {
+		t.Error("a pong without the age of the manifest has another form")
+	}
+}
--- a/internal/message/cellintake.go
+++ b/internal/message/cellintake.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -15,13 +16,13 @@
 	Timeout time.Duration
 }
 
-// RelayedCancel asks a peer to write the cancel of a job to the store. A job of
-// another queue counts as missing. Without a queue, as hosts of earlier releases
-// ask, any job is cancelled.
+// RelayedCancel asks a peer to write the cancel of a job to the store. A job that is
+// not in Scope counts as missing. Hosts of earlier releases send no accounts, and some
+// no queue.
 type RelayedCancel struct {
 	ID      workload.JobID
 	Timeout time.Duration
-	Queue   string
+	Scope   manifest.JobScope
 }
 
 // RelayReply answers RelayedSubmit and RelayedCancel.
@@ -41,7 +42,7 @@
 	RelayUnknown
 	// RelayMissing means that the job does not exist.
 	RelayMissing
-	// RelayTaken means that the ID belongs to a job of another queue.
+	// RelayTaken means that the ID belongs to a job of another queue or account.
 	RelayTaken
 )
 
@@ -138,27 +139,33 @@
 var queueCancelCodec = codec[RelayedCancel, queueCancelWire]{
 	kind: KindQueueCancel,
 	toWire: func(m RelayedCancel) queueCancelWire {
-		return queueCancelWire{ID: string(m.ID), Timeout: m.Timeout, Queue: m.Queue}
+		return queueCancelWire{ID: string(m.ID), Timeout: m.Timeout, Queue: m.Scope.Queue}
 	},
 	fromWire: func(w queueCancelWire) RelayedCancel {
-		return RelayedCancel{ID: workload.JobID(w.ID), Timeout: w.Timeout, Queue: w.Queue}
+		return RelayedCancel{ID: workload.JobID(w.ID), Timeout: w.Timeout, Scope: manifest.JobScope{Queue: w.Queue}}
 	},
 }
 
-// EncodeRelayedCancel returns the encoded message: a KindQueueCancel, or a
-// KindRelayedCancel if the cancel names no queue.
+// EncodeRelayedCancel returns the encoded message: a KindAccountCancel, or, without
+// accounts, a KindQueueCancel, or a KindRelayedCancel if the cancel names no queue.
 func EncodeRelayedCancel(m RelayedCancel) peer.Message {
-	if m.Queue == "" {
+	switch {
+	case m.Scope.HasAccounts:
+		return accountCancelCodec.encode(m)
+	case m.Scope.Queue == "":
 		return relayedCancelCodec.encode(m)
 	}
 	return queueCancelCodec.encode(m)
 }
 
-// DecodeRelayedCancel decodes a message of either kind. It fails if p is of another
-// kind or its body is malformed.
+// DecodeRelayedCancel decodes a message of any of these kinds. It fails if p is of
+// another kind or its body is malformed.
 func DecodeRelayedCancel(p peer.Message) (RelayedCancel, error) {
-	if p.Kind == KindRelayedCancel {
+	switch p.Kind {
+	case KindRelayedCancel:
 		return relayedCancelCodec.decode(p)
+	case KindAccountCancel:
+		return accountCancelCodec.decode(p)
 	}
 	return queueCancelCodec.decode(p)
 }
--- a/internal/message/celllookup.go
+++ b/internal/message/celllookup.go
@@ -4,16 +4,17 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// JobLookup asks the owner for the state of a job. A job of another queue counts as
-// unknown. Without a queue, as hosts of earlier releases ask, any job is found.
+// JobLookup asks the owner for the state of a job. A job that is not in Scope counts as
+// unknown. Hosts of earlier releases send no accounts, and some no queue.
 type JobLookup struct {
 	ID    workload.JobID
-	Queue string
+	Scope manifest.JobScope
 }
 
 // JobLookupReply answers JobLookup.
@@ -53,25 +54,35 @@
 }
 
 var queueJobLookupCodec = codec[JobLookup, queueJobLookupWire]{
-	kind:     KindQueueJobLookup,
-	toWire:   func(m JobLookup) queueJobLookupWire { return queueJobLookupWire{ID: string(m.ID), Queue: m.Queue} },
-	fromWire: func(w queueJobLookupWire) JobLookup { return JobLookup{ID: workload.JobID(w.ID), Queue: w.Queue} },
+	kind: KindQueueJobLookup,
+	toWire: func(m JobLookup) queueJobLookupWire {
+		return queueJobLookupWire{ID: string(m.ID), Queue: m.Scope.Queue}
+	},
+	fromWire: func(w queueJobLookupWire) JobLookup {
+		return JobLookup{ID: workload.JobID(w.ID), Scope: manifest.JobScope{Queue: w.Queue}}
+	},
 }
 
-// EncodeJobLookup returns the encoded message: a KindQueueJobLookup, or a
-// KindJobLookup if the lookup names no queue.
+// EncodeJobLookup returns the encoded message: a KindAccountJobLookup, or, without
+// accounts, a KindQueueJobLookup, or a KindJobLookup if the lookup names no queue.
 func EncodeJobLookup(m JobLookup) peer.Message {
-	if m.Queue == "" {
+	switch {
+	case m.Scope.HasAccounts:
+		return accountJobLookupCodec.encode(m)
+	case m.Scope.Queue == "":
 		return jobLookupCodec.encode(m)
 	}
 	return queueJobLookupCodec.encode(m)
 }
 
-// DecodeJobLookup decodes a message of either kind. It fails if p is of another kind
-// or its body is malformed.
+// DecodeJobLookup decodes a message of any of these kinds. It fails if p is of another
+// kind or its body is malformed.
 func DecodeJobLookup(p peer.Message) (JobLookup, error) {
-	if p.Kind == KindJobLookup {
+	switch p.Kind {
+	case KindJobLookup:
 		return jobLookupCodec.decode(p)
+	case KindAccountJobLookup:
+		return accountJobLookupCodec.decode(p)
 	}
 	return queueJobLookupCodec.decode(p)
 }
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -60,6 +60,10 @@
 	// NewerManifest is the manifest as the operator wrote it. It is set only if
 	// it is newer than that of the pinging host.
 	NewerManifest []byte
+	// ManifestAge is for how long changes of the store may be missing in Manifest: it
+	// includes all that the store had so long ago. 0 means unknown, as from hosts of
+	// earlier releases.
+	ManifestAge time.Duration
 	// Admission tells which new jobs the answering owner refuses. Hosts of earlier
 	// releases leave it out.
 	Admission admission.Decision
@@ -154,6 +158,7 @@
 	RelayFor    time.Duration                  `msgpack:"for,omitempty"`
 	RowVersion  uint64                         `msgpack:"version,omitempty"`
 	SameHosts   bool                           `msgpack:"same,omitempty"`
+	ManifestAge time.Duration                  `msgpack:"age,omitempty"`
 }
 
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
@@ -176,12 +181,13 @@
 // EncodeOwnerPong returns the encoded message.
 func EncodeOwnerPong(m OwnerPong) peer.Message {
 	p := ownerPongCodec.encode(m)
-	if m.RelayEpoch == 0 && !m.SameHosts && m.RowVersion == 0 && m.Admission.IsZero() {
+	if m.RelayEpoch == 0 && !m.SameHosts && m.RowVersion == 0 && m.ManifestAge == 0 && m.Admission.IsZero() {
 		return p
 	}
 	return appendExtension(p, ownerPongExtension{
 		Refusals: admissionwire.EncodePriorities(m.Admission), LongRunning: m.Admission.LongRunning,
 		Services: admissionwire.EncodeServices(m.Admission), RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion, SameHosts: m.SameHosts,
+		ManifestAge: m.ManifestAge,
 	})
 }
 
@@ -198,6 +204,6 @@
 	}
 	m.Admission = admissionwire.Decode(e.Refusals, e.LongRunning, e.Services)
 	m.RelayEpoch, m.RelayFor, m.RowVersion = e.RelayEpoch, e.RelayFor, e.RowVersion
-	m.SameHosts = e.SameHosts
+	m.SameHosts, m.ManifestAge = e.SameHosts, max(e.ManifestAge, 0)
 	return m, nil
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -71,6 +71,8 @@
 	KindWorkerReport
 	KindWorkerStarted
 	KindWorkerDone
+	KindAccountJobLookup
+	KindAccountCancel
 )
 
 // PromiseRequest asks a peer, as a grantor of the sender's lease, to promise not
