--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -168,8 +168,13 @@
 
 func hostConfig(s settings.Host, self peer.Host) host.Config {
 	capacity := election.Capacity{Cores: s.Cores, LinkMbps: s.LinkMbps}
+	var revokeWithin time.Duration
+	if s.Bounds.StrictRevocation {
+		revokeWithin = s.Bounds.RevokeWithin
+	}
 	return host.Config{
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, OwnerTimeout: ownerTimeout, Capacity: capacity, OnTenure: setHeapGrowth,
+		RevokeWithin: revokeWithin,
 		Owner: owner.Config{
 			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(),
 			Cell: cell.Config{
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -60,6 +60,11 @@
 	// KeepEnded is how long the state of an ended job must remain available to
 	// clients.
 	KeepEnded time.Duration
+	// RevokeWithin is how long after the withdrawal of a client's key a host may still
+	// accept it if StrictRevocation is set. A host that cannot keep that serves no calls
+	// that need a key. Without StrictRevocation it has no effect.
+	StrictRevocation bool
+	RevokeWithin     time.Duration
 }
 
 type wireHost struct {
@@ -86,6 +91,9 @@
 	MaxLease  *string `validate:"required,duration=500ms:10m"`
 	StopGrace *string `validate:"required,duration=100ms:10m"`
 	KeepEnded *string `validate:"required,duration=0s:24h"`
+	// Deployments without accounts have neither of these.
+	StrictRevocation bool
+	RevokeWithin     *string `validate:"omitempty,duration=0s:24h"`
 }
 
 // LoadHost reads and validates the settings file of a host at a path.
@@ -110,6 +118,9 @@
 	if !faults.Has("PeerAddr") && s.PeerAddr == s.ClientAddr {
 		faults.Add("ClientAddr", s.ClientAddr, fmt.Sprintf("an address other than PeerAddr (%v)", s.PeerAddr))
 	}
+	if s.Bounds.StrictRevocation && s.Bounds.RevokeWithin <= 0 && !faults.Has("Bounds.RevokeWithin") {
+		faults.Add("Bounds.RevokeWithin", s.Bounds.RevokeWithin, "more than 0s, since StrictRevocation is set")
+	}
 	if len(faults) > 0 {
 		return Host{}, fault.New("read", KindInvalid, "%w", faults)
 	}
@@ -125,6 +136,7 @@
 		Cores: numberOr(w.ProcessorShare, 0), LinkMbps: numberOr(w.LinkMbps, 0),
 		Bounds: HostBounds{
 			MaxLease: durationOr(w.Bounds.MaxLease, 0), StopGrace: durationOr(w.Bounds.StopGrace, 0), KeepEnded: durationOr(w.Bounds.KeepEnded, 0),
+			StrictRevocation: w.Bounds.StrictRevocation, RevokeWithin: durationOr(w.Bounds.RevokeWithin, 0),
 		},
 	}
 	for _, seed := range w.Seeds {
