--- a/cmd/cicadabarrow/accounts_test.go
+++ b/cmd/cicadabarrow/accounts_test.go
@@ -82,11 +82,12 @@
 	}
 }
 
-func (f *hostFleet) awaitStateWithKey(key, path, state string) {
+// awaitStateWithKey waits until a job of the queue without advice has a state.
+func (f *hostFleet) awaitStateWithKey(key, id, state string) {
 	f.t.Helper()
-	f.await(path+" is "+state, func() bool {
+	f.await("job "+id+" is "+state, func() bool {
 		for _, h := range f.hosts {
-			if status, _, body := f.callWithKey(h, key, http.MethodGet, path, nil); status == http.StatusOK && body["state"] == state {
+			if status, _, body := f.callWithKey(h, key, http.MethodGet, plainQueue+id, nil); status == http.StatusOK && body["state"] == state {
 				return true
 			}
 		}
@@ -167,7 +168,7 @@
 		status, _, _ := f.callWithKey(f.hosts[1], keyB, http.MethodPost, publicQueuePath+publicID, long)
 		return status == http.StatusOK
 	})
-	f.awaitStateWithKey(keyA1, plainQueue+id, "running")
+	f.awaitStateWithKey(keyA1, id, "running")
 	check := func(when string) {
 		t.Helper()
 		for _, key := range []string{"", keyC} {
@@ -194,11 +195,11 @@
 	f.start(killed)
 	f.await("another host owns the cell", func() bool { return f.owner() != killed })
 	f.await("the killed host is ready", func() bool { return f.ready(killed) })
-	f.awaitStateWithKey(keyA2, plainQueue+id, "running")
+	f.awaitStateWithKey(keyA2, id, "running")
 	check("after a takeover")
 	f.checkNoKeyIsShown(id)
 	f.expectStatus("at the end", keyA2, http.MethodDelete, plainQueue+id, nil, http.StatusOK)
-	f.awaitStateWithKey(keyA1, plainQueue+id, "cancelled")
+	f.awaitStateWithKey(keyA1, id, "cancelled")
 	if n := f.platform.Starts(id + ".0.0.0"); n != 1 {
 		t.Errorf("the task started %d times", n)
 	}
@@ -213,7 +214,7 @@
 	f.platform.SetAccounts(2, queueHost,
 		standin.Account{Name: "a", Keys: []string{keyA1}, Weight: 2}, standin.Account{Name: "b", Keys: []string{keyB}, Weight: 1})
 	f.awaitKey(keyA1, http.StatusOK)
-	const idA, idB = "00000000000000a1", "00000000000000b1"
+	const idA, idB = "00000000000000c1", "00000000000000d1"
 	job := map[string]any{"spec": "3s", "steps": []any{step(1), step(1, 0)}}
 	for id, key := range map[string]string{idA: keyA1, idB: keyB} {
 		f.await("a job is accepted", func() bool {
@@ -235,7 +236,7 @@
 	for _, key := range []string{keyA1, keyB} {
 		f.expectStatus("after a restart", key, http.MethodGet, plainQueue+idA, nil, http.StatusUnauthorized)
 	}
-	f.awaitStateWithKey(keyA2, plainQueue+idA, "completed")
+	f.awaitStateWithKey(keyA2, idA, "completed")
 	f.await("the job of the removed account is done", func() bool { return f.platform.Starts(idB+".0.1.0") == 1 })
 
 	// The owner goes on without the store, so the other host is restarted.
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -172,7 +172,7 @@
 	if !h.putInForce(m, raw) {
 		return m
 	}
-	h.log.Info("manifest in force", zap.Uint64("Version", m.Version), zap.Int("Queues", len(m.Queues)),
+	h.log.Info("manifest in force", zap.Uint64("Version", m.Version), zap.Int("Queues", len(m.Queues)), zap.Int("Accounts", len(m.Accounts)),
 		zap.String("From", from))
 	if running := h.runningOwner(); running != nil {
 		running.SetManifest(m)
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -38,7 +38,7 @@
 		return requestError("submit", err)
 	}
 	h.log.Info("job accepted", zap.String("Job", string(job.ID)), zap.String("Queue", queue.Name),
-		zap.Int("Steps", len(job.Steps)))
+		zap.String("Account", client.Account.Name), zap.Int("Steps", len(job.Steps)))
 	h.notifyAccepted(accepted)
 	return nil
 }
