--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -138,6 +138,7 @@
 // rawManifest is a manifest, encoded as the operator wrote it, and since when it has been
 // in force on this host.
 type rawManifest struct {
+	version uint64
 	content []byte
 	since   time.Time
 }
@@ -186,7 +187,7 @@
 	if !h.manifests.Adopt(m) {
 		return false
 	}
-	h.rawManifest.Store(&rawManifest{content: raw, since: h.timers.Now()})
+	h.rawManifest.Store(&rawManifest{version: m.Version, content: raw, since: h.timers.Now()})
 	return true
 }
 
--- a/internal/host/recency.go
+++ b/internal/host/recency.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -220,7 +221,10 @@
 		if row.Name != h.platform.Manifests.Name() {
 			continue
 		}
-		if m := h.adopt(row.Value, "store"); m != nil {
+		// A large manifest takes long to decode, and most reads find the one in force.
+		if raw := h.rawManifest.Load(); raw != nil && bytes.Equal(raw.content, row.Value) {
+			h.confirmed(raw.version, began)
+		} else if m := h.adopt(row.Value, "store"); m != nil {
 			h.confirmed(m.Version, began)
 		}
 	}
