--- /dev/null
+++ b/internal/interference/model_test.go
@@ -0,0 +1,421 @@
+package interference_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cicadabarrow.example/cicadabarrow/internal/interference"
+	"cicadabarrow.example/cicadabarrow/internal/job"
+)
+
+// TestScripts runs the scripts of testdata/script: sessions of one model in virtual time,
+// with workers whose tasks follow a hidden model of interference.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/script", func(t *testing.T, path string) {
+		s := &script{now: time.Unix(1_700_000_000, 0), model: interference.New()}
+		datadriven.RunTest(t, path, s.command)
+	})
+}
+
+type script struct {
+	now   time.Time
+	model *interference.Model
+}
+
+func (s *script) command(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "play":
+		s.play(t, d)
+	case "advance":
+		for range parseInt(t, d.CmdArgs[0].Key) {
+			s.now = s.now.Add(time.Second)
+			s.model.Refresh(s.now)
+		}
+	case "pairs":
+		return s.pairs()
+	case "changes":
+		return s.changes()
+	case "penalty":
+		return s.penalty(t, d)
+	default:
+		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+	}
+	return ""
+}
+
+// neighbour is a line "beside" of a play: an image that is present with a chance, or
+// exactly when another one is.
+type neighbour struct {
+	image  string
+	chance float64
+	with   string
+	tasks  float64
+	harm   float64
+}
+
+// play has workers observe a task with random neighbours every 500 ms. The first line is
+// the task, the others are its neighbours.
+func (s *script) play(t *testing.T, d *datadriven.TestData) {
+	seconds, workers, seed := 10, 4, 1
+	noise := 0.0
+	for _, a := range d.CmdArgs {
+		switch a.Key {
+		case "seconds":
+			seconds = parseInt(t, a.Vals[0])
+		case "workers":
+			workers = parseInt(t, a.Vals[0])
+		case "seed":
+			seed = parseInt(t, a.Vals[0])
+		case "noise":
+			noise = parseFloat(t, a.Vals[0])
+		default:
+			t.Fatalf("unknown argument %q", a.Key)
+		}
+	}
+	lines := strings.Split(strings.TrimSpace(d.Input), "\n")
+	task, base, serving := parseTask(t, lines[0])
+	neighbours := make([]neighbour, 0, len(lines))
+	for _, line := range lines[1:] {
+		neighbours = append(neighbours, parseNeighbour(t, line))
+	}
+	random := rand.New(rand.NewPCG(uint64(seed), 0))
+	for tick := range seconds * 2 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		for w := range workers {
+			s.model.Observe(s.now, observation(random, fmt.Sprintf("w%d", w), task, serving, base, noise, neighbours))
+		}
+		if tick%2 == 1 {
+			s.model.Refresh(s.now)
+		}
+	}
+}
+
+// observation draws who is present on a worker, and gives the task the loss that its
+// neighbours cause.
+func observation(
+	random *rand.Rand, worker, task string, serving bool, base, noise float64, neighbours []neighbour,
+) interference.Observation {
+	own := interference.Class{Image: task, Serving: serving}
+	out := interference.Observation{Worker: worker, Presences: []interference.Presence{{Class: own, Tasks: 1}}}
+	loss := 0.0
+	present := make(map[string]bool)
+	for _, n := range neighbours {
+		there := random.Float64() < n.chance
+		if n.with != "" {
+			there = present[n.with]
+		}
+		if !there {
+			continue
+		}
+		present[n.image] = true
+		loss += n.harm * n.tasks
+		class := interference.Class{Image: n.image}
+		if n.image == task {
+			class = own
+		}
+		out.Presences = append(out.Presences, interference.Presence{Class: class, Tasks: n.tasks})
+	}
+	loss += noise * random.NormFloat64()
+	value := base + loss
+	if !serving {
+		value = base * max(1-loss, 0)
+	}
+	out.Measured = []interference.Measurement{{Class: own, Size: job.Size{MilliCores: 1000}, Own: 1, Value: max(value, 0)}}
+	return out
+}
+
+func parseTask(t *testing.T, line string) (image string, base float64, serving bool) {
+	f := strings.Fields(line)
+	if len(f) != 3 || f[0] != "serves" && f[0] != "computes" {
+		t.Fatalf("%q is neither \"serves IMAGE LATENCY\" nor \"computes IMAGE RATE\"", line)
+	}
+	return f[1], parseFloat(t, f[2]), f[0] == "serves"
+}
+
+func parseNeighbour(t *testing.T, line string) neighbour {
+	f := strings.Fields(line)
+	if len(f) < 2 || f[0] != "beside" {
+		t.Fatalf("%q is not a neighbour", line)
+	}
+	n := neighbour{image: f[1], chance: 1, tasks: 1}
+	for _, word := range f[2:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "chance":
+			n.chance = parseFloat(t, value)
+		case "with":
+			n.with = value
+		case "tasks":
+			n.tasks = parseFloat(t, value)
+		case "harm":
+			n.harm = parseFloat(t, value)
+		default:
+			t.Fatalf("unknown word %q", word)
+		}
+	}
+	return n
+}
+
+func (s *script) pairs() string {
+	var out strings.Builder
+	for _, p := range s.model.Worst(s.now, 100) {
+		fmt.Fprintf(&out, "%s loses %.1f beside %s, seen %v ago\n", name(p.Task), p.Loss, name(p.Beside), p.Age.Round(time.Second))
+	}
+	fmt.Fprintf(&out, "%d classes, %d pairs\n", s.model.Classes(), s.model.Pairs())
+	return out.String()
+}
+
+func (s *script) changes() string {
+	changes, omitted := s.model.TakeChanges()
+	var out strings.Builder
+	for _, c := range changes {
+		fmt.Fprintf(&out, "%s beside %s known=%v\n", name(c.Task), name(c.Beside), c.Known)
+	}
+	if omitted > 0 {
+		fmt.Fprintf(&out, "%d more\n", omitted)
+	}
+	return out.String()
+}
+
+// penalty prints the penalty of the first argument beside the others, which are written
+// IMAGE or IMAGE=TASKS. Tasks that serve end in an asterisk.
+func (s *script) penalty(t *testing.T, d *datadriven.TestData) string {
+	var beside []interference.Presence
+	for _, a := range d.CmdArgs[1:] {
+		tasks := 1.0
+		if len(a.Vals) > 0 {
+			tasks = parseFloat(t, a.Vals[0])
+		}
+		beside = append(beside, interference.Presence{Class: class(a.Key), Tasks: tasks})
+	}
+	return fmt.Sprintf("%.1f\n", s.model.Penalty(s.now, class(d.CmdArgs[0].Key), beside))
+}
+
+func name(c interference.Class) string {
+	if c.Serving {
+		return c.Image + "*"
+	}
+	return c.Image
+}
+
+func class(text string) interference.Class {
+	image, serving := strings.CutSuffix(text, "*")
+	return interference.Class{Image: image, Serving: serving}
+}
+
+func parseInt(t *testing.T, text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func parseFloat(t *testing.T, text string) float64 {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+const window = 500 * time.Millisecond
+
+// web is a class that suffers beside noisy in the tests below.
+var (
+	web   = interference.Class{Image: "web", Serving: true}
+	noisy = interference.Class{Image: "noisy"}
+)
+
+func observe(m *interference.Model, now time.Time, worker string, latency float64, beside ...interference.Presence) {
+	m.Observe(now, interference.Observation{
+		Worker: worker, Presences: append([]interference.Presence{{Class: web, Tasks: 1}}, beside...),
+		Measured: []interference.Measurement{{Class: web, Own: 1, Value: latency}},
+	})
+}
+
+// learned returns a model that knows that web suffers beside noisy.
+func learned(now time.Time) *interference.Model {
+	m := interference.New()
+	for i := range 60 {
+		worker := fmt.Sprintf("w%d", i%3)
+		if i%2 == 0 {
+			observe(m, now, worker, 0.9, interference.Presence{Class: noisy, Tasks: 1})
+		} else {
+			observe(m, now, worker, 0.4)
+		}
+	}
+	m.Refresh(now)
+	return m
+}
+
+// A single report could reorder the workers if its weight was not limited.
+func TestSingleObservationChangesLittle(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := learned(now)
+	beside := []interference.Presence{{Class: noisy, Tasks: 1}}
+	before := m.Penalty(now, web, beside)
+	if before < 0.3 {
+		t.Fatalf("penalty %v of a pair with a loss of 0.5", before)
+	}
+	for _, latency := range []float64{0, 0.4, 3, 1e9} {
+		changed := learned(now)
+		observe(changed, now, "w1", latency, beside...)
+		changed.Refresh(now)
+		if after := changed.Penalty(now, web, beside); math.Abs(after-before) > 0.1 {
+			t.Errorf("latency %v: penalty %v, before %v", latency, after, before)
+		}
+	}
+	fresh := interference.New()
+	observe(fresh, now, "w1", 0.4)
+	observe(fresh, now, "w2", 3, beside...)
+	fresh.Refresh(now)
+	if p := fresh.Penalty(now, web, beside); p != 0 {
+		t.Errorf("penalty %v after one observation", p)
+	}
+}
+
+// Values that are not finite would make all coefficients of a class invalid for as long as
+// the sums hold them.
+func TestValuesOutOfRangeAreIgnored(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := learned(now)
+	beside := []interference.Presence{{Class: noisy, Tasks: 1}}
+	before := m.Penalty(now, web, beside)
+	for _, bad := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		observe(m, now, "w1", bad, beside...)
+	}
+	for _, bad := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
+		observe(m, now, "w1", 0.4, interference.Presence{Class: noisy, Tasks: bad})
+	}
+	m.Refresh(now)
+	after := m.Penalty(now, web, beside)
+	if math.IsNaN(after) || math.Abs(after-before) > 0.1 {
+		t.Errorf("penalty %v, before %v", after, before)
+	}
+	observe(m, now, "w1", 0.4, interference.Presence{Class: noisy, Tasks: math.Inf(1)})
+	m.Refresh(now)
+	if p := m.Penalty(now, web, beside); math.IsNaN(p) || math.IsInf(p, 0) {
+		t.Errorf("penalty %v after an infinite presence", p)
+	}
+}
+
+// Clients name the images, so the number of classes and pairs must not grow with theirs.
+func TestClassesAndPairsAreBounded(t *testing.T) {
+	const (
+		images     = 1000
+		maxClasses = 128
+	)
+	now := time.Unix(1_700_000_000, 0)
+	m := interference.New()
+	random := rand.New(rand.NewPCG(1, 1))
+	image := func() interference.Class {
+		return interference.Class{Image: strconv.Itoa(random.IntN(images)), Serving: random.IntN(2) == 0}
+	}
+	for i := range 5_000 {
+		now = now.Add(10 * time.Millisecond)
+		o := interference.Observation{Worker: strconv.Itoa(i % 10)}
+		for range 60 {
+			c := image()
+			o.Presences = append(o.Presences, interference.Presence{Class: c, Tasks: 1})
+			o.Measured = append(o.Measured, interference.Measurement{Class: c, Own: 1, Value: random.Float64()})
+		}
+		m.Observe(now, o)
+		if i%100 == 0 {
+			m.Refresh(now)
+		}
+		if m.Classes() > maxClasses {
+			t.Fatalf("%d classes", m.Classes())
+		}
+	}
+	if changes, _ := m.TakeChanges(); len(changes) > 32 {
+		t.Errorf("%d changes are kept", len(changes))
+	}
+	long := interference.Class{Image: strings.Repeat("x", 201)}
+	m = interference.New()
+	m.Observe(now, interference.Observation{Presences: []interference.Presence{{Class: long, Tasks: 1}, {Class: interference.Class{}, Tasks: 1}}})
+	if m.Classes() != 0 {
+		t.Error("an image with a long or an empty name is kept")
+	}
+}
+
+// Classes that are in use must not be replaced by new ones, which a client can name faster
+// than pairs are learned.
+func TestNewClassesReplaceUnusedOnesOnly(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := learned(now)
+	beside := []interference.Presence{{Class: noisy, Tasks: 1}}
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		observe(m, now, "w1", 0.9, beside...)
+		m.Observe(now, interference.Observation{Presences: []interference.Presence{{Class: interference.Class{Image: strconv.Itoa(i)}, Tasks: 1}}})
+	}
+	m.Refresh(now)
+	if p := m.Penalty(now, web, beside); p < 0.2 {
+		t.Errorf("penalty %v", p)
+	}
+	now = now.Add(25 * time.Second)
+	newcomer := interference.Class{Image: "newcomer"}
+	m.Observe(now, interference.Observation{Presences: []interference.Presence{{Class: newcomer, Tasks: 1}}})
+	m.Refresh(now)
+	if m.Classes() != 128 {
+		t.Errorf("%d classes", m.Classes())
+	}
+}
+
+// The weights of observations grow with the time, and would overflow on an owner that
+// lasts for hours.
+func TestModelWorksForDays(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := learned(now)
+	for range 48 {
+		now = now.Add(time.Hour)
+		m.Refresh(now)
+	}
+	if m.Pairs() != 0 || m.Classes() != 0 {
+		t.Errorf("%d pairs and %d classes after two days", m.Pairs(), m.Classes())
+	}
+	m = learned(now)
+	for i := range 4 * 3600 * 2 {
+		now = now.Add(window)
+		if i%2 == 0 {
+			observe(m, now, fmt.Sprintf("w%d", i%3), 0.9, interference.Presence{Class: noisy, Tasks: 1})
+		} else {
+			observe(m, now, "w1", 0.4)
+		}
+		if i%2 == 1 {
+			m.Refresh(now)
+		}
+	}
+	worst := m.Worst(now, 5)
+	if len(worst) != 1 || math.Abs(worst[0].Loss-0.5) > 0.15 {
+		t.Errorf("after four hours: %+v", worst)
+	}
+}
+
+// Two models that get the same observations must agree, so that simulations can be
+// repeated.
+func TestModelIsDeterministic(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	play := func() []interference.Pair {
+		m := interference.New()
+		random := rand.New(rand.NewPCG(3, 3))
+		neighbours := []neighbour{{image: "a", chance: 0.5, tasks: 1, harm: 0.5}, {image: "b", chance: 0.3, tasks: 2, harm: 0.2}}
+		for i := range 200 {
+			m.Observe(now.Add(time.Duration(i)*window/4), observation(random, strconv.Itoa(i%4), "web", true, 0.4, 0.1, neighbours))
+		}
+		m.Refresh(now.Add(50 * window))
+		return m.Worst(now.Add(50*window), 10)
+	}
+	if first, second := play(), play(); len(first) == 0 || !slices.Equal(first, second) {
+		t.Errorf("%+v and %+v", first, second)
+	}
+}
