--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/interference"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -31,6 +32,8 @@
 	// Unfenced is set if workers do not check fencing tokens, so that they
 	// also obey an earlier owner.
 	Unfenced bool
+	// Interference tells whether interference between tasks is learned and avoided.
+	Interference interference.Mode
 	// Policy is the zero value except in experiments.
 	Policy Policy
 }
@@ -67,6 +70,12 @@
 	CountFailedAttempts Counter = "jobs_failed_attempts"
 	// CountFailedCrashes counts the jobs that failed with CauseCrashes.
 	CountFailedCrashes Counter = "jobs_failed_crashes"
+	// CountAvoided counts the tasks that were placed on another worker to avoid
+	// interference.
+	CountAvoided Counter = "avoided_placements"
+	// CountAvoidable counts, in ModeObserve, those that ModeAvoid would have placed
+	// on another worker.
+	CountAvoidable Counter = "avoidable_placements"
 )
 
 // Observer receives the duration of each stage, and counts events.
@@ -159,6 +168,8 @@
 
 	usableNow usableWorkers
 
+	interference interferenceState
+
 	actions []Action
 	// placementPending is set when a placement may have become possible.
 	placementPending bool
@@ -185,6 +196,7 @@
 		urgentQuestions: newQuestionLimiter(urgentPerHost), longQuestions: newQuestionLimiter(1), allowedShares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), earlyStarts: newEarlyStartState(),
 		estimates: make(map[string]*estimateStats), dispatch: dispatchQueue{limit: unlimitedStarts},
+		interference: newInterferenceState(config.Interference),
 	}
 	c.usableNow = newUsableWorkers(c)
 	return c
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -83,6 +83,14 @@
 	return h.slowness * math.Exp2(-float64(now.Sub(h.slownessAt))/float64(slownessHalfLife))
 }
 
+// avoidedSlowness returns the slowness if the worker is avoided for it, and otherwise 0.
+func (h *health) avoidedSlowness(now time.Time) float64 {
+	if slow := h.currentSlowness(now); slow > slowThreshold {
+		return slow
+	}
+	return 0
+}
+
 // unlistedSinceReport reports whether the entry of a worker has left the list since
 // the worker last answered, so that it may have crashed.
 func (w *worker) unlistedSinceReport() bool {
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -202,6 +202,8 @@
 	// load is Running.Load as last reported: a latency in milliseconds or a CPU
 	// use in millicores, depending on the task.
 	load float64
+	// inWindow is the progress at the begin of the last window of its worker.
+	inWindow windowStart
 }
 
 // Accept adds a job from the store. A job that is already known is left
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -241,7 +241,7 @@
 			best, bestScore = w, score
 		}
 	}
-	return best
+	return c.avoidInterference(now, s, best, eligible, exclude)
 }
 
 // hasRoom reports whether one more task of a step may be placed on a worker.
--- a/internal/cell/policy.go
+++ b/internal/cell/policy.go
@@ -55,9 +55,5 @@
 		return float64(h.Sum32())
 	case FitBest:
 	}
-	score := s.score(w)
-	if slow := w.health.currentSlowness(now); slow > slowThreshold {
-		score -= slow
-	}
-	return score
+	return s.score(w) - w.health.avoidedSlowness(now)
 }
--- a/internal/cell/rank.go
+++ b/internal/cell/rank.go
@@ -92,13 +92,7 @@
 // better.
 func (s *stepState) score(w *worker) float64 {
 	free := w.freeCapacity()
-	score := 0.0
-	if s.spec.DataRack != "" && w.registration.HasLabel(s.spec.DataRack) {
-		score += localityBonus
-	}
-	if s.spec.SameRack && s.rack != "" && s.rack == w.registration.Rack() {
-		score += localityBonus
-	}
+	score := s.locality(w)
 	if s.spec.BestEffort {
 		return score + bestEffortScore(s, w)
 	}
@@ -110,6 +104,18 @@
 	return score - left.DominantShare(w.registration.Capacity)
 }
 
+// locality returns how near a worker is to the data of a step and to its other tasks.
+func (s *stepState) locality(w *worker) float64 {
+	score := 0.0
+	if s.spec.DataRack != "" && w.registration.HasLabel(s.spec.DataRack) {
+		score += localityBonus
+	}
+	if s.spec.SameRack && s.rack != "" && s.rack == w.registration.Rack() {
+		score += localityBonus
+	}
+	return score
+}
+
 const (
 	// localityBonus outweighs any difference in fit.
 	localityBonus = 10
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -55,6 +55,7 @@
 		}
 	}
 	c.reconcile(now, w, report)
+	c.observeInterference(now, w, &report)
 	c.adjustPace(now, w)
 }
 
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -159,6 +159,7 @@
 	c.tickState(now)
 	c.sweep()
 	c.logLongWaits(now)
+	c.refreshInterference(now)
 }
 
 // tickState does the periodic work that changes the state of jobs and workers.
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -57,11 +57,13 @@
 	// their free capacity in millicores.
 	Workers        int
 	FreeMilliCores int64
+	// InterferingPairs counts the pairs of classes of tasks that are known to interfere.
+	InterferingPairs int
 }
 
 // Backlog returns the current backlog.
 func (c *Cell) Backlog(now time.Time) Backlog {
-	b := Backlog{Jobs: c.unfinishedJobs, Steps: len(c.openSteps), Records: len(c.dirty), DispatchQueueLen: c.dispatch.len(), DispatchQueueWait: c.dispatch.longestWait(now)}
+	b := Backlog{Jobs: c.unfinishedJobs, Steps: len(c.openSteps), Records: len(c.dirty), DispatchQueueLen: c.dispatch.len(), DispatchQueueWait: c.dispatch.longestWait(now), InterferingPairs: c.interferingPairs()}
 	for _, s := range c.openSteps {
 		b.Tasks += s.waiting
 		if !s.advice.askedAt.IsZero() {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -91,6 +91,8 @@
 	pacesRepeated bool
 
 	health health
+	// window is the time over which interference is observed.
+	window observationWindow
 
 	// allowedSteps holds the open steps that are allowed on the worker.
 	allowedSteps stepList
