--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -174,7 +174,7 @@
 			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(),
 			Cell: cell.Config{
 				Lease: min(workerLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease, ContactTimeout: contactTimeout,
-				StopRetryInterval: stopRetryInterval, KeepEnded: s.Bounds.KeepEnded, Unfenced: !s.Fenced,
+				StopRetryInterval: stopRetryInterval, KeepEnded: s.Bounds.KeepEnded, Unfenced: !s.Fenced, Interference: s.Interference,
 			},
 		},
 	}
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -11,6 +11,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/document"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/interference"
 )
 
 // Host holds the settings of an entry host on the users' platform, which the
@@ -48,6 +49,9 @@
 	Fenced   bool
 	Bounds   HostBounds
 	LogLevel zapcore.Level
+	// Interference tells whether interference between tasks is learned and avoided while
+	// this host owns the cell.
+	Interference interference.Mode
 }
 
 // HostBounds holds durations that the platform prescribes.
@@ -80,6 +84,7 @@
 	Fenced         bool
 	Bounds         wireHostBounds
 	LogLevel       string `validate:"omitempty,oneof=debug info warn error"`
+	Interference   string `validate:"omitempty,oneof=Off Observe Avoid"`
 }
 
 type wireHostBounds struct {
@@ -127,6 +132,9 @@
 			MaxLease: durationOr(w.Bounds.MaxLease, 0), StopGrace: durationOr(w.Bounds.StopGrace, 0), KeepEnded: durationOr(w.Bounds.KeepEnded, 0),
 		},
 	}
+	if w.Interference != "Off" {
+		h.Interference = interference.Mode(w.Interference)
+	}
 	for _, seed := range w.Seeds {
 		if seed != "" {
 			h.Seeds = append(h.Seeds, parseAddress(seed))
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"cicadabarrow.example/cicadabarrow/internal/interference"
 )
 
 // hostExamples matches example settings of hosts on the users' platform, one
@@ -50,6 +52,23 @@
 	}
 }
 
+// An unset or unknown mode must not turn the avoidance of interference on.
+func TestInterferenceIsOffByDefault(t *testing.T) {
+	base, err := os.ReadFile("../../examples/platform/centro-a-1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]interference.Mode{
+		"": interference.ModeOff, `"Interference": "Off",`: interference.ModeOff,
+		`"Interference": "Observe",`: interference.ModeObserve, `"Interference": "Avoid",`: interference.ModeAvoid,
+	} {
+		s, err := ReadHost(strings.NewReader(strings.Replace(string(base), "{", "{"+text, 1)))
+		if err != nil || s.Interference != want {
+			t.Errorf("%q: %q, %v", text, s.Interference, err)
+		}
+	}
+}
+
 // TestReadHost reads settings of a host with edits from a data file. The command
 // "edit" replaces text in a valid document: one "old => new" per line.
 func TestReadHost(t *testing.T) {
