--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -18,6 +18,37 @@
 	Waves   []CellWave
 	// Relays are the hosts that make calls to workers for the owner.
 	Relays []CellRelay
+	// Interference is nil if the owner does not learn it.
+	Interference *CellInterference `json:",omitempty"`
+}
+
+// CellInterference is what the owner knows about interference between tasks.
+type CellInterference struct {
+	// Mode is Observe or Avoid.
+	Mode string
+	// Classes is the number of classes of tasks that are observed, and Pairs that of the
+	// pairs of classes that are known to interfere. A class has the tasks of one image,
+	// apart for those that serve and those that do not.
+	Classes int
+	Pairs   int
+	// Worst holds the pairs with the largest loss, the largest first.
+	Worst []CellPair
+}
+
+// CellPair is an image whose tasks fare worse beside tasks of another one.
+type CellPair struct {
+	Image string
+	// Serving tells whether the tasks of Image have a latency target, and BesideServing
+	// whether those of Beside have.
+	Serving       bool
+	Beside        string
+	BesideServing bool
+	// Loss is the loss of a task of Image for each task of Beside: of a serving task the
+	// part of its latency target by which its latency rises, of another one the part of its
+	// speed.
+	Loss float64
+	// Age is the time since the two were last seen on one worker.
+	Age string
 }
 
 // CellRelay is a host that makes calls to workers for the owner.
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -30,7 +30,7 @@
 		Commands: []*cli.Command{
 			{
 				Name:        "show",
-				Usage:       "shows the owner, the waiting work, the workers and the maintenance waves",
+				Usage:       "shows the owner, the waiting work, the workers, the maintenance waves and the images that interfere",
 				Description: example("cicadabarrow cell show --at http://10.1.0.13:9464"),
 				Flags:       []cli.Flag{atFlag(), formatFlag()},
 				Action:      commandAction(stdout, 0, showCell),
@@ -98,6 +98,7 @@
 		for _, v := range p.Waves {
 			row(w, "Wave", v.Wave, "Machines", v.Machines, "Ordered", v.Ordered, "Settled", v.Settled, "Done", v.Done)
 		}
+		showInterference(w, p.Interference)
 		if len(p.Relays) > 0 {
 			row(w, "RELAY", "DATA CENTRE", "CORES", "STATE", "WORKERS")
 		}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -8,6 +8,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/api"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/interference"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -77,6 +78,21 @@
 	for i, w := range o.Waves {
 		out.Waves[i] = api.CellWave(w)
 	}
+	out.Interference = encodeInterference(o.Interference)
+	return out
+}
+
+func encodeInterference(v cell.InterferenceView) *api.CellInterference {
+	if v.Mode == interference.ModeOff {
+		return nil
+	}
+	out := &api.CellInterference{Mode: string(v.Mode), Classes: v.Classes, Pairs: v.Pairs, Worst: make([]api.CellPair, len(v.Worst))}
+	for i, p := range v.Worst {
+		out.Worst[i] = api.CellPair{
+			Image: p.Task.Image, Serving: p.Task.Serving, Beside: p.Beside.Image, BesideServing: p.Beside.Serving,
+			Loss: p.Loss, Age: p.Age.Round(time.Millisecond).String(),
+		}
+	}
 	return out
 }
 
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -92,6 +92,7 @@
 	m.scope.Gauge("questions_open").Update(float64(b.Questions))
 	m.scope.Gauge("starts_in_line").Update(float64(b.DispatchQueueLen))
 	m.scope.Gauge("records_waiting").Update(float64(b.Records))
+	m.scope.Gauge("interfering_pairs").Update(float64(b.InterferingPairs))
 }
 
 // load updates the gauges of the event loop and its queues.
