--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -55,7 +55,7 @@
 const (
 	// halfLife is the time in which the weight of an observation halves, and the loss of a
 	// pair that is no longer seen together.
-	halfLife = 10 * time.Second
+	halfLife = 15 * time.Second
 	// maxClasses limits the classes, and maxNeighbours the neighbours of each.
 	maxClasses    = 128
 	maxNeighbours = 32
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -164,13 +164,15 @@
 	return n
 }
 
+// pairs prints the known pairs by name, since losses that are equal but for rounding errors
+// have no order that is the same on all processors.
 func (s *script) pairs() string {
-	var out strings.Builder
+	var lines []string
 	for _, p := range s.model.Worst(s.now, 100) {
-		fmt.Fprintf(&out, "%s loses %.1f beside %s, seen %v ago\n", name(p.Task), p.Loss, name(p.Beside), p.Age.Round(time.Second))
+		lines = append(lines, fmt.Sprintf("%s loses %.1f beside %s, seen %v ago\n", name(p.Task), p.Loss, name(p.Beside), p.Age.Round(time.Second)))
 	}
-	fmt.Fprintf(&out, "%d classes, %d pairs\n", s.model.Classes(), s.model.Pairs())
-	return out.String()
+	slices.Sort(lines)
+	return strings.Join(lines, "") + fmt.Sprintf("%d classes, %d pairs\n", s.model.Classes(), s.model.Pairs())
 }
 
 func (s *script) changes() string {
