--- a/internal/cell/interference.go
+++ b/internal/cell/interference.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,9 +17,10 @@
 	// maxObservationWindow is the time after which a window is not used: the worker was
 	// silent or frozen.
 	maxObservationWindow = 3 * time.Second
-	// interferenceInterval is how often the model is refreshed.
+	// interferenceInterval is the time in which all classes of the model are refreshed, a
+	// few with each tick: all at once take 3 ms of a core if the model is full.
 	interferenceInterval = 1 * time.Second
-	// maxInterferenceLines limits the log lines of one refresh.
+	// maxInterferenceLines limits the log lines in an interferenceInterval.
 	maxInterferenceLines = 10
 	// maxPairsShown limits the pairs in the operator's view.
 	maxPairsShown = 10
@@ -29,6 +31,8 @@
 	// model is nil if the mode is Off.
 	model       *interference.Model
 	refreshedAt time.Time
+	// loggedAt is when changes were last logged.
+	loggedAt time.Time
 	// lastWindow is the number of the last window of any worker.
 	lastWindow uint64
 	// nextCompared is where the next comparison of workers begins.
@@ -196,11 +200,20 @@
 // refreshInterference has the model forget what no longer holds, and logs the pairs that
 // have become known or were forgotten.
 func (c *Cell) refreshInterference(now time.Time) {
-	if c.interference.model == nil || now.Sub(c.interference.refreshedAt) < interferenceInterval {
+	m := c.interference.model
+	if m == nil {
 		return
 	}
+	due := now.Sub(c.interference.refreshedAt).Seconds() / interferenceInterval.Seconds() * float64(m.Classes())
 	c.interference.refreshedAt = now
-	c.interference.model.Refresh(now)
+	m.Refresh(now, int(math.Ceil(min(due, float64(m.Classes())))))
+	if now.Sub(c.interference.loggedAt) >= interferenceInterval {
+		c.interference.loggedAt = now
+		c.logInterference()
+	}
+}
+
+func (c *Cell) logInterference() {
 	changes, omitted := c.interference.model.TakeChanges()
 	for i, change := range changes {
 		if i == maxInterferenceLines {
--- a/internal/interference/matrix.go
+++ b/internal/interference/matrix.go
@@ -2,51 +2,57 @@
 
 import "math"
 
-// invert returns the inverse of a symmetric positive definite matrix, by its Cholesky
-// factor. It returns false if the matrix is not positive definite.
-func invert(matrix [][]float64) ([][]float64, bool) {
-	n := len(matrix)
-	factor := make([][]float64, n)
+// square is a square matrix, of which the first rows and columns are used.
+type square [maxNeighbours][maxNeighbours]float64
+
+// invert replaces the first n rows and columns of a symmetric positive definite matrix by
+// its inverse, by its Cholesky factor. It returns false if the matrix is not positive
+// definite; its content is then undefined.
+func (m *square) invert(n int) bool {
+	// The lower half becomes the factor.
 	for i := range n {
-		factor[i] = make([]float64, n)
+		row := &m[i]
 		for j := range i + 1 {
-			sum := matrix[i][j]
+			sum := row[j]
 			for k := range j {
-				sum -= factor[i][k] * factor[j][k]
+				sum -= row[k] * m[j][k]
 			}
 			if i != j {
-				factor[i][j] = sum / factor[j][j]
+				row[j] = sum / m[j][j]
 				continue
 			}
 			if !(sum > 0) || math.IsInf(sum, 0) {
-				return nil, false
+				return false
 			}
-			factor[i][i] = math.Sqrt(sum)
+			row[i] = math.Sqrt(sum)
 		}
 	}
-	inverse := make([][]float64, n)
-	for column := range n {
-		inverse[column] = solveFactored(factor, column)
+	// It then becomes the inverse of the factor, column by column.
+	for j := range n {
+		m[j][j] = 1 / m[j][j]
+		for i := j + 1; i < n; i++ {
+			sum := 0.0
+			for k := j; k < i; k++ {
+				sum -= m[i][k] * m[k][j]
+			}
+			m[i][j] = sum / m[i][i]
+		}
 	}
-	return inverse, true
-}
-
-// solveFactored returns a column of the inverse, which is also its row.
-func solveFactored(factor [][]float64, column int) []float64 {
-	n := len(factor)
-	x := make([]float64, n)
-	x[column] = 1
+	// The inverse is the product of the transposed inverse factor with itself. An element
+	// needs only those of later rows, and of its own row from its column on.
 	for i := range n {
-		for k := range i {
-			x[i] -= factor[i][k] * x[k]
+		for j := range i + 1 {
+			sum := 0.0
+			for k := i; k < n; k++ {
+				sum += m[k][i] * m[k][j]
+			}
+			m[i][j] = sum
 		}
-		x[i] /= factor[i][i]
 	}
-	for i := n - 1; i >= 0; i-- {
-		for k := i + 1; k < n; k++ {
-			x[i] -= factor[k][i] * x[k]
+	for i := range n {
+		for j := range i {
+			m[j][i] = m[i][j]
 		}
-		x[i] /= factor[i][i]
 	}
-	return x
+	return true
 }
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -78,6 +78,8 @@
 	// order holds the subjects in the order in which they were added, so that the model is
 	// deterministic.
 	order []*subject
+	// next is the index of the class whose turn it is to be refreshed.
+	next int
 	// epoch is when an observation had the weight 1. The weight of later ones grows in
 	// place of a decay of all sums.
 	epoch time.Time
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -37,7 +37,7 @@
 	case "advance":
 		for range parseInt(t, d.CmdArgs[0].Key) {
 			s.now = s.now.Add(time.Second)
-			s.model.Refresh(s.now)
+			s.model.Refresh(s.now, s.model.Classes())
 		}
 	case "pairs":
 		return s.pairs()
@@ -93,7 +93,7 @@
 			s.model.Observe(s.now, observation(random, fmt.Sprintf("w%d", w), task, serving, base, noise, neighbours))
 		}
 		if tick%2 == 1 {
-			s.model.Refresh(s.now)
+			s.model.Refresh(s.now, s.model.Classes())
 		}
 	}
 }
@@ -255,7 +255,7 @@
 			observe(m, now, worker, 0.4)
 		}
 	}
-	m.Refresh(now)
+	m.Refresh(now, m.Classes())
 	return m
 }
 
@@ -271,7 +271,7 @@
 	for _, latency := range []float64{0, 0.4, 3, 1e9} {
 		changed := learned(now)
 		observe(changed, now, "w1", latency, beside...)
-		changed.Refresh(now)
+		changed.Refresh(now, changed.Classes())
 		if after := changed.Penalty(now, web, beside); math.Abs(after-before) > 0.1 {
 			t.Errorf("latency %v: penalty %v, before %v", latency, after, before)
 		}
@@ -279,7 +279,7 @@
 	fresh := interference.New()
 	observe(fresh, now, "w1", 0.4)
 	observe(fresh, now, "w2", 3, beside...)
-	fresh.Refresh(now)
+	fresh.Refresh(now, fresh.Classes())
 	if p := fresh.Penalty(now, web, beside); p != 0 {
 		t.Errorf("penalty %v after one observation", p)
 	}
@@ -298,13 +298,13 @@
 	for _, bad := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
 		observe(m, now, "w1", 0.4, interference.Presence{Class: noisy, Tasks: bad})
 	}
-	m.Refresh(now)
+	m.Refresh(now, m.Classes())
 	after := m.Penalty(now, web, beside)
 	if math.IsNaN(after) || math.Abs(after-before) > 0.1 {
 		t.Errorf("penalty %v, before %v", after, before)
 	}
 	observe(m, now, "w1", 0.4, interference.Presence{Class: noisy, Tasks: math.Inf(1)})
-	m.Refresh(now)
+	m.Refresh(now, m.Classes())
 	if p := m.Penalty(now, web, beside); math.IsNaN(p) || math.IsInf(p, 0) {
 		t.Errorf("penalty %v after an infinite presence", p)
 	}
@@ -332,7 +332,7 @@
 		}
 		m.Observe(now, o)
 		if i%100 == 0 {
-			m.Refresh(now)
+			m.Refresh(now, m.Classes())
 		}
 		if m.Classes() > maxClasses {
 			t.Fatalf("%d classes", m.Classes())
@@ -360,14 +360,14 @@
 		observe(m, now, "w1", 0.9, beside...)
 		m.Observe(now, interference.Observation{Presences: []interference.Presence{{Class: interference.Class{Image: strconv.Itoa(i)}, Tasks: 1}}})
 	}
-	m.Refresh(now)
+	m.Refresh(now, m.Classes())
 	if p := m.Penalty(now, web, beside); p < 0.2 {
 		t.Errorf("penalty %v", p)
 	}
 	now = now.Add(25 * time.Second)
 	newcomer := interference.Class{Image: "newcomer"}
 	m.Observe(now, interference.Observation{Presences: []interference.Presence{{Class: newcomer, Tasks: 1}}})
-	m.Refresh(now)
+	m.Refresh(now, m.Classes())
 	if m.Classes() != 128 {
 		t.Errorf("%d classes", m.Classes())
 	}
@@ -380,7 +380,7 @@
 	m := learned(now)
 	for range 48 {
 		now = now.Add(time.Hour)
-		m.Refresh(now)
+		m.Refresh(now, m.Classes())
 	}
 	if m.Pairs() != 0 || m.Classes() != 0 {
 		t.Errorf("%d pairs and %d classes after two days", m.Pairs(), m.Classes())
@@ -394,7 +394,7 @@
 			observe(m, now, "w1", 0.4)
 		}
 		if i%2 == 1 {
-			m.Refresh(now)
+			m.Refresh(now, m.Classes())
 		}
 	}
 	worst := m.Worst(now, 5)
@@ -414,7 +414,7 @@
 		for i := range 200 {
 			m.Observe(now.Add(time.Duration(i)*window/4), observation(random, strconv.Itoa(i%4), "web", true, 0.4, 0.1, neighbours))
 		}
-		m.Refresh(now.Add(50 * window))
+		m.Refresh(now.Add(50*window), m.Classes())
 		return m.Worst(now.Add(50*window), 10)
 	}
 	if first, second := play(), play(); len(first) == 0 || !slices.Equal(first, second) {
--- a/internal/interference/pairs.go
+++ b/internal/interference/pairs.go
@@ -50,21 +50,26 @@
 	return out.changes, out.omitted
 }
 
-// Refresh recomputes what the observations show, and forgets what no longer holds. It is
-// called about once a second.
-func (m *Model) Refresh(now time.Time) {
+// Refresh recomputes what the observations of the next classes show, in turn, and forgets
+// what no longer holds. Each class should have its turn about once a second.
+func (m *Model) Refresh(now time.Time, classes int) {
 	weight := m.weightAt(now)
-	for _, s := range m.order {
-		m.refresh(now, s, weight)
-	}
-	for _, s := range slices.Clone(m.order) {
+	for range min(classes, len(m.order)) {
+		if m.next >= len(m.order) {
+			m.next = 0
+		}
+		s := m.order[m.next]
 		if now.Sub(s.seenAt) > dropAfter {
-			m.drop(now, s)
+			m.drop(now, s) // the next one takes its place in the order
+			continue
 		}
+		m.refresh(now, s, weight)
+		m.next++
 	}
 }
 
 func (m *Model) refresh(now time.Time, s *subject, weight float64) {
+	s.full = false
 	errors := s.solve(now, weight)
 	for i, n := range s.neighbours {
 		if n == nil {
--- a/internal/interference/subject.go
+++ b/internal/interference/subject.go
@@ -37,14 +37,18 @@
 	// neighbours holds the classes seen beside this one. Their places are the indexes of
 	// the sums. A nil place is free.
 	neighbours []*neighbour
+	// full is set if no place could be freed since the last refresh.
+	full bool
 	// The sums over the weighted observations: of the weights, the losses and their
 	// squares, and for each neighbour of its presence, of the presence times the loss, and
 	// of the products with the presences of all.
 	weight, loss, lossSquares float64
 	presence, presenceLoss    [maxNeighbours]float64
 	// products is nil until the class has a neighbour, since most of the memory is here.
-	products *[maxNeighbours][maxNeighbours]float64
+	products *square
 	solvedAt time.Time
+	// observed is set while there are observations since then.
+	observed bool
 }
 
 // typicalProgress is the mean progress per second of tasks of one size.
@@ -144,6 +148,7 @@
 			break
 		}
 	}
+	s.observed = true
 	s.weight += weight
 	s.loss += weight * loss
 	s.lossSquares += weight * loss * loss
@@ -186,17 +191,18 @@
 		s.neighbours = append(s.neighbours, nil)
 		free = len(s.neighbours) - 1
 	}
-	for i := 0; free < 0 && i < len(s.neighbours); i++ {
+	for i := 0; free < 0 && !s.full && i < len(s.neighbours); i++ {
 		if n := s.neighbours[i]; !n.known && n.evidenceAt(now) < 1 {
 			s.clear(i)
 			free = i
 		}
 	}
 	if free < 0 {
+		s.full = true
 		return -1
 	}
 	if s.products == nil {
-		s.products = new([maxNeighbours][maxNeighbours]float64)
+		s.products = new(square)
 	}
 	s.neighbours[free] = &neighbour{subject: other}
 	return free
@@ -265,43 +271,47 @@
 	for i := range errors {
 		errors[i] = math.Inf(1)
 	}
+	if !s.observed {
+		return errors
+	}
+	s.observed = false
 	n := s.weight / weight
 	if n < minObservations || s.products == nil {
 		return errors
 	}
-	var places []int
+	var places [maxNeighbours]int
+	count := 0
 	for i, other := range s.neighbours {
 		if other != nil && s.presence[i]/weight > minPresence {
-			places = append(places, i)
+			places[count] = i
+			count++
 		}
 	}
 	// The centred products and, with them, the normal equations.
-	matrix := make([][]float64, len(places))
-	right := make([]float64, len(places))
-	for a, i := range places {
-		matrix[a] = make([]float64, len(places))
-		for b, j := range places {
+	var matrix square
+	var right [maxNeighbours]float64
+	for a, i := range places[:count] {
+		for b, j := range places[:count] {
 			matrix[a][b] = (s.products[i][j] - s.presence[i]*s.presence[j]/s.weight) / weight
 		}
 		matrix[a][a] += ridge
 		right[a] = (s.presenceLoss[i] - s.presence[i]*s.loss/s.weight) / weight
 	}
-	inverse, ok := invert(matrix)
-	if !ok {
+	if !matrix.invert(count) {
 		return errors
 	}
 	explained := 0.0
-	coefficients := make([]float64, len(places))
-	for a := range places {
-		for b := range places {
-			coefficients[a] += inverse[a][b] * right[b]
+	var coefficients [maxNeighbours]float64
+	for a := range count {
+		for b := range count {
+			coefficients[a] += matrix[a][b] * right[b]
 		}
 		explained += coefficients[a] * right[a]
 	}
 	total := (s.lossSquares - s.loss*s.loss/s.weight) / weight
 	variance := max((total-explained)/n, minVariance)
-	for a, i := range places {
-		errors[i] = math.Sqrt(similarity * variance * max(inverse[a][a], 0))
+	for a, i := range places[:count] {
+		errors[i] = math.Sqrt(similarity * variance * max(matrix[a][a], 0))
 		// Without new observations only the evidence decays, so that the loss of a pair
 		// that is no longer seen halves with each half-life.
 		if s.neighbours[i].seenAt.After(s.solvedAt) {
