--- a/internal/cell/interference.go
+++ b/internal/cell/interference.go
@@ -22,6 +22,8 @@
 	interferenceInterval = 1 * time.Second
 	// maxInterferenceLines limits the log lines in an interferenceInterval.
 	maxInterferenceLines = 10
+	// maxPresences limits the classes that are considered on one worker.
+	maxPresences = 64
 	// maxPairsShown limits the pairs in the operator's view.
 	maxPairsShown = 10
 )
@@ -146,9 +148,9 @@
 	return interference.Class{Image: spec.Image, Serving: spec.LatencyTarget > 0}
 }
 
-// addPresence adds tasks of a class.
+// addPresence adds tasks of a class, unless there are maxPresences others.
 func addPresence(to []interference.Presence, class interference.Class, tasks float64) []interference.Presence {
-	if class.Image == "" {
+	if !class.Valid() {
 		return to
 	}
 	for i := range to {
@@ -157,6 +159,9 @@
 			return to
 		}
 	}
+	if len(to) >= maxPresences {
+		return to
+	}
 	return append(to, interference.Presence{Class: class, Tasks: tasks})
 }
 
--- a/internal/cell/interference_test.go
+++ b/internal/cell/interference_test.go
@@ -290,3 +290,18 @@
 		t.Errorf("pairs %v without any latency", m.pairs())
 	}
 }
+
+// Guards against a cost of a report that grows with the square of the images on a worker.
+func TestClassesOfAWorkerAreBounded(t *testing.T) {
+	var images []image
+	for i := range 300 {
+		im := batch(fmt.Sprintf("image%d", i), time.Hour, time.Minute)
+		im.step.Size.MilliCores, im.step.Size.MemoryMB = 1, 1
+		images = append(images, im)
+	}
+	m := newMix(t, interference.ModeObserve, 1, 1, harm{}, images...)
+	m.run(5 * time.Second)
+	if v := m.cell.Overview(m.now).Interference; v.Classes != 64 || len(m.starts) != len(images) {
+		t.Errorf("%d classes, %d starts", v.Classes, len(m.starts))
+	}
+}
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -26,6 +26,10 @@
 	Serving bool
 }
 
+// Valid reports whether a class has an image that is kept. Clients name the images, and
+// comparing long names would cost the owner time.
+func (c Class) Valid() bool { return c.Image != "" && len(c.Image) <= maxImageBytes }
+
 // Presence is how many tasks of a class are on a worker. It may be a fraction: a task that
 // is active for half of the time counts as half a task.
 type Presence struct {
@@ -49,7 +53,8 @@
 type Observation struct {
 	Worker    string
 	Presences []Presence
-	Measured  []Measurement
+	// Measured holds tasks of classes that are present.
+	Measured []Measurement
 }
 
 const (
@@ -142,12 +147,22 @@
 	m.present = append(m.present, presentSubject{s, min(tasks, maxTasks)})
 }
 
+// presentOf returns the subject of a class that is present, or nil.
+func (m *Model) presentOf(c Class) *subject {
+	for _, p := range m.present {
+		if p.subject.class == c {
+			return p.subject
+		}
+	}
+	return nil
+}
+
 // measure adds a measurement to the group of its class.
 func (m *Model) measure(now time.Time, e *Measurement) {
 	if math.IsNaN(e.Value) || math.IsInf(e.Value, 0) || e.Value < 0 || !(e.Own >= 0) {
 		return
 	}
-	s := m.subject(now, e.Class)
+	s := m.presentOf(e.Class)
 	if s == nil {
 		return
 	}
@@ -167,13 +182,13 @@
 // subject returns the subject of a class that is seen now, or nil if there is no space for
 // another one.
 func (m *Model) subject(now time.Time, c Class) *subject {
+	if !c.Valid() {
+		return nil
+	}
 	if s, ok := m.subjects[c]; ok {
 		s.seenAt = now
 		return s
 	}
-	if c.Image == "" || len(c.Image) > maxImageBytes {
-		return nil
-	}
 	if len(m.order) >= maxClasses && !m.dropOldest(now) {
 		return nil
 	}
--- a/internal/interference/pairs.go
+++ b/internal/interference/pairs.go
@@ -142,6 +142,9 @@
 
 // Known reports whether a class is part of a known pair, so that Penalty may be more than 0.
 func (m *Model) Known(c Class) bool {
+	if !c.Valid() {
+		return false
+	}
 	s, ok := m.subjects[c]
 	return ok && s.knownPairs > 0
 }
