--- a/internal/interference/subject.go
+++ b/internal/interference/subject.go
@@ -135,7 +135,7 @@
 		if beside <= 0 {
 			continue
 		}
-		place := s.place(now, p.subject)
+		place := s.place(now, p.subject, places[:count])
 		if place < 0 {
 			continue
 		}
@@ -176,8 +176,9 @@
 }
 
 // place returns the place of a neighbour, which it gets if it has none, or -1 if there is
-// no free place. A neighbour with too little evidence to matter loses its place.
-func (s *subject) place(now time.Time, other *subject) int {
+// no free place. A neighbour with too little evidence to matter loses its place, unless it
+// is one of those in use.
+func (s *subject) place(now time.Time, other *subject, used []int) int {
 	free := -1
 	for i, n := range s.neighbours {
 		switch {
@@ -192,7 +193,7 @@
 		free = len(s.neighbours) - 1
 	}
 	for i := 0; free < 0 && !s.full && i < len(s.neighbours); i++ {
-		if n := s.neighbours[i]; !n.known && n.evidenceAt(now) < 1 {
+		if n := s.neighbours[i]; !n.known && n.evidenceAt(now) < 1 && !slices.Contains(used, i) {
 			s.clear(i)
 			free = i
 		}
