--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -26,6 +26,9 @@
 	if err == nil {
 		return exitDone
 	}
+	if errors.Is(err, errFindings) {
+		return exitFailed
+	}
 	var failed *failure
 	if !errors.As(err, &failed) {
 		_, _ = fmt.Fprintln(stderr, "cicadabarrow:", err)
@@ -57,6 +60,7 @@
 			settingsCommand(stdout),
 			keyCommand(stdout),
 			planCommand(stdout),
+			manifestCommand(stdout),
 			jobCommand(stdout),
 			workerCommand(stdout),
 			upstreamCommand(stdout),
