--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -120,11 +120,15 @@
 func inspectManifest(name string, file []byte, inForce *manifest.Manifest) manifestChecked {
 	next, rejected := platform.Manifests{}.Inspect(file)
 	var findings []check.Finding
+	addField := func(severity check.Severity, kind check.Kind, field, text string) {
+		subject := check.Subject{Type: check.SubjectField, Name: field}
+		findings = append(findings, check.Finding{Severity: severity, Kind: kind, Subject: subject, Text: text})
+	}
 	for _, r := range rejected {
-		findings = append(findings, check.Finding{
-			Severity: check.SeverityError, Kind: check.KindRejected, Text: r.Text,
-			Subject: check.Subject{Type: check.SubjectField, Name: r.Field},
-		})
+		addField(check.SeverityError, check.KindRejected, r.Field, r.Text)
+	}
+	for _, m := range (platform.Manifests{}).Misspellings(file) {
+		addField(check.SeverityWarning, check.KindMisspelled, m.Field, fmt.Sprintf("hosts do not read this field; they read %s, which is missing", m.Known))
 	}
 	out := manifestChecked{File: name, Findings: []manifestFinding{}}
 	if inForce != nil {
@@ -134,6 +138,7 @@
 		out.Version = next.Version
 		findings = append(findings, check.Manifest(next, inForce)...)
 	}
+	check.Sort(findings)
 	for _, f := range findings {
 		out.add(f)
 	}
--- a/internal/manifest/check/check.go
+++ b/internal/manifest/check/check.go
@@ -73,10 +73,15 @@
 	if inForce != nil {
 		c.compare(inForce)
 	}
-	slices.SortStableFunc(c.findings, func(a, b Finding) int {
+	Sort(c.findings)
+	return c.findings
+}
+
+// Sort orders findings by severity, and keeps the order of those with the same one.
+func Sort(findings []Finding) {
+	slices.SortStableFunc(findings, func(a, b Finding) int {
 		return cmp.Compare(slices.Index(severities, a.Severity), slices.Index(severities, b.Severity))
 	})
-	return c.findings
 }
 
 // checker collects the findings on a manifest.
--- a/internal/manifest/check/kind.go
+++ b/internal/manifest/check/kind.go
@@ -8,6 +8,10 @@
 	// KindRejected means that hosts cannot decode the manifest and keep the last one.
 	KindRejected Kind = "Rejected"
 
+	// KindMisspelled means that hosts do not read a field, whose name is nearly that of one
+	// that they read.
+	KindMisspelled Kind = "Misspelled"
+
 	// KindNoQueue means that there is no queue at all.
 	KindNoQueue Kind = "NoQueue"
 	// KindQueueName means that a queue has no name, or that of another one.
