--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -172,9 +172,9 @@
 		version = fmt.Sprintf("version %d", m.Version)
 	}
 	if m.InForce > 0 {
-		version += fmt.Sprintf(", in force %d", m.InForce)
+		version += fmt.Sprintf(" (in force: %d)", m.InForce)
 	}
-	row(w, fmt.Sprintf("%s: %s, %d errors, %d warnings, %d notes", m.File, version, m.Errors, m.Warnings, m.Notes))
+	row(w, fmt.Sprintf("%s: %s; errors: %d, warnings: %d, notes: %d", m.File, version, m.Errors, m.Warnings, m.Notes))
 }
 
 // subjectText formats a subject. A name that is not printable is quoted.
