--- a/internal/manifest/check/differences.go
+++ b/internal/manifest/check/differences.go
@@ -94,7 +94,7 @@
 	}
 	changed("service", quoted(old.Service), quoted(q.Service), "waiting tasks, also of accepted jobs, start on workers of the new service; running tasks go on")
 	changed("priority", old.Priority, q.Priority, forAcceptedJobs)
-	changed("attempts", old.MaxAttempts, q.MaxAttempts, forAcceptedJobs+": at its next failure, a task that has failed as often fails its job")
+	changed("attempts", old.MaxAttempts, q.MaxAttempts, forAcceptedJobs+", from the next failed run of a task on; 0 is no limit")
 	changed("slack factor", old.SlackFactor, q.SlackFactor, forAcceptedJobs)
 	changed("target latency", old.TargetLatency, q.TargetLatency, forAcceptedJobs)
 	changed("timeout", old.Timeout, q.Timeout, "applies to calls that begin later")
