--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -19,6 +19,11 @@
 	// brokenWithin is how soon after the start of a call its connection has to break
 	// for the call to be worth repeating at once. Later the store counts as silent.
 	brokenWithin = 500 * time.Millisecond
+	// minSilence is how long a call has to be without an answer to count against the store
+	// although its client gives up. It is shorter than the time after which a host also
+	// asks the owner to make a write, so that a call which ends because the owner was
+	// faster counts.
+	minSilence = 300 * time.Millisecond
 	// latencyDecay is the part of the recent latency that is lost with each faster
 	// answer.
 	latencyDecay = 4
@@ -69,6 +74,9 @@
 	broken
 	// noAnswer calls had no answer for longer. They may have been carried out.
 	noAnswer
+	// abandoned calls ended soon because their client gave up. They say nothing about the
+	// store, and may have been carried out if they were sent.
+	abandoned
 )
 
 func (h *storeHealth) end(now time.Time, call int, o outcome) {
@@ -85,6 +93,7 @@
 		h.failures++
 	case noAnswer:
 		h.unanswered = h.unanswered || call > h.answeredCall
+	case abandoned:
 	}
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -91,23 +91,31 @@
 	})
 }
 
-// observed makes one call to the store and records how it ended. A store that
-// answers that a call is in conflict or invalid is available.
+// observed makes one call to the store and records how it ended.
 func (i *Intake) observed(ctx context.Context, call func(context.Context) error) (outcome, error) {
 	begin := i.timers.Now()
 	number := i.health.begin(begin)
 	err := call(ctx)
-	out := noAnswer
+	now := i.timers.Now()
+	out := i.outcomeOf(err, now.Sub(begin), ctx.Err() != nil)
+	i.health.end(now, number, out)
+	return out, err
+}
+
+// outcomeOf returns how a call ended. A store that answers that a call is in conflict or
+// invalid is available. gaveUp is set if the context of the call has ended.
+func (i *Intake) outcomeOf(err error, took time.Duration, gaveUp bool) outcome {
 	switch {
 	case err == nil, fault.Is(err, rowstore.KindConflict), fault.Is(err, rowstore.KindInvalid):
-		out = answered
+		return answered
+	case gaveUp && took < min(max(minSilence, i.SlowAfter()), unavailableAfter):
+		return abandoned
 	case fault.Is(err, rowstore.KindNotDone):
-		out = rejected
-	case i.timers.Now().Sub(begin) < brokenWithin && ctx.Err() == nil:
-		out = broken
+		return rejected
+	case !gaveUp && took < brokenWithin:
+		return broken
 	}
-	i.health.end(i.timers.Now(), number, out)
-	return out, err
+	return noAnswer
 }
 
 // Submit makes an accepted job durable. If the store already holds a job of the
@@ -228,7 +236,7 @@
 		if err == nil || fault.Is(err, rowstore.KindConflict) {
 			return err
 		}
-		if out == broken || out == noAnswer {
+		if out != answered && !fault.Is(err, rowstore.KindNotDone) {
 			kind = KindUnknown
 		}
 		if !i.worthRetrying(out, kind, attempt) {
@@ -245,7 +253,7 @@
 // outcome; kind tells whether any of its calls may have been carried out.
 func (i *Intake) worthRetrying(out outcome, kind Kind, attempt int) bool {
 	switch {
-	case out == answered: // the store rejects the request as invalid
+	case out == answered, out == abandoned: // the request is invalid, or its client has given up
 		return false
 	case out == noAnswer:
 		return !i.StoreUnavailable()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -355,3 +355,60 @@
 		}
 	}
 }
+
+// hangingStore answers no commit before the caller gives up.
+type hangingStore struct {
+	Store
+	// kind is the kind of error of a commit that was given up.
+	kind rowstore.Kind
+}
+
+// Commit fails when ctx ends.
+func (s *hangingStore) Commit(ctx context.Context, _ rowstore.Transaction) (rowstore.Result, error) {
+	<-ctx.Done()
+	return rowstore.Result{}, fault.New("commit", s.kind, "%w", ctx.Err())
+}
+
+// A client that disconnects or whose deadline is short says nothing about the store. If its
+// call counted as unanswered, one such client could make its host refuse the requests of all
+// others. A call that the store has not answered for long counts, although it ends early
+// because the owner has made the write meanwhile.
+func TestClientThatGivesUpLeavesTheStoreAvailable(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		after       time.Duration
+		kind        rowstore.Kind
+		want        Kind
+		unavailable bool
+	}{
+		{"before the call is sent", 0, rowstore.KindNotDone, KindNotDone, false},
+		{"soon", 60 * time.Millisecond, rowstore.KindUnknown, KindUnknown, false},
+		{"late", 350 * time.Millisecond, rowstore.KindUnknown, KindUnknown, true},
+	} {
+		for _, deadline := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, deadline %v", c.name, deadline), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					in := New(&hangingStore{kind: c.kind}, timer.NewSystem())
+					for range failureLimit {
+						begin := context.WithCancel
+						if deadline {
+							begin = func(parent context.Context) (context.Context, context.CancelFunc) {
+								return context.WithTimeout(parent, c.after)
+							}
+						}
+						ctx, cancel := begin(t.Context())
+						time.AfterFunc(c.after, cancel)
+						if err := in.Submit(ctx, accepted()); !fault.Is(err, c.want) {
+							t.Errorf("a submission that is given up gives %v", err)
+						}
+						cancel()
+					}
+					_ = in.StoreUnavailable() // one request is sent as a trial
+					if got := in.StoreUnavailable(); got != c.unavailable {
+						t.Errorf("the store counts as unavailable: %v", got)
+					}
+				})
+			})
+		}
+	}
+}
