--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -27,6 +27,9 @@
 	// latencyDecay is the part of the recent latency that is lost with each faster
 	// answer.
 	latencyDecay = 4
+	// latencyMemory is how long after the last answer the recent latency is known. A host
+	// with few requests would otherwise judge a store by an outage of long ago.
+	latencyMemory = 5 * time.Second
 )
 
 // storeHealth tracks whether the store answers the calls of this host, so that a
@@ -41,8 +44,9 @@
 	// tell nothing of the store's present state.
 	answeredCall int
 	// latency is how long calls have recently taken that were answered: the longest one,
-	// which decays with each answer.
-	latency time.Duration
+	// which decays with each answer. latencyAt is when the last one was answered.
+	latency   time.Duration
+	latencyAt time.Time
 	// unanswered is set when a call ended with noAnswer. failures counts the calls
 	// that were rejected or broken since the last call that ended with answered,
 	// which resets both.
@@ -86,7 +90,8 @@
 	delete(h.open, call)
 	switch o {
 	case answered:
-		h.latency = max(took, h.latency-h.latency/latencyDecay)
+		before := h.latencySeenBy(now)
+		h.latency, h.latencyAt = max(took, before-before/latencyDecay), now
 		h.answeredCall = max(h.answeredCall, call)
 		h.unanswered, h.failures = false, 0
 	case rejected, broken:
@@ -97,10 +102,19 @@
 	}
 }
 
-// recentLatency returns how long answered calls have recently taken.
-func (h *storeHealth) recentLatency() time.Duration {
+// recentLatency returns how long answered calls have recently taken, or 0 if none was
+// answered recently.
+func (h *storeHealth) recentLatency(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.latencySeenBy(now)
+}
+
+// latencySeenBy returns the latency that still counts at a time. The caller holds the lock.
+func (h *storeHealth) latencySeenBy(now time.Time) time.Duration {
+	if now.Sub(h.latencyAt) > latencyMemory {
+		return 0
+	}
 	return h.latency
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -79,7 +79,9 @@
 // SlowAfter returns after what time a call takes longer than the store's recent latency
 // explains. On a store that is slow for all, a second call would only wait behind the
 // first one in the row's partition.
-func (i *Intake) SlowAfter() time.Duration { return slowFactor * i.health.recentLatency() }
+func (i *Intake) SlowAfter() time.Duration {
+	return slowFactor * i.health.recentLatency(i.timers.Now())
+}
 
 // Probe reads a row to find out whether an unavailable store has recovered. Unlike
 // the trial of StoreUnavailable, it sends no request of a client.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -412,3 +412,24 @@
 		}
 	}
 }
+
+// The latency of a store that was slow long ago must not delay the request to the owner for
+// a write that the store does not answer now.
+func TestLatencyOfLongAgoIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := New(newScriptedStore(answer{applied: true, after: time.Second}), timer.NewSystem())
+		if err := in.Submit(t.Context(), accepted()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if slow := in.SlowAfter(); slow != 0 {
+			t.Errorf("slow after %v, one minute after the only call", slow)
+		}
+		if _, err := in.Find(t.Context(), jobID); err != nil {
+			t.Fatal(err)
+		}
+		if slow := in.SlowAfter(); slow != 0 {
+			t.Errorf("slow after %v, although the only recent call was answered at once", slow)
+		}
+	})
+}
