--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -89,7 +89,8 @@
 }
 
 // remaining estimates how long a run still takes, from its progress or else from what is
-// expected of its step. Without either it is the estimate of the step.
+// expected of its step. Without either it is the estimate of the step, and without that
+// minPreemptedTime, so that the run is preempted after those that are known to take longer.
 func (c *Cell) remaining(now time.Time, r *run) time.Duration {
 	worked, timed := r.elapsed(now)
 	if timed && r.fresh && r.percent > 0 {
@@ -99,6 +100,9 @@
 	if !known {
 		expected = r.task.step.spec.Estimate
 	}
+	if expected == 0 {
+		return minPreemptedTime
+	}
 	return expected * time.Duration(fullPercent-r.percent) / fullPercent
 }
 
