--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -28,8 +28,10 @@
 	minHedgeDelay   = 400 * time.Millisecond
 	largestReadTime = 2200 * time.Millisecond
 	// hedgeCheckInterval is the interval at which an open read is checked, and the
-	// longest delay before a failed one is retried.
+	// longest delay before one is retried whose connection broke. After a rejection the
+	// delay is rejectedDelay longer, as the store may be at its rate limit.
 	hedgeCheckInterval = 25 * time.Millisecond
+	rejectedDelay      = 75 * time.Millisecond
 	// maxOpenCalls limits the calls of one read that have no response, and
 	// maxRejectedCalls is the number of calls rejected by the store after which the
 	// read fails: another host may be served.
@@ -138,7 +140,7 @@
 	defer cancel()
 	outcomes := make(chan readOutcome, maxOpenCalls)
 	inFlight, rejected, broken := 0, 0, 0
-	var lastCall time.Time
+	var lastCall, retryAt time.Time
 	call := func() {
 		inFlight++
 		lastCall = o.timers.Now()
@@ -159,6 +161,7 @@
 			inFlight--
 			if fault.Is(outcome.err, rowstore.KindNotDone) {
 				rejected++
+				retryAt = o.timers.Now().Add(rejectedDelay)
 			} else {
 				broken++
 			}
@@ -167,8 +170,9 @@
 			}
 			o.log.Debug("a read of the store failed", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Error(outcome.err))
 		case <-ticker.C:
-			late := o.timers.Now().Sub(lastCall) > limiter.hedgeDelay()
-			if inFlight == 0 || late && inFlight < maxOpenCalls {
+			now := o.timers.Now()
+			late := now.Sub(lastCall) > limiter.hedgeDelay()
+			if inFlight == 0 && !now.Before(retryAt) || late && inFlight < maxOpenCalls {
 				call()
 			}
 		}
--- a/internal/owner/reads_test.go
+++ b/internal/owner/reads_test.go
@@ -80,3 +80,28 @@
 		})
 	}
 }
+
+// busyReads rejects all reads until a time.
+type busyReads struct {
+	Store
+	until time.Time
+}
+
+func (b *busyReads) Read(context.Context, rowstore.Range) (rowstore.Snapshot, error) {
+	if time.Now().Before(b.until) {
+		return rowstore.Snapshot{}, fault.New("read", rowstore.KindNotDone, "scripted")
+	}
+	return rowstore.Snapshot{}, nil
+}
+
+// A new owner must not release the cell because the store has rejected one of its reads for
+// a moment, as a store at its rate limit does.
+func TestReadsOutlastAShortRejection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &busyReads{until: time.Now().Add(150 * time.Millisecond)}
+		o := &Owner{store: store, timers: timer.NewSystem(), log: zap.NewNop()}
+		if _, err := o.hedgedRead(t.Context(), rowstore.Range{}, newReadLimiter(1, 1)); err != nil {
+			t.Errorf("the read gives %v", err)
+		}
+	})
+}
