--- a/internal/host/advisors.go
+++ b/internal/host/advisors.go
@@ -68,11 +68,15 @@
 	h.lastSeen[addr] = now
 }
 
-// noteCapacity records what a host says of itself.
+// noteCapacity records what a host says of itself. An impossible processor share counts as
+// unknown.
 func (h *remoteAdvisors) noteCapacity(addr netip.AddrPort, cores float64, near bool) {
 	if !addr.IsValid() {
 		return
 	}
+	if !validCores(cores) {
+		cores = 0
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	said := hostCapacity{cores: cores, near: near}
--- a/internal/host/advisors_test.go
+++ b/internal/host/advisors_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
@@ -43,3 +44,26 @@
 		}
 	})
 }
+
+// A host that claims an impossible capacity must not become the preferred successor, nor
+// make the list of hosts be computed anew with each ping, as NaN is not equal to itself.
+func TestImpossibleCapacityIsUnknown(t *testing.T) {
+	advisors := newRemoteAdvisors(nil, timer.NewManual(time.Unix(0, 0)))
+	addr := func(host byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 1) }
+	cores := []float64{math.NaN(), math.Inf(1), 2 * maxCores, -1, 0.5}
+	var successors []netip.AddrPort
+	for range 2 {
+		for i, claimed := range cores {
+			advisors.markAlive(addr(byte(i)))
+			advisors.noteCapacity(addr(byte(i)), claimed, false)
+		}
+		now := advisors.Successors()
+		if now[0] != addr(4) {
+			t.Errorf("the order is %v", now)
+		}
+		if successors != nil && &successors[0] != &now[0] {
+			t.Error("the list is computed anew although nothing has changed")
+		}
+		successors = now
+	}
+}
--- a/internal/host/relays.go
+++ b/internal/host/relays.go
@@ -17,11 +17,14 @@
 const (
 	// relayPermission is how long after its ping a host may make calls for the owner.
 	relayPermission = 2 * time.Second
-	// maxRelayCores and maxDataCentreName bound what a host may claim of itself.
-	maxRelayCores     = 1024
+	// maxCores and maxDataCentreName bound what a host may claim of itself.
+	maxCores          = 1024
 	maxDataCentreName = 200
 )
 
+// validCores reports whether a host may have a processor share. NaN is not valid.
+func validCores(cores float64) bool { return cores >= 0 && cores <= maxCores }
+
 // relayHosts tracks the hosts that the owner has permitted to make its calls to
 // workers.
 type relayHosts struct {
@@ -47,7 +50,7 @@
 func (h *relayHosts) permitted(ping message.HostPing, epoch uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	valid := ping.Addr.IsValid() && len(ping.DataCentre) <= maxDataCentreName && ping.Cores >= 0 && ping.Cores <= maxRelayCores
+	valid := ping.Addr.IsValid() && len(ping.DataCentre) <= maxDataCentreName && validCores(ping.Cores)
 	if !ping.Relays || !valid {
 		delete(h.hosts, ping.Addr)
 		return false
