--- a/internal/host/authorize.go
+++ b/internal/host/authorize.go
@@ -22,14 +22,14 @@
 	// in the manifest in force.
 	keyMissing keyRefusal = "missing"
 	keyUnknown keyRefusal = "unknown"
-	// manifestUnconfirmed and manifestExpired are answered 503: the manifest in force may
-	// lack a key that was added or withdrawn, and with strict revocation is not recent.
+	// manifestUnconfirmed and manifestExpired are answered 503: the keys may have changed
+	// since the manifest in force, or, with strict revocation, it was not confirmed in time.
 	manifestUnconfirmed keyRefusal = "unconfirmed"
 	manifestExpired     keyRefusal = "expired"
 )
 
-// mayPass reports whether a read of the manifest may lift the refusal.
-func (r keyRefusal) mayPass() bool { return r == manifestUnconfirmed || r == manifestExpired }
+// temporary reports whether a read of the manifest may lift the refusal.
+func (r keyRefusal) temporary() bool { return r == manifestUnconfirmed || r == manifestExpired }
 
 // keyMetrics counts refusals for a key, and the reads of the manifest for unknown keys.
 type keyMetrics struct {
@@ -52,7 +52,7 @@
 func (h *Host) Authorize(ctx context.Context, queue *manifest.Queue, key string) (manifest.Client, error) {
 	hash := manifest.HashKey(key)
 	client, refusal := h.checkKey(queue, key != "", hash)
-	if refusal.mayPass() {
+	if refusal.temporary() {
 		h.confirmManifest(ctx)
 		client, refusal = h.checkKey(queue, key != "", hash)
 	}
@@ -60,7 +60,7 @@
 		return client, nil
 	}
 	h.logKeyRefusal(queue, refusal)
-	if refusal.mayPass() {
+	if refusal.temporary() {
 		return manifest.Client{}, fault.New("authorize", KindNotDone, "the manifest in force cannot be confirmed: %s", refusal)
 	}
 	return manifest.Client{}, fault.New("authorize", KindUnauthorized, "queue %s: %s key", queue.Name, refusal)
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -25,16 +25,16 @@
 // commitConfirmed commits a transaction. If the response is lost, the transaction
 // number in the owner's row confirms that the commit has taken effect. A store that
 // is merely slow responds eventually and gets no second transaction. If the store was
-// silent and answers again, the commit that was sent meanwhile is given up, since its
-// response would never arrive.
+// silent and answers again, a commit that it does not show is abandoned, since a response
+// to a commit that was sent meanwhile would never arrive. It may still take effect.
 func (o *Owner) commitConfirmed(ctx context.Context, c *committer, t rowstore.Transaction, number uint64) (rowstore.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	confirmed := make(chan confirmation, 1)
+	confirmations := make(chan confirmation, 1)
 	silent := c.storeSilent
 	o.calls.Go(func() {
-		if c, ok := o.awaitConfirmation(ctx, number, silent); ok {
-			confirmed <- c
+		if found, ok := o.awaitConfirmation(ctx, number, silent); ok {
+			confirmations <- found
 			cancel()
 		}
 	})
@@ -44,12 +44,12 @@
 		return result, nil
 	}
 	select {
-	case c := <-confirmed:
-		if c.lost {
+	case found := <-confirmations:
+		if found.abandoned {
 			return rowstore.Result{}, fault.New("commit", rowstore.KindUnknown, "the store was silent and answers again: %w", err)
 		}
-		o.log.Info("the response to a commit was lost", zap.Uint64("Attempt", number), zap.Uint64("Version", c.result.Version))
-		return c.result, nil
+		o.log.Info("the response to a commit was lost", zap.Uint64("Attempt", number), zap.Uint64("Version", found.result.Version))
+		return found.result, nil
 	default:
 		return rowstore.Result{}, err
 	}
@@ -59,8 +59,8 @@
 type confirmation struct {
 	// result is that of the commit, which has taken effect.
 	result rowstore.Result
-	// lost is set instead if the store does not show the commit after it was silent.
-	lost bool
+	// abandoned is set instead if the store does not show the commit after it was silent.
+	abandoned bool
 }
 
 // confirmRead is the outcome of one read of the owner's row.
@@ -72,8 +72,8 @@
 }
 
 // awaitConfirmation polls the owner's row until it holds the given transaction number
-// of this owner, or until the store answers after it was silent, which it may have been
-// already before the commit. It returns false when the context is done.
+// of this owner, or until the store answers after it was silent. silent is set if it was
+// so before the commit. awaitConfirmation returns false when the context is done.
 func (o *Owner) awaitConfirmation(ctx context.Context, number uint64, silent bool) (confirmation, bool) {
 	reads := make(chan confirmRead, int(commitTimeout/confirmInterval)+1)
 	ticker := o.timers.Every(confirmInterval)
@@ -91,7 +91,7 @@
 			case r.err != nil:
 				o.log.Debug("the owner's row cannot be read", zap.Uint64("Attempt", number), zap.Error(r.err))
 			case silent:
-				return confirmation{lost: true}, true
+				return confirmation{abandoned: true}, true
 			}
 		case <-ctx.Done():
 			return confirmation{}, false
