--- a/internal/cell/interference.go
+++ b/internal/cell/interference.go
@@ -39,7 +39,7 @@
 	lastWindow uint64
 	// nextCompared is where the next comparison of workers begins.
 	nextCompared int
-	// beside is a buffer of penalty.
+	// beside is a buffer of interferencePenalty.
 	beside []interference.Presence
 }
 
--- a/internal/cell/interferencesim_test.go
+++ b/internal/cell/interferencesim_test.go
@@ -81,8 +81,8 @@
 	// servingTime is the time that serving tasks ran, and overTarget the part of it in
 	// which their latency was over the target.
 	servingTime, overTarget time.Duration
-	// waits is the total time from submission to start, and batchTime that from start to
-	// end of the batch tasks that are done.
+	// waits is the total time from submission to start, and done the number of tasks that
+	// have ended by themselves.
 	waits time.Duration
 	done  int
 	// timer is called around the calls of the cell that learn and place; nil for none.
@@ -117,7 +117,6 @@
 	pace   int
 	work   time.Duration
 	load   float64
-	began  time.Time
 }
 
 // countingObserver counts what the cell counts.
@@ -318,7 +317,7 @@
 		case cell.SendStart:
 			j := m.jobs[a.Task.Job]
 			w := m.worker(a.Worker)
-			w.runs = append(w.runs, &mixRun{task: a.Task, number: a.Run, job: j, pace: 100, began: m.now})
+			w.runs = append(w.runs, &mixRun{task: a.Task, number: a.Run, job: j, pace: 100})
 			m.waits += m.now.Sub(j.submittedAt)
 			m.starts = append(m.starts, fmt.Sprintf("%v %s %s at %s", m.now.Sub(m.begin), j.image.name, a.Task, a.Worker))
 			m.cell.Started(m.now, a.Worker, a.Task, a.Run, cell.StartOutcome{Clock: m.clock()})
--- a/internal/host/advisors.go
+++ b/internal/host/advisors.go
@@ -79,9 +79,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	said := hostCapacity{cores: cores, near: near}
-	if h.capacity[addr] != said {
-		h.capacity[addr] = said
+	claimed := hostCapacity{cores: cores, near: near}
+	if h.capacity[addr] != claimed {
+		h.capacity[addr] = claimed
 		h.alive = hostList{}
 	}
 }
--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -65,7 +65,8 @@
 }
 
 // noteOwnerPing records what a ping tells of the owner: its sender owns the cell, or the
-// owner as this host knows it owns the cell no more. The latter is looked into at once.
+// sender is the owner as this host knows it, and has ceased to own the cell. In the second
+// case the sender is pinged at once.
 func (h *Host) noteOwnerPing(ping message.HostPing) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -141,7 +142,8 @@
 	for _, addr := range h.config.Seeds {
 		peers[addr] = true
 	}
-	// An owner hears from the others, but is told of none.
+	// A host learns its members from the pongs of the owner, so that the owner itself has
+	// only the hosts that ping it.
 	for _, addr := range h.advisors.List() {
 		peers[addr] = true
 	}
--- a/internal/host/recency.go
+++ b/internal/host/recency.go
@@ -24,8 +24,8 @@
 	// confirmInterval is the least time from the begin of one read for unknown keys to
 	// that of the next: a host makes at most four a second.
 	confirmInterval = 250 * time.Millisecond
-	// confirmTimeout bounds such a read. Calls wait for it, and what a read that took
-	// longer has found would soon be no longer recent.
+	// confirmTimeout bounds such a read, for which calls wait. The begin of a read counts,
+	// so that the result of a slower one would be recent for only a short time.
 	confirmTimeout = 1 * time.Second
 	// strictPolls is how many calls for changes a host with strict revocation begins at
 	// least in the time for which a manifest counts as confirmed, so that one lost answer
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -260,8 +260,8 @@
 	}
 }
 
-// A call that was sent before the store came back, and gets its answer never, must not
-// make the store count as unavailable again.
+// A call that was sent before the store came back and never gets an answer must not make
+// the store count as unavailable again.
 func TestCallsOfAnOutageDoNotCountAfterIt(t *testing.T) {
 	now := time.Unix(0, 0)
 	h := newStoreHealth()
