--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -107,14 +107,18 @@
 }
 
 // preemptibleCapacity returns the capacity held by the runs on a worker that can
-// be preempted.
+// be preempted. Many steps may need it in one round of placement.
 func (c *Cell) preemptibleCapacity(now time.Time, w *worker) job.Size {
+	if w.preemptibleIn == c.evalQueue.round {
+		return w.preemptible
+	}
 	var held job.Size
 	for _, r := range w.runs.list {
 		if c.preemptible(now, r) {
 			held = held.Add(r.task.step.spec.Reserved())
 		}
 	}
+	w.preemptible, w.preemptibleIn = held, c.evalQueue.round
 	return held
 }
 
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -114,6 +114,7 @@
 		return
 	}
 	r.stopping = true
+	r.worker.preemptibleIn = 0
 	c.sendStop(now, r)
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -48,6 +48,10 @@
 	// preempted is the part of the reserved capacity held by runs that are
 	// being preempted.
 	preempted job.Size
+	// preemptible is the part held by runs that can be preempted, as found in the round of
+	// placement preemptibleIn; 0 if it is not known.
+	preemptible   job.Size
+	preemptibleIn uint64
 	// isolated is the run of a suspect for which the worker gets no other
 	// starts; nil if there is none.
 	isolated *run
