--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -48,7 +48,7 @@
 		return 0
 	}
 	need := s.spec.Reserved()
-	free := w.freeCapacity().Add(w.preempted)
+	free := w.freeCapacity().Add(w.preempted).Sub(w.promised())
 	if !need.Fits(free.Add(c.preemptibleCapacity(now, w))) {
 		return 0
 	}
@@ -141,6 +141,16 @@
 	tasks int
 }
 
+// promised returns the capacity of a worker for whose tasks runs are being preempted. Other
+// steps cannot count on it.
+func (w *worker) promised() job.Size {
+	var out job.Size
+	for _, p := range w.preemptions {
+		out = out.Add(p.step.spec.Reserved().Times(int64(p.tasks)))
+	}
+	return out
+}
+
 // preemptedReleased subtracts a preempted run that has ended from the capacity
 // that is about to become free. Once the last one has ended, the steps that they
 // were preempted for are placed there, or preempt again: the worker's capacity
