--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -20,6 +20,9 @@
 	confirmInterval = 250 * time.Millisecond
 	// confirmTimeout bounds such a read. A store that is only slow responds in time.
 	confirmTimeout = 1 * time.Second
+	// silentReads is the number of such reads without a response after which the store
+	// counts as silent. A single response may be lost.
+	silentReads = 2
 )
 
 // commitConfirmed commits a transaction. If the response is lost, the transaction
@@ -78,6 +81,7 @@
 	reads := make(chan confirmRead, int(commitTimeout/confirmInterval)+1)
 	ticker := o.timers.Every(confirmInterval)
 	defer ticker.Stop()
+	unanswered := 0
 	for {
 		select {
 		case <-ticker.C:
@@ -87,7 +91,8 @@
 			case r.confirmed:
 				return confirmation{result: r.result}, true
 			case r.err != nil && o.timers.Now().Sub(r.begun) >= confirmTimeout:
-				silent = true
+				unanswered++
+				silent = silent || unanswered >= silentReads
 			case r.err != nil:
 				o.log.Debug("the owner's row cannot be read", zap.Uint64("Attempt", number), zap.Error(r.err))
 			case silent:
--- a/internal/owner/confirm_test.go
+++ b/internal/owner/confirm_test.go
@@ -1,9 +1,16 @@
 package owner
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/rowstore"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
 // setSilent makes the store answer nothing, or answer again. Calls that were sent while it
@@ -61,3 +68,34 @@
 		}
 	})
 }
+
+// slowCommits is a store whose commits take long, and that loses the response to one read.
+type slowCommits struct {
+	Store
+	reads atomic.Int64
+}
+
+// Commit takes longer than a lost read.
+func (*slowCommits) Commit(ctx context.Context, _ rowstore.Transaction) (rowstore.Result, error) {
+	return rowstore.Result{Version: 1}, sleep(ctx, confirmInterval+confirmTimeout+confirmInterval)
+}
+
+// Read gives no rows; the first read has no response.
+func (s *slowCommits) Read(ctx context.Context, _ rowstore.Range) (rowstore.Snapshot, error) {
+	if s.reads.Add(1) == 1 {
+		return rowstore.Snapshot{}, sleep(ctx, time.Hour)
+	}
+	return rowstore.Snapshot{}, sleep(ctx, fakeLatency)
+}
+
+// A store that answers all reads but one is not silent, so that a slow commit must not be
+// abandoned.
+func TestOneLostReadDoesNotAbandonACommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &Owner{store: &slowCommits{}, timers: timer.NewSystem(), log: zap.NewNop()}
+		if _, err := o.commitConfirmed(t.Context(), &committer{}, rowstore.Transaction{}, 1); err != nil {
+			t.Errorf("the commit gives %v", err)
+		}
+		o.calls.Wait()
+	})
+}
