--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -140,7 +140,7 @@
 func (h *Host) probeStore() {
 	open := make(chan struct{}, maxOpenProbes)
 	for h.sleep(probeInterval/2 + rand.N(probeInterval)) {
-		if !h.intake.StoreUnavailable() {
+		if !h.intake.NeedsProbe() {
 			continue
 		}
 		select {
--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -127,10 +127,7 @@
 func (h *storeHealth) unavailable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	silent := h.unanswered
-	for call, since := range h.open {
-		silent = silent || call > h.answeredCall && now.Sub(since) > unavailableAfter
-	}
+	silent := h.silent(now)
 	if silent || h.failures < failureLimit {
 		return silent
 	}
@@ -140,3 +137,25 @@
 	}
 	return true
 }
+
+// failing reports whether the store should be probed: unavailable returns true, or would if
+// there were no trials.
+func (h *storeHealth) failing(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures >= failureLimit || h.silent(now)
+}
+
+// silent reports whether a call is overdue or has ended without an answer. The caller holds
+// the lock.
+func (h *storeHealth) silent(now time.Time) bool {
+	if h.unanswered {
+		return true
+	}
+	for call, since := range h.open {
+		if call > h.answeredCall && now.Sub(since) > unavailableAfter {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -76,6 +76,10 @@
 // is the trial that finds out whether the store has recovered.
 func (i *Intake) StoreUnavailable() bool { return i.health.unavailable(i.timers.Now()) }
 
+// NeedsProbe reports whether the store should be probed. Unlike StoreUnavailable, it may be
+// called at any time.
+func (i *Intake) NeedsProbe() bool { return i.health.failing(i.timers.Now()) }
+
 // SlowAfter returns after what time a call takes longer than the store's recent latency
 // explains. On a store that is slow for all, a second call would only wait behind the
 // first one in the row's partition.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -433,3 +433,27 @@
 		}
 	})
 }
+
+// The check of whether to probe the store must neither use up the trial of a request nor
+// leave out a probe: both would prolong an outage for the clients of a host.
+func TestProbingLeavesTheTrialToARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := New(newScriptedStore(slices.Repeat([]answer{{kind: rowstore.KindNotDone}}, maxAttempts)...), timer.NewSystem())
+		if err := in.Submit(t.Context(), accepted()); !fault.Is(err, KindNotDone) {
+			t.Fatalf("a rejected submission gives %v", err)
+		}
+		time.Sleep(trialInterval)
+		for range 2 {
+			if !in.NeedsProbe() {
+				t.Error("a store that rejects calls is not probed")
+			}
+		}
+		if in.StoreUnavailable() {
+			t.Error("no request is sent as a trial")
+		}
+		in.Probe(t.Context())
+		if in.NeedsProbe() {
+			t.Error("a store that has answered is probed")
+		}
+	})
+}
