--- a/internal/host/fakeaccounts_test.go
+++ b/internal/host/fakeaccounts_test.go
@@ -25,7 +25,7 @@
 func (accountManifests) Decode(value []byte) (*manifest.Manifest, error) {
 	var content accountManifest
 	if err := json.Unmarshal(value, &content); err != nil || content.Version == 0 {
-		return nil, errors.Join(errors.New("odd manifest"), err)
+		return nil, errors.Join(errors.New("unusable manifest"), err)
 	}
 	m := &manifest.Manifest{
 		Version: content.Version, HasAccounts: true,
