--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -48,7 +48,7 @@
 		return 0
 	}
 	need := s.spec.Reserved()
-	free := w.freeCapacity().Add(w.preempted)
+	free := w.freeCapacity().Add(w.preempted).Sub(w.promised())
 	if !need.Fits(free.Add(c.preemptibleCapacity(now, w))) {
 		return 0
 	}
@@ -89,7 +89,8 @@
 }
 
 // remaining estimates how long a run still takes, from its progress or else from what is
-// expected of its step. Without either it is the estimate of the step.
+// expected of its step. Without either it is the estimate of the step, and without that
+// minPreemptedTime, so that the run is preempted after those that are known to take longer.
 func (c *Cell) remaining(now time.Time, r *run) time.Duration {
 	worked, timed := r.elapsed(now)
 	if timed && r.fresh && r.percent > 0 {
@@ -99,18 +100,25 @@
 	if !known {
 		expected = r.task.step.spec.Estimate
 	}
+	if expected == 0 {
+		return minPreemptedTime
+	}
 	return expected * time.Duration(fullPercent-r.percent) / fullPercent
 }
 
 // preemptibleCapacity returns the capacity held by the runs on a worker that can
-// be preempted.
+// be preempted. Many steps may need it in one round of placement.
 func (c *Cell) preemptibleCapacity(now time.Time, w *worker) job.Size {
+	if w.preemptibleIn == c.evalQueue.round {
+		return w.preemptible
+	}
 	var held job.Size
 	for _, r := range w.runs.list {
 		if c.preemptible(now, r) {
 			held = held.Add(r.task.step.spec.Reserved())
 		}
 	}
+	w.preemptible, w.preemptibleIn = held, c.evalQueue.round
 	return held
 }
 
@@ -133,6 +141,16 @@
 	tasks int
 }
 
+// promised returns the capacity of a worker for whose tasks runs are being preempted. Other
+// steps cannot count on it.
+func (w *worker) promised() job.Size {
+	var out job.Size
+	for _, p := range w.preemptions {
+		out = out.Add(p.step.spec.Reserved().Times(int64(p.tasks)))
+	}
+	return out
+}
+
 // preemptedReleased subtracts a preempted run that has ended from the capacity
 // that is about to become free. Once the last one has ended, the steps that they
 // were preempted for are placed there, or preempt again: the worker's capacity
