--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -71,7 +71,7 @@
 )
 
 // superseded reports whether a worker's process has certainly ended, because a
-// later worker runs on its machine.
+// later worker has answered from its machine. A worker that answers still runs.
 func (c *Cell) superseded(now time.Time, w *worker) bool {
 	return w.laterOnMachine && !c.inContact(now, w)
 }
@@ -83,22 +83,25 @@
 			continue
 		}
 		known := w.laterOnMachine
-		w.laterOnMachine = slices.ContainsFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
+		at := slices.IndexFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
+		w.laterOnMachine = at >= 0
 		if w.laterOnMachine && !known {
+			later := c.onMachine[machine][at]
 			w.maintenanceBeforeLater = c.maintenanceOrdered(machine)
+			if later.registeredAt.After(w.registeredAt) {
+				w.maintenanceBeforeLater = later.maintenanceBefore
+			}
 		}
 	}
 }
 
-// follows reports whether a worker has certainly followed another on their machine.
-// The incarnation is a time of day, which may jump, so it does not show that alone. Of
-// two that were first seen at the same time, the later one must have answered, which an
-// ended worker cannot.
+// follows reports whether a worker has certainly followed another on their machine. Its
+// registration does not show that alone: the entry may have another writer, and its
+// incarnation is a time of day, which may jump. So the worker must have answered as the
+// incarnation that is registered, and must not have been registered before the earlier one.
 func (w *worker) follows(earlier *worker) bool {
-	if w.registration.Incarnation <= earlier.registration.Incarnation {
-		return false
-	}
-	return w.registeredAt.After(earlier.registeredAt) || w.reported && w.registeredAt.Equal(earlier.registeredAt)
+	return w.reported && w.registered() && w.incarnation > earlier.registration.Incarnation &&
+		!w.registeredAt.Before(earlier.registeredAt)
 }
 
 // setRegistration sets the registration of a worker and keeps the index of the
--- a/internal/cell/lostrun.go
+++ b/internal/cell/lostrun.go
@@ -40,10 +40,22 @@
 	}
 }
 
-// resolveLostRuns resolves the lost runs on the machine of a worker. Those of an
-// earlier incarnation were lost in a crash. Those of this incarnation were not, if
-// notCrashed is set: it has answered, with the given report, or leaves.
-func (c *Cell) resolveLostRuns(now time.Time, w *worker, incarnation Incarnation, notCrashed bool, report *Report) {
+// sighting is what was heard of a worker.
+type sighting struct {
+	incarnation Incarnation
+	// answered is set if the incarnation has answered a call. Its entry in the list of
+	// workers alone does not show that it exists.
+	answered bool
+	// notCrashed is set if the runs of the incarnation were not lost in a crash: it has
+	// answered, or leaves.
+	notCrashed bool
+	// report is the answer, if there is one.
+	report *Report
+}
+
+// resolveLostRuns resolves the lost runs on the machine of a worker that was seen.
+// Those of an earlier incarnation were lost in a crash.
+func (c *Cell) resolveLostRuns(now time.Time, w *worker, seen sighting) {
 	machine := w.registration.Machine
 	watched := c.lostRuns[machine]
 	delete(c.lostRuns, machine)
@@ -53,11 +65,11 @@
 		t.lost = nil
 		for _, l := range lost {
 			switch {
-			case l.Machine == machine && l.Incarnation < incarnation:
+			case l.Machine == machine && l.Incarnation < seen.incarnation && seen.answered:
 				crashed = true
 				c.countTaskCrash(now, t, l.Crash, "")
-			case l.Machine == machine && l.Incarnation == incarnation && notCrashed:
-				if report != nil && c.neverStarted(t, l, report) {
+			case l.Machine == machine && l.Incarnation == seen.incarnation && seen.notCrashed:
+				if seen.report != nil && c.neverStarted(t, l, seen.report) {
 					t.noteNotStarted(l.Crash.Run)
 				}
 			default:
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -26,7 +26,7 @@
 	if first {
 		c.endInheritedOfEarlier(now, w, report)
 	}
-	c.resolveLostRuns(now, w, report.Incarnation, true, &report)
+	c.resolveLostRuns(now, w, sighting{incarnation: report.Incarnation, answered: true, notCrashed: true, report: &report})
 	// A worker that was silent is offered by the next tick, although it may have
 	// been usable at the last one.
 	w.usableAtTick = w.usableAtTick && c.inContact(now, w)
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -190,14 +190,22 @@
 	return s.actions()
 }
 
-// keep lets time pass while a worker sends the same report every second.
+// keep lets time pass while a worker sends the same report every second, in which the
+// runs progress by gain percent each time.
 func (s *script) keep(t *testing.T, id cell.WorkerID, arg func(string) string, input string) string {
 	r := report(t, arg, input)
+	gain := 0
+	if v := arg("gain"); v != "" {
+		gain = parseInt(t, v)
+	}
 	var out strings.Builder
 	for end := s.now.Add(parseDuration(t, arg("for"))); s.now.Before(end); {
 		s.now = s.now.Add(time.Second)
 		s.cell.Tick(s.now)
 		r.Clock += time.Second
+		for i := range r.Running {
+			r.Running[i].Percent += gain
+		}
 		s.cell.NextHold(s.now, id)
 		s.cell.Reported(s.now, id, r)
 		out.WriteString(s.actions())
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -270,6 +270,7 @@
 func (w *simulation) takeOver() {
 	w.epoch++
 	w.loseEarlyRuns()
+	w.hideUncounted()
 	config := simConfig()
 	config.Unfenced = w.unfenced
 	o := &simOwner{epoch: w.epoch, cell: cell.New(w.now, config, nopObserver{}, zap.NewNop())}
--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -187,7 +187,7 @@
 func (c *Cell) mayStartMaintenance(now time.Time, w *waveState, machine string) bool {
 	if worker := c.workerOn(machine); worker != nil {
 		delete(w.missingSince, machine)
-		return worker.cordonedBy == nil
+		return worker.cordonedBy == nil && (worker.reported || !c.hasRunsOn(machine))
 	}
 	if c.hasRunsOn(machine) {
 		delete(w.missingSince, machine)
@@ -288,14 +288,18 @@
 }
 
 // workerOn returns the worker on a machine, or nil. A worker that is being drained
-// stays there although its entry in the list lapses, since the entry may come back.
+// stays there although its entry in the list lapses, since the entry may come back. An
+// entry alone does not show that its worker exists, so those that have answered go first.
 func (c *Cell) workerOn(machine string) *worker {
 	workers := c.onMachine[machine]
-	if i := slices.IndexFunc(workers, func(w *worker) bool { return w.listed }); i >= 0 {
-		return workers[i]
-	}
-	if i := slices.IndexFunc(workers, func(w *worker) bool { return w.cordonedBy != nil && !w.laterOnMachine }); i >= 0 {
-		return workers[i]
+	for _, is := range []func(*worker) bool{
+		func(w *worker) bool { return w.listed && w.reported && !w.laterOnMachine },
+		func(w *worker) bool { return w.cordonedBy != nil && !w.laterOnMachine },
+		func(w *worker) bool { return w.listed },
+	} {
+		if i := slices.IndexFunc(workers, is); i >= 0 {
+			return workers[i]
+		}
 	}
 	return nil
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -20,11 +20,14 @@
 	unlistedAt time.Time
 	// registeredAt is when this owner first saw the registration.
 	registeredAt time.Time
+	// maintenanceBefore is set if the maintenance of the machine had been ordered by
+	// registeredAt.
+	maintenanceBefore bool
 	// laterOnMachine is set while a worker that follows this one is known on the
 	// machine.
 	laterOnMachine bool
-	// maintenanceBeforeLater is set if the maintenance of the machine had been
-	// ordered by then. A later order ends the later worker.
+	// maintenanceBeforeLater is set if the maintenance of the machine had been ordered
+	// before the later worker was registered. A later order ends the later worker.
 	maintenanceBeforeLater bool
 	// incarnation is the latest incarnation that the worker reported to this
 	// owner.
@@ -173,12 +176,12 @@
 	}
 	c.setRegistration(w, r)
 	if w.registeredAt.IsZero() {
-		w.registeredAt = now
+		w.registeredAt, w.maintenanceBefore = now, c.maintenanceOrdered(r.Machine)
 	}
 	w.listed = true
 	c.noteLaterWorkers(r.Machine)
 	c.capacityFreed(w)
-	c.resolveLostRuns(now, w, r.Incarnation, r.Leaving, nil)
+	c.resolveLostRuns(now, w, sighting{incarnation: r.Incarnation, answered: w.reported && w.registered(), notCrashed: r.Leaving})
 }
 
 // Addr returns the address at which a worker takes calls.
