--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -226,9 +226,10 @@
 
 func (c *Cell) restoreTask(t *task, rec TaskRecord) {
 	t.lastRun, t.failedRuns, t.checkpoint = rec.LastRun, rec.FailedRuns, rec.Checkpoint
-	t.crashes, t.lost, t.notStarted = rec.Crashes, rec.Lost, slices.Clone(rec.NotStarted)
-	for _, l := range t.lost {
-		c.watchLostRuns(t, l.Machine)
+	t.crashes, t.lost, t.notStarted = rec.Crashes, slices.Clone(rec.Lost), slices.Clone(rec.NotStarted)
+	for i := range t.lost {
+		t.lost[i].leaseEnd = c.ownedSince // a predecessor has recorded it
+		c.watchLostRuns(t, t.lost[i].Machine)
 	}
 	c.awaitIsolation(t.waitingSince, t)
 	if rec.Worker != "" {
--- a/internal/cell/registration.go
+++ b/internal/cell/registration.go
@@ -32,6 +32,12 @@
 	Leaving bool
 	// TimeLeft is the minimum time that a leaving worker still has.
 	TimeLeft time.Duration
+	// Renewal counts how often the incarnation has written its entry. It is 0 if that is
+	// not known.
+	Renewal int64
+	// WrittenAfter is a time at which the store did not have this version of the entry.
+	// It is zero if none is known.
+	WrittenAfter time.Time
 }
 
 // rackPrefix is the first letter of the label that names a worker's rack.
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -112,7 +112,11 @@
 	case "authorized":
 		s.authorized = first(0) == "on"
 	case "worker":
-		s.cell.Register(s.now, registration(t, first(0), arg, flag))
+		r := registration(t, first(0), arg, flag)
+		if v := arg("unwritten"); v != "" {
+			r.WrittenAfter = s.now.Add(-parseDuration(t, v))
+		}
+		s.cell.Register(s.now, r)
 	case "unlist":
 		s.cell.Unlist(s.now, cell.WorkerID(first(0)))
 	case "malformed-entry":
--- a/internal/cell/scriptinput_test.go
+++ b/internal/cell/scriptinput_test.go
@@ -19,6 +19,9 @@
 	if v := arg("life"); v != "" {
 		out.Incarnation = cell.Incarnation(parseInt(t, v))
 	}
+	if v := arg("renewal"); v != "" {
+		out.Renewal = int64(parseInt(t, v))
+	}
 	if v := arg("machine"); v != "" {
 		out.Machine = v
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -315,6 +315,31 @@
 func (w *simulation) registration(s *simWorker) cell.Registration {
 	return cell.Registration{
 		ID: s.id, Incarnation: s.incarnation, Machine: s.machine.name, Service: "s", Labels: []string{s.label}, Capacity: w.tell(s), Leaving: s.leaving,
+		Renewal: int64(w.now.Sub(s.since)/renewInterval) + 1, WrittenAfter: w.now.Add(-feedInterval),
+	}
+}
+
+const (
+	// renewInterval is how often workers renew their entry.
+	renewInterval = 1500 * time.Millisecond
+	// feedInterval is how long ago owners had last read the entries when they read a
+	// new one.
+	feedInterval = 300 * time.Millisecond
+)
+
+// renewEntries has the workers renew the entries whose renewal was due within the last
+// tick, also those that owners cannot reach. Their process exists.
+func (w *simulation) renewEntries(tick time.Duration) {
+	for _, s := range w.live() {
+		age := w.now.Sub(s.since)
+		if s.dead || s.lapsed || age/renewInterval == (age-tick)/renewInterval {
+			continue
+		}
+		for _, o := range w.owners {
+			if !o.stopped {
+				o.cell.Register(w.now, w.registration(s))
+			}
+		}
 	}
 }
 
@@ -392,6 +417,7 @@
 			w.expire(s)
 		}
 		w.advanceGangs()
+		w.renewEntries(tick)
 		w.crashDeadly()
 		w.returnMachines()
 		w.tellLateCapacities()
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -23,6 +23,9 @@
 	// maintenanceBefore is set if the maintenance of the machine had been ordered by
 	// registeredAt.
 	maintenanceBefore bool
+	// renewedAfter is the latest time known after which the registered incarnation has
+	// renewed its entry, so that it existed then; zero if none is known.
+	renewedAfter time.Time
 	// laterOnMachine is set while a worker that follows this one is known on the
 	// machine.
 	laterOnMachine bool
@@ -174,6 +177,7 @@
 	if was := w.registration.Capacity; !was.IsZero() && r.Capacity != was {
 		c.logCapacityChange(w, r.Capacity)
 	}
+	w.noteRenewal(r)
 	c.setRegistration(w, r)
 	if w.registeredAt.IsZero() {
 		w.registeredAt, w.maintenanceBefore = now, c.maintenanceOrdered(r.Machine)
@@ -181,7 +185,9 @@
 	w.listed = true
 	c.noteLaterWorkers(r.Machine)
 	c.capacityFreed(w)
-	c.resolveLostRuns(now, w, sighting{incarnation: r.Incarnation, answered: w.reported && w.registered(), notCrashed: r.Leaving})
+	c.resolveLostRuns(now, w, sighting{
+		incarnation: r.Incarnation, answered: w.reported && w.registered(), notCrashed: r.Leaving, renewedAfter: w.renewedAfter,
+	})
 }
 
 // Addr returns the address at which a worker takes calls.
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -32,36 +32,46 @@
 	// interval is the delay after a call that succeeded.
 	interval time.Duration
 	ranges   []rowstore.Range
-	// newEvent returns an event for changed rows. complete is set when they are all
-	// rows of the table.
-	newEvent func(rows []rowstore.Row, complete bool) event
+	// answeredAt is when the store last answered with the changes up to version.
+	answeredAt time.Time
+	// newEvent returns an event for changed rows.
+	newEvent func(changes) event
 }
 
-type rowsChanged struct {
-	rows     []rowstore.Row
+// changes are rows of a table that have changed.
+type changes struct {
+	rows []rowstore.Row
+	// complete is set when they are all rows of the table.
 	complete bool
-	handle   func(o *Owner, now time.Time, rows []rowstore.Row, whole bool)
+	// after is when the store last answered without these changes; zero if that is not
+	// known.
+	after time.Time
+}
+
+type rowsChanged struct {
+	changes
+	handle func(o *Owner, now time.Time, changed changes)
 }
 
-func (e rowsChanged) apply(o *Owner, now time.Time) { e.handle(o, now, e.rows, e.complete) }
+func (e rowsChanged) apply(o *Owner, now time.Time) { e.handle(o, now, e.changes) }
 
-func intakeChanged(rows []rowstore.Row, complete bool) event {
-	take := func(o *Owner, now time.Time, rows []rowstore.Row, _ bool) {
+func intakeChanged(changed changes) event {
+	take := func(o *Owner, now time.Time, changed changes) {
 		l := o.rowLoader(o.cell)
-		l.loadJobs(now, rows)
-		l.loadCancels(now, rows)
+		l.loadJobs(now, changed.rows)
+		l.loadCancels(now, changed.rows)
 	}
-	return rowsChanged{rows: rows, complete: complete, handle: take}
+	return rowsChanged{changes: changed, handle: take}
 }
 
-func workersChanged(rows []rowstore.Row, complete bool) event {
-	take := func(o *Owner, now time.Time, rows []rowstore.Row, whole bool) {
-		o.rowLoader(o.cell).loadWorkers(now, rows)
-		if whole {
-			o.unlistMissing(now, rows)
+func workersChanged(changed changes) event {
+	take := func(o *Owner, now time.Time, changed changes) {
+		o.rowLoader(o.cell).loadWorkers(now, changed.rows, changed.after)
+		if changed.complete {
+			o.unlistMissing(now, changed.rows)
 		}
 	}
-	return rowsChanged{rows: rows, complete: complete, handle: take}
+	return rowsChanged{changes: changed, handle: take}
 }
 
 // unlistMissing unlists the workers that a complete list of registrations lacks.
@@ -113,8 +123,10 @@
 		return err
 	}
 	f.version = max(f.version, snapshot.Version)
+	after := f.answeredAt
+	f.answeredAt = o.timers.Now()
 	if len(snapshot.Rows) > 0 {
-		o.put(f.newEvent(snapshot.Rows, false))
+		o.put(f.newEvent(changes{rows: snapshot.Rows, after: after}))
 	}
 	return nil
 }
@@ -122,12 +134,13 @@
 func (o *Owner) reread(f *feed) error {
 	ctx, cancel := context.WithTimeout(o.ctx, readTimeout)
 	defer cancel()
+	begun := o.timers.Now()
 	all, err := o.readAll(ctx, newReadLimiter(len(f.ranges), o.config.MaxReads), f.ranges...)
 	if err != nil {
 		return err
 	}
-	f.version = all.version
-	o.put(f.newEvent(all.rows, true))
+	f.version, f.answeredAt = all.version, begun
+	o.put(f.newEvent(changes{rows: all.rows, complete: true}))
 	return nil
 }
 
--- a/internal/owner/registrations_test.go
+++ b/internal/owner/registrations_test.go
@@ -34,7 +34,7 @@
 	}
 	for i, value := range []string{"malformed", "malformed", "valid", "malformed"} {
 		row := rowstore.Row{Key: rowstore.Key{Table: tableWorkers, Name: "w1"}, Value: []byte(value), Version: uint64(i)}
-		workersChanged([]rowstore.Row{row}, i == 1).apply(o, now)
+		workersChanged(changes{rows: []rowstore.Row{row}, complete: i == 1}).apply(o, now)
 	}
 	if n := logged.Len(); n != 2 {
 		t.Errorf("%d lines for an entry that became malformed twice", n)
@@ -50,7 +50,7 @@
 	}
 	for i := range 100 {
 		row := rowstore.Row{Key: rowstore.Key{Table: tableWorkers, Name: string(workerID(i))}, Value: []byte("malformed")}
-		workersChanged([]rowstore.Row{row}, true).apply(o, now)
+		workersChanged(changes{rows: []rowstore.Row{row}, complete: true}).apply(o, now)
 	}
 	if n := len(o.malformedRegistrations.names); n != 1 {
 		t.Errorf("%d entries are kept, want the one that is listed", n)
@@ -68,7 +68,7 @@
 	}
 	state := func(value string) cell.WorkerState {
 		row := rowstore.Row{Key: rowstore.Key{Table: tableWorkers, Name: "w1"}, Value: []byte(value)}
-		workersChanged([]rowstore.Row{row}, false).apply(o, now)
+		workersChanged(changes{rows: []rowstore.Row{row}}).apply(o, now)
 		return o.cell.Overview(now).Workers[0].State
 	}
 	state("valid")
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -74,7 +74,7 @@
 	parts := l.loadProgress(now, s.progress.rows)
 	l.loadCancels(now, s.intake.rows)
 	l.loadWaves(s.waves.rows)
-	l.loadWorkers(now, s.workers.rows)
+	l.loadWorkers(now, s.workers.rows, time.Time{})
 	return parts
 }
 
@@ -180,7 +180,9 @@
 	}
 }
 
-func (l rowLoader) loadWorkers(now time.Time, rows []rowstore.Row) {
+// loadWorkers loads the entries of workers, which the store did not have at the time
+// after; zero if no such time is known.
+func (l rowLoader) loadWorkers(now time.Time, rows []rowstore.Row, after time.Time) {
 	for _, row := range rows {
 		if row.Deleted {
 			l.rejected.remove(row.Name)
@@ -196,6 +198,7 @@
 			continue
 		}
 		l.rejected.remove(row.Name)
+		s.WrittenAfter = after
 		l.cell.Register(now, s)
 	}
 }
