--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
@@ -201,6 +202,9 @@
 		number = max(number, t.lastRun)
 	}
 	chosen := make([]*worker, 0, len(s.tasks))
+	if s.spec.MaxPerWorker > 0 {
+		eligible = slices.Clone(eligible)
+	}
 	for range s.tasks {
 		w := c.choose(now, s, eligible, "")
 		if w == nil {
@@ -211,6 +215,9 @@
 		// The reservation is temporary, so that the next choice takes it into
 		// account.
 		w.reserved = w.reserved.Add(s.spec.Reserved())
+		if s.spec.MaxPerWorker > 0 && w.tasksOf(s.id)+count(chosen, w) >= s.spec.MaxPerWorker {
+			eligible = slices.DeleteFunc(eligible, func(o *worker) bool { return o == w })
+		}
 	}
 	for _, w := range chosen {
 		w.reserved = w.reserved.Sub(s.spec.Reserved())
@@ -229,6 +236,17 @@
 	c.closeStep(s)
 }
 
+// count returns how often a worker is among others.
+func count(workers []*worker, w *worker) int {
+	n := 0
+	for _, o := range workers {
+		if o == w {
+			n++
+		}
+	}
+	return n
+}
+
 // choose returns the best worker for one more task of a step, or nil.
 func (c *Cell) choose(now time.Time, s *stepState, eligible []*worker, exclude WorkerID) *worker {
 	var best *worker
