--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +21,12 @@
 	transport *Transport
 	raw       net.Conn
 	remote    Host
+	// to is the address that was dialed; it is not valid if the peer has opened the
+	// connection.
+	to       netip.AddrPort
+	activity *activity
+	// serving counts the calls of the peer that are being served.
+	serving atomic.Int32
 
 	// wake holds an element after a frame was queued or the connection was closed.
 	wake chan struct{}
@@ -30,6 +38,7 @@
 	// queue holds the frames that wait to be written, queuedBytes their size.
 	queue       []outFrame
 	queuedBytes int
+	silence     silence
 }
 
 const (
@@ -42,6 +51,9 @@
 // handshake exchanges hellos and returns the connection. It fails when its
 // context ends or helloTimeout has passed.
 func (t *Transport) handshake(ctx context.Context, raw net.Conn) (*conn, *bufio.Reader, error) {
+	if err := boundSilence(raw); err != nil {
+		t.log.Debug("the system bounds no unacknowledged data", zap.Error(err))
+	}
 	_ = raw.SetDeadline(time.Now().Add(helloTimeout))
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Now()) })
 	c, r, err := t.exchangeHellos(raw)
@@ -63,7 +75,7 @@
 	if _, err := raw.Write(frame); err != nil {
 		return nil, nil, err
 	}
-	r := bufio.NewReader(raw)
+	a, r := readerOf(raw)
 	var remote hello
 	if _, err := readFrame(r, maxHello, &remote); err != nil {
 		return nil, nil, err
@@ -74,11 +86,7 @@
 	if remote.Name == "" || remote.Incarnation == "" {
 		return nil, nil, fault.New("hello", KindMalformed, "hello without a name or an incarnation: Name %q, Incarnation %q", remote.Name, remote.Incarnation)
 	}
-	c := &conn{
-		transport: t, raw: raw, wake: make(chan struct{}, 1), calls: make(map[uint64]*pendingCall),
-		remote: Host{Name: remote.Name, DataCentre: remote.DataCentre, Incarnation: remote.Incarnation},
-	}
-	return c, r, nil
+	return t.attach(raw, a, remote), r, nil
 }
 
 // run reads and writes frames until the connection ends.
@@ -102,14 +110,20 @@
 			c.deliver(e)
 			continue
 		}
+		if e.Kind == kindHeartbeat {
+			c.answer(envelope{Call: e.Call, Answer: true, Kind: kindHeartbeat})
+			continue
+		}
 		if c.transport.immediate[e.Kind] {
 			c.serve(ctx, e)
 			continue
 		}
 		select {
 		case c.transport.serving <- struct{}{}:
+			c.serving.Add(1)
 			c.transport.background.Go(func() {
 				defer func() { <-c.transport.serving }()
+				defer c.serving.Add(-1)
 				c.serve(ctx, e)
 			})
 		default:
@@ -173,7 +187,7 @@
 func (c *conn) call(ctx context.Context, m Message) (Message, error) {
 	call, ok := c.register()
 	if !ok {
-		return Message{}, fault.New("call", KindNotSent, "connection to %s is closed", c.remote.Name)
+		return Message{}, fault.New("call", KindNotSent, "connection to %s: %w", c.remote.Name, errClosed)
 	}
 	frame, err := encodeFrame(envelope{Call: call.number, Kind: m.Kind, Body: m.Body})
 	if err == nil {
@@ -224,6 +238,7 @@
 	c.lastCall++
 	call := &pendingCall{number: c.lastCall, answer: make(chan envelope, 1)}
 	c.calls[call.number] = call
+	c.watchSilence()
 	return call, true
 }
 
@@ -241,6 +256,11 @@
 func (c *conn) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closeLocked()
+}
+
+// closeLocked is close for a caller that holds the lock.
+func (c *conn) closeLocked() {
 	if c.closed {
 		return
 	}
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -8,6 +8,9 @@
 //
 // Frames that are queued while others are being written go out together.
 //
+// A connection on which a peer sends nothing while calls wait for it gets a heartbeat, and
+// is replaced if the peer answers on a new connection and not on it. See silence.go.
+//
 // Transport is the transport of one entry host. It answers calls through a
 // Handler, and calls each peer over one connection that it opens on first use.
 package peer
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -27,5 +27,8 @@
 // others. Handlers return it; the peer is not at fault.
 var ErrBusy = errors.New("too many calls in progress")
 
+// errClosed is the error of a call that found its connection closed.
+var errClosed = errors.New("the connection is closed")
+
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -33,6 +33,10 @@
 	kindBusy uint8 = 255
 )
 
+// kindHeartbeat is the kind of a heartbeat and of its answer, which no message has. Hosts
+// of earlier releases refuse it as a message that they do not know.
+const kindHeartbeat uint8 = 254
+
 // content is the content of a frame. It is encoded without reflection, as an array of
 // its fields.
 type content interface {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -77,6 +77,8 @@
 	conn *conn
 	// dialing is the dial in progress, or nil.
 	dialing *dialAttempt
+	// probing is set while a new connection is opened beside one that is silent.
+	probing bool
 }
 
 // dialAttempt is a dial in progress, for which all calls to the address wait. The
@@ -133,6 +135,7 @@
 		defer close(t.done)
 		t.accept()
 	}()
+	t.background.Go(t.sweepIdle)
 	return t
 }
 
@@ -181,12 +184,17 @@
 
 // Ask is like Call, but also returns the host that answered.
 func (t *Transport) Ask(ctx context.Context, to netip.AddrPort, m Message) (Host, Message, error) {
-	c, err := t.connect(ctx, to)
-	if err != nil {
-		return Host{}, Message{}, fault.New("call", KindNotSent, "%v: %w", to, err)
+	for first := true; ; first = false {
+		c, err := t.connect(ctx, to)
+		if err != nil {
+			return Host{}, Message{}, fault.New("call", KindNotSent, "%v: %w", to, err)
+		}
+		reply, err := c.call(ctx, m)
+		if first && errors.Is(err, errClosed) {
+			continue // it was closed since it was found open
+		}
+		return c.remote, reply, err
 	}
-	reply, err := c.call(ctx, m)
-	return c.remote, reply, err
 }
 
 // Hello returns the host that currently answers at an address. It opens a new
@@ -211,21 +219,16 @@
 	c, r, err := t.handshake(ctx, raw)
 	if err != nil {
 		_ = raw.Close()
+		return nil, nil, err
 	}
-	return c, r, err
+	c.to = to
+	return c, r, nil
 }
 
 // connect returns the connection to an address, and opens one if necessary. It
 // stops waiting for a dial when ctx ends.
 func (t *Transport) connect(ctx context.Context, to netip.AddrPort) (*conn, error) {
-	t.mu.Lock()
-	outgoing, ok := t.outgoing[to]
-	if !ok {
-		outgoing = &outgoingConn{}
-		t.outgoing[to] = outgoing
-	}
-	t.mu.Unlock()
-
+	outgoing := t.outgoingTo(to)
 	open, dialing := t.connOrDial(outgoing, to)
 	if open != nil {
 		return open, nil
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -34,6 +34,11 @@
 func (c *conn) enqueue(f outFrame) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.enqueueLocked(f)
+}
+
+// enqueueLocked is enqueue for a caller that holds the lock.
+func (c *conn) enqueueLocked(f outFrame) bool {
 	if c.closed || c.queuedBytes > 0 && c.queuedBytes+len(f.data) > maxQueuedBytes {
 		return false
 	}
--- a/internal/peer/writer_test.go
+++ b/internal/peer/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -22,7 +23,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				local, remote := net.Pipe()
 				n := New(Host{Name: "client", Incarnation: "client-1"}, idleListener{closed: make(chan struct{})},
-					pipeDialer{local}, handlerFunc(echo), tally.NoopScope, zap.NewNop())
+					newPipeDialer(local), handlerFunc(echo), tally.NoopScope, zap.NewNop())
 				defer n.Close()
 				go func() {
 					_, _ = remote.Read(make([]byte, maxHello))
@@ -54,10 +55,22 @@
 	}
 }
 
-type pipeDialer struct{ conn net.Conn }
+// pipeDialer returns a connection once. No further one can be opened.
+type pipeDialer struct{ conns chan net.Conn }
+
+func newPipeDialer(conn net.Conn) pipeDialer {
+	d := pipeDialer{conns: make(chan net.Conn, 1)}
+	d.conns <- conn
+	return d
+}
 
 func (d pipeDialer) DialContext(context.Context, string, string) (net.Conn, error) {
-	return d.conn, nil
+	select {
+	case conn := <-d.conns:
+		return conn, nil
+	default:
+		return nil, errors.New("scripted")
+	}
 }
 
 // BenchmarkCall measures calls that are made one after the other and at the same time.
