--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -57,6 +57,8 @@
 	events []string
 	// busy holds the hosts that are short of processor time.
 	busy map[string]busyness
+	// network carries the calls between hosts if it is set, and the cluster otherwise.
+	network *pipeNetwork
 	// logs also receives what the hosts log, if it is set before they start.
 	logs zapcore.Core
 }
@@ -108,6 +110,8 @@
 	addr   netip.AddrPort
 	starts int
 	host   *Host
+	// closePeers closes the transport of the host, if it has one.
+	closePeers func()
 	// capacity is the capacity in the host's settings; the zero value is
 	// unknown.
 	capacity election.Capacity
@@ -163,10 +167,18 @@
 		},
 	}
 	port := &fakePort{cluster: w, host: h}
+	var peers Peers = port
+	if w.network != nil {
+		peers, h.closePeers = w.network.join(h, self, w.logger(h), func() *Host {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return h.host
+		})
+	}
 	started := New(config, Platform{
 		Ports:     owner.Ports{Store: port, Workers: port, Registrations: fakeListing{}, Advisor: port, Machines: port, WaveRows: port},
 		Manifests: fakeManifests{},
-	}, port, &lateTimers{timer.NewSystem(), port}, tally.NoopScope, w.logger(h))
+	}, peers, &lateTimers{timer.NewSystem(), port}, tally.NoopScope, w.logger(h))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	h.host = started
@@ -182,6 +194,9 @@
 	w.mu.Unlock()
 	if running != nil {
 		running.Close()
+		if h.closePeers != nil {
+			h.closePeers()
+		}
 	}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -92,6 +92,7 @@
 // run reads and writes frames until the connection ends.
 func (c *conn) run(ctx context.Context, r *bufio.Reader) {
 	c.transport.background.Go(c.writeLoop)
+	c.watchSilence()
 	c.readLoop(ctx, r)
 }
 
@@ -238,7 +239,7 @@
 	c.lastCall++
 	call := &pendingCall{number: c.lastCall, answer: make(chan envelope, 1)}
 	c.calls[call.number] = call
-	c.watchSilence()
+	c.noteCall()
 	return call, true
 }
 
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -8,7 +8,7 @@
 //
 // Frames that are queued while others are being written go out together.
 //
-// A connection on which a peer sends nothing while calls wait for it gets a heartbeat, and
+// A connection on which a peer sends nothing for a while gets a heartbeat, and
 // is replaced if the peer answers on a new connection and not on it. See silence.go.
 //
 // Transport is the transport of one entry host. It answers calls through a
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -13,18 +13,21 @@
 
 // A connection may fall silent for good without a reset: what is sent on it arrives
 // nowhere, while new connections to the same peer work. Only an answer shows that it
-// still works. So while calls wait for the peer and it sends nothing, the connection
-// sends a heartbeat, and if that is not answered either, a new connection is opened
-// beside it. If the new one works and the old one still does not, it is replaced. A peer
-// that is frozen or cut off answers on neither, and keeps its connection.
+// still works. So if the peer sends nothing, the connection sends a heartbeat, and if that
+// is not answered either, a new connection is opened beside it. If the new one works and
+// the old one still does not, it is replaced. A peer that is frozen or cut off answers on
+// neither, and keeps its connection.
 const (
 	// heartbeatAfter is how long a peer may send nothing after a call until a heartbeat is
 	// sent. It exceeds the round trip between regions several times.
 	heartbeatAfter = 200 * time.Millisecond
 	// waitingHeartbeatAfter is the same if the peer has sent something since the last
-	// call, and only calls wait that take long, as hold calls do. More heartbeats would
-	// be much of the few KB a second that a host may use for control.
-	waitingHeartbeatAfter = 1 * time.Second
+	// call, and only calls wait that take long, as hold calls do, and idleHeartbeatAfter
+	// if no call waits. An idle connection that has fallen silent is thus replaced before
+	// it is used: else all calls that a relay gets at once would be lost. More heartbeats
+	// would be much of the few KB a second that a host may use for control.
+	waitingHeartbeatAfter = 500 * time.Millisecond
+	idleHeartbeatAfter    = 3 * time.Second
 	// probeAfter is how long a heartbeat may stay without any byte of the peer until a
 	// new connection is opened. With heartbeatAfter it is well below the time after
 	// which hosts replace an owner that they cannot reach.
@@ -42,9 +45,10 @@
 )
 
 // outgoingIdleTimeout closes an outgoing connection without calls, and
-// acceptedIdleTimeout one that a peer has opened, if it has sent nothing. The latter is
-// longer, so that peers close their connections first and no call meets a closed one. It
-// bounds the connections whose other end is gone.
+// acceptedIdleTimeout one that a peer has opened, if it has sent nothing, nor a heartbeat.
+// The latter is longer, since peers of earlier releases send none and should close their
+// connections first, so that no call meets a closed one. It bounds the connections whose
+// other end is gone.
 const (
 	outgoingIdleTimeout = 60 * time.Second
 	acceptedIdleTimeout = 150 * time.Second
@@ -76,11 +80,12 @@
 // silence is what an outgoing connection knows of a peer that sends nothing. The lock of
 // the connection guards it.
 type silence struct {
-	// watched is set while a check is scheduled, by timer for the time due.
-	watched bool
-	timer   *time.Timer
-	due     time.Time
-	// calledAt is when the last call was made.
+	// timer is the timer of the next check, which is due then; nil before the first one.
+	timer *time.Timer
+	due   time.Time
+	// usedAt is when the last call was made, or when the connection was opened.
+	usedAt time.Time
+	// calledAt is when the last call was made; zero if none was.
 	calledAt time.Time
 	// since is when the first call after the peer's last byte was made, or when it last
 	// acknowledged a part of a large frame.
@@ -93,19 +98,33 @@
 	unacknowledged int
 }
 
-// watchSilence begins to watch the connection when a call is made. The caller holds the
-// lock.
+// watchSilence begins to watch the connection, if this host has opened it. The calls on
+// the others are made by their peers.
 func (c *conn) watchSilence() {
 	if !c.to.IsValid() {
-		return // the peer has opened the connection, and makes the calls
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, now, in := &c.silence, time.Now(), idleHeartbeatAfter
+	if s.usedAt.IsZero() {
+		s.usedAt = now
+	}
+	if !s.calledAt.IsZero() {
+		in = heartbeatAfter
 	}
+	c.scheduleCheck(now, in)
+}
+
+// noteCall has the connection watched closely, since a call is made. The caller holds the
+// lock.
+func (c *conn) noteCall() {
 	s, now := &c.silence, time.Now()
 	if last := c.activity.lastRead(); !s.since.After(last) {
 		s.since = now
 	}
-	s.calledAt = now
-	if !s.watched || s.due.After(now.Add(heartbeatAfter)) {
-		s.watched = true
+	s.calledAt, s.usedAt = now, now
+	if s.timer != nil && s.due.After(now.Add(heartbeatAfter)) {
 		c.scheduleCheck(now, heartbeatAfter)
 	}
 }
@@ -121,26 +140,24 @@
 }
 
 // checkSilence sends a heartbeat, or has a new connection opened, if the peer sends
-// nothing. It is repeated until the peer has sent something and no call waits. A check
-// that is late, since this host had no processor time, only sends a heartbeat.
+// nothing. It is repeated until the connection is closed. A check that is late, since this
+// host had no processor time, only sends a heartbeat.
 func (c *conn) checkSilence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, now, last := &c.silence, time.Now(), c.activity.lastRead()
-	if c.closed || len(c.calls) == 0 && !last.Before(s.since) {
-		s.watched = false
+	if c.closed {
 		return
 	}
+	s, now, last := &c.silence, time.Now(), c.activity.lastRead()
 	c.noteAcknowledged(now)
 	if last.After(s.since) {
-		s.since, s.heartbeatAt = last, time.Time{}
+		s.since = last
 	}
-	allowed := heartbeatAfter
-	if s.calledAt.Before(last) {
-		allowed = waitingHeartbeatAfter
+	if !last.Before(s.heartbeatAt) {
+		s.heartbeatAt = time.Time{}
 	}
 	next := probeInterval
-	switch quiet := now.Sub(s.since); {
+	switch quiet, allowed := now.Sub(s.since), c.allowedSilence(last); {
 	case quiet < allowed:
 		next = allowed - quiet
 	case s.heartbeatAt.IsZero():
@@ -155,6 +172,20 @@
 	c.scheduleCheck(now, next)
 }
 
+// allowedSilence returns how long the peer may send nothing until a heartbeat is sent. last
+// is when it last has. The caller holds the lock.
+func (c *conn) allowedSilence(last time.Time) time.Duration {
+	waiting, calledAt := len(c.calls) > 0, c.silence.calledAt
+	switch {
+	case calledAt.After(last), waiting && calledAt.Equal(last):
+		return heartbeatAfter
+	case waiting:
+		return waitingHeartbeatAfter
+	default:
+		return idleHeartbeatAfter
+	}
+}
+
 // noteAcknowledged counts it as a sign of life if the peer's system has acknowledged a
 // part of a large frame since the last check. The caller holds the lock.
 func (c *conn) noteAcknowledged(now time.Time) {
@@ -194,6 +225,9 @@
 		t.sleep(probeGrace)
 	}
 	silent := c.isClosed() || !c.activity.lastRead().After(heard)
+	if err == nil {
+		opened.silence.usedAt = c.lastUsed()
+	}
 	if err != nil || !silent || !t.addConn(opened) {
 		outgoing.endProbe(c, nil)
 		if err == nil {
@@ -211,6 +245,13 @@
 	opened.run(t.ctx, r)
 }
 
+// lastUsed returns when the last call on the connection was made.
+func (c *conn) lastUsed() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silence.usedAt
+}
+
 // beginProbe reports whether a new connection may be opened beside one. If so, endProbe
 // has to follow.
 func (o *outgoingConn) beginProbe(c *conn) bool {
@@ -255,15 +296,16 @@
 // closeIfIdle closes the connection if nothing was called on it for its timeout.
 func (c *conn) closeIfIdle() {
 	limit := acceptedIdleTimeout
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.activity.lastRead()
 	if c.to.IsValid() {
-		limit = outgoingIdleTimeout
+		limit, since = outgoingIdleTimeout, c.silence.usedAt
 	}
-	c.mu.Lock()
-	used := len(c.calls) > 0 || len(c.queue) > 0 || c.silence.watched || c.serving.Load() > 0
-	if idle := time.Since(c.activity.lastRead()); !used && !c.closed && idle >= limit {
+	used := len(c.calls) > 0 || len(c.queue) > 0 || c.serving.Load() > 0
+	if !used && time.Since(since) >= limit {
 		c.closeLocked()
 	}
-	c.mu.Unlock()
 }
 
 // attach makes a connection of a socket after its hellos.
