--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -37,6 +37,9 @@
 	MachinesAddr netip.AddrPort
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int
+	// MaxFiles is the number of descriptors that the process may have open, of which
+	// some are for files. 0 means the limit of the process.
+	MaxFiles int
 	// Cores is the number of cores that the process may use, which can be a
 	// fraction. The settings file calls it ProcessorShare. LinkMbps is the
 	// bandwidth of the host's link in Mbit/s. 0 means unknown. The more a host has
@@ -75,6 +78,7 @@
 	AdviceAddr     string   `validate:"omitempty,address"`
 	MachinesAddr   string   `validate:"omitempty,address"`
 	MemoryMB       int      `validate:"number=32:1048576"`
+	MaxFiles       *int     `validate:"omitempty,number=256:1048576"`
 	ProcessorShare *float64 `validate:"omitempty,number=0.001:1024"`
 	LinkMbps       *float64 `validate:"omitempty,number=0.001:1000000"`
 	Fenced         bool
@@ -127,6 +131,9 @@
 			MaxLease: durationOr(w.Bounds.MaxLease, 0), StopGrace: durationOr(w.Bounds.StopGrace, 0), KeepEnded: durationOr(w.Bounds.KeepEnded, 0),
 		},
 	}
+	if w.MaxFiles != nil {
+		h.MaxFiles = *w.MaxFiles
+	}
 	for _, seed := range w.Seeds {
 		if seed != "" {
 			h.Seeds = append(h.Seeds, parseAddress(seed))
