--- /dev/null
+++ b/internal/command/guarded.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/host"
+	"cicadabarrow.example/cicadabarrow/internal/httplimit"
+	"cicadabarrow.example/cicadabarrow/internal/settings"
+	"cicadabarrow.example/cicadabarrow/internal/timer"
+	"cicadabarrow.example/cicadabarrow/platform"
+)
+
+const (
+	// pageConnections is the number of connections of the servers for the balancer and for
+	// operators. A balancer keeps a few, and a reader of metrics one.
+	pageConnections = 32
+	// pageHeaderBytes is the limit of a header there. Browsers send less than 2 KB.
+	pageHeaderBytes   = 8 << 10
+	pageHeaderTimeout = 5 * time.Second
+	// pageIdleTimeout is longer than the intervals of usual health checks and readers of
+	// metrics, of which most are 5 to 60 s.
+	pageIdleTimeout = 2 * time.Minute
+	// pageTimeout bounds a request with its response, which may have megabytes.
+	pageTimeout = 15 * time.Second
+	// pageBytes is for the headers of the connections.
+	pageBytes = 512 << 10
+	// pagesAtOnce is the number of pages that are made and sent at the same time. A page
+	// takes up to some megabytes.
+	pagesAtOnce = 4
+)
+
+// guardedServer is an HTTP server whose clients are not trusted.
+type guardedServer struct {
+	*http.Server
+	guard *httplimit.Guard
+}
+
+func newGuardedServer(guard *httplimit.Guard, handler http.Handler, log *zap.Logger) guardedServer {
+	server := guard.NewServer(handler)
+	server.ErrorLog, _ = zap.NewStdLogAt(log, zap.WarnLevel)
+	return guardedServer{Server: server, guard: guard}
+}
+
+// newClientServer returns the server of the requests of clients.
+func newClientServer(s settings.Host, h *host.Host, timers timer.Service, scope tally.Scope, log *zap.Logger) guardedServer {
+	log = log.Named("clients")
+	config := httplimit.Config{
+		Limits: httplimit.NewLimits(s.MemoryMB, s.MaxFiles),
+		Rules:  func() httplimit.Rules { return platform.ConnectionRules(h.Manifest()) },
+	}
+	log.Info("limits of clients", zap.Any("Limits", config.Limits))
+	guard := httplimit.New(config, timers, scope.SubScope("clients"), log)
+	return newGuardedServer(guard, platform.NewIngress(h, guard), log)
+}
+
+// newPageServer returns the server of pages for the balancer or for operators.
+func newPageServer(name string, handler http.Handler, timers timer.Service, scope tally.Scope, log *zap.Logger) guardedServer {
+	log = log.Named(name)
+	rules := httplimit.Rules{MaxHeaderBytes: pageHeaderBytes, HeaderTimeout: pageHeaderTimeout, IdleTimeout: pageIdleTimeout}
+	guard := httplimit.New(httplimit.Config{
+		Limits:          httplimit.Limits{Connections: pageConnections, BodyBytes: pageBytes},
+		Rules:           func() httplimit.Rules { return rules },
+		ResponseTimeout: pageTimeout,
+	}, timers, scope.SubScope(name), log)
+	return newGuardedServer(guard, guard.WithoutBodies(handler), log)
+}
+
+// actor returns an actor that runs the server.
+func (s guardedServer) actor(addr netip.AddrPort) (execute func() error, interrupt func(error)) {
+	return httpActor(s.Server, func() (net.Listener, error) { return s.guard.Listen(addr) })
+}
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -22,6 +21,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/host"
+	"cicadabarrow.example/cicadabarrow/internal/httplimit"
 	"cicadabarrow.example/cicadabarrow/internal/logging"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/metrics"
@@ -76,7 +76,6 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownTimeout is the timeout of requests in progress after balancerDelay.
 	shutdownTimeout = 2 * time.Second
-	headerTimeout   = 5 * time.Second
 )
 
 // setHeapGrowth sets how often the garbage collector runs.
@@ -116,9 +115,9 @@
 	timers   timer.Service
 	peers    *peer.Transport
 	host     *host.Host
-	clients  *http.Server
-	health   *http.Server
-	metrics  *http.Server
+	clients  guardedServer
+	health   guardedServer
+	metrics  guardedServer
 }
 
 // deferredHandler passes the calls that a transport receives to a host that is
@@ -160,9 +159,9 @@
 	close(handler.ready)
 	return &hostProcess{
 		settings: s, log: log.Named("process"), timers: timers, peers: peers, host: h,
-		clients: &http.Server{Handler: platform.NewIngress(h), ReadHeaderTimeout: headerTimeout},
-		health:  &http.Server{Handler: platform.NewReadiness(h.Ready), ReadHeaderTimeout: headerTimeout},
-		metrics: &http.Server{Handler: newOperatorHandler(page.Handler, h), ReadHeaderTimeout: headerTimeout},
+		clients: newClientServer(s, h, timers, scope, log),
+		health:  newPageServer("health", platform.NewReadiness(h.Ready), timers, scope, log),
+		metrics: newPageServer("operators", httplimit.AtOnce(pagesAtOnce, newOperatorHandler(page.Handler, h)), timers, scope, log),
 	}, nil
 }
 
@@ -190,10 +189,10 @@
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return p.stopWhenDone(ctx) }, func(error) { cancel() })
-	group.Add(httpActor(p.health, p.settings.HealthAddr))
-	group.Add(httpActor(p.clients, p.settings.ClientAddr))
+	group.Add(p.health.actor(p.settings.HealthAddr))
+	group.Add(p.clients.actor(p.settings.ClientAddr))
 	if p.settings.MetricsAddr.IsValid() {
-		group.Add(httpActor(p.metrics, p.settings.MetricsAddr))
+		group.Add(p.metrics.actor(p.settings.MetricsAddr))
 	}
 	// An actor that returns ends the whole group, so this one returns only when
 	// it is interrupted and does not end the graceful stop early.
@@ -241,10 +240,10 @@
 // httpActor returns an actor that runs a server. A server that shuts down accepts no more
 // connections but still finishes its requests, so the actor goes on until it is
 // interrupted: an actor that returns would have the whole group interrupted at once.
-func httpActor(server *http.Server, addr netip.AddrPort) (execute func() error, interrupt func(error)) {
+func httpActor(server *http.Server, open func() (net.Listener, error)) (execute func() error, interrupt func(error)) {
 	interrupted := make(chan struct{})
 	execute = func() error {
-		listen, err := net.Listen("tcp", addr.String())
+		listen, err := open()
 		if err != nil {
 			return err
 		}
--- a/internal/command/httpactor_test.go
+++ b/internal/command/httpactor_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"runtime"
 	"sync/atomic"
 	"testing"
@@ -18,7 +17,7 @@
 		close(serving)
 		return t.Context()
 	}}
-	execute, interrupt := httpActor(server, netip.MustParseAddrPort("127.0.0.1:0"))
+	execute, interrupt := httpActor(server, func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") })
 	var interrupted atomic.Bool
 	early := make(chan bool, 1)
 	go func() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -58,29 +58,41 @@
 
 // MeasureWithin is like Measure, and also checks that data is within limits.
 func MeasureWithin(limits Limits, data []byte) (int, error) {
+	size, _, err := check(limits, data)
+	return size, err
+}
+
+// CountWithin checks the first value in data and returns the number of its values.
+func CountWithin(limits Limits, data []byte) (int, error) {
+	_, values, err := check(limits, data)
+	return values, err
+}
+
+// check checks the first value in data and returns its size in bytes and the number of its
+// values, including those in arrays and maps.
+func check(limits Limits, data []byte) (size, values int, err error) {
 	maxBytes, maxValues := cmp.Or(limits.Bytes, MaxBytes), cmp.Or(limits.Values, MaxBytes)
 	if len(data) > maxBytes {
-		return 0, fault.New("check", KindMalformed, "%d bytes; at most %d are allowed", len(data), maxBytes)
+		return 0, 0, fault.New("check", KindMalformed, "%d bytes; at most %d are allowed", len(data), maxBytes)
 	}
-	values := 0
 	var open [maxDepth]uint64 // values that each open array or map still contains
 	depth, at := 0, 0
 	for {
 		h, err := readHeader(data[at:])
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		left := uint64(len(data) - at - h.size)
 		if h.bytes > left || h.values > left {
-			return 0, fault.New("check", KindMalformed, "a value exceeds the %d bytes that follow it", left)
+			return 0, 0, fault.New("check", KindMalformed, "a value exceeds the %d bytes that follow it", left)
 		}
 		if values++; values > maxValues {
-			return 0, fault.New("check", KindMalformed, "more than %d values", maxValues)
+			return 0, 0, fault.New("check", KindMalformed, "more than %d values", maxValues)
 		}
 		at += h.size + int(h.bytes)
 		if h.values > 0 {
 			if depth == maxDepth {
-				return 0, fault.New("check", KindMalformed, "more than %d nested arrays or maps", maxDepth)
+				return 0, 0, fault.New("check", KindMalformed, "more than %d nested arrays or maps", maxDepth)
 			}
 			open[depth] = h.values
 			depth++
@@ -94,7 +106,7 @@
 			depth--
 		}
 		if depth == 0 {
-			return at, nil
+			return at, values, nil
 		}
 	}
 }
