--- a/internal/httplimit/budget.go
+++ b/internal/budget/budget.go
@@ -1,4 +1,5 @@
-package httplimit
+// Package budget provides a number of bytes that requests reserve before they use memory.
+package budget
 
 import (
 	"container/list"
@@ -12,7 +13,8 @@
 
 const (
 	// smallBytes is the largest reservation that may use the share of a budget that is
-	// kept from larger ones. Bodies of ordinary jobs have a few kilobytes.
+	// kept from larger ones. Bodies of ordinary jobs have a few kilobytes, and messages
+	// between hosts less.
 	smallBytes = 32 << 10
 	// largeShare is the share of a budget that larger reservations may use together, so
 	// that large requests do not keep small ones from being served.
@@ -22,11 +24,20 @@
 	reclaimInterval = 50 * time.Millisecond
 )
 
-// Budget is a number of bytes that requests reserve before they use memory.
+// Kind is the kind of an Error.
+type Kind string
+
+// KindShort means that there were too few bytes for a reservation.
+const KindShort Kind = "too few bytes"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Budget is a number of bytes that requests reserve before they use memory. It is safe for
+// concurrent use.
 type Budget struct {
-	timers timer.Service
-	total  int64
-	// changed is called with the bytes that are reserved.
+	timers  timer.Service
+	total   int64
 	changed func(used int64)
 
 	mu sync.Mutex
@@ -42,9 +53,10 @@
 	granted chan struct{}
 }
 
-// NewBudget returns a budget of a number of bytes.
-func NewBudget(total int64, timers timer.Service) *Budget {
-	return &Budget{timers: timers, total: total, changed: func(int64) {}}
+// New returns a budget of a number of bytes. It calls changed with the reserved bytes,
+// which must not block.
+func New(total int64, timers timer.Service, changed func(used int64)) *Budget {
+	return &Budget{timers: timers, total: total, changed: changed}
 }
 
 func isLarge(bytes int64) bool { return bytes > smallBytes }
@@ -78,7 +90,7 @@
 }
 
 // Acquire reserves bytes. If there are too few, it calls reclaim from time to time, and
-// fails with KindNoCapacity when wait has passed or the context ends.
+// fails with KindShort when wait has passed or the context ends.
 func (b *Budget) Acquire(ctx context.Context, bytes int64, wait time.Duration, reclaim func(bytes int64)) error {
 	b.mu.Lock()
 	queue := b.queue(bytes)
@@ -127,7 +139,7 @@
 	}
 	b.queue(r.bytes).Remove(element)
 	b.grant()
-	return fault.New("reserve", KindNoCapacity, "%d bytes; %d of %d are in use", r.bytes, b.used, b.total)
+	return fault.New("reserve", KindShort, "%d bytes; %d of %d are in use", r.bytes, b.used, b.total)
 }
 
 // Release returns bytes that were reserved in one reservation.
--- a/internal/httplimit/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,4 +1,4 @@
-package httplimit
+package budget
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 func TestSingleReservationIsGrantedHoweverLarge(t *testing.T) {
-	b := NewBudget(1000, timer.NewSystem())
+	b := New(1000, timer.NewSystem(), func(int64) {})
 	if err := b.Acquire(t.Context(), 1<<20, 0, func(int64) {}); err != nil {
 		t.Error(err)
 	}
@@ -27,22 +27,21 @@
 		sizes := rapid.SliceOfN(rapid.Int64Range(1, 4*smallBytes), 1, 40).Draw(rt, "sizes")
 		holds := rapid.SliceOfN(rapid.IntRange(0, 2000), len(sizes), len(sizes)).Draw(rt, "holds")
 		synctest.Test(t, func(*testing.T) {
-			b := NewBudget(total, timer.NewSystem())
 			largest := int64(0)
 			for _, n := range sizes {
 				largest = max(largest, n)
 			}
-			b.changed = func(used int64) {
+			b := New(total, timer.NewSystem(), func(used int64) {
 				if used > total+2*largest {
 					rt.Errorf("%d bytes are reserved of %d", used, total)
 				}
-			}
+			})
 			for i, n := range sizes {
 				go func() {
 					time.Sleep(time.Duration(i%7) * 100 * time.Millisecond)
 					err := b.Acquire(context.Background(), n, time.Second, func(int64) {})
 					if err != nil {
-						if !fault.Is(err, KindNoCapacity) {
+						if !fault.Is(err, KindShort) {
 							rt.Error(err)
 						}
 						return
--- a/internal/command/guarded.go
+++ b/internal/command/guarded.go
@@ -11,6 +11,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/host"
 	"cicadabarrow.example/cicadabarrow/internal/httplimit"
+	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/settings"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 	"cicadabarrow.example/cicadabarrow/platform"
@@ -35,6 +36,29 @@
 	pagesAtOnce = 4
 )
 
+const (
+	// peerShare is the share of the descriptors for connections that other hosts have
+	// opened, and minPeerConnections the least number of these. The deployments have up to
+	// 39 hosts, of which each opens one connection, and one more for a while when one of
+	// them is lost.
+	peerShare          = 0.125
+	minPeerConnections = 64
+	// frameShare and answerShare are the shares of the memory for messages of other hosts
+	// that are larger than a few kilobytes, and for answers that they have not read.
+	frameShare  = 0.08
+	answerShare = 0.05
+)
+
+// peerLimits returns the limits of what other programs send to the address for peers.
+func peerLimits(s settings.Host) peer.Limits {
+	memory := float64(s.MemoryMB) * megabyte
+	return peer.Limits{
+		Connections: max(int(peerShare*float64(httplimit.Sockets(s.MaxFiles))), minPeerConnections),
+		FrameBytes:  int64(memory * frameShare),
+		AnswerBytes: int64(memory * answerShare),
+	}
+}
+
 // guardedServer is an HTTP server whose clients are not trusted.
 type guardedServer struct {
 	*http.Server
--- a/internal/httplimit/body.go
+++ b/internal/httplimit/body.go
@@ -71,7 +71,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.bodyBytes = r.total
-	g.progress(c)
+	g.table.Progress(c.entry, r.progressAt)
 }
 
 // pace waits if the framing of bodies takes too much of the processor. Meanwhile more
@@ -125,5 +125,5 @@
 	}
 	q.guard.mu.Lock()
 	defer q.guard.mu.Unlock()
-	return q.conn.stalled
+	return q.conn.entry.Stalled()
 }
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -1,7 +1,6 @@
 package httplimit
 
 import (
-	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/connlimit"
 )
 
 const (
@@ -46,18 +47,11 @@
 	openedAt time.Time
 
 	// The lock of the guard guards the following fields.
-	phase      phase
-	proven     bool
-	progressAt time.Time
-	queue      *list.List
-	element    *list.Element
-	holder     *list.Element
-	// held has the reserved bytes, and headerReserved the part of it for the header.
-	held           int64
+	phase phase
+	entry *connlimit.Entry[*Conn]
+	// headerReserved has the bytes that are reserved for the header.
 	headerReserved int64
 	bodyBytes      int64
-	// stalled is set if the request is refused since others need the bytes that it holds.
-	stalled bool
 
 	// handled is set once the handler has got the current request.
 	handled bool
@@ -158,7 +152,7 @@
 	if c.phase == phaseIdle {
 		c.rules = rules
 		c.deadline = now.Add(rules.HeaderTimeout)
-		g.progress(c)
+		g.table.Progress(c.entry, now)
 	}
 	g.setPhase(c, phaseHeader)
 }
@@ -183,7 +177,7 @@
 		return err
 	}
 	c.guard.mu.Lock()
-	stalled, phase := c.stalled, c.phase
+	stalled, phase := c.entry.Stalled(), c.phase
 	c.guard.mu.Unlock()
 	switch {
 	case phase == phaseClosing:
@@ -307,7 +301,7 @@
 		c.linger()
 	}
 	g.mu.Lock()
-	g.drop(c)
+	g.setPhase(c, phaseClosed)
 	g.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/httplimit/guard.go
+++ b/internal/httplimit/guard.go
@@ -1,7 +1,6 @@
 package httplimit
 
 import (
-	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"cicadabarrow.example/cicadabarrow/internal/budget"
+	"cicadabarrow.example/cicadabarrow/internal/connlimit"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
 )
 
@@ -48,12 +49,6 @@
 }
 
 const (
-	// newShare is the share of the connections that clients without a completed request
-	// may have together. The rest is for clients that complete their requests.
-	newShare = 0.75
-	// keptNewShare is the share that such clients keep when others take the rest, so that
-	// a new client can be served at all.
-	keptNewShare = 0.25
 	// endingShare is how many connections, beyond the limit and as a share of it, may be
 	// closed whose goroutine has not ended. net/http takes up to 0.5 s for some.
 	endingShare = 0.25
@@ -88,23 +83,18 @@
 	overhead *rate.Limiter
 	// bodies has the bytes of headers and bodies, and decoded those of decoded requests. A
 	// request reserves decoded bytes last, so that those who hold them wait for no others.
-	bodies  *Budget
-	decoded *Budget
+	bodies  *budget.Budget
+	decoded *budget.Budget
 	metrics guardMetrics
 
 	mu       sync.Mutex
 	refusals *refusalLog
 	// ended is signaled when the goroutine of a connection has ended.
 	ended *sync.Cond
-	// open counts the descriptors, and serving the goroutines of connections.
-	open, serving int
-	// unproven counts the open connections that have not completed a request.
-	unproven int
-	// fresh and proven have the connections that may be closed, those longest without
-	// progress first: without and with a completed request.
-	fresh, proven list.List
-	// holders has those of them that hold bytes.
-	holders list.List
+	// table has the connections whose descriptor is open, and serving counts those whose
+	// goroutine has not ended.
+	table   *connlimit.Table[*Conn]
+	serving int
 	closed  bool
 }
 
@@ -117,19 +107,21 @@
 func New(config Config, timers timer.Service, scope tally.Scope, log *zap.Logger) *Guard {
 	g := &Guard{
 		config: config, timers: timers, overhead: rate.NewLimiter(overheadPerSecond, overheadBurst),
-		bodies: NewBudget(config.BodyBytes, timers), decoded: NewBudget(config.DecodedBytes, timers),
-		refusals: newRefusalLog(scope, log),
+		bodies:   newBudget(config.BodyBytes, timers, scope.Gauge("body_bytes")),
+		decoded:  newBudget(config.DecodedBytes, timers, scope.Gauge("decoded_bytes")),
+		refusals: newRefusalLog(scope, log), table: connlimit.New[*Conn](config.Connections),
 	}
 	g.ended = sync.NewCond(&g.mu)
 	for p := range phaseClosed {
 		g.metrics.states[p] = scope.Tagged(map[string]string{"state": p.String()}).Gauge("connections")
 	}
-	bodies, decoded := scope.Gauge("body_bytes"), scope.Gauge("decoded_bytes")
-	g.bodies.changed = func(used int64) { bodies.Update(float64(used)) }
-	g.decoded.changed = func(used int64) { decoded.Update(float64(used)) }
 	return g
 }
 
+func newBudget(total int64, timers timer.Service, used tally.Gauge) *budget.Budget {
+	return budget.New(total, timers, func(bytes int64) { used.Update(float64(bytes)) })
+}
+
 type connKey struct{}
 
 // NewServer returns a server whose connections are those of Listen.
@@ -168,20 +160,18 @@
 		if c.phase == phaseNew || c.phase == phaseHeader || c.phase == phaseIdle {
 			c.handled, c.servedAt = false, g.timers.Now()
 			g.setPhase(c, phaseServing)
-			g.progress(c)
+			g.table.Progress(c.entry, g.timers.Now())
 		}
 	case http.StateIdle:
 		g.release(c)
-		if !c.proven && c.phase != phaseClosed {
-			c.proven = true
-			g.unproven--
-		}
-		c.beginIdle(g.timers.Now(), g.config.Rules().orDefaults())
-		g.progress(c)
+		now := g.timers.Now()
+		c.beginIdle(now, g.config.Rules().orDefaults())
+		g.table.Prove(c.entry)
+		g.table.Progress(c.entry, now)
 		g.setPhase(c, phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		g.release(c)
-		g.drop(c)
+		g.setPhase(c, phaseClosed)
 		g.serving--
 		g.ended.Broadcast()
 	case http.StateNew:
@@ -193,7 +183,7 @@
 func (g *Guard) release(c *Conn) {
 	if c.headerReserved > 0 {
 		g.bodies.Release(c.headerReserved)
-		c.held -= c.headerReserved
+		g.table.Hold(c.entry, -c.headerReserved)
 		c.headerReserved = 0
 	}
 }
@@ -206,9 +196,15 @@
 	g.count(c.phase, -1)
 	g.count(p, +1)
 	c.phase = p
-	g.unlist(c)
-	if p.closable() {
-		g.enlist(c)
+	switch p {
+	case phaseNew, phaseHeader, phaseBody, phaseIdle:
+		g.table.SetClosable(c.entry, true)
+	case phaseServing:
+		g.table.SetClosable(c.entry, false)
+	case phaseClosing:
+		g.table.CloseNext(c.entry)
+	case phaseClosed, phases:
+		g.table.Remove(c.entry)
 	}
 }
 
@@ -220,62 +216,32 @@
 	g.metrics.states[p].Update(float64(g.metrics.counts[p]))
 }
 
-// enlist lists a connection as one that may be closed. The caller holds the lock.
-func (g *Guard) enlist(c *Conn) {
-	c.queue = &g.fresh
-	if c.proven {
-		c.queue = &g.proven
-	}
-	if c.phase == phaseClosing {
-		c.element = c.queue.PushFront(c)
-		return
-	}
-	c.element = c.queue.PushBack(c)
-	if c.held > 0 {
-		c.holder = g.holders.PushBack(c)
-	}
-}
-
-// unlist removes a connection from the lists. The caller holds the lock.
-func (g *Guard) unlist(c *Conn) {
-	if c.element != nil {
-		c.queue.Remove(c.element)
-		c.element = nil
-	}
-	if c.holder != nil {
-		g.holders.Remove(c.holder)
-		c.holder = nil
-	}
-}
-
-// progress records that a connection has made progress. The caller holds the lock.
-func (g *Guard) progress(c *Conn) {
-	c.progressAt = g.timers.Now()
-	if c.element != nil {
-		c.queue.MoveToBack(c.element)
-	}
-	if c.holder != nil {
-		g.holders.MoveToBack(c.holder)
-	}
+// Connections returns the number of open connections.
+func (g *Guard) Connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Open()
 }
 
-// drop forgets a connection whose descriptor is closed. The caller holds the lock.
-func (g *Guard) drop(c *Conn) {
-	if c.phase == phaseClosed {
-		return
+// reclaim refuses requests that hold bytes without progress, for a request that needs some.
+func (g *Guard) reclaim(needed int64) {
+	now := g.timers.Now()
+	g.mu.Lock()
+	stalled := g.table.Stalled(now, needed)
+	for _, e := range stalled {
+		g.refusals.add(now, e.Value, reasonStalled)
 	}
-	g.setPhase(c, phaseClosed)
-	g.open--
-	if !c.proven {
-		g.unproven--
+	g.mu.Unlock()
+	for _, e := range stalled {
+		e.Value.interrupt()
 	}
 }
 
-// Connections returns the number of open connections.
-func (g *Guard) Connections() int {
+// hold records that a connection has reserved bytes of headers and bodies.
+func (g *Guard) hold(c *Conn, bytes int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.open
+	g.table.Hold(c.entry, bytes)
 }
 
 // HeldBytes returns the reserved bytes of headers and bodies.
--- a/internal/httplimit/guard_test.go
+++ b/internal/httplimit/guard_test.go
@@ -184,7 +184,7 @@
 	limits.Connections = most
 	inBubble(t, limits, func(_ *testing.T, s *testServer) {
 		var held []*testClient
-		for range int(newShare * most) {
+		for range most * 3 / 4 {
 			held = append(held, s.connect().send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n"))
 		}
 		s.connect().expect(http.StatusServiceUnavailable, "a new connection")
--- a/internal/httplimit/limits.go
+++ b/internal/httplimit/limits.go
@@ -38,12 +38,9 @@
 // NewLimits returns the limits of a process that may use some megabytes of memory and
 // have a number of descriptors open, which is 0 if it is not set.
 func NewLimits(memoryMB, files int) Limits {
-	if files == 0 {
-		files = processFiles()
-	}
 	memory := float64(memoryMB) * megabyte
 	byMemory := int(memory * connectionShare / connectionBytes)
-	byFiles := int(float64(files-reservedFiles) * clientShare)
+	byFiles := int(float64(Sockets(files)) * clientShare)
 	return Limits{
 		Connections:  max(min(byMemory, byFiles), minConns),
 		BodyBytes:    int64(memory * bodyShare),
@@ -51,6 +48,15 @@
 	}
 }
 
+// Sockets returns the number of descriptors for connections of a process that may have
+// some descriptors open.
+func Sockets(files int) int {
+	if files == 0 {
+		files = processFiles()
+	}
+	return max(files-reservedFiles, 0)
+}
+
 // processFiles returns how many descriptors the process may have open.
 func processFiles() int {
 	var limit syscall.Rlimit
--- a/internal/httplimit/listener.go
+++ b/internal/httplimit/listener.go
@@ -1,13 +1,14 @@
 package httplimit
 
 import (
-	"container/list"
 	"context"
 	"net"
 	"net/netip"
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"cicadabarrow.example/cicadabarrow/internal/connlimit"
 )
 
 // receiveBuffer is the size of the receive buffers of connections in the system, which
@@ -81,77 +82,31 @@
 // admit returns the connection of a client, and nil if it was refused.
 func (g *Guard) admit(raw net.Conn) *Conn {
 	now := g.timers.Now()
-	c := &Conn{Conn: raw, guard: g, openedAt: now, progressAt: now, rules: g.config.Rules().orDefaults()}
+	c := &Conn{Conn: raw, guard: g, openedAt: now, rules: g.config.Rules().orDefaults()}
+	c.entry = &connlimit.Entry[*Conn]{Value: c}
 	c.deadline = now.Add(c.rules.HeaderTimeout)
 	g.mu.Lock()
-	g.open++
 	g.serving++
-	g.unproven++
 	g.count(phaseNew, +1)
-	g.enlist(c)
-	victims := g.makeRoom(c)
-	g.mu.Unlock()
-	refused := false
-	for _, victim := range victims {
-		if victim == c {
-			refused = true
-			c.writeRefusal(statusUnavailable)
-		}
-		_ = victim.Conn.Close()
-	}
-	if !refused {
-		return c
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.serving--
-	return nil
-}
-
-// makeRoom closes connections until their number is within its limits, and returns them.
-// Their descriptors are left to the caller. The caller holds the lock.
-func (g *Guard) makeRoom(added *Conn) []*Conn {
-	var victims []*Conn
-	most := g.config.Connections
-	for g.open > most || float64(g.unproven) > newShare*float64(most) {
-		victim := g.longestWithoutProgress(added)
+	g.table.Add(c.entry, now)
+	victims := g.table.MakeRoom(c.entry)
+	for _, e := range victims {
 		why := reasonConnections
-		if victim == added {
+		if e.Value == c {
 			why = reasonNoConnection
+			g.serving--
 		}
-		g.refusals.add(g.timers.Now(), victim, why)
-		g.drop(victim)
-		victims = append(victims, victim)
-	}
-	return victims
-}
-
-// longestWithoutProgress returns the connection to close for a new one: the new one itself
-// if no other may be closed. The caller holds the lock.
-func (g *Guard) longestWithoutProgress(added *Conn) *Conn {
-	fresh, proven := firstOther(&g.fresh, added), firstOther(&g.proven, added)
-	most := float64(g.config.Connections)
-	switch {
-	case float64(g.unproven) > newShare*most:
-		proven = nil
-	case fresh != nil && float64(g.unproven) > keptNewShare*most:
-		proven = nil
-	}
-	switch {
-	case fresh == nil && proven == nil:
-		return added
-	case proven == nil || fresh != nil && !fresh.progressAt.After(proven.progressAt):
-		return fresh
+		g.refusals.add(now, e.Value, why)
+		g.setPhase(e.Value, phaseClosed)
 	}
-	return proven
-}
-
-// firstOther returns the first connection of a list other than the given one.
-func firstOther(queue *list.List, other *Conn) *Conn {
-	for e := queue.Front(); e != nil; e = e.Next() {
-		if c, _ := e.Value.(*Conn); c != other {
-			return c
+	g.mu.Unlock()
+	admitted := c
+	for _, e := range victims {
+		if e.Value == c {
+			c.writeRefusal(statusUnavailable)
+			admitted = nil
 		}
+		_ = e.Value.Conn.Close()
 	}
-	return nil
+	return admitted
 }
--- a/internal/httplimit/phase.go
+++ b/internal/httplimit/phase.go
@@ -39,9 +39,3 @@
 	}
 	return "closed"
 }
-
-// closable reports whether a connection may be closed to make room. One whose request is
-// being processed may not: its client could not tell whether the request has run.
-func (p phase) closable() bool {
-	return p != phaseServing && p != phaseClosed
-}
--- a/internal/httplimit/refusal.go
+++ b/internal/httplimit/refusal.go
@@ -74,7 +74,7 @@
 		return
 	}
 	r.log.Info("request refused or connection closed", zap.String("Reason", string(why)), zap.Stringer("From", c.RemoteAddr()),
-		zap.Stringer("State", c.phase), zap.Duration("Age", now.Sub(c.openedAt)), zap.Duration("WithoutProgress", now.Sub(c.progressAt)),
+		zap.Stringer("State", c.phase), zap.Duration("Age", now.Sub(c.openedAt)), zap.Duration("WithoutProgress", now.Sub(c.entry.ProgressAt())),
 		zap.Int64("HeaderBytes", c.headerBytes), zap.Int64("BodyBytes", c.bodyBytes), zap.Int("LeftOut", l.leftOut))
 	l.leftOut = 0
 }
--- a/internal/httplimit/request.go
+++ b/internal/httplimit/request.go
@@ -101,7 +101,7 @@
 	defer g.mu.Unlock()
 	q.conn.wireBytes, q.conn.reads = 0, 0
 	g.setPhase(q.conn, phaseBody)
-	g.progress(q.conn)
+	g.table.Progress(q.conn.entry, g.timers.Now())
 }
 
 // finishBody ends the reading of a body that is complete. From then on the connection is
@@ -116,14 +116,14 @@
 	switch {
 	case q.conn.phase == phaseClosed:
 		return fault.New("read body", KindBroken, "the connection was closed to make room")
-	case q.conn.stalled:
+	case q.conn.entry.Stalled():
 		return errStalled
 	}
 	g.setPhase(q.conn, phaseServing)
 	return nil
 }
 
-var errStalled = fault.New("read body", KindNoCapacity, "no progress for %v while bytes were short", reclaimGrace)
+var errStalled = fault.New("read body", KindNoCapacity, "no progress while bytes were short")
 
 func (q *Request) readAll(ctx context.Context, length, limit int64) ([]byte, error) {
 	size := length
@@ -161,8 +161,7 @@
 func (q *Request) allocate(ctx context.Context, bytes int64) ([]byte, error) {
 	g := q.guard
 	if err := g.bodies.Acquire(ctx, bytes, bytesWait, g.reclaim); err != nil {
-		q.note(reasonBodyBytes)
-		return nil, err
+		return nil, q.refuse(reasonBodyBytes, KindNoCapacity, "%w", err)
 	}
 	q.bodies = append(q.bodies, bytes)
 	if q.conn != nil {
@@ -175,8 +174,7 @@
 // while the request is processed.
 func (q *Request) Decode(ctx context.Context, bytes int64) error {
 	if err := q.guard.decoded.Acquire(ctx, bytes, bytesWait, func(int64) {}); err != nil {
-		q.note(reasonDecodedBytes)
-		return err
+		return q.refuse(reasonDecodedBytes, KindNoCapacity, "%w", err)
 	}
 	q.decoded += bytes
 	return nil
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -19,6 +19,10 @@
 	transport *Transport
 	raw       net.Conn
 	remote    Host
+	// inbound is the entry of a connection that the other host has opened, or nil.
+	inbound *inboundConn
+	// reading has the bytes that are reserved for the frame that readLoop reads.
+	reading int64
 
 	// wake holds an element after a frame was queued or the connection was closed.
 	wake chan struct{}
@@ -93,26 +97,30 @@
 	defer c.close()
 	for {
 		var e envelope
-		size, err := readFrame(r, MaxFrame, &e)
+		size, reserved, err := c.nextFrame(r, &e)
 		if err != nil {
 			return
 		}
 		c.transport.count(c.remote, directionIn, e.Kind, size)
 		if e.Answer {
 			c.deliver(e)
+			c.transport.inbound.release(reserved)
 			continue
 		}
 		if c.transport.immediate[e.Kind] {
 			c.serve(ctx, e)
+			c.transport.inbound.release(reserved)
 			continue
 		}
 		select {
 		case c.transport.serving <- struct{}{}:
 			c.transport.background.Go(func() {
 				defer func() { <-c.transport.serving }()
+				defer c.transport.inbound.release(reserved)
 				c.serve(ctx, e)
 			})
 		default:
+			c.transport.inbound.release(reserved)
 			c.answer(refusal(e, ErrBusy))
 		}
 	}
@@ -249,6 +257,7 @@
 		close(call.answer)
 		delete(c.calls, number)
 	}
+	c.transport.inbound.answered(answerBytes(c.queue))
 	c.queue, c.queuedBytes = nil, 0
 	c.wakeWriter()
 	_ = c.raw.Close()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -126,6 +126,12 @@
 // including the length field. A larger frame is rejected before its body is
 // read.
 func readFrame(r *bufio.Reader, limit uint32, c decodable) (int, error) {
+	return readReservedFrame(r, limit, c, unreserved{})
+}
+
+// readReservedFrame is like readFrame, and reserves the bytes of the frame before its body
+// is read.
+func readReservedFrame(r *bufio.Reader, limit uint32, c decodable, m reserver) (int, error) {
 	length, err := r.Peek(lengthSize)
 	if err != nil {
 		return 0, err
@@ -137,6 +143,9 @@
 	if _, err := r.Discard(lengthSize); err != nil {
 		return 0, err
 	}
+	if err := m.reserve(int(n)); err != nil {
+		return 0, err
+	}
 	body, err := readBody(r, int(n))
 	if err != nil {
 		return 0, err
@@ -149,7 +158,7 @@
 	return lengthSize + int(n), nil
 }
 
-// reservedBytes is the memory that is reserved for a frame before it arrives.
+// reservedBytes is the memory that is allocated for a frame before any of it arrives.
 const reservedBytes = 64 << 10
 
 // readBody reads n bytes.
@@ -157,7 +166,7 @@
 	body := make([]byte, 0, min(n, reservedBytes))
 	for len(body) < n {
 		if len(body) == cap(body) {
-			body = slices.Grow(body, min(n-len(body), len(body)))
+			body = slices.Grow(body, n-len(body))
 		}
 		read, err := io.ReadFull(r, body[len(body):min(cap(body), n)])
 		if err != nil {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -59,6 +59,8 @@
 	serving chan struct{}
 	// immediate holds the kinds of calls that are answered at once.
 	immediate  map[uint8]bool
+	limits     Limits
+	inbound    *inbound
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 	ctx        context.Context
@@ -125,10 +127,12 @@
 		outgoing: make(map[netip.AddrPort]*outgoingConn),
 		conns:    make(map[*conn]struct{}),
 		bytes:    make(map[Flow]uint64), immediate: make(map[uint8]bool),
+		limits: unlimited,
 	}
 	for _, option := range options {
 		option(t)
 	}
+	t.inbound = newInbound(t.limits, t.scope, t.log)
 	go func() {
 		defer close(t.done)
 		t.accept()
@@ -151,13 +155,16 @@
 			t.sleep(acceptBackoff)
 			continue
 		}
+		entry := t.inbound.add(raw)
 		t.background.Go(func() {
+			defer t.inbound.remove(entry)
 			c, r, err := t.handshake(t.ctx, raw)
 			if err != nil {
-				t.log.Info("connection rejected", zap.Error(err))
+				t.inbound.rejected("connection rejected", raw, zap.Error(err))
 				_ = raw.Close()
 				return
 			}
+			c.inbound = entry
 			if t.addConn(c) {
 				c.run(t.ctx, r)
 			}
@@ -310,7 +317,10 @@
 func (t *Transport) count(remote Host, out bool, kind uint8, size int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.bytes[Flow{DataCentre: remote.DataCentre, Kind: kind, Out: out}] += uint64(size)
+	flow := Flow{DataCentre: remote.DataCentre, Kind: kind, Out: out}
+	if _, known := t.bytes[flow]; known || len(t.bytes) < maxFlows {
+		t.bytes[flow] += uint64(size)
+	}
 }
 
 // Bytes returns the number of bytes sent and received so far for each flow.
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -37,12 +37,25 @@
 	if c.closed || c.queuedBytes > 0 && c.queuedBytes+len(f.data) > maxQueuedBytes {
 		return false
 	}
+	if f.call == nil && !c.transport.inbound.queueAnswer(int64(len(f.data)), int64(c.queuedBytes)) {
+		return false
+	}
 	c.queue = append(c.queue, f)
 	c.queuedBytes += len(f.data)
 	c.wakeWriter()
 	return true
 }
 
+// answerBytes returns the bytes of the answers among frames.
+func answerBytes(frames []outFrame) (bytes int64) {
+	for _, f := range frames {
+		if f.call == nil {
+			bytes += int64(len(f.data))
+		}
+	}
+	return bytes
+}
+
 // wakeWriter makes writeLoop look at the queue.
 func (c *conn) wakeWriter() {
 	select {
@@ -120,6 +133,7 @@
 	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	size, err := buffers.WriteTo(c.raw)
+	c.transport.inbound.answered(answerBytes(frames))
 	for _, f := range frames {
 		written := min(size, int64(len(f.data)))
 		size -= written
--- a/internal/untrustedtest/process_test.go
+++ b/internal/untrustedtest/process_test.go
@@ -15,6 +15,9 @@
 	"testing"
 	"time"
 
+	// The command is built by the tests. The import makes go test run them again, and use
+	// no kept result, when the code of the command has changed.
+	_ "cicadabarrow.example/cicadabarrow/internal/command"
 	"cicadabarrow.example/cicadabarrow/platform/standin"
 )
 
