--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -21,7 +21,28 @@
 	Every    int64
 	Times    int
 	Queue    queueWire
-	Steps    []stepWire
+	Steps    stepsWire
+}
+
+// stepsWire is the list of a job's steps. Its length is checked before memory is reserved.
+type stepsWire []stepWire
+
+// DecodeMsgpack decodes the list.
+func (w *stepsWire) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > workload.MaxSteps {
+		return fault.New("decode job", KindMalformed, "%d steps; at most %d are allowed", n, workload.MaxSteps)
+	}
+	*w = make(stepsWire, max(n, 0))
+	for i := range *w {
+		if err := d.Decode(&(*w)[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 type queueWire struct {
@@ -74,8 +95,10 @@
 	return msgpack.Marshal(&w)
 }
 
-// jobLimits bounds the row of a job, which also comes from other hosts.
-var jobLimits = wire.Limits{Bytes: 1 << 20, Values: 64 << 10}
+// jobLimits bounds the row of a job, which also comes from other hosts. The largest
+// submission has 128 Ki values, and a row up to 21 values for each step besides the
+// dependencies.
+var jobLimits = wire.Limits{Bytes: 1 << 20, Values: 192 << 10}
 
 // DecodeJob decodes the row of an accepted job and validates the job.
 func DecodeJob(value []byte) (cell.AcceptedJob, error) {
--- a/internal/ledger/limits_test.go
+++ b/internal/ledger/limits_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"reflect"
 	"runtime"
 	"testing"
+	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -62,3 +65,47 @@
 		t.Errorf("a record of %d bytes: %v", len(value), err)
 	}
 }
+
+// A job that was accepted must be read from its row, also by a later owner: one with as
+// many dependencies as a submission can have, and its row must fit into a call of the store.
+func TestRowOfLargestJobIsWithinItsLimits(t *testing.T) {
+	const (
+		// dependencies is nearly the largest number of values of a submission.
+		dependencies = 120
+		// maxRowBytes is what a call of the store takes, 1 MB in base64.
+		maxRowBytes = 3 << 20 / 4
+	)
+	job := workload.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Steps: make([]workload.Step, workload.MaxSteps)}
+	for i := range job.Steps {
+		step := workload.Step{Tasks: 1, Estimate: time.Second, After: make([]int, min(i, dependencies))}
+		for k := range step.After {
+			step.After[k] = i - 1 - k
+		}
+		job.Steps[i] = step
+	}
+	value, err := ledger.EncodeJob(cell.AcceptedJob{Job: job, Queue: manifest.Queue{Name: "q"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(value) > maxRowBytes {
+		t.Errorf("the row has %d bytes; at most %d are allowed", len(value), maxRowBytes)
+	}
+	got, err := ledger.DecodeJob(value)
+	if err != nil || !reflect.DeepEqual(got.Job, job) {
+		t.Errorf("a row of %d bytes gives a job of %d steps, %v", len(value), len(got.Job.Steps), err)
+	}
+}
+
+// A list of steps must not make the reader allocate memory for more steps than a job may
+// have.
+func TestRowWithTooManyStepsIsRejectedAtLittleMemory(t *testing.T) {
+	const maxMemory = 1 << 20
+	steps := append(binary.BigEndian.AppendUint32([]byte("\x97\xa1j\xa0\x00\x00\x00\xc0\xdd"), 100<<10), bytes.Repeat([]byte{0xc0}, 100<<10)...)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := ledger.DecodeJob(steps)
+	runtime.ReadMemStats(&after)
+	if used := after.TotalAlloc - before.TotalAlloc; err == nil || used > maxMemory {
+		t.Errorf("%d bytes are allocated, error %v", used, err)
+	}
+}
