--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -20,8 +20,8 @@
 	// freedWorkers holds the workers that may have gained free capacity since
 	// the last decision.
 	freedWorkers []*worker
-	// timers holds when steps are due to be evaluated, in order of time.
-	timers []stepTimer
+	// timers holds when steps are due to be evaluated.
+	timers stepTimers
 	// sweepCursor is the key of the last step that a sweep reached.
 	sweepCursor stepKey
 	// round counts the decisions.
@@ -30,13 +30,6 @@
 	ranksStale bool
 }
 
-// stepTimer fires when the rank of a step changes or when a new measure for it
-// becomes possible, such as preemption.
-type stepTimer struct {
-	at   time.Time
-	step *stepState
-}
-
 const (
 	// maxEvaluations is how many steps one decision evaluates; the next
 	// decision continues with the rest.
@@ -167,22 +160,17 @@
 	if at.Before(now) {
 		return
 	}
-	timers := c.evalQueue.timers
-	i, _ := slices.BinarySearchFunc(timers, at, func(a stepTimer, at time.Time) int { return a.at.Compare(at) })
-	c.evalQueue.timers = slices.Insert(timers, i, stepTimer{at, s})
+	c.evalQueue.timers.push(stepTimer{at, s})
 }
 
 // fireTimers marks the steps whose timers are due.
 func (c *Cell) fireTimers(now time.Time) {
-	due := 0
-	for due < len(c.evalQueue.timers) && !now.Before(c.evalQueue.timers[due].at) {
-		if s := c.evalQueue.timers[due].step; s.open {
+	for timer, due := c.evalQueue.timers.popDue(now); due; timer, due = c.evalQueue.timers.popDue(now) {
+		if s := timer.step; s.open {
 			c.rerank(now, s)
 			c.evalQueue.pending.add(s)
 		}
-		due++
 	}
-	c.evalQueue.timers = slices.Delete(c.evalQueue.timers, 0, due)
 }
 
 // refreshRanks recomputes the rank of every open step after a change of the
