--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -81,7 +81,7 @@
 // reading goroutine calls it.
 func (c *Conn) beginIdle(now time.Time, rules Rules) {
 	c.rules, c.end, c.ended, c.headerBytes, c.bodyBytes = rules, headerEnd{}, false, 0, 0
-	c.deadline = now.Add(rules.IdleTimeout)
+	c.deadline = now.Add(rules.IdleTimeout + clientMargin)
 }
 
 // Read reads from the client. Before a request is served, it keeps to the limits of
@@ -151,7 +151,7 @@
 	defer g.mu.Unlock()
 	if c.phase == phaseIdle {
 		c.rules = rules
-		c.deadline = now.Add(rules.HeaderTimeout)
+		c.deadline = now.Add(rules.HeaderTimeout + clientMargin)
 		g.table.Progress(c.entry, now)
 	}
 	g.setPhase(c, phaseHeader)
--- a/internal/httplimit/guard.go
+++ b/internal/httplimit/guard.go
@@ -34,6 +34,10 @@
 	DefaultIdleTimeout = time.Minute
 )
 
+// clientMargin is added to the timeouts of clients, who count from when they send: to the
+// latency between regions, 20 ms, and to the time for which a busy host does not read.
+const clientMargin = 500 * time.Millisecond
+
 // orDefaults returns the rules with defaults in place of zeros.
 func (r Rules) orDefaults() Rules {
 	if r.MaxHeaderBytes <= 0 {
--- a/internal/httplimit/listener.go
+++ b/internal/httplimit/listener.go
@@ -84,7 +84,7 @@
 	now := g.timers.Now()
 	c := &Conn{Conn: raw, guard: g, openedAt: now, rules: g.config.Rules().orDefaults()}
 	c.entry = &connlimit.Entry[*Conn]{Value: c}
-	c.deadline = now.Add(c.rules.HeaderTimeout)
+	c.deadline = now.Add(c.rules.HeaderTimeout + clientMargin)
 	g.mu.Lock()
 	g.serving++
 	g.count(phaseNew, +1)
--- a/internal/httplimit/refusal.go
+++ b/internal/httplimit/refusal.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 )
 
@@ -73,7 +74,12 @@
 		l.leftOut++
 		return
 	}
-	r.log.Info("request refused or connection closed", zap.String("Reason", string(why)), zap.Stringer("From", c.RemoteAddr()),
+	level := zapcore.InfoLevel
+	if why == reasonIdle {
+		// Clients that keep connections for their next requests do this all the time.
+		level = zapcore.DebugLevel
+	}
+	r.log.Log(level, "request refused or connection closed", zap.String("Reason", string(why)), zap.Stringer("From", c.RemoteAddr()),
 		zap.Stringer("State", c.phase), zap.Duration("Age", now.Sub(c.openedAt)), zap.Duration("WithoutProgress", now.Sub(c.entry.ProgressAt())),
 		zap.Int64("HeaderBytes", c.headerBytes), zap.Int64("BodyBytes", c.bodyBytes), zap.Int("LeftOut", l.leftOut))
 	l.leftOut = 0
