--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -23,6 +23,8 @@
 	inbound *inboundConn
 	// reading has the bytes that are reserved for the frame that readLoop reads.
 	reading int64
+	// progressAt is when the progress of an inbound connection was last recorded.
+	progressAt time.Time
 
 	// wake holds an element after a frame was queued or the connection was closed.
 	wake chan struct{}
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -47,6 +48,9 @@
 	// that are rejected or closed.
 	rejectionLinesPerSecond = 1
 	rejectionLineBurst      = 5
+	// progressInterval is how often the progress of a connection is recorded. It is well
+	// below the time without progress after which a connection gives up its bytes.
+	progressInterval = 50 * time.Millisecond
 	// maxFlows bounds the number of counted flows. Any program can name a data centre.
 	maxFlows = 4096
 )
@@ -59,10 +63,11 @@
 	frames  *budget.Budget
 	answers int64
 
+	// queued has the bytes of answers that wait to be written.
+	queued atomic.Int64
+
 	mu    sync.Mutex
 	table *connlimit.Table[net.Conn]
-	// queued has the bytes of answers that wait to be written.
-	queued int64
 }
 
 // inboundConn is a connection that another host has opened.
@@ -115,15 +120,22 @@
 	in.table.Remove(e)
 }
 
-// progress records that a complete frame has arrived.
-func (in *inbound) progress(e *inboundConn) {
-	if e == nil {
+// noteProgress records that a complete frame has arrived, if none has been recorded lately:
+// connections of hosts have hundreds of frames a second.
+func (c *conn) noteProgress() {
+	if c.inbound == nil {
 		return
 	}
+	now := time.Now()
+	if now.Sub(c.progressAt) < progressInterval {
+		return
+	}
+	c.progressAt = now
+	in := c.transport.inbound
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.table.Prove(e)
-	in.table.Progress(e, time.Now())
+	in.table.Prove(c.inbound)
+	in.table.Progress(c.inbound, now)
 }
 
 func (in *inbound) hold(e *inboundConn, bytes int64) {
@@ -166,7 +178,7 @@
 		in.release(reserved)
 		return 0, 0, err
 	}
-	in.progress(c.inbound)
+	c.noteProgress()
 	return size, reserved, nil
 }
 
@@ -198,22 +210,17 @@
 // in its queue. It returns false if others leave too many answers unread. Small answers are
 // always queued, so that the hosts still learn of each other.
 func (in *inbound) queueAnswer(bytes, queued int64) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
 	small := bytes <= freeFrameBytes && queued <= freeQueueBytes
-	if !small && in.queued > 0 && in.queued+bytes > in.answers {
-		return false
+	if all := in.queued.Add(bytes); small || all == bytes || all <= in.answers {
+		return true
 	}
-	in.queued += bytes
-	return true
+	in.queued.Add(-bytes)
+	return false
 }
 
 // answered ends the count of answers that have been written or dropped.
 func (in *inbound) answered(bytes int64) {
-	if bytes == 0 {
-		return
+	if bytes > 0 {
+		in.queued.Add(-bytes)
 	}
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.queued -= bytes
 }
--- a/internal/peer/limits_test.go
+++ b/internal/peer/limits_test.go
@@ -43,8 +43,8 @@
 	if used := server.inbound.frames.Used(); used != 0 {
 		t.Errorf("%d bytes of frames are still reserved", used)
 	}
-	if server.inbound.queued != 0 {
-		t.Errorf("%d bytes of answers are still counted", server.inbound.queued)
+	if queued := server.inbound.queued.Load(); queued != 0 {
+		t.Errorf("%d bytes of answers are still counted", queued)
 	}
 	if open := server.inbound.table.Open(); open != 0 {
 		t.Errorf("%d connections are still counted", open)
@@ -118,10 +118,7 @@
 		callers = append(callers, c)
 	}
 	mustAnswer(t, client, addr, []byte("small"))
-	server.inbound.mu.Lock()
-	queued := server.inbound.queued
-	server.inbound.mu.Unlock()
-	if queued > 3*size {
+	if queued := server.inbound.queued.Load(); queued > 3*size {
 		t.Errorf("%d bytes of answers wait, at most %d are allowed", queued, 3*size)
 	}
 	for _, c := range callers {
