--- a/internal/httplimit/bench_test.go
+++ b/internal/httplimit/bench_test.go
@@ -25,7 +25,7 @@
 		_, _ = fmt.Fprint(w, len(read))
 	})}
 	guarded := guard.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request := guard.Begin(w, r)
+		request := guard.Begin(r)
 		defer request.End()
 		read, _ := request.ReadBody(r.Context(), testBodyLimit)
 		_ = request.Decode(r.Context(), int64(len(read)))
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -55,6 +55,8 @@
 
 	// handled is set once the handler has got the current request.
 	handled bool
+	// abandoned is set once the rest of the body of the current request is not read.
+	abandoned bool
 	// servedAt is when the header of the current request was complete.
 	servedAt time.Time
 
@@ -292,7 +294,7 @@
 	g.mu.Lock()
 	// net/http itself has refused a header that it cannot parse.
 	malformed := c.phase == phaseHeader || c.phase == phaseServing && !c.handled
-	linger := (c.phase == phaseClosing || malformed) && !c.gone.Load() && !g.closed
+	linger := (c.phase == phaseClosing || malformed || c.abandoned) && !c.gone.Load() && !g.closed
 	if linger {
 		g.setPhase(c, phaseClosing)
 	}
--- a/internal/httplimit/guard.go
+++ b/internal/httplimit/guard.go
@@ -170,6 +170,7 @@
 		g.release(c)
 		now := g.timers.Now()
 		c.beginIdle(now, g.config.Rules().orDefaults())
+		c.abandoned = false
 		g.table.Prove(c.entry)
 		g.table.Progress(c.entry, now)
 		g.setPhase(c, phaseIdle)
--- a/internal/httplimit/guard_test.go
+++ b/internal/httplimit/guard_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// A body that nobody reads must neither keep the response back nor be taken for the next
+// request. If all of it has arrived, the connection is kept.
+func TestBodiesThatAreNotRead(t *testing.T) {
+	inBubble(t, ordinaryLimits(), func(_ *testing.T, s *testServer) {
+		c := s.connect()
+		c.send("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc").expect(http.StatusOK, "a request with a body")
+		c.send(get(0)).expect(http.StatusOK, "the next request")
+		c.send("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 300\r\n\r\n"+get(0)).expect(http.StatusOK, "a request with a part of its body")
+		c.expect(0, "the connection after it")
+	})
+}
+
+// A client that asks before it sends a body must be told to send it, or refused at once.
+func TestClientsThatAskBeforeTheySend(t *testing.T) {
+	inBubble(t, ordinaryLimits(), func(_ *testing.T, s *testServer) {
+		c := s.connect()
+		c.send(post("Expect: 100-continue\r\nContent-Length: 3")).expect(http.StatusContinue, "a client that asks")
+		c.send("abc").expect(http.StatusOK, "its body")
+		c.send(post("Expect: 100-continue\r\nContent-Length: 999999999")).expect(http.StatusRequestEntityTooLarge, "a client that asks for too much")
+	})
+}
+
 // Bytes that a client holds without sending more are given to others that need them.
 func TestStalledBodiesMakeRoom(t *testing.T) {
 	limits := ordinaryLimits()
--- a/internal/httplimit/pages.go
+++ b/internal/httplimit/pages.go
@@ -10,7 +10,7 @@
 // WithoutBodies returns a handler that refuses requests with a body.
 func (g *Guard) WithoutBodies(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if request := g.Begin(w, r); !request.read {
+		if request := g.Begin(r); !request.read {
 			request.note(reasonBodyTooLarge)
 			request.Abandon()
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
--- a/internal/httplimit/request.go
+++ b/internal/httplimit/request.go
@@ -27,8 +27,7 @@
 	guard *Guard
 	http  *http.Request
 	// conn is nil for a request that did not come through the guard.
-	conn   *Conn
-	header http.Header
+	conn *Conn
 	// bodies has the reservations of the body.
 	bodies  []int64
 	decoded int64
@@ -37,9 +36,9 @@
 }
 
 // Begin returns the accounts of a request. End has to be called when it is done.
-func (g *Guard) Begin(w http.ResponseWriter, r *http.Request) *Request {
+func (g *Guard) Begin(r *http.Request) *Request {
 	conn, _ := r.Context().Value(connKey{}).(*Conn)
-	return &Request{guard: g, http: r, conn: conn, header: w.Header(), read: r.ContentLength == 0}
+	return &Request{guard: g, http: r, conn: conn, read: r.ContentLength == 0}
 }
 
 // End releases what the request has reserved.
@@ -59,15 +58,17 @@
 }
 
 // Abandon drops the rest of a body that has not been read, before the response is
-// written: net/http would wait for up to 256 KB of it. The connection is then closed.
+// written: net/http would wait for up to 256 KB of it. Unless all of it has arrived with
+// the header, net/http then closes the connection.
 func (q *Request) Abandon() {
 	if q.read || q.conn == nil {
 		return
 	}
 	q.read = true
-	q.header.Set("Connection", "close")
-	q.conn.setPhase(phaseClosing)
-	q.conn.interrupt()
+	q.guard.mu.Lock()
+	q.conn.abandoned = true
+	q.guard.mu.Unlock()
+	_ = q.conn.setReadDeadline(past)
 }
 
 // ReadBody reads the body of the request, of up to limit bytes, before the context ends.
--- a/internal/httplimit/server_test.go
+++ b/internal/httplimit/server_test.go
@@ -68,7 +68,7 @@
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), testTimeout)
 	defer cancel()
-	request := s.guard.Begin(w, r)
+	request := s.guard.Begin(r)
 	defer request.End()
 	if r.URL.Path == "/held" {
 		<-s.hold
