--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +34,11 @@
 	// maxFailedCalls is the number of failed calls after which the read fails.
 	maxOpenCalls   = 8
 	maxFailedCalls = 3
+	// shortPage is the number of rows of a page after one was too long to be read, and
+	// shorterPages the factor by which it falls if that is too long again. A page of the
+	// store has 500 rows, and the row of a large job up to 0.5 MB in a response.
+	shortPage    = 64
+	shorterPages = 8
 )
 
 // readLimiter limits the concurrency of a group of reads, and derives their hedge
@@ -107,6 +113,13 @@
 	var out tableRows
 	for {
 		snapshot, err := o.hedgedRead(ctx, r, limiter)
+		if errors.Is(err, rowstore.ErrTooLong) && r.Limit != 1 {
+			if r.Limit = r.Limit / shorterPages; r.Limit == 0 {
+				r.Limit = shortPage
+			}
+			o.log.Warn("a page of rows is too long", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Int("NextRows", r.Limit))
+			continue
+		}
 		if err != nil {
 			return tableRows{}, err
 		}
@@ -153,7 +166,7 @@
 			}
 			inFlight--
 			failed++
-			if failed == maxFailedCalls || ctx.Err() != nil {
+			if failed == maxFailedCalls || ctx.Err() != nil || errors.Is(outcome.err, rowstore.ErrTooLong) {
 				return rowstore.Snapshot{}, outcome.err
 			}
 			o.log.Debug("a read of the store failed", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Error(outcome.err))
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -4,6 +4,7 @@
 package rowstore
 
 import (
+	"errors"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
@@ -32,6 +33,10 @@
 // Error is the error type of this package and of the store's client.
 type Error = fault.Error[Kind]
 
+// ErrTooLong is the cause of a failed read whose response is longer than the client takes.
+// The same read fails again, and one of fewer rows may not.
+var ErrTooLong = errors.New("the response is too long")
+
 // Key identifies a row.
 type Key struct {
 	Table     string
