--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -114,7 +114,7 @@
 	for {
 		snapshot, err := o.hedgedRead(ctx, r, limiter)
 		if errors.Is(err, rowstore.ErrTooLong) && r.Limit != 1 {
-			if r.Limit = r.Limit / shorterPages; r.Limit == 0 {
+			if r.Limit /= shorterPages; r.Limit == 0 {
 				r.Limit = shortPage
 			}
 			o.log.Warn("a page of rows is too long", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Int("NextRows", r.Limit))
--- a/internal/untrustedtest/crowd_test.go
+++ b/internal/untrustedtest/clients_test.go
@@ -17,20 +17,20 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// client is what one client of a crowd sends on a connection. It returns early when a
+// client is what one misbehaving client sends on a connection. It returns early when a
 // write fails, since the host may close the connection at any time.
 type client func(conn net.Conn, number int)
 
 const (
 	// rounds bounds how often a client connects. A client whose connection is closed
-	// connects again, so that the crowd goes on while it stands.
+	// connects again, so that there are always many.
 	rounds = 3
-	// clientTimeout bounds all that a client of a crowd does on one connection.
+	// clientTimeout bounds all that a client does on one connection.
 	clientTimeout = 2 * time.Minute
 )
 
-// crowd is a number of clients that misbehave.
-type crowd struct {
+// clientGroup is a number of clients that misbehave.
+type clientGroup struct {
 	t       *testing.T
 	stop    chan struct{}
 	members sync.WaitGroup
@@ -42,19 +42,19 @@
 	conns map[net.Conn]bool
 }
 
-// newCrowd lets a number of clients of each kind connect to an address.
-func newCrowd(t *testing.T, addr netip.AddrPort, each int, kinds ...client) *crowd {
-	c := &crowd{t: t, stop: make(chan struct{}), count: int64(each * len(kinds)), conns: make(map[net.Conn]bool)}
+// newClientGroup lets a number of clients of each kind connect to an address.
+func newClientGroup(t *testing.T, addr netip.AddrPort, each int, kinds ...client) *clientGroup {
+	c := &clientGroup{t: t, stop: make(chan struct{}), count: int64(each * len(kinds)), conns: make(map[net.Conn]bool)}
 	for _, send := range kinds {
 		for i := range each {
 			c.members.Go(func() { c.member(addr, send, i) })
 		}
 	}
-	t.Cleanup(c.disperse)
+	t.Cleanup(c.closeAll)
 	return c
 }
 
-func (c *crowd) member(addr netip.AddrPort, send client, number int) {
+func (c *clientGroup) member(addr netip.AddrPort, send client, number int) {
 	for round := range rounds {
 		c.connect(addr, send, number)
 		if round == 0 {
@@ -70,7 +70,7 @@
 
 // connect lets a client send on a new connection, and waits until the host has closed
 // it or, in the first round, until all has been sent.
-func (c *crowd) connect(addr netip.AddrPort, send client, number int) {
+func (c *clientGroup) connect(addr netip.AddrPort, send client, number int) {
 	conn, err := net.DialTimeout("tcp", addr.String(), conditionTimeout)
 	if err != nil {
 		return
@@ -86,7 +86,7 @@
 	c.sent.Add(-1)
 }
 
-func (c *crowd) add(conn net.Conn) bool {
+func (c *clientGroup) add(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	select {
@@ -99,18 +99,18 @@
 	return true
 }
 
-func (c *crowd) remove(conn net.Conn) {
+func (c *clientGroup) remove(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = conn.Close()
 	delete(c.conns, conn)
 }
 
-// stands reports whether each client has sent all of it, or was cut off.
-func (c *crowd) stands() bool { return c.sent.Load() >= c.count }
+// connected reports whether each client has sent all of it, or was cut off.
+func (c *clientGroup) connected() bool { return c.sent.Load() >= c.count }
 
-// disperse closes all connections.
-func (c *crowd) disperse() {
+// closeAll closes all connections.
+func (c *clientGroup) closeAll() {
 	c.mu.Lock()
 	select {
 	case <-c.stop:
--- a/internal/untrustedtest/untrusted_test.go
+++ b/internal/untrustedtest/untrusted_test.go
@@ -57,22 +57,22 @@
 	s.t.Fatalf("%s does not accept an ordinary job %s; the last status is %d", h.name, when, last)
 }
 
-// checkCrowd lets a crowd of clients connect to a host, and checks the host while the
-// crowd stands and after it.
-func (s *site) checkCrowd(h *hostProcess, each int, kinds ...client) {
+// checkClients lets a group of clients connect to a host, and checks the host while
+// they are connected and afterwards.
+func (s *site) checkClients(h *hostProcess, each int, kinds ...client) {
 	s.t.Helper()
-	s.checkCrowdAt(h, h.client, each, kinds...)
+	s.checkClientsAt(h, h.client, each, kinds...)
 }
 
-// checkCrowdAt lets a crowd of clients connect to one of the addresses of a host.
-func (s *site) checkCrowdAt(h *hostProcess, addr netip.AddrPort, each int, kinds ...client) {
+// checkClientsAt lets a group of clients connect to one of the addresses of a host.
+func (s *site) checkClientsAt(h *hostProcess, addr netip.AddrPort, each int, kinds ...client) {
 	s.t.Helper()
-	c := newCrowd(s.t, addr, each, kinds...)
-	s.await("the crowd stands", c.stands)
+	c := newClientGroup(s.t, addr, each, kinds...)
+	s.await("all clients have sent what they send", c.connected)
 	s.awaitReadAll(h, addr)
-	s.checkOrdinary(h, "while the crowd stands")
-	c.disperse()
-	s.checkOrdinary(h, "after the crowd")
+	s.checkOrdinary(h, "while the clients are connected")
+	c.closeAll()
+	s.checkOrdinary(h, "after the clients")
 	s.checkWithinSettings()
 }
 
@@ -94,22 +94,22 @@
 	})
 }
 
-// The numbers of clients of a crowd. Each is small and yet enough for the fault to show on
+// The numbers of clients of a group. Each is small and yet enough for the fault to show on
 // a host without limits: bodies or headers of so many exceed MemoryMB.
 const (
-	bodyCrowd   = 300
-	headerCrowd = 150
-	linesCrowd  = 500
-	mixedCrowd  = 150
-	// silentCrowd is more than maxFiles.
-	silentCrowd = 600
-	peerCrowd   = 40
+	bodyClients   = 300
+	headerClients = 150
+	linesClients  = 500
+	mixedClients  = 150
+	// silentClients is more than maxFiles.
+	silentClients = 600
+	peerClients   = 40
 )
 
-// TestCrowds guards against clients that make a host use more memory or descriptors than
-// it has, or that keep it from serving others, by requests that stop just short of their
-// end.
-func TestCrowds(t *testing.T) {
+// TestMisbehavingClients guards against clients that make a host use more memory or
+// descriptors than it has, or that keep it from serving others, by requests that stop just
+// short of their end.
+func TestMisbehavingClients(t *testing.T) {
 	const (
 		pieceBytes = 4 << 10
 		largeChunk = 32 << 10
@@ -120,34 +120,34 @@
 		each  int
 		kinds []client
 	}{
-		{"WholeBodies", bodyCrowd, []client{wholeBody(0)}},
-		{"BodiesPieceByPiece", bodyCrowd, []client{wholeBody(pieceBytes)}},
-		{"LargeChunks", bodyCrowd, []client{chunkedBody(largeChunk)}},
-		{"SmallChunks", bodyCrowd, []client{chunkedBody(smallChunk)}},
-		{"LongHeaders", headerCrowd, []client{longHeader}},
-		{"EndlessHeaders", headerCrowd, []client{endlessHeader}},
-		{"EmptyLines", linesCrowd, []client{emptyLines}},
-		{"SilentConnections", silentCrowd, []client{silent}},
-		{"BodiesAndHeaders", mixedCrowd, []client{wholeBody(0), endlessHeader}},
-		{"ChunksAndLines", mixedCrowd, []client{chunkedBody(largeChunk), emptyLines}},
+		{"WholeBodies", bodyClients, []client{wholeBody(0)}},
+		{"BodiesPieceByPiece", bodyClients, []client{wholeBody(pieceBytes)}},
+		{"LargeChunks", bodyClients, []client{chunkedBody(largeChunk)}},
+		{"SmallChunks", bodyClients, []client{chunkedBody(smallChunk)}},
+		{"LongHeaders", headerClients, []client{longHeader}},
+		{"EndlessHeaders", headerClients, []client{endlessHeader}},
+		{"EmptyLines", linesClients, []client{emptyLines}},
+		{"SilentConnections", silentClients, []client{silent}},
+		{"BodiesAndHeaders", mixedClients, []client{wholeBody(0), endlessHeader}},
+		{"ChunksAndLines", mixedClients, []client{chunkedBody(largeChunk), emptyLines}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newSite(t, 2)
-			s.checkCrowd(s.other(), test.each, test.kinds...)
+			s.checkClients(s.other(), test.each, test.kinds...)
 		})
 	}
 }
 
-// TestCrowdsAtTheOwner guards against crowds that exhaust the host that owns the cell,
+// TestMisbehavingClientsAtTheOwner guards against clients that exhaust the host that owns the cell,
 // whose memory also holds the cell.
-func TestCrowdsAtTheOwner(t *testing.T) {
+func TestMisbehavingClientsAtTheOwner(t *testing.T) {
 	t.Run("WholeBodies", func(t *testing.T) {
 		s := newSite(t, 1)
-		s.checkCrowd(s.owner(), bodyCrowd, wholeBody(0))
+		s.checkClients(s.owner(), bodyClients, wholeBody(0))
 	})
 	t.Run("BodiesAndHeaders", func(t *testing.T) {
 		s := newSite(t, 1)
-		s.checkCrowd(s.owner(), mixedCrowd, wholeBody(0), endlessHeader)
+		s.checkClients(s.owner(), mixedClients, wholeBody(0), endlessHeader)
 	})
 }
 
@@ -171,14 +171,14 @@
 			if status := submit(s.owner(), "00000000000000ff", encodeJob(test.steps)); status != http.StatusOK {
 				t.Errorf("a single large job gets status %d", status)
 			}
-			s.checkCrowd(s.owner(), test.jobs, validJob(test.steps))
+			s.checkClients(s.owner(), test.jobs, validJob(test.steps))
 		})
 	}
 }
 
-// TestCrowdsAtOtherAddresses guards against programs that send too much to the addresses
+// TestMisbehavingClientsAtOtherAddresses guards against programs that send too much to the addresses
 // for the balancer, for readers of metrics and for other hosts.
-func TestCrowdsAtOtherAddresses(t *testing.T) {
+func TestMisbehavingClientsAtOtherAddresses(t *testing.T) {
 	health := func(h *hostProcess) netip.AddrPort { return h.health }
 	metrics := func(h *hostProcess) netip.AddrPort { return h.metrics }
 	peer := func(h *hostProcess) netip.AddrPort { return h.peer }
@@ -188,18 +188,18 @@
 		each int
 		send client
 	}{
-		{"HeadersToHealth", health, headerCrowd, endlessHeader},
-		{"SilentToHealth", health, silentCrowd, silent},
-		{"HeadersToMetrics", metrics, headerCrowd, endlessHeader},
-		{"SilentToMetrics", metrics, silentCrowd, silent},
-		{"CallsToPeer", peer, peerCrowd, peerCall},
-		{"SilentToPeer", peer, silentCrowd, silent},
-		{"HellosToPeer", peer, silentCrowd, helloOnly},
+		{"HeadersToHealth", health, headerClients, endlessHeader},
+		{"SilentToHealth", health, silentClients, silent},
+		{"HeadersToMetrics", metrics, headerClients, endlessHeader},
+		{"SilentToMetrics", metrics, silentClients, silent},
+		{"CallsToPeer", peer, peerClients, peerCall},
+		{"SilentToPeer", peer, silentClients, silent},
+		{"HellosToPeer", peer, silentClients, helloOnly},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newSite(t, 2)
 			h := s.owner()
-			s.checkCrowdAt(h, test.addr(h), test.each, test.send)
+			s.checkClientsAt(h, test.addr(h), test.each, test.send)
 			s.await("the host is ready", func() bool { return s.ready(h) })
 		})
 	}
