--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -40,6 +41,11 @@
 	// maxBrokenCalls is the same number for calls that fail in another way. A store
 	// that breaks connections does so for all hosts, and seldom breaks all of them.
 	maxBrokenCalls = 24
+	// shortPage is the number of rows of a page after one was too long to be read, and
+	// shorterPages the factor by which it falls if that is too long again. A page of the
+	// store has 500 rows, and the row of a large job up to 0.5 MB in a response.
+	shortPage    = 64
+	shorterPages = 8
 )
 
 // readLimiter limits the concurrency of a group of reads, and derives their hedge
@@ -114,6 +120,13 @@
 	var out tableRows
 	for {
 		snapshot, err := o.hedgedRead(ctx, r, limiter)
+		if errors.Is(err, rowstore.ErrTooLong) && r.Limit != 1 {
+			if r.Limit /= shorterPages; r.Limit == 0 {
+				r.Limit = shortPage
+			}
+			o.log.Warn("a page of rows is too long", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Int("NextRows", r.Limit))
+			continue
+		}
 		if err != nil {
 			return tableRows{}, err
 		}
@@ -165,7 +178,8 @@
 			} else {
 				broken++
 			}
-			if rejected == maxRejectedCalls || broken == maxBrokenCalls || ctx.Err() != nil {
+			tooLong := errors.Is(outcome.err, rowstore.ErrTooLong)
+			if rejected == maxRejectedCalls || broken == maxBrokenCalls || ctx.Err() != nil || tooLong {
 				return rowstore.Snapshot{}, outcome.err
 			}
 			o.log.Debug("a read of the store failed", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Error(outcome.err))
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -27,6 +27,12 @@
 	activity *activity
 	// serving counts the calls of the peer that are being served.
 	serving atomic.Int32
+	// inbound is the entry of a connection that the other host has opened, or nil.
+	inbound *inboundConn
+	// reading has the bytes that are reserved for the frame that readLoop reads.
+	reading int64
+	// progressAt is when the progress of an inbound connection was last recorded.
+	progressAt time.Time
 
 	// wake holds an element after a frame was queued or the connection was closed.
 	wake chan struct{}
@@ -102,21 +108,24 @@
 	defer c.close()
 	for {
 		var e envelope
-		size, err := readFrame(r, MaxFrame, &e)
+		size, reserved, err := c.nextFrame(r, &e)
 		if err != nil {
 			return
 		}
 		c.transport.count(c.remote, directionIn, e.Kind, size)
 		if e.Answer {
 			c.deliver(e)
+			c.transport.inbound.release(reserved)
 			continue
 		}
 		if e.Kind == kindHeartbeat {
 			c.answer(envelope{Call: e.Call, Answer: true, Kind: kindHeartbeat})
+			c.transport.inbound.release(reserved)
 			continue
 		}
 		if c.transport.immediate[e.Kind] {
 			c.serve(ctx, e)
+			c.transport.inbound.release(reserved)
 			continue
 		}
 		select {
@@ -125,9 +134,11 @@
 			c.transport.background.Go(func() {
 				defer func() { <-c.transport.serving }()
 				defer c.serving.Add(-1)
+				defer c.transport.inbound.release(reserved)
 				c.serve(ctx, e)
 			})
 		default:
+			c.transport.inbound.release(reserved)
 			c.answer(refusal(e, ErrBusy))
 		}
 	}
@@ -270,6 +281,7 @@
 		close(call.answer)
 		delete(c.calls, number)
 	}
+	c.transport.inbound.answered(answerBytes(c.queue))
 	c.queue, c.queuedBytes = nil, 0
 	c.wakeWriter()
 	_ = c.raw.Close()
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -72,7 +72,7 @@
 		values := map[string]any{
 			"node_name": "h-1", "region": "r", "zone": "z", "listen.control": "10.0.0.1:1", "listen.frontend": "10.0.0.1:2",
 			"listen.readiness": "10.0.0.1:3", "seeds": []string{"10.0.0.2:1"}, "ip": "10.0.0.1", "platform.addr": "10.0.0.9:1",
-			"limits.memory_mb": 184, "limits.cpu_share": 0.192, "limits.link_mbps": 10, "bounds.fencing_enforced": true,
+			"limits.memory_mb": 184, "limits.max_fds": 4100, "limits.cpu_share": 0.192, "limits.link_mbps": 10, "bounds.fencing_enforced": true,
 			"bounds.hold_max_ms": 6000, "bounds.grace_s": 6, "bounds.status_s": 120,
 		}
 		for k, v := range c.bounds {
