--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -48,6 +48,7 @@
 		}
 	}
 	w.drawDeadly(&a.Job)
+	w.drawAccount(&a)
 	w.jobs = append(w.jobs, a)
 	for _, o := range w.owners {
 		// A replaced owner may not learn of new jobs.
--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -24,6 +24,8 @@
 	ends    map[cell.WorkerID]int64
 	// running has the runs that each worker reports.
 	running map[cell.WorkerID][]cell.Running
+	// account has the terms of the account of the jobs that are accepted next.
+	account manifest.Terms
 }
 
 // waitReason is why the steps of a backlog wait.
@@ -103,7 +105,9 @@
 }
 
 func (b *backlog) accept(id workload.JobID, queue string, step workload.Step) {
-	b.cell.Accept(b.now, cell.AcceptedJob{Job: workload.Job{ID: id, Queue: queue, Spec: "spec", Steps: []workload.Step{step}}})
+	b.cell.Accept(b.now, cell.AcceptedJob{
+		Job: workload.Job{ID: id, Queue: queue, Spec: "spec", Steps: []workload.Step{step}}, Account: b.account,
+	})
 }
 
 // acceptBacklog submits the waiting steps, and returns the questions asked for
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/account"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -121,6 +122,14 @@
 	// fewer, or more workers in total.
 	isolatedWorkers   int
 	awaitingIsolation map[workload.StepID]*stepState
+	// books has what the accounts of the jobs have in use, and capWaits what waits for
+	// their caps, by account.
+	books    *account.Books
+	capWaits map[string]*capWaits
+	// capWaitsLoggedAt is when the latter was last logged.
+	capWaitsLoggedAt time.Time
+	// workersWithUnsized counts the workers that report tasks of unknown jobs.
+	workersWithUnsized int
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[workload.JobID]*jobState
 	// openSteps holds the steps that have tasks to place.
@@ -184,6 +193,7 @@
 		startsAccepted:  make(map[string]acceptedStarts),
 		urgentQuestions: newQuestionLimiter(urgentPerHost), longQuestions: newQuestionLimiter(1), allowedShares: make(map[string]float64), waves: make(map[int]*waveState),
 		waveRecords: make(map[int]WaveRecord), earlyStarts: newEarlyStartState(),
+		books: account.NewBooks(), capWaits: make(map[string]*capWaits),
 		estimates: make(map[string]*estimateStats), dispatch: dispatchQueue{limit: unlimitedStarts},
 	}
 	c.usableNow = newUsableWorkers(c)
@@ -196,6 +206,7 @@
 		return
 	}
 	c.manifest = m
+	c.books.SetTerms(m.Accounts)
 	c.queues = make(map[string]*manifest.Queue, len(m.Queues))
 	for i := range m.Queues {
 		q := &m.Queues[i]
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -209,6 +209,7 @@
 // crashed under the task before, a successor has to know that too.
 func (c *Cell) markAccepted(r *run) {
 	r.phase = runStarted
+	chargeSent(r)
 	c.countAccepted(r)
 	if r.task.mayHaveCrashedWorkers() {
 		c.recordChanged(r.task.step.job)
--- a/internal/cell/demand.go
+++ b/internal/cell/demand.go
@@ -143,20 +143,20 @@
 			d.targets[q.Priority] = q.TargetLatency
 		}
 	}
-	for _, s := range c.openSteps {
+	c.waitingWithinCaps(func(s *stepState, tasks int) {
 		d, known := out[c.queueOf(s.job).Service]
 		if !known {
-			continue // no new jobs can be submitted for it
+			return // no new jobs can be submitted for it
 		}
 		class := s.key.rank.class
 		if s.spec.LongRunning {
 			class = classLongRunning
 		}
 		work := d.waiting[class]
-		work.tasks += s.waiting
-		work.milliCores += int64(s.waiting) * s.spec.Reserved().MilliCores
+		work.tasks += tasks
+		work.milliCores += int64(tasks) * s.spec.Reserved().MilliCores
 		d.waiting[class] = work
-	}
+	})
 	return out
 }
 
--- a/internal/cell/dispatch.go
+++ b/internal/cell/dispatch.go
@@ -137,7 +137,7 @@
 		case !c.maySend(now, r):
 			// The record is being written and queues the run again once
 			// durable.
-		case r.task.step.job.state.Final() || !c.usable(now, r.worker) || !c.stillFits(r) || !c.renewTicket(now, r):
+		case r.task.step.job.state.Final() || !c.usable(now, r.worker) || !c.stillFits(r) || c.exceedsCap(r) || !c.renewTicket(now, r):
 			c.release(now, r, EndStopped)
 		default:
 			if c.dispatch.limit != unlimitedStarts {
--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -78,6 +78,7 @@
 	for _, id := range c.undurableWorkers() {
 		named[id] = true
 	}
+	c.addWorkersWithUnknownUse(named)
 	if c.HasRecords() {
 		// The row is committed together with some records, but not with all of
 		// them.
@@ -266,6 +267,7 @@
 	need := step.spec.Reserved()
 	u.worker.reserved = u.worker.reserved.Add(need)
 	u.worker.unknownReserved = u.worker.unknownReserved.Sub(need)
+	c.adoptCharge(r)
 	c.recordChanged(step.job)
 	c.markStarted(step.job)
 	r.revision = step.job.revision
--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -20,6 +20,8 @@
 	// freedWorkers holds the workers that may have gained free capacity since
 	// the last decision.
 	freedWorkers []*worker
+	// freedAccounts has what waits for the caps of accounts whose use has fallen.
+	freedAccounts []*capWaits
 	// timers holds when steps are due to be evaluated, in order of time.
 	timers []stepTimer
 	// sweepCursor is the key of the last step that a sweep reached.
@@ -104,12 +106,15 @@
 	for _, l := range c.allowedStepLists(s) {
 		out = append(out, l)
 	}
+	if waits := c.capWaitsOf(s); waits != nil {
+		out = append(out, &waits.steps)
+	}
 	return out
 }
 
 // markStep marks a step for evaluation by the next decision.
 func (c *Cell) markStep(s *stepState) {
-	if s.open {
+	if s.open && !c.holdBack(s) {
 		c.evalQueue.pending.add(s)
 		c.placementPending = true
 	}
@@ -118,7 +123,7 @@
 // markAllSteps marks all open steps for evaluation by the next decisions.
 func (c *Cell) markAllSteps() {
 	for _, s := range c.evalQueue.all.steps {
-		c.evalQueue.pending.add(s)
+		c.markStep(s)
 	}
 	c.placementPending = true
 }
@@ -178,7 +183,7 @@
 	for due < len(c.evalQueue.timers) && !now.Before(c.evalQueue.timers[due].at) {
 		if s := c.evalQueue.timers[due].step; s.open {
 			c.rerank(now, s)
-			c.evalQueue.pending.add(s)
+			c.markStep(s)
 		}
 		due++
 	}
--- a/internal/cell/evalqueue_test.go
+++ b/internal/cell/evalqueue_test.go
@@ -29,7 +29,11 @@
 func checkAdvisedBacklog(t *rapid.T, unswept bool) {
 	p := &advisedBacklog{backlog: newBacklog(t, 6, 0, whyUnanswered), t: t, unswept: unswept}
 	p.cell.SetAdviceHosts(3)
-	t.Repeat(map[string]func(*rapid.T){
+	t.Repeat(p.actions())
+}
+
+func (p *advisedBacklog) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
 		"submit":  func(*rapid.T) { p.submit() },
 		"answer":  func(*rapid.T) { p.answerOne() },
 		"answer2": func(*rapid.T) { p.answerOne() },
@@ -37,7 +41,7 @@
 		"end2":    func(*rapid.T) { p.endOne() },
 		"tick":    func(*rapid.T) { p.tick() },
 		"":        func(*rapid.T) { p.check() },
-	})
+	}
 }
 
 // advisedBacklog is a cell whose questions are answered in random order.
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -32,6 +32,9 @@
 // Forget removes jobs whose rows have been deleted.
 func (c *Cell) Forget(ids []workload.JobID) {
 	for _, id := range ids {
+		if j, known := c.jobs[id]; known {
+			c.books.Leave(j.member)
+		}
 		delete(c.jobs, id)
 	}
 }
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -68,7 +68,7 @@
 		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.usableAtTick })
 	}
 	for _, s := range c.openSteps {
-		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, s.class) {
+		if s.spec.Gang || c.awaitsOthers(now, s) || c.dispatch.full(now, s.class) {
 			continue
 		}
 		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtTick })
--- a/internal/cell/isolate.go
+++ b/internal/cell/isolate.go
@@ -80,7 +80,7 @@
 // suspect should wait.
 func (c *Cell) workerForSuspect(now time.Time, t *task, eligible []*worker) *worker {
 	waited := now.Sub(t.waitingSince)
-	if t.awaitsLostRun(waited) {
+	if t.awaitsLostRun(waited) || t.step.blockedByCap() {
 		return nil
 	}
 	avoid := t.avoidWorker
@@ -116,7 +116,7 @@
 // those of other steps.
 func (c *Cell) adviceDemand(now time.Time, s *stepState, q *manifest.Queue) (tasks int, idleOnly bool) {
 	if s.spec.Gang {
-		return s.waiting, false
+		return s.withinCap(job.Size{}), false
 	}
 	isolated, blocked := 0, 0
 	for _, t := range s.tasks {
@@ -137,7 +137,7 @@
 		}
 	}
 	tasks = s.waiting - blocked
-	return tasks, tasks > 0 && tasks == isolated
+	return min(tasks, s.withinCap(job.Size{})), tasks > 0 && tasks == isolated
 }
 
 // saferFor reports whether a crash on the worker would cost less than one on
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/account"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -35,6 +36,12 @@
 	// cause tells why the job has failed.
 	cause      workload.Cause
 	acceptedAt time.Time
+	// account has the terms of the job's account at the time of acceptance.
+	account manifest.Terms
+	// member is the membership in the account; nil without one.
+	member *account.Member
+	// arrival is the virtual arrival time, which is acceptedAt without an account.
+	arrival time.Time
 	// leftPending is set once the job no longer counts as pending: a worker has
 	// accepted a start of one of its tasks, or the job has ended.
 	leftPending bool
@@ -154,6 +161,8 @@
 	// acceptedOnRecord is set if a predecessor recorded that the worker had
 	// accepted the start.
 	acceptedOnRecord bool
+	// unsent is set until the start is sent.
+	unsent bool
 	// queued is set while the start is in the dispatch queue, and early if it
 	// need not wait for its record.
 	queued   bool
@@ -212,7 +221,9 @@
 	}
 	j := &jobState{
 		job: &a.Job, acceptedQueue: a.Queue, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
+		account: a.Account,
 	}
+	c.joinAccount(j)
 	c.resolveQueue(j)
 	c.jobs[a.Job.ID] = j
 	c.pending[a.Job.Queue]++
--- a/internal/cell/offer.go
+++ b/internal/cell/offer.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/job"
 )
 
 // capacityFreed records that a worker may have more free capacity than at the
@@ -52,7 +54,11 @@
 		if s.evaluatedIn == c.evalQueue.round || !c.canHost(w, s) {
 			continue
 		}
-		tasks := min(s.capacityIn(w, unclaimed), int64(s.waiting))
+		if s.blockedByCap() {
+			c.waitForCap(s)
+			continue
+		}
+		tasks := min(s.capacityIn(w, unclaimed), int64(s.withinCap(job.Size{})))
 		if tasks == 0 {
 			passedOver = true
 			continue
@@ -76,7 +82,7 @@
 // offered. Otherwise it may have to ask for advice first, may find too little
 // capacity for a whole gang, may avoid the worker, or waits for the dispatch queue.
 func (c *Cell) certainToPlace(now time.Time, w *worker, s *stepState) bool {
-	if c.queueOf(s.job).Advice.Needed() && !s.advice.hasTicket(now, w) || s.spec.Gang || c.awaitingWorkers() || len(c.earlyStarts.unrecorded) > 0 || c.dispatch.full(now, s.class) {
+	if c.queueOf(s.job).Advice.Needed() && !s.advice.hasTicket(now, w) || s.spec.Gang || c.awaitingWorkers() || s.job.member.Limited() && c.mayHaveJobsOfPredecessor(now) || len(c.earlyStarts.unrecorded) > 0 || c.dispatch.full(now, s.class) {
 		return false
 	}
 	for _, t := range s.tasks {
--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -28,6 +28,7 @@
 		w.fail("task %s starts although its success was acknowledged", a.Task)
 	}
 	w.checkConstraints(s, step, a)
+	w.checkCap(a)
 	for _, dep := range step.After {
 		w.checkDone(a.Task, dep)
 	}
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -16,6 +16,8 @@
 	Settling bool
 	Workers  []WorkerView
 	Waves    []WaveView
+	// Accounts has the client accounts; it is empty without any.
+	Accounts []AccountView
 }
 
 // WorkerState tells whether a worker gets starts, and if not, why.
@@ -101,7 +103,7 @@
 
 // Overview returns the state of the cell for an operator.
 func (c *Cell) Overview(now time.Time) Overview {
-	out := Overview{Backlog: c.Backlog(now), Settling: c.awaitingWorkers()}
+	out := Overview{Backlog: c.Backlog(now), Settling: c.awaitingWorkers(), Accounts: c.Accounts(now)}
 	if c.manifest != nil {
 		out.Manifest = c.manifest.Version
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -22,11 +22,16 @@
 	c.evalQueue.round++
 	c.usableNow.begin(now)
 	c.offerFreedWorkers(now)
-	for range maxEvaluations {
+	c.offerFreedAccounts()
+	for evaluated := 0; evaluated < maxEvaluations; {
 		s := c.nextStep(now)
 		if s == nil {
 			break
 		}
+		if c.holdBack(s) {
+			continue // steps before it have used the room under the cap
+		}
+		evaluated++
 		c.stepsEvaluated++
 		s.evaluatedIn = c.evalQueue.round
 		c.placeStep(now, s, &c.usableNow)
@@ -44,6 +49,7 @@
 		return s
 	}
 	c.offerFreedWorkers(now)
+	c.offerFreedAccounts()
 	if s := c.evalQueue.pending.popFirst(&mayPlace); s != nil {
 		return s
 	}
@@ -69,7 +75,7 @@
 
 // hasNextStep reports whether there is a step to evaluate.
 func (c *Cell) hasNextStep() bool {
-	return c.evalQueue.pending.len() > 0 || len(c.evalQueue.freedWorkers) > 0 || c.urgentQuestions.ready() || c.longQuestions.ready()
+	return c.evalQueue.pending.len() > 0 || len(c.evalQueue.freedWorkers) > 0 || len(c.evalQueue.freedAccounts) > 0 || c.urgentQuestions.ready() || c.longQuestions.ready()
 }
 
 // placeStep places as many tasks of a step as possible.
@@ -77,7 +83,8 @@
 	c.urgentQuestions.waiting.remove(s)
 	c.longQuestions.waiting.remove(s)
 	c.evalQueue.unplaceable.remove(s)
-	if c.awaitingWorkers() && !s.spec.Gang && !s.spec.LongRunning {
+	c.stopWaitingForCap(s)
+	if c.awaitsOthers(now, s) {
 		return
 	}
 	if c.failIfExhausted(now, s) {
@@ -99,6 +106,8 @@
 	case s.waiting == 0:
 	case c.dispatch.full(now, s.class):
 		c.markStep(s)
+	case s.blockedByCap():
+		c.waitForCap(s)
 	default:
 		c.requestWorkers(now, s, q, usable)
 		c.preempt(now, s, eligible)
@@ -160,7 +169,7 @@
 		if t.phase != phaseWaiting || c.earlyStarts.unrecorded[t.id] != nil {
 			continue
 		}
-		if c.dispatch.full(now, s.class) {
+		if c.dispatch.full(now, s.class) || s.blockedByCap() {
 			break
 		}
 		w := c.workerFor(now, t, eligible)
@@ -195,6 +204,9 @@
 
 // placeGang places all tasks of a gang or none.
 func (c *Cell) placeGang(now time.Time, s *stepState, eligible []*worker) {
+	if s.blockedByCap() {
+		return
+	}
 	number := 0
 	s.rack = ""
 	for _, t := range s.tasks {
@@ -231,6 +243,9 @@
 
 // choose returns the best worker for one more task of a step, or nil.
 func (c *Cell) choose(now time.Time, s *stepState, eligible []*worker, exclude WorkerID) *worker {
+	if s.blockedByCap() {
+		return nil
+	}
 	var best *worker
 	var bestScore float64
 	for _, w := range eligible {
@@ -280,6 +295,7 @@
 	s.preemptedFor = min(s.preemptedFor, s.waiting)
 	w.runs.add(r)
 	w.reserved = w.reserved.Add(s.spec.Reserved())
+	chargePlanned(r)
 	c.recordChanged(s.job)
 	r.revision = s.job.revision
 	s.job.planned = append(s.job.planned, r)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -20,7 +20,7 @@
 	if c.config.Policy.NoPreemption || s.class != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < preemptAfter {
 		return
 	}
-	wanted := s.waiting - s.preemptedFor
+	wanted := s.withinCap(job.Size{}) - s.preemptedFor
 	if suspects := s.waitingSuspects(); suspects > 0 && slices.ContainsFunc(eligible, s.hasRoom) {
 		wanted -= suspects // they wait for a worker that runs nothing
 	}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -199,6 +199,7 @@
 // restoreEnded restores a job that has ended. Runs of it that still exist are
 // stopped as unknown runs when their workers report them.
 func (c *Cell) restoreEnded(now time.Time, j *jobState, rec Record) {
+	c.inheritEnded(now, j, rec)
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
 			c.closeStep(s)
@@ -260,4 +261,5 @@
 	t.step.waiting--
 	w.runs.add(r)
 	w.reserved = w.reserved.Add(t.step.spec.Reserved())
+	t.step.job.member.Add(t.step.spec.Size)
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -101,6 +101,9 @@
 	listed := make(map[workload.TaskID]int, len(report.Running))
 	reservedBefore, unsizedBefore := w.unknownReserved, w.unsizedRuns
 	w.unknownReserved, w.unsizedRuns = job.Size{}, 0
+	useBefore := w.unknownUse
+	w.unknownUse = nil
+	c.setUnsizedTasks(w, nil)
 	for i := range report.Running {
 		e := &report.Running[i]
 		listed[e.Task] = e.Run
@@ -112,6 +115,7 @@
 		delete(w.unknownRuns, e.Task)
 		c.updateProgress(now, r, e)
 	}
+	c.dischargeUnknown(useBefore)
 	c.dropUnrecorded(w, listed)
 	w.forgetUnknownRuns(listed)
 	if w.unknownReserved != reservedBefore || w.unsizedRuns != unsizedBefore {
@@ -248,6 +252,7 @@
 		r.noteNotStarted()
 	}
 	r.worker.reserved = r.worker.reserved.Sub(s.spec.Reserved())
+	c.discharge(r)
 	c.preemptedReleased(r, s.spec.Reserved())
 	if r.worker.isolated == r {
 		c.endIsolation(r.worker)
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -44,6 +44,8 @@
 	unfenced bool
 	// authorized is set while commits confirm that the owner owns the cell.
 	authorized bool
+	// account is the account of the job that is accepted next.
+	account string
 	// waits holds the log lines about long-running tasks that are not at work.
 	waits *observer.ObservedLogs
 }
@@ -118,6 +120,7 @@
 	case "malformed-entry":
 		s.cell.RejectEntry(s.now, cell.WorkerID(first(0)))
 	case "job":
+		s.account = arg("account")
 		s.accept(t, first(0), first(1), d.Input)
 	case "cancel":
 		s.cell.Cancel(s.now, workload.JobID(first(0)))
@@ -184,6 +187,10 @@
 	case "limit":
 		s.cell.LimitStarts(parseInt(t, first(0)))
 	case "take":
+	case "account":
+		s.setAccount(t, first(0), arg, flag)
+	case "accounts":
+		return s.accounts()
 	default:
 		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
 	}
@@ -209,7 +216,7 @@
 // "tasks=2".
 func (s *script) accept(t *testing.T, id, queue, input string) {
 	q := slices.IndexFunc(s.manifest.Queues, func(q manifest.Queue) bool { return q.Name == queue })
-	a := cell.AcceptedJob{Job: workload.Job{ID: workload.JobID(id), Queue: queue, Spec: "spec"}, Queue: s.manifest.Queues[q]}
+	a := cell.AcceptedJob{Job: workload.Job{ID: workload.JobID(id), Queue: queue, Spec: "spec"}, Queue: s.manifest.Queues[q], Account: s.terms(t)}
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
 		step := workload.Step{
 			Tasks: 1, Size: job.Size{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second,
--- a/internal/cell/simcapacity_test.go
+++ b/internal/cell/simcapacity_test.go
@@ -31,6 +31,8 @@
 	told job.Size
 	// change is the index of the worker's actual capacity at that time.
 	change int
+	// underCap is what is known of the caps.
+	underCap sentUnderCap
 }
 
 // capacityNotice is the longest time from a change of a worker's capacity until
@@ -63,7 +65,7 @@
 // noteSent records what an owner knows when it sends a start.
 func (w *simulation) noteSent(o *simOwner, a *cell.SendStart) {
 	s := w.worker(a.Worker)
-	w.sent[a] = sentStart{told: w.told(s, o.epoch), change: len(s.capacity.changes) - 1}
+	w.sent[a] = sentStart{told: w.told(s, o.epoch), change: len(s.capacity.changes) - 1, underCap: w.noteSentUnderCap(o)}
 }
 
 // capacityLimit returns the capacity that a start may fill: what its owner was
@@ -132,8 +134,9 @@
 	}
 }
 
-// growAll gives all workers their full capacity back.
+// growAll gives all workers their full capacity back, and removes all caps.
 func (w *simulation) growAll() {
+	w.liftCaps()
 	for _, s := range w.live() {
 		w.setCapacity(s, workerCapacity)
 		s.capacity.entry = workerCapacity
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -78,6 +78,8 @@
 	failed map[workload.TaskID]map[int]bool
 	// crashes holds what has crashed, and what crashes its worker.
 	crashes simCrashes
+	// accounts holds the client accounts; nil without any.
+	accounts *simAccounts
 	// sent holds what was known when each start was sent.
 	sent map[*cell.SendStart]sentStart
 	// missed describes the last steps that a decision missed.
@@ -273,7 +275,7 @@
 	config := simConfig()
 	config.Unfenced = w.unfenced
 	o := &simOwner{epoch: w.epoch, cell: cell.New(w.now, config, nopObserver{}, zap.NewNop())}
-	o.cell.SetManifest(w.manifest)
+	w.tellManifest(o)
 	o.cell.SetPredecessorIdle(w.now.Sub(w.writtenAt))
 	if w.omit != omitEarlyStart {
 		o.cell.RestoreEarlyStartWorkers(w.storeEarlyStartWorkers)
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -26,6 +26,7 @@
 
 func (c *Cell) sendStart(now time.Time, r *run) {
 	r.phase = runSent
+	chargeSent(r)
 	if r.revision > r.task.step.job.durable {
 		c.earlyStarts.undurable = append(c.earlyStarts.undurable, r)
 	}
@@ -159,6 +160,7 @@
 	c.tickState(now)
 	c.sweep()
 	c.logLongWaits(now)
+	c.logCapWaits(now)
 }
 
 // tickState does the periodic work that changes the state of jobs and workers.
@@ -178,6 +180,7 @@
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
+	c.tickUnknownUse(now, w)
 	if (w.runs.len() > 0 || c.earlyStarts.awaited[w.id]) && c.superseded(now, w) {
 		c.workerCrashed(now, w)
 		return
--- a/internal/cell/unknownrun.go
+++ b/internal/cell/unknownrun.go
@@ -71,7 +71,9 @@
 func (c *Cell) reserveForUnknownRun(w *worker, id workload.TaskID) {
 	if j, known := c.jobs[id.Job]; known && id.Step < len(j.job.Steps) {
 		w.unknownReserved = w.unknownReserved.Add(j.job.Steps[id.Step].Reserved())
+		w.chargeUnknown(id, j)
 		return
 	}
 	w.unsizedRuns++
+	c.setUnsizedTasks(w, append(w.unsizedTasks, id))
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -64,6 +64,10 @@
 	// Their size is unknown, so they are assumed to occupy the whole worker,
 	// whatever its capacity is at the time.
 	unsizedRuns int
+	// unknownUse has what the unknown runs of known jobs hold of their accounts, and
+	// unsizedTasks the tasks of unsizedRuns.
+	unknownUse   unknownUse
+	unsizedTasks []workload.TaskID
 	// unknownRuns holds the unknown runs that the last report listed and that a
 	// successor may have started.
 	unknownRuns map[workload.TaskID]unknownRun
@@ -365,6 +369,7 @@
 		gone := !w.listed && w.runs.len() == 0 && !c.earlyStarts.awaited[w.id] && now.Sub(w.lastReport) > c.config.MaxLease
 		if gone {
 			c.removeFromMachine(w)
+			c.forgetUnknownUse(w)
 			delete(c.workers, w.id)
 		}
 		return gone
