--- /dev/null
+++ b/internal/host/accountlimits.go
@@ -0,0 +1,35 @@
+package host
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"cicadabarrow.example/cicadabarrow/internal/account"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// checkCap returns a KindInvalid error if a task or a gang of a job never fits under the
+// cap of its account. The job may have been accepted before the cap was lowered; then it
+// returns errRepeated.
+func (h *Host) checkCap(ctx context.Context, queue *manifest.Queue, terms manifest.Terms, job *workload.Job) error {
+	tooLarge := account.CanFit(terms, job)
+	if tooLarge == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, repeatLookupTimeout)
+	defer cancel()
+	found, err := h.intake.Find(ctx, job.ID)
+	switch {
+	case err != nil:
+		return fault.New("submit", KindUnknown, "%w", err)
+	case found.BelongsTo(queue.Name):
+		return errRepeated
+	}
+	h.scope.Counter("jobs_above_cap").Inc(1)
+	h.log.Info("job refused, since it never fits under the cap of its account", zap.String("Job", string(job.ID)),
+		zap.String("Account", terms.Name), zap.Any("Cap", terms.Cap), zap.Uint64("Manifest", h.manifestVersion()), zap.Error(tooLarge))
+	return fault.New("submit", KindInvalid, "%w", tooLarge)
+}
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -23,14 +23,19 @@
 	if err := job.Check(); err != nil {
 		return fault.New("submit", KindInvalid, "%w", err)
 	}
-	switch err := h.checkAdmission(ctx, queue, &job); {
+	var terms manifest.Terms // TODO(merge of keys): the account of the call, which becomes AcceptedJob.Account
+	err := h.checkCap(ctx, queue, terms, &job)
+	if err == nil {
+		err = h.checkAdmission(ctx, queue, &job)
+	}
+	switch {
 	case errors.Is(err, errRepeated):
 		return nil
 	case err != nil:
 		return err
 	}
-	accepted := cell.AcceptedJob{Job: job, Queue: *queue}
-	err := h.hedge(ctx,
+	accepted := cell.AcceptedJob{Job: job, Queue: *queue, Account: terms}
+	err = h.hedge(ctx,
 		func(ctx context.Context) error { return h.intake.Submit(ctx, accepted) },
 		func(ctx context.Context) error { return h.relaySubmit(ctx, accepted) })
 	if err != nil {
