--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -70,10 +70,27 @@
 		decide(Job{Service: s.Service, LongRunning: true}, s.LongRunning, longRunningWait)
 	}
 	out.addCommon(load)
+	l.addExcess(now, load, &out)
 	l.last = now
 	return out
 }
 
+// addExcess has jobs of accounts in excess refused for the services that are short of
+// capacity for them.
+func (l *Limiter) addExcess(now time.Time, load Load, out *Decision) {
+	if len(load.InExcess) == 0 {
+		return
+	}
+	for _, s := range load.Services {
+		if wait, _ := l.wait(now, load, s.Service, s.Excess); wait > minWait {
+			out.Short = append(out.Short, ServiceShortage{Service: s.Service, Wait: wait})
+		}
+	}
+	if len(out.Short) > 0 {
+		out.InExcess = load.InExcess
+	}
+}
+
 // Rate returns the number of starts a second that the owner has shown while starts
 // waited to be sent; 0 if it is unknown.
 func (l *Limiter) Rate(now time.Time) float64 { return l.starts.rate(now) }
--- a/internal/admission/admissionwire/admissionwire.go
+++ b/internal/admission/admissionwire/admissionwire.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/account"
 	"cicadabarrow.example/cicadabarrow/internal/admission"
 )
 
@@ -25,6 +26,53 @@
 	RetryAfter  time.Duration `msgpack:"retry"`
 }
 
+// Excess is the msgpack form of the part of a decision that concerns accounts in excess.
+// It is left out without any.
+type Excess struct {
+	Short    []ServiceShortage `msgpack:"short"`
+	Accounts []AccountExcess   `msgpack:"accounts"`
+}
+
+// ServiceShortage is the msgpack form of an admission.ServiceShortage.
+type ServiceShortage struct {
+	Service string        `msgpack:"service"`
+	Wait    time.Duration `msgpack:"wait"`
+}
+
+// AccountExcess is the msgpack form of an account.Excess.
+type AccountExcess struct {
+	Name string        `msgpack:"name"`
+	For  time.Duration `msgpack:"for"`
+}
+
+// EncodeExcess converts what concerns accounts in excess. It returns nil if nothing does.
+func EncodeExcess(d admission.Decision) *Excess {
+	if len(d.Short) == 0 {
+		return nil
+	}
+	out := new(Excess)
+	for _, s := range d.Short {
+		out.Short = append(out.Short, ServiceShortage{Service: s.Service, Wait: s.Wait})
+	}
+	for _, e := range d.InExcess {
+		out.Accounts = append(out.Accounts, AccountExcess{Name: e.Name, For: e.For})
+	}
+	return out
+}
+
+// AddExcess adds what concerns accounts in excess to a decision.
+func AddExcess(d *admission.Decision, e *Excess) {
+	if e == nil {
+		return
+	}
+	for _, s := range e.Short {
+		d.Short = append(d.Short, admission.ServiceShortage{Service: s.Service, Wait: s.Wait})
+	}
+	for _, a := range e.Accounts {
+		d.InExcess = append(d.InExcess, account.Excess{Name: a.Name, For: a.For})
+	}
+}
+
 // EncodePriorities converts the refusals that hosts of earlier releases read.
 func EncodePriorities(d admission.Decision) []Refusal {
 	var out []Refusal
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/account"
 )
 
 // Refusal tells that new jobs of the queues of a priority are refused, and after how
@@ -36,6 +38,18 @@
 	// and LongRunning is 0 if these are accepted.
 	Priorities  []Refusal
 	LongRunning time.Duration
+	// Short has the services that are short of capacity for jobs in excess, and InExcess
+	// the accounts whose jobs are in excess. Both are empty unless new jobs of such
+	// accounts are refused.
+	Short    []ServiceShortage
+	InExcess []account.Excess
+}
+
+// ServiceShortage tells after what time a new job in excess would probably be started for
+// the workers of a service.
+type ServiceShortage struct {
+	Service string
+	Wait    time.Duration
 }
 
 // Job is what the answer to a submission depends on.
@@ -46,10 +60,39 @@
 	// Slack is how long the start of the job may wait without a delay beyond its
 	// objective.
 	Slack time.Duration
+	// Account is the name of the job's account; empty without one.
+	Account string
+}
+
+// RefusesExcess returns after how long the rate of a job's account has worked off its
+// excess, and false if the job is not refused for that reason.
+func (d Decision) RefusesExcess(j Job) (time.Duration, bool) {
+	if j.Account == "" {
+		return 0, false
+	}
+	short := slices.IndexFunc(d.Short, func(s ServiceShortage) bool { return s.Service == j.Service })
+	if short < 0 || d.Short[short].Wait <= j.slackInExcess() {
+		return 0, false
+	}
+	at := slices.IndexFunc(d.InExcess, func(e account.Excess) bool { return e.Name == j.Account })
+	if at < 0 {
+		return 0, false
+	}
+	return max(d.InExcess[at].For, minRetryAfter), true
+}
+
+// slackInExcess is how long the start of a job may wait before it is refused for the
+// excess of its account.
+func (j Job) slackInExcess() time.Duration {
+	if j.LongRunning {
+		return max(j.Slack, longRunningWait)
+	}
+	return max(j.Slack, minWait)
 }
 
 // Refuses returns after how long a new job should be submitted again, and false if it
-// is not refused. A job that is started soon enough to meet its objective is not.
+// is not refused. A job that is started soon enough to meet its objective is not. What is
+// refused for the excess of its account is left to RefusesExcess.
 func (d Decision) Refuses(j Job) (time.Duration, bool) {
 	if len(d.Services) == 0 {
 		return d.RetryAfter(j.Priority, j.LongRunning)
@@ -77,7 +120,7 @@
 
 // IsZero reports whether all jobs are accepted.
 func (d Decision) IsZero() bool {
-	return len(d.Services) == 0 && len(d.Priorities) == 0 && d.LongRunning == 0
+	return len(d.Services) == 0 && len(d.Priorities) == 0 && d.LongRunning == 0 && len(d.Short) == 0
 }
 
 // find returns the refusal that concerns jobs for a service.
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/account"
+)
 
 // Load is what an owner knows of its cell at one moment.
 type Load struct {
@@ -14,6 +18,8 @@
 	// the owner's host has too little processor time for its calls. All starts are then
 	// delayed.
 	StartsFail bool
+	// InExcess has the accounts whose next job would be ahead of their rate.
+	InExcess []account.Excess
 	// Services has what waits for the workers of each service.
 	Services []ServiceLoad
 }
@@ -35,6 +41,9 @@
 	Priorities []Demand
 	// LongRunning is the demand before new long-running jobs, whatever their queue.
 	LongRunning Demand
+	// Excess is the demand before new jobs in excess: they go after all others that are
+	// on time. It is set if an account is in excess.
+	Excess Demand
 }
 
 // Demand is the work that goes before that of a new job.
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -148,10 +148,10 @@
 		return false
 	}
 	s.advice.askedAt = now
-	s.advice.limiter = c.limiterFor(q)
+	s.advice.limiter = c.limiterFor(s)
 	s.advice.limiter.acquire(q.Service, last)
 	c.setTimer(now, s, s.advice.answerDeadline(q))
-	c.emit(AskAdvice{Step: s.id, Workers: workers, Urgent: q.Priority == 0, Cost: q.Advice.Cost(len(workers))})
+	c.emit(AskAdvice{Step: s.id, Workers: workers, Urgent: c.asksUrgently(s), Cost: q.Advice.Cost(len(workers))})
 	return true
 }
 
--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -72,7 +72,7 @@
 func (c *Cell) addUnknown(now time.Time, n *candidates, q *manifest.Queue, usable *usableWorkers) (last WorkerID) {
 	s, need := n.step, n.step.spec.Reserved()
 	workers := usable.recent(q.Service)
-	begin := c.limiterFor(q).begin(q.Service, workers)
+	begin := c.limiterFor(s).begin(q.Service, workers)
 	for i := range workers {
 		if n.enough() {
 			break
--- a/internal/cell/caps.go
+++ b/internal/cell/caps.go
@@ -373,7 +373,7 @@
 // reported of it before.
 func (c *Cell) joinAccount(j *jobState) {
 	j.member = c.books.Join(j.account)
-	j.arrival = j.acceptedAt
+	j.arrival = c.arrivalOf(j)
 	c.chargeUnsized(j)
 }
 
--- a/internal/cell/demand.go
+++ b/internal/cell/demand.go
@@ -76,6 +76,9 @@
 	return int(float64(w.tasks) * float64(d.freeMilliCores) / float64(w.milliCores))
 }
 
+// maxNamedAccounts limits the accounts in excess that the owner names to hosts.
+const maxNamedAccounts = 64
+
 // Load returns what decides whether new jobs are accepted.
 func (c *Cell) Load(now time.Time) admission.Load {
 	out := admission.Load{StartsWait: c.dispatch.full(now, startClasses-1)}
@@ -85,6 +88,7 @@
 	if c.manifest == nil {
 		return out
 	}
+	out.InExcess = c.books.InExcess(now, maxNamedAccounts)
 	services := c.serviceDemands()
 	out.StartsFail = c.addCapacity(now, services)
 	c.addFreed(services)
@@ -95,6 +99,9 @@
 			CapacityShort: d.short, FreedPerSecond: d.freedPerSecond,
 			LongRunning: c.demandOf(now, services, d, classLongRunning),
 		}
+		if len(out.InExcess) > 0 {
+			s.Excess = c.demandOf(now, services, d, classExcess)
+		}
 		for _, priority := range sortedKeys(d.targets) {
 			s.Priorities = append(s.Priorities, c.demandOf(now, services, d, priority))
 		}
@@ -104,7 +111,8 @@
 }
 
 // demandOf returns the demand before a new job for the workers of a service: the tasks of
-// its priority or a higher one, and long-running ones. Jobs in classExpired go after it.
+// its priority or a higher one, and long-running ones. Jobs in classExcess go after it
+// unless it is in excess too, and those in classExpired always.
 // Starts for workers of other services go before it too, but only those for which there
 // is capacity.
 func (c *Cell) demandOf(now time.Time, services map[string]*serviceDemand, d *serviceDemand, priority int) admission.Demand {
@@ -112,6 +120,8 @@
 	switch priority {
 	case classLongRunning:
 		class = startLongRunning
+	case classExcess:
+		class = startExcess
 	case 0:
 		class = startUrgent
 	}
@@ -149,7 +159,7 @@
 			return // no new jobs can be submitted for it
 		}
 		class := s.key.rank.class
-		if s.spec.LongRunning {
+		if s.spec.LongRunning && class != classExcess {
 			class = classLongRunning
 		}
 		work := d.waiting[class]
--- a/internal/cell/dispatch.go
+++ b/internal/cell/dispatch.go
@@ -78,11 +78,11 @@
 
 // full reports whether no more tasks of a class should be placed, because too many
 // placed ones wait to be sent. Tasks do not wait for those of later classes, and
-// urgent tasks, however late, do not wait for startOther.
+// urgent tasks, however late, wait neither for startOther nor for startExcess.
 func (q *dispatchQueue) full(now time.Time, class startClass) bool {
 	waiting := 0
 	for earlier := range class + 1 {
-		if class == startExpiredUrgent && earlier == startOther {
+		if class == startExpiredUrgent && (earlier == startOther || earlier == startExcess) {
 			continue
 		}
 		part := &q.parts[earlier]
--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -144,10 +144,13 @@
 	return true
 }
 
-// setTimers sets timers for the times when the rank of a step changes and when
-// it may preempt.
+// setTimers sets timers for the times when the rank of a step changes, also at its virtual
+// arrival, and when it may preempt.
 func (c *Cell) setTimers(now time.Time, s *stepState) {
 	q := c.queueOf(s.job)
+	if c.inExcess(now, s.job) {
+		c.setTimer(now, s, s.job.arrival)
+	}
 	if q.Priority == 0 {
 		c.setTimer(now, s, s.readyAt.Add(preemptAfter))
 	}
--- /dev/null
+++ b/internal/cell/excess_test.go
@@ -0,0 +1,64 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// withWeight installs a manifest with one account, of which the next jobs are.
+func (b *backlog) withWeight(weight float64) {
+	m := backlogManifest
+	m.Version += 10
+	b.account = manifest.Terms{Name: "a", Weight: weight}
+	m.HasAccounts, m.Accounts = true, []manifest.Account{{Terms: b.account}}
+	b.cell.SetManifest(&m)
+	b.now = b.now.Add(time.Millisecond)
+}
+
+// The questions of jobs in excess must not take the turn of those that are urgent.
+func TestJobsInExcessAskNoUrgentQuestions(t *testing.T) {
+	b := newBacklog(t, 8, 0, whyUnanswered)
+	b.withWeight(1)
+	step := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 1000}, Estimate: time.Second}
+	for _, id := range []workload.JobID{"a", "b", "c"} {
+		b.accept(id, "hold", step)
+	}
+	urgent := make(map[workload.JobID]bool)
+	for _, q := range b.runActions() {
+		urgent[q.Step.Job] = q.Urgent
+	}
+	if len(urgent) != 3 || !urgent["a"] || !urgent["b"] || urgent["c"] {
+		t.Errorf("urgent questions: %v", urgent)
+	}
+}
+
+// The backlog of jobs in excess must not have other jobs refused, and a job in excess goes
+// after all of it.
+func TestJobsInExcessAreDemandApart(t *testing.T) {
+	b := newBacklog(t, 4, 0, whyUnanswered)
+	b.withWeight(1)
+	large := workload.Step{Tasks: 9, Size: job.Size{MilliCores: minCapacity}, Estimate: time.Second}
+	for _, id := range []workload.JobID{"a", "b", "c", "d"} {
+		b.accept(id, "settle", large)
+	}
+	load := b.cell.Load(b.now)
+	const free = 9*minCapacity - 4*smallRuns*100
+	if d := demandOf(load, "s", 2); d.MissingMilliCores != 2*9*minCapacity-free {
+		t.Errorf("before jobs on time: %+v", d)
+	}
+	if d := serviceOf(load, "s").Excess; d.MissingMilliCores != 4*9*minCapacity-free {
+		t.Errorf("before jobs in excess: %+v", d)
+	}
+	if len(load.InExcess) != 1 || load.InExcess[0].Name != "a" || load.InExcess[0].For != 3*time.Second {
+		t.Errorf("accounts in excess: %+v", load.InExcess)
+	}
+	b.now = b.now.Add(3 * time.Second)
+	load = b.cell.Load(b.now)
+	if d := serviceOf(load, "s").Excess; len(load.InExcess) > 0 || d.MissingMilliCores > 0 {
+		t.Errorf("after the excess: %+v, demand %+v", load.InExcess, d)
+	}
+}
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -90,7 +90,7 @@
 // others take the capacity there, which the sweeps of later ticks detect.
 func (c *Cell) couldAsk(now time.Time, s *stepState, usable *usableWorkers) bool {
 	q := c.queueOf(s.job)
-	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || now.Before(s.advice.notBefore) || c.limiterFor(q).available() <= 0 {
+	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || now.Before(s.advice.notBefore) || c.limiterFor(s).available() <= 0 {
 		return false
 	}
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.avoidWorker != "" }) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -121,8 +121,8 @@
 	case !q.Advice.Needed():
 		c.evalQueue.unplaceable.add(s)
 	case c.questionOpen(now, s, q) || now.Before(s.advice.notBefore):
-	case c.limiterFor(q).available() <= 0:
-		c.limiterFor(q).waiting.add(s)
+	case c.limiterFor(s).available() <= 0:
+		c.limiterFor(s).waiting.add(s)
 	case !c.ask(now, s, q, usable):
 		c.evalQueue.unplaceable.add(s)
 	}
--- a/internal/cell/questionlimiter.go
+++ b/internal/cell/questionlimiter.go
@@ -1,9 +1,5 @@
 package cell
 
-import (
-	"cicadabarrow.example/cicadabarrow/internal/manifest"
-)
-
 // questionLimiter limits the open urgent questions for advice, or the open
 // questions that are not urgent. More of them would only wait at the hosts that
 // ask, while the cluster state that they ask about changes.
@@ -60,14 +56,19 @@
 	return []*questionLimiter{&c.urgentQuestions, &c.longQuestions}
 }
 
-// limiterFor returns the limiter for the questions of a queue.
-func (c *Cell) limiterFor(q *manifest.Queue) *questionLimiter {
-	if q.Priority == 0 {
+// limiterFor returns the limiter for the questions of a step.
+func (c *Cell) limiterFor(s *stepState) *questionLimiter {
+	if c.asksUrgently(s) {
 		return &c.urgentQuestions
 	}
 	return &c.longQuestions
 }
 
+// asksUrgently reports whether the questions of a step are urgent.
+func (c *Cell) asksUrgently(s *stepState) bool {
+	return c.queueOf(s.job).Priority == 0 && s.key.rank.class != classExcess
+}
+
 // SetAdviceHosts sets how many hosts can ask the advice service. The questions
 // of a host are answered one at a time. The number of open long questions is
 // therefore limited to the number of hosts that may ask them, and some hosts
--- a/internal/cell/rank.go
+++ b/internal/cell/rank.go
@@ -11,18 +11,23 @@
 // rank orders the steps that wait for capacity; a lower rank goes first.
 type rank struct {
 	class int
+	// priority is that of the queue in classExcess, and 0 in all other classes.
+	priority int
 	// due is when the job should be complete to meet its objective.
 	due time.Time
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.class, o.class), r.due.Compare(o.due))
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), r.due.Compare(o.due))
 }
 
 const (
 	// classLongRunning is the class of long-running tasks that have been down
 	// for some time. They go first, because they serve users of their own.
 	classLongRunning = -1
+	// classExcess is the class of jobs that are ahead of the rate of their account. It
+	// follows all priorities.
+	classExcess = classExpired - 1
 	// classExpired is the class of jobs that are so late that their result no
 	// longer benefits the client.
 	classExpired = 1000
@@ -43,6 +48,8 @@
 	due := s.waitStart().Add(objective)
 	class := q.Priority
 	switch {
+	case c.inExcess(now, s.job):
+		return rank{class: classExcess, priority: q.Priority, due: due}
 	case s.spec.LongRunning:
 		if now.Sub(s.readyAt) > longRunningWait {
 			class = classLongRunning
@@ -53,13 +60,14 @@
 	return rank{class: class, due: due}
 }
 
-// waitStart returns when the client's wait begins.
+// waitStart returns when the client's wait begins. That of a job in excess begins at its
+// virtual arrival.
 func (s *stepState) waitStart() time.Time {
 	due := s.job.job.Due(s.id.Occurrence)
-	if due.After(s.job.acceptedAt) {
+	if due.After(s.job.arrival) {
 		return due
 	}
-	return s.job.acceptedAt
+	return s.job.arrival
 }
 
 // maxObjective limits the objective, so that expiredFactor times it does not overflow.
--- a/internal/cell/startclass.go
+++ b/internal/cell/startclass.go
@@ -11,6 +11,8 @@
 	// startUrgent are the starts of the highest priority.
 	startUrgent
 	startOther
+	// startExcess are the starts of jobs in classExcess.
+	startExcess
 	// startExpiredUrgent and startExpired are the starts of jobs in classExpired, of
 	// the highest priority and of the others.
 	startExpiredUrgent
@@ -22,6 +24,8 @@
 func (c *Cell) startClassOf(s *stepState, r rank) startClass {
 	urgent, expired := c.queueOf(s.job).Priority == 0, r.class == classExpired
 	switch {
+	case r.class == classExcess:
+		return startExcess
 	case s.spec.LongRunning:
 		return startLongRunning
 	case urgent && expired:
