--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -28,12 +28,17 @@
 // OverloadError is the cause of a KindOverloaded error.
 type OverloadError struct {
 	Queue string
-	// RetryAfter is when the backlog should be worked off.
+	// Account is set if the job is refused because its account is ahead of its rate.
+	Account string
+	// RetryAfter is when the backlog should be worked off, or the excess of the account.
 	RetryAfter time.Duration
 }
 
-// Error names the queue.
+// Error names the queue or the account.
 func (e *OverloadError) Error() string {
+	if e.Account != "" {
+		return fmt.Sprintf("account %s submits jobs faster than its rate, and the cell is short of capacity", e.Account)
+	}
 	return fmt.Sprintf("queue %s has more work than the cell can start in time", e.Queue)
 }
 
@@ -77,6 +82,24 @@
 // errRepeated means that a job that would be refused has been accepted before.
 var errRepeated = errors.New("the job was accepted before")
 
+// mayRefuse reports whether a job has not been accepted before. If it has, it returns
+// errRepeated.
+func (h *Host) mayRefuse(ctx context.Context, queue *manifest.Queue, job *workload.Job) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, repeatLookupTimeout)
+	defer cancel()
+	found, err := h.intake.Find(ctx, job.ID)
+	switch {
+	case err != nil:
+		h.log.Warn("job not refused, since it may have been accepted before", zap.String("Job", string(job.ID)), zap.Error(err))
+		return false, nil
+	case found.BelongsTo(queue.Name):
+		return false, errRepeated
+	case found.Known:
+		return false, nil // Submit tells that the ID is taken
+	}
+	return true, nil
+}
+
 // checkAdmission returns a KindOverloaded error if a job is refused since the cell
 // cannot keep up. A repeated submission must not be told so: the job runs. It returns
 // errRepeated for it. If that cannot be found out, the job is not refused.
@@ -89,17 +112,8 @@
 	if !refused {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, repeatLookupTimeout)
-	defer cancel()
-	found, err := h.intake.Find(ctx, job.ID)
-	switch {
-	case err != nil:
-		h.log.Warn("job not refused, since it may have been accepted before", zap.String("Job", string(job.ID)), zap.Error(err))
-		return nil
-	case found.BelongsTo(queue.Name):
-		return errRepeated
-	case found.Known:
-		return nil // Submit tells that the ID is taken
+	if mayRefuse, err := h.mayRefuse(ctx, queue, job); !mayRefuse {
+		return err
 	}
 	h.scope.Counter("jobs_refused").Inc(1)
 	h.log.Info("job refused, since the cell cannot keep up", zap.String("Job", string(job.ID)), zap.String("Queue", queue.Name),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -118,6 +118,8 @@
 	// pingSoon holds an element after a new owner has announced itself.
 	pingSoon chan struct{}
 	metrics  hostMetrics
+	// accountRefusals counts the jobs that are refused for the limits of their account.
+	accountRefusals *accountRefusals
 	// Only the goroutine of monitorOwner uses suspicion, suspectedSince, contact,
 	// delay, lastReadFailure and yieldUntil, and receives the answers of the pinger.
 	suspicion suspicion
@@ -186,7 +188,8 @@
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
 		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope), pinger: newPinger(),
 		relayHosts: newRelayHosts(timers), pingSoon: make(chan struct{}, 1),
-		relayServer: relay.NewServer(platform.Workers, timers, scope),
+		relayServer:     relay.NewServer(platform.Workers, timers, scope),
+		accountRefusals: newAccountRefusals(scope),
 	}
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -186,6 +186,7 @@
 // KnownEpoch is later than the epoch of that tenure.
 func (h *Host) pong(ping message.HostPing) message.OwnerPong {
 	h.advisors.markAlive(ping.Addr)
+	h.accountRefusals.note(ping.Addr, ping.Refused)
 	if ping.OwnEpoch > 0 {
 		h.mu.Lock()
 		h.applyReportedOwner(ownerRef{addr: ping.Addr, incarnation: ping.Incarnation, epoch: ping.OwnEpoch})
--- a/internal/host/ping.go
+++ b/internal/host/ping.go
@@ -169,7 +169,7 @@
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
 		KnownEpoch: max(epoch, h.knownOwner().epoch),
 		Relays:     h.mayRelay(), DataCentre: h.config.Self.DataCentre, Cores: h.config.Capacity.Cores,
-		HostsSum: h.knownHostsSum(),
+		HostsSum: h.knownHostsSum(), Refused: h.accountRefusals.list(),
 	})
 	sent := h.timers.Latest()
 	from, reply, err := h.peers.Ask(ctx, to, ping)
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -25,6 +25,9 @@
 	}
 	var terms manifest.Terms // TODO(merge of keys): the account of the call, which becomes AcceptedJob.Account
 	err := h.checkCap(ctx, queue, terms, &job)
+	if err == nil {
+		err = h.checkExcess(ctx, queue, terms, &job)
+	}
 	if err == nil {
 		err = h.checkAdmission(ctx, queue, &job)
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cicadabarrow.example/cicadabarrow/internal/account"
 	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
@@ -61,6 +62,7 @@
 				{Service: "s", Priority: 2, Wait: time.Second, RetryAfter: time.Minute},
 				{Service: "t", LongRunning: true, Wait: time.Hour, RetryAfter: time.Second},
 			},
+			Short: []admission.ServiceShortage{{Service: "s", Wait: time.Second}}, InExcess: []account.Excess{{Name: "a", For: time.Minute}},
 		},
 	}
 	value, err := ledger.EncodeOwner(o)
@@ -114,6 +116,34 @@
 	}
 }
 
+// A row that names accounts in excess may be read by hosts of earlier releases, which read
+// the values before, and those that name none must not change.
+func TestOwnersWithAccountsInExcessAreReadAcrossReleases(t *testing.T) {
+	without := ledger.Owner{Host: "h", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Admission: admission.Decision{
+		Services: []admission.ServiceRefusal{{Service: "s", Wait: time.Hour}},
+	}}
+	with := without
+	with.Admission.Short = []admission.ServiceShortage{{Service: "s", Wait: time.Second}}
+	with.Admission.InExcess = []account.Excess{{Name: "a", For: time.Minute}}
+	short, err := ledger.EncodeOwner(without)
+	if err != nil {
+		t.Fatal(err)
+	}
+	long, err := ledger.EncodeOwner(with)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.HasPrefix(long, short) {
+		t.Error("an earlier release reads something else")
+	}
+	if got, err := ledger.DecodeOwner(append(slices.Clone(long), 7)); err != nil || !reflect.DeepEqual(got, with) {
+		t.Errorf("with a value of a later owner: %+v, %v", got, err)
+	}
+	if _, err := ledger.DecodeOwner(long[:len(long)-1]); !fault.Is(err, ledger.KindMalformed) {
+		t.Errorf("a truncated row gives %v", err)
+	}
+}
+
 // A row that was written by an older version of the software, which had no
 // PredecessorsEnded, is decoded with the field unset.
 func TestOwnersOfOlderVersionsAreRead(t *testing.T) {
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -73,7 +73,7 @@
 
 // admissionWire follows ownerWire as a second value if the owner refuses jobs. Earlier
 // releases read it or the first value only. A third value, which they do not read, has
-// the refusals by service.
+// the refusals by service, and a fourth one what concerns accounts in excess.
 type admissionWire struct {
 	_msgpack    struct{} `msgpack:",as_array"`
 	Priorities  []admissionwire.Refusal
@@ -100,7 +100,13 @@
 		return nil, err
 	}
 	services, err := msgpack.Marshal(admissionwire.EncodeServices(d))
-	return append(value, services...), err
+	value = append(value, services...)
+	excess := admissionwire.EncodeExcess(d)
+	if err != nil || excess == nil {
+		return value, err
+	}
+	accounts, err := msgpack.Marshal(excess)
+	return append(value, accounts...), err
 }
 
 // decodeAdmission decodes the values after the first one, if there are any.
@@ -108,11 +114,11 @@
 	var w admissionWire
 	var services []admissionwire.ServiceRefusal
 	for _, part := range []any{&w, &services} {
-		size, err := wire.Measure(value)
+		rest, err := afterFirst(value)
 		if err != nil {
 			return admission.Decision{}, err
 		}
-		value = value[size:]
+		value = rest
 		if len(value) == 0 {
 			break
 		}
@@ -120,7 +126,31 @@
 			return admission.Decision{}, err
 		}
 	}
-	return admissionwire.Decode(w.Priorities, w.LongRunning, services), nil
+	out := admissionwire.Decode(w.Priorities, w.LongRunning, services)
+	rest, err := afterFirst(value)
+	if err != nil || len(rest) == 0 {
+		return out, err
+	}
+	if _, err := wire.Measure(rest); err != nil {
+		return admission.Decision{}, err
+	}
+	var excess admissionwire.Excess
+	if wire.Unmarshal(rest, &excess) == nil { // a value of another form is that of a later release
+		admissionwire.AddExcess(&out, &excess)
+	}
+	return out, nil
+}
+
+// afterFirst returns what follows the first value, if there is one.
+func afterFirst(value []byte) ([]byte, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	size, err := wire.Measure(value)
+	if err != nil {
+		return nil, err
+	}
+	return value[size:], nil
 }
 
 // DecodeOwner decodes the owner's row.
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cicadabarrow.example/cicadabarrow/internal/account"
 	"cicadabarrow.example/cicadabarrow/internal/admission"
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
@@ -19,7 +20,7 @@
 	const id = workload.JobID("00000000000000e1")
 	addr := netip.MustParseAddrPort("10.0.0.1:8166")
 	step := workload.StepID{Job: id, Occurrence: 1, Step: 2}
-	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2, HostsSum: 5}, EncodeHostPing, DecodeHostPing,
+	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2, HostsSum: 5, Refused: []AccountRefusals{{Account: "a", Jobs: 6}}}, EncodeHostPing, DecodeHostPing,
 		hostPingCodec.encode(HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}))
 	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr}, SameHosts: true,
@@ -27,6 +28,8 @@
 		Admission: admission.Decision{
 			Priorities: []admission.Refusal{{Priority: 1, RetryAfter: time.Second}}, LongRunning: time.Second,
 			Services: []admission.ServiceRefusal{{Service: "s", LongRunning: true, Priority: 1, Wait: time.Hour, RetryAfter: time.Second}},
+			Short:    []admission.ServiceShortage{{Service: "s", Wait: time.Second}},
+			InExcess: []account.Excess{{Name: "a", For: time.Minute}},
 		},
 	}
 	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -34,6 +34,15 @@
 	// HostsSum is a hash of the list of hosts that the sender has received last; 0 is
 	// no list.
 	HostsSum uint64
+	// Refused counts the jobs that the sender has refused for the limits of their
+	// account.
+	Refused []AccountRefusals
+}
+
+// AccountRefusals counts the jobs of an account that a host has refused.
+type AccountRefusals struct {
+	Account string
+	Jobs    uint64
 }
 
 // OwnerPong answers HostPing, whether or not the answering host is the owner.
@@ -86,6 +95,13 @@
 	DataCentre string  `msgpack:"dc"`
 	Cores      float64 `msgpack:"cores"`
 	HostsSum   uint64  `msgpack:"hosts"`
+	// Refused is left out by hosts that have refused none.
+	Refused []accountRefusalsWire `msgpack:"refused,omitempty"`
+}
+
+type accountRefusalsWire struct {
+	Account string `msgpack:"account"`
+	Jobs    uint64 `msgpack:"jobs"`
 }
 
 var hostPingCodec = codec[HostPing, hostPingWire]{
@@ -104,7 +120,10 @@
 
 // EncodeHostPing returns the encoded message.
 func EncodeHostPing(m HostPing) peer.Message {
-	return appendExtension(hostPingCodec.encode(m), hostPingExtension{Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores, HostsSum: m.HostsSum})
+	return appendExtension(hostPingCodec.encode(m), hostPingExtension{
+		Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores, HostsSum: m.HostsSum,
+		Refused: mapSlice(m.Refused, func(r AccountRefusals) accountRefusalsWire { return accountRefusalsWire(r) }),
+	})
 }
 
 // DecodeHostPing decodes the message. It fails if p is of another kind or its
@@ -119,6 +138,9 @@
 		return HostPing{}, err
 	}
 	m.Relays, m.DataCentre, m.Cores, m.HostsSum = e.Relays, e.DataCentre, e.Cores, e.HostsSum
+	for _, r := range e.Refused {
+		m.Refused = append(m.Refused, AccountRefusals(r))
+	}
 	return m, nil
 }
 
@@ -154,6 +176,7 @@
 	RelayFor    time.Duration                  `msgpack:"for,omitempty"`
 	RowVersion  uint64                         `msgpack:"version,omitempty"`
 	SameHosts   bool                           `msgpack:"same,omitempty"`
+	Excess      *admissionwire.Excess          `msgpack:"excess,omitempty"`
 }
 
 var ownerPongCodec = codec[OwnerPong, ownerPongWire]{
@@ -182,6 +205,7 @@
 	return appendExtension(p, ownerPongExtension{
 		Refusals: admissionwire.EncodePriorities(m.Admission), LongRunning: m.Admission.LongRunning,
 		Services: admissionwire.EncodeServices(m.Admission), RelayEpoch: m.RelayEpoch, RelayFor: m.RelayFor, RowVersion: m.RowVersion, SameHosts: m.SameHosts,
+		Excess: admissionwire.EncodeExcess(m.Admission),
 	})
 }
 
@@ -197,6 +221,7 @@
 		return OwnerPong{}, err
 	}
 	m.Admission = admissionwire.Decode(e.Refusals, e.LongRunning, e.Services)
+	admissionwire.AddExcess(&m.Admission, e.Excess)
 	m.RelayEpoch, m.RelayFor, m.RowVersion = e.RelayEpoch, e.RelayFor, e.RowVersion
 	m.SameHosts = e.SameHosts
 	return m, nil
