--- a/internal/account/books.go
+++ b/internal/account/books.go
@@ -23,6 +23,8 @@
 	// terms are those of the manifest in force, and known is set if it has the account.
 	terms manifest.Terms
 	known bool
+	// accepted are the terms at the acceptance of the last job.
+	accepted manifest.Terms
 	// jobs counts the jobs that have not been forgotten.
 	jobs int
 	// use is what the account has in use, and planned the part of it whose starts have
@@ -32,6 +34,12 @@
 	// earliest is the earliest virtual arrival of the account's next job, before the
 	// burst allowance.
 	earliest time.Time
+	// overShare is set while the account uses more than its share, at the latest until
+	// overShareUntil unless others wait again.
+	overShare      bool
+	overShareUntil time.Time
+	// overShareSince is when that began.
+	overShareSince time.Time
 }
 
 // NewBooks returns books without accounts.
@@ -66,9 +74,13 @@
 		b.entries[accepted.Name] = e
 	}
 	e.jobs++
+	e.accepted = accepted
 	return &Member{entry: e, accepted: accepted}
 }
 
+// Unused reports whether no account has jobs or something in use.
+func (b *Books) Unused() bool { return len(b.entries) == 0 }
+
 // Leave ends a membership whose job has been forgotten. What the job still has in use
 // counts until it is removed.
 func (b *Books) Leave(m *Member) {
@@ -95,10 +107,12 @@
 	// ExcessFor is how long a job that arrives now would be in excess; 0 if it would
 	// not be.
 	ExcessFor time.Duration
+	// OverShare is set while it uses more than its share of the capacity and others wait.
+	OverShare bool
 }
 
-// Views returns the state of all accounts, sorted by name. Accounts that are no longer
-// in the manifest have only a name.
+// Views returns the state of all accounts, sorted by name. Accounts that are not in the
+// manifest have the terms of their last accepted job.
 func (b *Books) Views(now time.Time) []View {
 	names := make(map[string]bool, len(b.inForce))
 	for name := range b.inForce {
@@ -114,7 +128,10 @@
 			v.Terms, v.Removed = terms, false
 		}
 		if e, known := b.entries[name]; known {
-			v.Jobs, v.Use, v.ExcessFor = e.jobs, e.use, e.excessFor(now)
+			v.Jobs, v.Use, v.ExcessFor, v.OverShare = e.jobs, e.use, e.excessFor(now), e.overShare
+			if v.Removed {
+				v.Terms = e.accepted
+			}
 		}
 		out = append(out, v)
 	}
--- a/internal/account/books_test.go
+++ b/internal/account/books_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -82,11 +83,23 @@
 			fmt.Fprintf(&out, "%s for %v\n", e.Name, e.For.Round(time.Millisecond))
 		}
 		return out.String()
+	case "shares":
+		waiting := make(map[string]bool)
+		for _, a := range d.CmdArgs {
+			if a.Key == "waiting" {
+				for _, name := range a.Vals {
+					waiting[strings.TrimPrefix(name, "none")] = true
+				}
+			}
+		}
+		changed := s.books.UpdateShares(s.now, d.HasArg("full"), size, waiting)
+		slices.Sort(changed)
+		return fmt.Sprintln(changed)
 	case "views":
 		var out strings.Builder
 		for _, v := range s.books.Views(s.now) {
-			fmt.Fprintf(&out, "%s weight=%v cap=%v use=%v jobs=%d removed=%v excess_for=%v\n",
-				v.Name, v.Weight, v.Cap, v.Use, v.Jobs, v.Removed, v.ExcessFor.Round(time.Millisecond))
+			fmt.Fprintf(&out, "%s weight=%v cap=%v use=%v jobs=%d removed=%v excess_for=%v over_share=%v\n",
+				v.Name, v.Weight, v.Cap, v.Use, v.Jobs, v.Removed, v.ExcessFor.Round(time.Millisecond), v.OverShare)
 		}
 		return out.String()
 	default:
--- a/internal/account/rate.go
+++ b/internal/account/rate.go
@@ -50,6 +50,14 @@
 	return a
 }
 
+// overShareRetry is how long the next job of an account that is over its share is taken
+// to be in excess, at least. How long it will be is not known.
+const overShareRetry = 2 * time.Second
+
+// overShareRefused is how long an account is over its share before its new jobs count as
+// in excess. One large job that ends soon is no reason to refuse the next one.
+const overShareRefused = 3 * time.Second
+
 // Excess is an account whose next job would be in excess.
 type Excess struct {
 	Name string
@@ -63,7 +71,11 @@
 func (b *Books) InExcess(now time.Time, limit int) []Excess {
 	var out []Excess
 	for name, e := range b.entries {
-		if d := e.excessFor(now); d > 0 {
+		d := e.excessFor(now)
+		if e.overShare && now.Sub(e.overShareSince) >= overShareRefused {
+			d = max(d, overShareRetry)
+		}
+		if d > 0 {
 			out = append(out, Excess{name, d})
 		}
 		if !e.earliest.After(now) {
--- a/internal/cell/evalqueue.go
+++ b/internal/cell/evalqueue.go
@@ -148,7 +148,7 @@
 // arrival, and when it may preempt.
 func (c *Cell) setTimers(now time.Time, s *stepState) {
 	q := c.queueOf(s.job)
-	if c.inExcess(now, s.job) {
+	if now.Before(s.job.arrival) {
 		c.setTimer(now, s, s.job.arrival)
 	}
 	if q.Priority == 0 {
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -177,6 +177,7 @@
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
 	c.offerNewlyUsable(now)
+	c.tickShares(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
