--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -22,6 +22,7 @@
 	flagNoPreempt      = "no-preemption"
 	flagNoReschedule   = "no-moves"
 	flagWaitForRecords = "wait-for-records"
+	flagNoAccounts     = "no-accounts"
 )
 
 func experimentCommand(stdout, stderr io.Writer) *cli.Command {
@@ -39,6 +40,7 @@
 			&cli.BoolFlag{Name: flagNoPreempt, Usage: "never stop a run for an urgent step"},
 			&cli.BoolFlag{Name: flagNoReschedule, Usage: "never move a run that makes too little progress"},
 			&cli.BoolFlag{Name: flagWaitForRecords, Usage: "delay each start until its record is durable, however slow the store is"},
+			&cli.BoolFlag{Name: flagNoAccounts, Usage: "accept the jobs of accounts as jobs without an account"},
 			&cli.StringFlag{Name: flagPlots, Usage: "write plots of waiting time and packing to a `FOLDER`"},
 			&cli.BoolFlag{Name: flagProgress, Usage: "report the progress on standard error"},
 			formatFlag(),
@@ -68,7 +70,7 @@
 		return experiment.Options{}, usageError(cmd, "--%s is %q; best, first or random are allowed", flagFit, cmd.String(flagFit))
 	}
 	options := experiment.Options{
-		Seed: cmd.Uint64(flagSeed), WaitForRecords: cmd.Bool(flagWaitForRecords),
+		Seed: cmd.Uint64(flagSeed), WaitForRecords: cmd.Bool(flagWaitForRecords), IgnoreAccounts: cmd.Bool(flagNoAccounts),
 		Policy: cell.Policy{Order: order, Fit: fit, NoPreemption: cmd.Bool(flagNoPreempt), NoReschedule: cmd.Bool(flagNoReschedule)},
 	}
 	if cmd.Bool(flagProgress) {
--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -10,11 +10,28 @@
 )
 
 // scheduleJobs adds the submissions of all jobs of a queue to the event queue.
-// The times between them are exponentially distributed.
 func (s *simulation) scheduleJobs(q *Queue) {
+	if len(s.load.Accounts) == 0 {
+		s.scheduleJobsOf(q, nil, q.PerSecond)
+		return
+	}
+	shares := 0.0
+	for i := range s.load.Accounts {
+		shares += s.load.Accounts[i].Share
+	}
+	for i := range s.load.Accounts {
+		if a := &s.load.Accounts[i]; a.Share > 0 {
+			s.scheduleJobsOf(q, a, q.PerSecond*a.Share/shares)
+		}
+	}
+}
+
+// scheduleJobsOf adds the submissions of the jobs of an account, or of none, to a queue.
+// The times between them are exponentially distributed.
+func (s *simulation) scheduleJobsOf(q *Queue, a *Account, perSecond float64) {
 	at := time.Duration(0)
-	for number := 0; q.PerSecond > 0; number++ {
-		rate := q.PerSecond * s.burstFactor(q.Queue.Name, at)
+	for number := 0; perSecond > 0; number++ {
+		rate := perSecond * s.burstFactor(q.Queue.Name, a, at)
 		if rate <= 0 {
 			at += tickInterval
 			continue
@@ -23,34 +40,39 @@
 		if at >= s.load.Duration {
 			return
 		}
-		j := s.newJob(q, number)
+		j := s.newJob(q, a, number)
 		s.events.add(s.begin.Add(at), func(now time.Time) { s.accept(now, j) })
 	}
 }
 
-// burstFactor returns the factor by which bursts multiply the rate of a queue at
-// a time.
-func (s *simulation) burstFactor(queue string, at time.Duration) float64 {
+// burstFactor returns the factor by which bursts multiply the rate of an account, or of
+// none, in a queue at a time.
+func (s *simulation) burstFactor(queue string, a *Account, at time.Duration) float64 {
 	factor := 1.0
 	for _, b := range s.load.Bursts {
-		if b.Queue == queue && at >= b.At && at < b.At+b.For {
+		concerns := (b.Queue == "" || b.Queue == queue) && (b.Account == "" || a != nil && a.Terms.Name == b.Account)
+		if concerns && at >= b.At && at < b.At+b.For {
 			factor *= b.Factor
 		}
 	}
 	return factor
 }
 
-func (s *simulation) newJob(q *Queue, number int) *simulatedJob {
+func (s *simulation) newJob(q *Queue, a *Account, number int) *simulatedJob {
 	const hexDigits = 16
 	id := workload.JobID(fmt.Sprintf("%0*x", hexDigits, len(s.jobs)+1))
 	j := &simulatedJob{
-		queue: q, alwaysFails: s.rand.Float64() < q.HopelessShare, cancelled: s.rand.Float64() < q.CancelShare,
+		queue: q, account: a, alwaysFails: s.rand.Float64() < q.HopelessShare, cancelled: s.rand.Float64() < q.CancelShare,
 		job:      workload.Job{ID: id, Queue: q.Queue.Name, Spec: fmt.Sprintf("%s %d", q.Queue.Name, number)},
 		runTimes: make(map[workload.TaskID]time.Duration),
 	}
+	meanTasks := q.MeanTasks
+	if a != nil {
+		meanTasks *= a.TaskFactor
+	}
 	for i := range s.drawCount(q.MeanSteps) {
 		step := workload.Step{
-			Tasks: s.drawCount(q.MeanTasks), Size: q.Size, Checkpoints: q.Checkpoints,
+			Tasks: s.drawCount(meanTasks), Size: q.Size, Checkpoints: q.Checkpoints,
 			Estimate: time.Duration(float64(q.RunTime) * s.drawErrorFactor(q.EstimateError)),
 		}
 		if i > 0 {
@@ -91,7 +113,14 @@
 
 func (s *simulation) accept(now time.Time, j *simulatedJob) {
 	j.submittedAt = now
-	s.cell.Accept(now, cell.AcceptedJob{Job: j.job, Queue: j.queue.Queue})
+	accepted := cell.AcceptedJob{Job: j.job, Queue: j.queue.Queue}
+	if j.account != nil && !s.options.IgnoreAccounts {
+		accepted.Account = j.account.Terms
+	}
+	if j.refused = s.refuses(accepted); j.refused {
+		return
+	}
+	s.cell.Accept(now, accepted)
 	if j.cancelled {
 		s.scheduleAfter(now, cancelDelay, func(now time.Time) { s.cell.Cancel(now, j.job.ID) })
 	}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -1,8 +1,10 @@
 package experiment
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/document"
@@ -37,8 +39,20 @@
 	CommitTime *string `validate:"required,duration=0s:1m"`
 	CallTime   *string `validate:"required,duration=0s:1m"`
 	Workers    workersWire
-	Queues     []queueWire `validate:"required,dive"`
-	Bursts     []burstWire `validate:"dive"`
+	Queues     []queueWire   `validate:"required,dive"`
+	Bursts     []burstWire   `validate:"dive"`
+	Accounts   []accountWire `validate:"dive"`
+	Admission  bool
+}
+
+// accountWire is the JSON form of an Account. MilliCores and MemoryMB are its cap.
+type accountWire struct {
+	Name       string  `validate:"name"`
+	Weight     float64 `validate:"gte=0"`
+	MilliCores int64   `validate:"number=0:1000000000"`
+	MemoryMB   int64   `validate:"number=0:1000000000"`
+	Share      float64 `validate:"gte=0"`
+	TaskFactor float64 `validate:"gte=0"`
 }
 
 type workersWire struct {
@@ -78,11 +92,13 @@
 	AllowedShare float64 `validate:"gt=0,lte=1"`
 }
 
+// burstWire is the JSON form of a Burst.
 type burstWire struct {
-	Queue string  `validate:"name"`
-	At    *string `validate:"required,duration=0s:24h"`
-	For   *string `validate:"required,duration=0s:24h"`
-	Times float64 `validate:"gte=0"`
+	Queue   string  `validate:"omitempty,name"`
+	Account string  `validate:"omitempty,name"`
+	At      *string `validate:"required,duration=0s:24h"`
+	For     *string `validate:"required,duration=0s:24h"`
+	Times   float64 `validate:"gte=0"`
 }
 
 // ReadLoad reads a load in JSON. An error of KindInvalid names every invalid
@@ -94,8 +110,11 @@
 		return Load{}, fault.New("read load", KindUnreadable, "%w", err)
 	}
 	for i := range w.Bursts {
-		if !w.hasQueue(w.Bursts[i].Queue) {
-			faults.Add(fmt.Sprintf("Bursts[%d].Queue", i), w.Bursts[i].Queue, "the name of one of the Queues")
+		if b := &w.Bursts[i]; !w.hasQueue(b.Queue) && (b.Queue != "" || b.Account == "") {
+			faults.Add(fmt.Sprintf("Bursts[%d].Queue", i), b.Queue, "the name of one of the Queues")
+		}
+		if b := &w.Bursts[i]; b.Account != "" && !w.hasAccount(b.Account) {
+			faults.Add(fmt.Sprintf("Bursts[%d].Account", i), b.Account, "the name of one of the Accounts")
 		}
 	}
 	if len(faults) > 0 {
@@ -113,6 +132,10 @@
 	return false
 }
 
+func (w *loadWire) hasAccount(name string) bool {
+	return slices.ContainsFunc(w.Accounts, func(a accountWire) bool { return a.Name == name })
+}
+
 func (w *loadWire) load() Load {
 	l := Load{
 		Duration: parseDuration(w.Duration), AdviceHosts: w.Askers, CommitTime: parseDuration(w.CommitTime), CallTime: parseDuration(w.CallTime),
@@ -126,7 +149,14 @@
 		l.Queues = append(l.Queues, w.Queues[i].queue())
 	}
 	for _, b := range w.Bursts {
-		l.Bursts = append(l.Bursts, Burst{Queue: b.Queue, At: parseDuration(b.At), For: parseDuration(b.For), Factor: b.Times})
+		l.Bursts = append(l.Bursts, Burst{Queue: b.Queue, Account: b.Account, At: parseDuration(b.At), For: parseDuration(b.For), Factor: b.Times})
+	}
+	l.Admission = w.Admission
+	for _, a := range w.Accounts {
+		l.Accounts = append(l.Accounts, Account{
+			Terms: manifest.Terms{Name: a.Name, Weight: a.Weight, Cap: job.Size{MilliCores: a.MilliCores, MemoryMB: a.MemoryMB}},
+			Share: a.Share, TaskFactor: cmp.Or(a.TaskFactor, 1),
+		})
 	}
 	return l
 }
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -22,6 +22,22 @@
 	Workers    Workers
 	Queues     []Queue
 	Bursts     []Burst
+	// Accounts are the client accounts that submit the jobs of all queues. Without any,
+	// the jobs belong to no account.
+	Accounts []Account
+	// Admission has new jobs refused while the cell cannot keep up. Refused jobs are not
+	// submitted again.
+	Admission bool
+}
+
+// Account describes the jobs of one client account.
+type Account struct {
+	Terms manifest.Terms
+	// Share is the share of the account in the jobs of each queue, relative to the sum
+	// over all accounts.
+	Share float64
+	// TaskFactor multiplies the mean number of tasks of a step.
+	TaskFactor float64
 }
 
 // Workers describes the machines that run tasks.
@@ -66,10 +82,12 @@
 	AllowedShare float64
 }
 
-// Burst multiplies the submission rate of a queue by Factor for a while.
+// Burst multiplies the submission rate of a queue by Factor for a while; that of one
+// account if Account is set, and of all queues if Queue is empty.
 type Burst struct {
-	Queue  string
-	At     time.Duration
-	For    time.Duration
-	Factor float64
+	Queue   string
+	Account string
+	At      time.Duration
+	For     time.Duration
+	Factor  float64
 }
--- a/internal/experiment/output.go
+++ b/internal/experiment/output.go
@@ -32,6 +32,9 @@
 	if err := table.Flush(); err != nil {
 		return fault.New("write", KindUnwritten, "%w", err)
 	}
+	if err := r.writeAccounts(to); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(to, "Packing %.1f%%, starts %d, stops %d, questions for advice %d, wasted core-seconds %.0f\n",
 		percent*r.Packing, r.Starts, r.Stops, r.AdviceRequests, r.WastedCoreSeconds)
 	if err != nil {
@@ -40,6 +43,29 @@
 	return nil
 }
 
+// writeAccounts writes what the callers of each account got, if there are accounts.
+func (r *Result) writeAccounts(to io.Writer) error {
+	if len(r.Accounts) == 0 {
+		return nil
+	}
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	lines := []string{"Account\tWeight\tJobs\tRefused\tInTime\tLate\tMissed\tWait p50\tWait p99\tTime p50\tTime p99\tCore-s\t"}
+	for i := range r.Accounts {
+		a := &r.Accounts[i]
+		lines = append(lines, fmt.Sprintf("%s\t%g\t%d\t%d\t%.1f%%\t%d\t%d\t%s\t%s\t%s\t%s\t%.0f\t", a.Name, a.Weight, a.Jobs, a.Refused, percent*a.InTimeShare(),
+			a.Late, a.Missed, formatQuantile(a.Waits, median), formatQuantile(a.Waits, p99), formatQuantile(a.CompletionTimes, median), formatQuantile(a.CompletionTimes, p99), a.CoreSeconds))
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(table, line); err != nil {
+			return fault.New("write", KindUnwritten, "%w", err)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return fault.New("write", KindUnwritten, "%w", err)
+	}
+	return nil
+}
+
 const (
 	median = 0.5
 	p99    = 0.99
@@ -51,6 +77,7 @@
 
 type resultWire struct {
 	Queues            []queueResultWire
+	Accounts          []accountResultWire `json:",omitempty"`
 	Packing           float64
 	Starts            int
 	Stops             int
@@ -71,18 +98,32 @@
 	InTimeShare float64
 }
 
+type accountResultWire struct {
+	queueResultWire
+	Weight      float64
+	Refused     int
+	CoreSeconds float64
+}
+
+func (q *QueueResult) wire() queueResultWire {
+	return queueResultWire{
+		Name: q.Name, Jobs: q.Jobs, InTime: q.InTime, Late: q.Late, Missed: q.Missed,
+		WaitMedian: formatQuantile(q.Waits, median), WaitP99: formatQuantile(q.Waits, p99),
+		TimeMedian: formatQuantile(q.CompletionTimes, median), TimeP99: formatQuantile(q.CompletionTimes, p99), InTimeShare: q.InTimeShare(),
+	}
+}
+
 // WriteJSON writes a result as indented JSON.
 func (r *Result) WriteJSON(to io.Writer) error {
 	w := resultWire{
 		Packing: r.Packing, Starts: r.Starts, Stops: r.Stops, Questions: r.AdviceRequests, WastedCoreSeconds: r.WastedCoreSeconds,
 	}
 	for i := range r.Queues {
-		q := &r.Queues[i]
-		w.Queues = append(w.Queues, queueResultWire{
-			Name: q.Name, Jobs: q.Jobs, InTime: q.InTime, Late: q.Late, Missed: q.Missed,
-			WaitMedian: formatQuantile(q.Waits, median), WaitP99: formatQuantile(q.Waits, p99),
-			TimeMedian: formatQuantile(q.CompletionTimes, median), TimeP99: formatQuantile(q.CompletionTimes, p99), InTimeShare: q.InTimeShare(),
-		})
+		w.Queues = append(w.Queues, r.Queues[i].wire())
+	}
+	for i := range r.Accounts {
+		a := &r.Accounts[i]
+		w.Accounts = append(w.Accounts, accountResultWire{a.wire(), a.Weight, a.Refused, a.CoreSeconds})
 	}
 	encoder := json.NewEncoder(to)
 	encoder.SetIndent("", "  ")
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -10,6 +10,8 @@
 // Result is the outcome of a simulation.
 type Result struct {
 	Queues []QueueResult
+	// Accounts is empty for a load without accounts.
+	Accounts []AccountResult
 	// Packing is the share of all cores in use, averaged over the time in which
 	// jobs are submitted. PackingPerSecond is the same for each second.
 	Packing          float64
@@ -35,6 +37,8 @@
 	InTime int
 	Late   int
 	Missed int
+	// Refused counts the jobs that were not accepted. They count as Missed too.
+	Refused int
 	// Waits are the times from submission to the first start, of the jobs that
 	// started. CompletionTimes are those from submission to the end, of the jobs
 	// that were served. Both are sorted.
@@ -42,6 +46,14 @@
 	CompletionTimes []time.Duration
 }
 
+// AccountResult is the outcome of the jobs of one account.
+type AccountResult struct {
+	QueueResult
+	Weight float64
+	// CoreSeconds is the work that was done for the account while jobs were submitted.
+	CoreSeconds float64
+}
+
 // lateFactor times its objective is the time after which a job is of no use.
 const lateFactor = 3
 
@@ -70,13 +82,25 @@
 	for i := range s.load.Queues {
 		out.Queues = append(out.Queues, s.queueResult(&s.load.Queues[i]))
 	}
+	for i := range s.load.Accounts {
+		a := &s.load.Accounts[i]
+		out.Accounts = append(out.Accounts, AccountResult{
+			QueueResult: s.resultOf(a.Terms.Name, func(j *simulatedJob) bool { return j.account == a }),
+			Weight:      a.Terms.Weight, CoreSeconds: s.metrics.coreSecondsOf[a.Terms.Name],
+		})
+	}
 	return out
 }
 
 func (s *simulation) queueResult(q *Queue) QueueResult {
-	out := QueueResult{Name: q.Queue.Name}
+	return s.resultOf(q.Queue.Name, func(j *simulatedJob) bool { return j.queue == q })
+}
+
+// resultOf returns the outcome of some of the jobs.
+func (s *simulation) resultOf(name string, concerns func(*simulatedJob) bool) QueueResult {
+	out := QueueResult{Name: name}
 	for _, j := range s.jobs {
-		if j.queue == q && !j.cancelled {
+		if concerns(j) && !j.cancelled {
 			out.add(j)
 		}
 	}
@@ -87,6 +111,9 @@
 
 func (q *QueueResult) add(j *simulatedJob) {
 	q.Jobs++
+	if j.refused {
+		q.Refused++
+	}
 	if !j.startedAt.IsZero() {
 		q.Waits = append(q.Waits, j.startedAt.Sub(j.submittedAt))
 	}
@@ -123,6 +150,9 @@
 	// share of all cores used in each second.
 	coreSeconds      float64
 	packingPerSecond []float64
+	// coreSecondsOf has the core-seconds of the ended runs of each account, as far as
+	// they are within the time in which jobs are submitted.
+	coreSecondsOf map[string]float64
 }
 
 func newMetrics(begin time.Time, load Load) metrics {
@@ -131,6 +161,7 @@
 		begin: begin, at: begin, end: begin.Add(load.Duration),
 		totalCores:       float64(load.Workers.Capacity.MilliCores) / milli * float64(load.Workers.Count),
 		packingPerSecond: make([]float64, int(load.Duration/time.Second)),
+		coreSecondsOf:    make(map[string]float64),
 	}
 }
 
@@ -157,6 +188,16 @@
 	m.usedCores += cores
 }
 
+// addRun accounts for a run that has ended.
+func (m *metrics) addRun(now time.Time, j *simulatedJob, r *run, cores float64) {
+	if now.After(m.end) {
+		now = m.end
+	}
+	if worked := now.Sub(r.startedAt); j.account != nil && worked > 0 {
+		m.coreSecondsOf[j.account.Terms.Name] += worked.Seconds() * cores
+	}
+}
+
 func (m *metrics) addWasted(worked time.Duration, cores float64) {
 	m.wasted += worked.Seconds() * cores
 }
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -23,6 +23,8 @@
 	// WaitForRecords disables early starts: every start waits for the commit of
 	// its record, however long commits take.
 	WaitForRecords bool
+	// IgnoreAccounts has the jobs of accounts accepted as jobs without an account.
+	IgnoreAccounts bool
 	// Progress is called with the share of the simulation that is done, from 0
 	// to 1. It may be nil.
 	Progress func(share float64)
@@ -58,12 +60,17 @@
 	// checkpoints maps a checkpoint to the work that it has saved.
 	checkpoints map[string]time.Duration
 	committing  bool
+	admission   simulatedAdmission
 	metrics     metrics
 }
 
 // simulatedJob is a submitted job and its progress.
 type simulatedJob struct {
-	queue       *Queue
+	queue *Queue
+	// account is nil for a job without an account.
+	account *Account
+	// refused is set if the job was not accepted.
+	refused     bool
 	job         workload.Job
 	submittedAt time.Time
 	objective   time.Duration
@@ -122,6 +129,10 @@
 	for i := range load.Queues {
 		m.Queues = append(m.Queues, load.Queues[i].Queue)
 	}
+	for i := range load.Accounts {
+		m.HasAccounts = true
+		m.Accounts = append(m.Accounts, manifest.Account{Terms: load.Accounts[i].Terms})
+	}
 	s.cell.SetManifest(m)
 	for i := range load.AdviceHosts {
 		s.adviceHosts = append(s.adviceHosts, i)
@@ -146,6 +157,10 @@
 		s.addWorker(i)
 	}
 	s.tick(s.begin)
+	if s.load.Admission {
+		s.admission = newSimulatedAdmission()
+		s.decideAdmission(s.begin)
+	}
 	for i := range s.load.Queues {
 		s.scheduleJobs(&s.load.Queues[i])
 	}
@@ -263,6 +278,7 @@
 	}
 	w.end(r, kind, "")
 	s.metrics.addCores(now, -s.cores(s.jobs[r.task.Job], r.task))
+	s.metrics.addRun(now, s.jobs[r.task.Job], r, s.cores(s.jobs[r.task.Job], r.task))
 	s.scheduleAfter(now, s.load.CallTime, func(now time.Time) { s.report(now, w) })
 }
 
@@ -281,6 +297,7 @@
 		w.end(r, cell.EndStopped, checkpoint)
 		s.metrics.stops++
 		s.metrics.addCores(now, -s.cores(j, a.Task))
+		s.metrics.addRun(now, j, r, s.cores(j, a.Task))
 	}
 	s.cell.Stopped(a.Worker, a.Task, a.Run, now.Sub(s.begin))
 	s.report(now, w)
