--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -18,6 +18,8 @@
 	Waves   []CellWave
 	// Relays are the hosts that make calls to workers for the owner.
 	Relays []CellRelay
+	// Accounts are the client accounts. It is left out without any.
+	Accounts []CellAccount `json:",omitempty"`
 }
 
 // CellRelay is a host that makes calls to workers for the owner.
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -35,6 +35,13 @@
 				Flags:       []cli.Flag{atFlag(), formatFlag()},
 				Action:      commandAction(stdout, 0, showCell),
 			},
+			{
+				Name:        "accounts",
+				Usage:       "shows the client accounts: weight, share, use against cap, waiting and refused jobs",
+				Description: example("cicadabarrow cell accounts --at http://10.1.0.13:9464"),
+				Flags:       []cli.Flag{atFlag(), formatFlag()},
+				Action:      commandAction(stdout, 0, showCellAccounts),
+			},
 			{
 				Name:        "job",
 				Usage:       "shows the steps of a job and where its tasks run",
@@ -104,6 +111,7 @@
 		for _, v := range p.Relays {
 			row(w, v.Addr, v.DataCentre, fmt.Sprintf("%.2f", v.Cores), v.State, v.Workers)
 		}
+		writeAccounts(w, p.Accounts)
 		row(w, "WORKER", "RACK", "STATE", "RUNS", "FREE MILLICORES", "FREE MB", "SLOWNESS", "RELAY")
 		for _, v := range p.Workers {
 			row(w, v.ID, v.Rack, v.State, v.Runs, v.Free.MilliCores, v.Free.MemoryMB, fmt.Sprintf("%.1f", v.Slowness), v.Relay)
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -50,6 +50,7 @@
 		return peer.Message{}, err
 	}
 	view := encodeOverview(overview, h.config.Self.Name, ready.Epoch())
+	view.Accounts = encodeAccounts(overview.Accounts, h.accountRefusals.total(h.advisors.list().addrs))
 	h.addRelays(&view)
 	return encodeView(view)
 }
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -101,6 +101,7 @@
 	waiting, longest := o.orders.stats()
 	processor := o.processor.sample()
 	o.metrics.backlog(backlog)
+	o.metrics.accounts.update(o.cell.Accounts(now))
 	o.metrics.load(o.load, o.events.Len(), waiting)
 	o.metrics.processor(processor)
 	o.log.Info("load and backlog of the owner",
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -13,10 +13,11 @@
 // ownerMetrics are the metrics of an owner. Only the event loop may use them, except
 // for orderWaits, timeouts and renewals.
 type ownerMetrics struct {
-	scope  tally.Scope
-	stages map[stageKey]tally.Histogram
-	commit tally.Histogram
-	starts tally.Counter
+	scope    tally.Scope
+	accounts *accountMetrics
+	stages   map[stageKey]tally.Histogram
+	commit   tally.Histogram
+	starts   tally.Counter
 	// renewals counts the renewals of the owner's row without a batch.
 	renewals tally.Counter
 	// orderWaits holds, for each kind of order, the histogram of the time in the
@@ -48,7 +49,7 @@
 		orderWaits: waits, timeouts: timeoutCounters(scope),
 		scope: scope, stages: make(map[stageKey]tally.Histogram),
 		commit: scope.Histogram("commit", metrics.LatencyBuckets()), starts: scope.Counter("starts"),
-		renewals: scope.Counter("renewals"),
+		renewals: scope.Counter("renewals"), accounts: newAccountMetrics(scope),
 	}
 }
 
