--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -67,8 +67,9 @@
 	load := o.cell.Load(now)
 	decision := o.admission.limiter.Observe(now, load)
 	o.admission.current.Store(&admissionDecision{decision, now})
-	refusing := len(decision.Services)
-	o.metrics.scope.Gauge("priorities_refused").Update(float64(refusing))
+	o.metrics.scope.Gauge("priorities_refused").Update(float64(len(decision.Services)))
+	o.metrics.scope.Gauge("accounts_in_excess").Update(float64(len(load.InExcess)))
+	refusing := len(decision.Services) + len(decision.Short)
 	if refusing == o.admission.refusing || now.Sub(o.admission.loggedAt) < reportInterval {
 		return
 	}
@@ -79,9 +80,12 @@
 // logAdmission logs a decision with the inputs that decided it.
 func (o *Owner) logAdmission(now time.Time, load admission.Load, decision admission.Decision) {
 	message := "all new jobs are accepted"
-	if o.admission.refusing > 0 {
+	switch {
+	case len(decision.Services) > 0:
 		message = "new jobs are refused, since the cell cannot keep up"
+	case len(decision.Short) > 0:
+		message = "new jobs of accounts in excess are refused, since the cell is short of capacity"
 	}
-	o.log.Warn(message, zap.Any("Refused", decision.Services), zap.Any("Load", load.Services),
+	o.log.Warn(message, zap.Any("Refused", decision.Services), zap.Any("Short", decision.Short), zap.Any("InExcess", decision.InExcess), zap.Any("Load", load.Services),
 		zap.Float64("StartsPerSecond", o.admission.limiter.Rate(now)), zap.Bool("StartsWait", load.StartsWait), zap.Bool("StartsFail", load.StartsFail))
 }
