--- a/internal/cell/caps.go
+++ b/internal/cell/caps.go
@@ -75,7 +75,20 @@
 	if c.awaitingWorkers() && (limited || !s.spec.Gang && !s.spec.LongRunning) {
 		return true
 	}
-	return limited && c.mayHaveJobsOfPredecessor(now)
+	if limited && c.mayHaveJobsOfPredecessor(now) {
+		c.awaitsJobs = true
+		return true
+	}
+	return false
+}
+
+// tickAwaitedJobs has the steps evaluated that waited for the jobs of a predecessor to
+// become known.
+func (c *Cell) tickAwaitedJobs(now time.Time) {
+	if c.awaitsJobs && !c.mayHaveJobsOfPredecessor(now) {
+		c.awaitsJobs = false
+		c.markAllSteps()
+	}
 }
 
 // mayHaveJobsOfPredecessor reports whether a worker runs tasks of jobs that this owner
@@ -103,6 +116,9 @@
 	if !s.blockedByCap() || slices.ContainsFunc(s.tasks, (*task).mayHaveCrashedWorkers) {
 		return false
 	}
+	c.urgentQuestions.waiting.remove(s)
+	c.longQuestions.waiting.remove(s)
+	c.evalQueue.unplaceable.remove(s)
 	c.waitForCap(s)
 	return true
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -130,6 +130,8 @@
 	capWaitsLoggedAt time.Time
 	// workersWithUnsized counts the workers that report tasks of unknown jobs.
 	workersWithUnsized int
+	// awaitsJobs is set if a step was not placed because of them.
+	awaitsJobs bool
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[workload.JobID]*jobState
 	// openSteps holds the steps that have tasks to place.
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -174,6 +174,7 @@
 		}
 	}
 	c.tickEarlyStarts(now)
+	c.tickAwaitedJobs(now)
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
 	c.offerNewlyUsable(now)
