--- a/internal/cell/accountview.go
+++ b/internal/cell/accountview.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/account"
-	"cicadabarrow.example/cicadabarrow/internal/job"
 )
 
 // AccountView is the state of a client account as shown to an operator.
@@ -43,13 +42,3 @@
 	}
 	return out
 }
-
-// AccountUse returns what an account has in use on all workers together.
-func (c *Cell) AccountUse(now time.Time, name string) job.Size {
-	for _, v := range c.books.Views(now) {
-		if v.Name == name {
-			return v.Use
-		}
-	}
-	return job.Size{}
-}
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -126,3 +127,13 @@
 	}
 	return b.String()
 }
+
+// AccountUse returns what an account has in use on all workers together.
+func (c *Cell) AccountUse(now time.Time, name string) job.Size {
+	for _, v := range c.books.Views(now) {
+		if v.Name == name {
+			return v.Use
+		}
+	}
+	return job.Size{}
+}
--- a/internal/cell/longwait.go
+++ b/internal/cell/longwait.go
@@ -26,6 +26,8 @@
 	waitStart waitReason = "Start"
 	// waitAdvice tasks wait for the answer to an open question.
 	waitAdvice waitReason = "Advice"
+	// waitCap tasks do not fit under the cap of their account.
+	waitCap waitReason = "Cap"
 	// waitCapacity tasks have no worker that is free and known to be allowed.
 	waitCapacity waitReason = "Capacity"
 )
@@ -90,6 +92,8 @@
 		return waitStart, r.plannedAt
 	case r != nil:
 		return "", time.Time{}
+	case t.step.blockedByCap():
+		return waitCap, t.waitingSince
 	case !t.step.advice.askedAt.IsZero():
 		return waitAdvice, t.waitingSince
 	}
