--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -128,8 +128,12 @@
 // runActions carries out the cell's actions until there are none left, and returns
 // the questions that it asked.
 func (b *backlog) runActions() []cell.AskAdvice {
+	const maxDecisions = 100_000
 	var asked []cell.AskAdvice
-	for {
+	for n := 0; ; n++ {
+		if n > maxDecisions {
+			b.t.Fatalf("decisions go on without end\n%s", b.cell.Describe())
+		}
 		actions := b.cell.TakeActions(b.now)
 		asked = append(asked, b.apply(actions)...)
 		records := b.cell.TakeRecords(1000)
--- a/internal/cell/caps.go
+++ b/internal/cell/caps.go
@@ -47,7 +47,7 @@
 // step, or for its gang.
 func (s *stepState) blockedByCap() bool {
 	m := s.job.member
-	return m.Limited() && !m.Fits(s.capNeed())
+	return s.waiting > 0 && m.Limited() && !m.Fits(s.capNeed())
 }
 
 // withinCap returns how many of the waiting tasks of a step fit under its cap, beside
@@ -200,7 +200,8 @@
 func (c *Cell) offerCapRoom(waits *capWaits) (passedOver bool) {
 	var claimed job.Size
 	for _, s := range waits.steps.first(maxCapOffers) {
-		if s.evaluatedIn == c.evalQueue.round || s.blockedByCap() {
+		// The waiting tasks may have been completed by unknown runs.
+		if s.evaluatedIn == c.evalQueue.round || s.waiting == 0 || s.blockedByCap() {
 			continue
 		}
 		tasks := s.withinCap(claimed)
--- a/internal/cell/caps_test.go
+++ b/internal/cell/caps_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -132,3 +134,29 @@
 		t.Errorf("%d of 3 tasks were placed by the first decision", placed)
 	}
 }
+
+// A step that waits for its cap may have its last waiting task completed by an unknown run.
+// It must not keep decisions going when there is room under the cap.
+func TestStepsWithoutWaitingTasksNeedNoRoom(t *testing.T) {
+	b := newBacklog(t, 8, 0, whyUnanswered)
+	b.withCap(job.Size{MilliCores: 2000})
+	step := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 1000}, Estimate: time.Hour}
+	b.accept("first", "free", step)
+	step.Tasks = 2
+	b.accept("second", "free", step)
+	b.runActions()
+	unknown := workload.TaskID{StepID: workload.StepID{Job: "second"}, Index: 1}
+	w := b.workers[0]
+	b.ends[w]++
+	b.report(w, cell.Ended{Number: b.ends[w], Task: unknown, Run: 1, Kind: cell.EndDone})
+	for _, id := range b.workers {
+		if i := slices.IndexFunc(b.running[id], func(r cell.Running) bool { return r.Task.Job == "first" }); i >= 0 {
+			b.endRun(id, i, cell.EndDone)
+			break
+		}
+	}
+	b.runActions()
+	if got := b.cell.AccountUse(b.now, "a"); got.MilliCores != 1000 {
+		t.Errorf("%+v are in use", got)
+	}
+}
