--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -26,6 +26,7 @@
 
 func (c *Cell) sendStart(now time.Time, r *run) {
 	r.phase = runSent
+	chargeSent(r)
 	if r.revision > r.task.step.job.durable {
 		c.earlyStarts.undurable = append(c.earlyStarts.undurable, r)
 	}
@@ -160,6 +161,7 @@
 	c.sweep()
 	c.logLongWaits(now)
 	c.refreshInterference(now)
+	c.logCapWaits(now)
 }
 
 // tickState does the periodic work that changes the state of jobs and workers.
@@ -173,12 +175,15 @@
 		}
 	}
 	c.tickEarlyStarts(now)
+	c.tickAwaitedJobs(now)
 	c.tickWaves(now)
 	c.removeGoneWorkers(now)
 	c.offerNewlyUsable(now)
+	c.tickShares(now)
 }
 
 func (c *Cell) tickWorker(now time.Time, w *worker) {
+	c.tickUnknownUse(now, w)
 	if (w.runs.len() > 0 || c.earlyStarts.awaited[w.id]) && c.superseded(now, w) {
 		c.workerCrashed(now, w)
 		return
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -127,6 +127,8 @@
 	// pingSoon holds an element after a new owner has announced itself.
 	pingSoon chan struct{}
 	metrics  hostMetrics
+	// accountRefusals counts the jobs that are refused for the limits of their account.
+	accountRefusals *accountRefusals
 	// Only the goroutine of monitorOwner uses suspicion, suspectedSince, contact,
 	// delay, lastReadFailure and yieldUntil, and receives the answers of the pinger.
 	suspicion suspicion
@@ -197,6 +199,7 @@
 		relayHosts: newRelayHosts(timers), pingSoon: make(chan struct{}, 1),
 		relayServer: relay.NewServer(platform.Workers, timers, scope),
 		recency:     recency{begin: timers.Now()}, keyMetrics: newKeyMetrics(scope),
+		accountRefusals: newAccountRefusals(scope),
 	}
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -188,6 +188,7 @@
 func (h *Host) pong(ping message.HostPing) message.OwnerPong {
 	h.advisors.markAlive(ping.Addr)
 	h.advisors.noteCapacity(ping.Addr, ping.Cores, ping.DataCentre == h.config.Self.DataCentre)
+	h.accountRefusals.note(ping.Addr, ping.Refused)
 	h.noteOwnerPing(ping)
 	running := h.runningOwner()
 	if running != nil {
