--- a/internal/account/books.go
+++ b/internal/account/books.go
@@ -15,6 +15,8 @@
 	inForce map[string]manifest.Terms
 	// entries has the accounts with jobs or with something in use.
 	entries map[string]*entry
+	// sharesAt is when the shares were last updated.
+	sharesAt time.Time
 }
 
 // entry is what is kept about one account.
@@ -34,6 +36,8 @@
 	// earliest is the earliest virtual arrival of the account's next job, before the
 	// burst allowance.
 	earliest time.Time
+	// meanShare is the mean of the part of the capacity that the account has lately used.
+	meanShare float64
 	// overShare is set while the account uses more than its share, at the latest until
 	// overShareUntil unless others wait again.
 	overShare      bool
--- a/internal/account/rate.go
+++ b/internal/account/rate.go
@@ -61,6 +61,9 @@
 // Excess is an account whose next job would be in excess.
 type Excess struct {
 	Name string
+	// OverShare is set if the account has been over its share of the capacity for some
+	// time. Otherwise it is ahead of its rate.
+	OverShare bool
 	// For is how long it would be.
 	For time.Duration
 }
@@ -72,11 +75,12 @@
 	var out []Excess
 	for name, e := range b.entries {
 		d := e.excessFor(now)
-		if e.overShare && now.Sub(e.overShareSince) >= overShareRefused {
+		over := e.overShare && now.Sub(e.overShareSince) >= overShareRefused
+		if over {
 			d = max(d, overShareRetry)
 		}
 		if d > 0 {
-			out = append(out, Excess{name, d})
+			out = append(out, Excess{Name: name, OverShare: over, For: d})
 		}
 		if !e.earliest.After(now) {
 			e.earliest = time.Time{}
--- a/internal/account/share.go
+++ b/internal/account/share.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"math"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/job"
@@ -13,6 +14,9 @@
 	// backWithinShare times its share is what the use of an account has to fall to until
 	// it is within its share again.
 	backWithinShare = 0.9
+	// shareTime is the time constant of the mean use of an account. Jobs of all accounts may
+	// need more than their share for a moment.
+	shareTime = 10 * time.Second
 	// minShare is the least share of an account. One or two jobs of an account with a small
 	// weight may need more than its weight alone would give, and keep nobody waiting long.
 	minShare = 0.1
@@ -24,9 +28,12 @@
 // tasks on time that wait for capacity; the empty name stands for jobs without an account.
 //
 // The share of an account is its weight divided by the weights of all accounts that use or
-// want capacity, at least minShare. An account is over its share if its use, in the resource of which it uses
-// the largest part, is larger than that while others within their share wait.
+// want capacity, at least minShare. An account is over its share if its use, in the
+// resource of which it uses the largest part, is larger than that now and in the mean of
+// the last seconds while others within their share wait.
 func (b *Books) UpdateShares(now time.Time, full bool, total job.Size, waiting map[string]bool) []string {
+	passed := now.Sub(later(now.Add(-shareTime), b.sharesAt))
+	b.sharesAt = now
 	sum := 0.0
 	for name, e := range b.entries {
 		if waiting[name] || !e.use.IsZero() {
@@ -40,6 +47,7 @@
 	}
 	var changed []string
 	for name, e := range b.entries {
+		e.updateMean(passed, total)
 		was := e.overShare
 		e.updateShare(now, full && othersIn(within, name), total, sum)
 		if e.overShare != was {
@@ -62,7 +70,7 @@
 func (e *entry) updateShare(now time.Time, othersWait bool, total job.Size, sum float64) {
 	used, share := e.use.DominantShare(total), e.share(sum)
 	switch {
-	case used > share && othersWait:
+	case min(used, e.meanShare) > share && othersWait:
 		if !e.overShare {
 			e.overShareSince = now
 		}
@@ -72,6 +80,11 @@
 	}
 }
 
+// updateMean adds the use in the time that has passed to the mean.
+func (e *entry) updateMean(passed time.Duration, total job.Size) {
+	e.meanShare += (e.use.DominantShare(total) - e.meanShare) * (1 - math.Exp(-passed.Seconds()/shareTime.Seconds()))
+}
+
 // share returns the share of the account in the capacity, given the sum of the weights.
 func (e *entry) share(sum float64) float64 {
 	if sum <= 0 {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -82,8 +82,13 @@
 		return
 	}
 	for _, s := range load.Services {
-		if wait, _ := l.wait(now, load, s.Service, s.Excess); wait > minWait {
-			out.Short = append(out.Short, ServiceShortage{Service: s.Service, Wait: wait})
+		for _, d := range s.Ahead {
+			if wait, _ := l.wait(now, load, s.Service, d); wait > minWait {
+				out.Short = append(out.Short, ServiceShortage{Service: s.Service, Priority: d.Priority, Wait: wait})
+			}
+		}
+		if wait, _ := l.wait(now, load, s.Service, s.OverShare); wait > minWait {
+			out.Short = append(out.Short, ServiceShortage{Service: s.Service, OverShare: true, Wait: wait})
 		}
 	}
 	if len(out.Short) > 0 {
--- a/internal/admission/admissionwire/admissionwire.go
+++ b/internal/admission/admissionwire/admissionwire.go
@@ -35,14 +35,17 @@
 
 // ServiceShortage is the msgpack form of an admission.ServiceShortage.
 type ServiceShortage struct {
-	Service string        `msgpack:"service"`
-	Wait    time.Duration `msgpack:"wait"`
+	Service   string        `msgpack:"service"`
+	Priority  int           `msgpack:"priority,omitempty"`
+	OverShare bool          `msgpack:"over,omitempty"`
+	Wait      time.Duration `msgpack:"wait"`
 }
 
 // AccountExcess is the msgpack form of an account.Excess.
 type AccountExcess struct {
-	Name string        `msgpack:"name"`
-	For  time.Duration `msgpack:"for"`
+	Name      string        `msgpack:"name"`
+	OverShare bool          `msgpack:"over,omitempty"`
+	For       time.Duration `msgpack:"for"`
 }
 
 // EncodeExcess converts what concerns accounts in excess. It returns nil if nothing does.
@@ -52,10 +55,10 @@
 	}
 	out := new(Excess)
 	for _, s := range d.Short {
-		out.Short = append(out.Short, ServiceShortage{Service: s.Service, Wait: s.Wait})
+		out.Short = append(out.Short, ServiceShortage(s))
 	}
 	for _, e := range d.InExcess {
-		out.Accounts = append(out.Accounts, AccountExcess{Name: e.Name, For: e.For})
+		out.Accounts = append(out.Accounts, AccountExcess{Name: e.Name, OverShare: e.OverShare, For: e.For})
 	}
 	return out
 }
@@ -66,10 +69,10 @@
 		return
 	}
 	for _, s := range e.Short {
-		d.Short = append(d.Short, admission.ServiceShortage{Service: s.Service, Wait: s.Wait})
+		d.Short = append(d.Short, admission.ServiceShortage(s))
 	}
 	for _, a := range e.Accounts {
-		d.InExcess = append(d.InExcess, account.Excess{Name: a.Name, For: a.For})
+		d.InExcess = append(d.InExcess, account.Excess{Name: a.Name, OverShare: a.OverShare, For: a.For})
 	}
 }
 
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -46,10 +46,13 @@
 }
 
 // ServiceShortage tells after what time a new job in excess would probably be started for
-// the workers of a service.
+// the workers of a service: a job of a priority that is ahead of the rate of its account,
+// or with OverShare a job of an account that is over its share of the capacity.
 type ServiceShortage struct {
-	Service string
-	Wait    time.Duration
+	Service   string
+	Priority  int
+	OverShare bool
+	Wait      time.Duration
 }
 
 // Job is what the answer to a submission depends on.
@@ -70,15 +73,18 @@
 	if j.Account == "" {
 		return 0, false
 	}
-	short := slices.IndexFunc(d.Short, func(s ServiceShortage) bool { return s.Service == j.Service })
-	if short < 0 || d.Short[short].Wait <= j.slackInExcess() {
-		return 0, false
-	}
 	at := slices.IndexFunc(d.InExcess, func(e account.Excess) bool { return e.Name == j.Account })
 	if at < 0 {
 		return 0, false
 	}
-	return max(d.InExcess[at].For, minRetryAfter), true
+	excess := d.InExcess[at]
+	short := slices.IndexFunc(d.Short, func(s ServiceShortage) bool {
+		return s.Service == j.Service && s.OverShare == excess.OverShare && (s.OverShare || s.Priority == j.Priority)
+	})
+	if short < 0 || d.Short[short].Wait <= j.slackInExcess() {
+		return 0, false
+	}
+	return max(excess.For, minRetryAfter), true
 }
 
 // slackInExcess is how long the start of a job may wait before it is refused for the
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -18,7 +18,7 @@
 	// the owner's host has too little processor time for its calls. All starts are then
 	// delayed.
 	StartsFail bool
-	// InExcess has the accounts whose next job would be ahead of their rate.
+	// InExcess has the accounts whose next job would be in excess.
 	InExcess []account.Excess
 	// Services has what waits for the workers of each service.
 	Services []ServiceLoad
@@ -41,9 +41,12 @@
 	Priorities []Demand
 	// LongRunning is the demand before new long-running jobs, whatever their queue.
 	LongRunning Demand
-	// Excess is the demand before new jobs in excess: they go after all others that are
-	// on time. It is set if an account is in excess.
-	Excess Demand
+	// Ahead has the demand before new jobs of each priority that are ahead of the rate of
+	// their account, which go after the others of that priority, and OverShare the one
+	// before new jobs of accounts over their share of the capacity, which go after all
+	// priorities. Both are set if an account is in excess.
+	Ahead     []Demand
+	OverShare Demand
 }
 
 // Demand is the work that goes before that of a new job.
--- a/internal/cell/accountview.go
+++ b/internal/cell/accountview.go
@@ -36,7 +36,7 @@
 		}
 	})
 	for _, j := range c.jobs {
-		if j.member != nil && !j.state.Final() && c.inExcess(now, j) {
+		if j.member != nil && !j.state.Final() && j.inExcess(now) {
 			byName[j.member.Name()].InExcess++
 		}
 	}
--- a/internal/cell/demand.go
+++ b/internal/cell/demand.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/admission"
@@ -33,9 +34,9 @@
 
 // serviceDemand is the work that waits for the workers of a service.
 type serviceDemand struct {
-	// waiting has the tasks that wait to be placed by the class of their rank, with all
-	// long-running ones in classLongRunning.
-	waiting map[int]waitingWork
+	// waiting has the tasks that wait to be placed by their rank, with all long-running
+	// ones on time in classLongRunning.
+	waiting map[demandClass]waitingWork
 	// freeMilliCores is the free capacity of the workers that may get starts.
 	freeMilliCores int64
 	// short is set while the free capacity is too small for all tasks that wait, and
@@ -47,6 +48,13 @@
 	targets map[int]time.Duration
 }
 
+// demandClass is a class of rank, and within it the jobs that are ahead of the rate of
+// their account or the others.
+type demandClass struct {
+	class int
+	ahead bool
+}
+
 // waitingWork is tasks that wait to be placed.
 type waitingWork struct {
 	tasks      int
@@ -54,10 +62,10 @@
 }
 
 // upTo returns the tasks that wait in a class or in an earlier one.
-func (d *serviceDemand) upTo(class int) waitingWork {
+func (d *serviceDemand) upTo(last demandClass) waitingWork {
 	var out waitingWork
 	for c, work := range d.waiting {
-		if c <= class {
+		if cmp.Or(cmp.Compare(c.class, last.class), compareBools(c.ahead, last.ahead)) <= 0 {
 			out.tasks += work.tasks
 			out.milliCores += work.milliCores
 		}
@@ -97,40 +105,34 @@
 		s := admission.ServiceLoad{
 			Service: name, Started: accepted.starts, StartedMilliCores: accepted.milliCores,
 			CapacityShort: d.short, FreedPerSecond: d.freedPerSecond,
-			LongRunning: c.demandOf(now, services, d, classLongRunning),
-		}
-		if len(out.InExcess) > 0 {
-			s.Excess = c.demandOf(now, services, d, classExcess)
+			LongRunning: c.demandOf(now, services, d, demandClass{class: classLongRunning}),
 		}
 		for _, priority := range sortedKeys(d.targets) {
-			s.Priorities = append(s.Priorities, c.demandOf(now, services, d, priority))
+			s.Priorities = append(s.Priorities, c.demandOf(now, services, d, demandClass{class: priority}))
+			if len(out.InExcess) > 0 {
+				s.Ahead = append(s.Ahead, c.demandOf(now, services, d, demandClass{class: priority, ahead: true}))
+			}
+		}
+		if len(out.InExcess) > 0 {
+			s.OverShare = c.demandOf(now, services, d, demandClass{class: classOverShare, ahead: true})
 		}
 		out.Services = append(out.Services, s)
 	}
 	return out
 }
 
-// demandOf returns the demand before a new job for the workers of a service: the tasks of
-// its priority or a higher one, and long-running ones. Jobs in classExcess go after it
-// unless it is in excess too, and those in classExpired always.
-// Starts for workers of other services go before it too, but only those for which there
-// is capacity.
-func (c *Cell) demandOf(now time.Time, services map[string]*serviceDemand, d *serviceDemand, priority int) admission.Demand {
-	class := startOther
-	switch priority {
-	case classLongRunning:
-		class = startLongRunning
-	case classExcess:
-		class = startExcess
-	case 0:
-		class = startUrgent
-	}
+// demandOf returns the demand before a new job of a class for the workers of a service:
+// the tasks of its class or an earlier one, and long-running ones. Those in classExpired
+// always go after it. Starts for workers of other services go before it too, but only
+// those for which there is capacity.
+func (c *Cell) demandOf(now time.Time, services map[string]*serviceDemand, d *serviceDemand, of demandClass) admission.Demand {
+	class := of.startClass()
 	out := admission.Demand{
-		Priority: priority, Target: d.targets[priority],
-		StartsDelayed: c.dispatch.full(now, class), MissingMilliCores: d.missing(d.upTo(priority)),
+		Priority: of.class, Target: d.targets[of.class],
+		StartsDelayed: c.dispatch.full(now, class), MissingMilliCores: d.missing(d.upTo(of)),
 	}
 	for _, other := range services {
-		out.Starts += other.fitting(other.upTo(priority))
+		out.Starts += other.fitting(other.upTo(of))
 	}
 	for earlier := range class + 1 {
 		out.Starts += c.dispatch.parts[earlier].waiting
@@ -138,6 +140,21 @@
 	return out
 }
 
+// startClass returns the class of the starts of jobs.
+func (d demandClass) startClass() startClass {
+	switch {
+	case d.class == classLongRunning:
+		return startLongRunning
+	case d.class == 0 && d.ahead:
+		return startUrgentAhead
+	case d.class == 0:
+		return startUrgent
+	case d.ahead:
+		return startExcess
+	}
+	return startOther
+}
+
 // serviceDemands returns what waits for the workers of each service of the manifest's
 // queues.
 func (c *Cell) serviceDemands() map[string]*serviceDemand {
@@ -146,7 +163,7 @@
 		q := &c.manifest.Queues[i]
 		d, known := out[q.Service]
 		if !known {
-			d = &serviceDemand{waiting: make(map[int]waitingWork), targets: make(map[int]time.Duration)}
+			d = &serviceDemand{waiting: make(map[demandClass]waitingWork), targets: make(map[int]time.Duration)}
 			out[q.Service] = d
 		}
 		if target, known := d.targets[q.Priority]; !known || q.TargetLatency < target {
@@ -158,9 +175,10 @@
 		if !known {
 			return // no new jobs can be submitted for it
 		}
-		class := s.key.rank.class
-		if s.spec.LongRunning && class != classExcess {
-			class = classLongRunning
+		r := s.key.rank
+		class := demandClass{class: r.class, ahead: r.ahead}
+		if s.spec.LongRunning && !r.ahead && r.class != classOverShare {
+			class.class = classLongRunning
 		}
 		work := d.waiting[class]
 		work.tasks += tasks
@@ -202,7 +220,7 @@
 func (c *Cell) addFreed(services map[string]*serviceDemand) {
 	anyShort := false
 	for _, d := range services {
-		d.short = d.missing(d.upTo(classExpired)) > 0
+		d.short = d.missing(d.upTo(demandClass{class: classExpired, ahead: true})) > 0
 		anyShort = anyShort || d.short
 	}
 	if !anyShort {
--- a/internal/cell/excess.go
+++ b/internal/cell/excess.go
@@ -8,7 +8,9 @@
 )
 
 // A job of an account has a virtual arrival time, by the rate of its account. Until then
-// it is in excess: it is ranked after all jobs that are on time.
+// it is ahead of the rate, and is ranked after the other jobs of its priority. A job is in
+// excess if it is ahead, or if its account is over its share of the capacity. Those of the
+// latter are ranked after all priorities.
 
 // arrivalOf returns the virtual arrival time of a job that has just been accepted. The
 // jobs that a new owner reads from the store do not count: their predecessor has counted
@@ -20,11 +22,12 @@
 	return j.member.Arrive(j.acceptedAt)
 }
 
-// inExcess reports whether a job is ahead of the rate of its account, so that its virtual
-// arrival is in the future, or whether its account is over its share of the capacity.
-func (c *Cell) inExcess(now time.Time, j *jobState) bool {
-	return now.Before(j.arrival) || j.member.OverShare()
-}
+// ahead reports whether a job is ahead of the rate of its account.
+func (j *jobState) ahead(now time.Time) bool { return now.Before(j.arrival) }
+
+// inExcess reports whether a job is ahead of the rate of its account, or whether its
+// account is over its share of the capacity.
+func (j *jobState) inExcess(now time.Time) bool { return j.ahead(now) || j.member.OverShare() }
 
 const (
 	// shareWait is how long a task that is on time waits before the accounts that are over
@@ -74,9 +77,4 @@
 
 // waitsSince returns when a step began to wait for capacity: not before its virtual
 // arrival.
-func (s *stepState) waitsSince() time.Time {
-	if s.job.arrival.After(s.readyAt) {
-		return s.job.arrival
-	}
-	return s.readyAt
-}
+func (s *stepState) waitsSince() time.Time { return later(s.readyAt, s.job.arrival) }
--- a/internal/cell/questionlimiter.go
+++ b/internal/cell/questionlimiter.go
@@ -66,7 +66,7 @@
 
 // asksUrgently reports whether the questions of a step are urgent.
 func (c *Cell) asksUrgently(s *stepState) bool {
-	return c.queueOf(s.job).Priority == 0 && s.key.rank.class != classExcess
+	return c.queueOf(s.job).Priority == 0 && s.key.rank.class != classOverShare
 }
 
 // SetAdviceHosts sets how many hosts can ask the advice service. The questions
--- a/internal/cell/rank.go
+++ b/internal/cell/rank.go
@@ -11,23 +11,36 @@
 // rank orders the steps that wait for capacity; a lower rank goes first.
 type rank struct {
 	class int
-	// priority is that of the queue in classExcess, and 0 in all other classes.
+	// priority is that of the queue in classOverShare, and 0 in all other classes.
 	priority int
+	// ahead is set for jobs that are ahead of the rate of their account.
+	ahead bool
 	// due is when the job should be complete to meet its objective.
 	due time.Time
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), r.due.Compare(o.due))
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), compareBools(r.ahead, o.ahead), r.due.Compare(o.due))
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 const (
 	// classLongRunning is the class of long-running tasks that have been down
 	// for some time. They go first, because they serve users of their own.
 	classLongRunning = -1
-	// classExcess is the class of jobs that are ahead of the rate of their account. It
-	// follows all priorities.
-	classExcess = classExpired - 1
+	// classOverShare is the class of jobs of accounts that are over their share of the
+	// capacity. It follows all priorities.
+	classOverShare = classExpired - 1
 	// classExpired is the class of jobs that are so late that their result no
 	// longer benefits the client.
 	classExpired = 1000
@@ -45,29 +58,34 @@
 		return rank{due: s.waitStart()}
 	}
 	objective := Objective(s.job.job, q)
-	due := s.waitStart().Add(objective)
-	class := q.Priority
+	out := rank{class: q.Priority, ahead: s.job.inExcess(now), due: s.fairStart().Add(objective)}
 	switch {
-	case c.inExcess(now, s.job):
-		return rank{class: classExcess, priority: q.Priority, due: due}
+	case s.job.ahead(now) && s.job.member.OverShare():
+		out.class, out.priority = classOverShare, q.Priority
 	case s.spec.LongRunning:
-		if now.Sub(s.readyAt) > longRunningWait {
-			class = classLongRunning
+		if !out.ahead && now.Sub(s.readyAt) > longRunningWait {
+			out.class = classLongRunning
 		}
 	case now.After(s.waitStart().Add(expiredFactor * objective)):
-		class = classExpired
+		out.class = classExpired
 	}
-	return rank{class: class, due: due}
+	return out
 }
 
-// waitStart returns when the client's wait begins. That of a job in excess begins at its
-// virtual arrival.
+// waitStart returns when the client's wait begins.
 func (s *stepState) waitStart() time.Time {
-	due := s.job.job.Due(s.id.Occurrence)
-	if due.After(s.job.arrival) {
-		return due
+	return later(s.job.job.Due(s.id.Occurrence), s.job.acceptedAt)
+}
+
+// fairStart returns the time from which the due time of a step counts. That is not before
+// the virtual arrival of its job.
+func (s *stepState) fairStart() time.Time { return later(s.waitStart(), s.job.arrival) }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return s.job.arrival
+	return a
 }
 
 // maxObjective limits the objective, so that expiredFactor times it does not overflow.
--- a/internal/cell/startclass.go
+++ b/internal/cell/startclass.go
@@ -10,8 +10,11 @@
 	startLongRunning startClass = iota
 	// startUrgent are the starts of the highest priority.
 	startUrgent
+	// startUrgentAhead are those of jobs that are ahead of the rate of their account.
+	startUrgentAhead
 	startOther
-	// startExcess are the starts of jobs in classExcess.
+	// startExcess are the starts of all other jobs that are ahead of the rate of their
+	// account, and of jobs in classOverShare.
 	startExcess
 	// startExpiredUrgent and startExpired are the starts of jobs in classExpired, of
 	// the highest priority and of the others.
@@ -24,16 +27,20 @@
 func (c *Cell) startClassOf(s *stepState, r rank) startClass {
 	urgent, expired := c.queueOf(s.job).Priority == 0, r.class == classExpired
 	switch {
-	case r.class == classExcess:
+	case r.class == classOverShare:
 		return startExcess
-	case s.spec.LongRunning:
+	case s.spec.LongRunning && !r.ahead:
 		return startLongRunning
 	case urgent && expired:
 		return startExpiredUrgent
 	case expired:
 		return startExpired
+	case urgent && r.ahead:
+		return startUrgentAhead
 	case urgent:
 		return startUrgent
+	case r.ahead:
+		return startExcess
 	}
 	return startOther
 }
