--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -100,6 +100,9 @@
 // is not refused. A job that is started soon enough to meet its objective is not. What is
 // refused for the excess of its account is left to RefusesExcess.
 func (d Decision) Refuses(j Job) (time.Duration, bool) {
+	if retry, all := d.allRefused(); all {
+		return retry, true
+	}
 	if len(d.Services) == 0 {
 		return d.RetryAfter(j.Priority, j.LongRunning)
 	}
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -35,6 +35,7 @@
 		if j, known := c.jobs[id]; known {
 			c.books.Leave(j.member)
 		}
+		c.releaseBytes(id)
 		delete(c.jobs, id)
 	}
 }
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -42,6 +42,8 @@
 	member *account.Member
 	// arrival is the virtual arrival time, which is acceptedAt without an account.
 	arrival time.Time
+	// bytes is about how much memory the job takes.
+	bytes int64
 	// leftPending is set once the job no longer counts as pending: a worker has
 	// accepted a start of one of its tasks, or the job has ended.
 	leftPending bool
@@ -223,10 +225,12 @@
 	}
 	j := &jobState{
 		job: &a.Job, acceptedQueue: a.Queue, account: a.Account, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
+		bytes: a.Bytes(),
 	}
 	c.joinAccount(j)
 	c.resolveQueue(j)
 	c.jobs[a.Job.ID] = j
+	c.hold(j)
 	c.pending[a.Job.Queue]++
 	c.unfinishedJobs++
 	c.createDueOccurrences(now, j)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -20,11 +20,17 @@
 	unlistedAt time.Time
 	// registeredAt is when this owner first saw the registration.
 	registeredAt time.Time
+	// maintenanceBefore is set if the maintenance of the machine had been ordered by
+	// registeredAt.
+	maintenanceBefore bool
+	// renewedAfter is the latest time known after which the registered incarnation has
+	// renewed its entry, so that it existed then; zero if none is known.
+	renewedAfter time.Time
 	// laterOnMachine is set while a worker that follows this one is known on the
 	// machine.
 	laterOnMachine bool
-	// maintenanceBeforeLater is set if the maintenance of the machine had been
-	// ordered by then. A later order ends the later worker.
+	// maintenanceBeforeLater is set if the maintenance of the machine had been ordered
+	// before the later worker was registered. A later order ends the later worker.
 	maintenanceBeforeLater bool
 	// incarnation is the latest incarnation that the worker reported to this
 	// owner.
@@ -48,6 +54,10 @@
 	// preempted is the part of the reserved capacity held by runs that are
 	// being preempted.
 	preempted job.Size
+	// preemptible is the part held by runs that can be preempted, as found in the round of
+	// placement preemptibleIn; 0 if it is not known.
+	preemptible   job.Size
+	preemptibleIn uint64
 	// isolated is the run of a suspect for which the worker gets no other
 	// starts; nil if there is none.
 	isolated *run
@@ -177,14 +187,17 @@
 	if was := w.registration.Capacity; !was.IsZero() && r.Capacity != was {
 		c.logCapacityChange(w, r.Capacity)
 	}
+	w.noteRenewal(r)
 	c.setRegistration(w, r)
 	if w.registeredAt.IsZero() {
-		w.registeredAt = now
+		w.registeredAt, w.maintenanceBefore = now, c.maintenanceOrdered(r.Machine)
 	}
 	w.listed = true
 	c.noteLaterWorkers(r.Machine)
 	c.capacityFreed(w)
-	c.resolveLostRuns(now, w, r.Incarnation, r.Leaving, nil)
+	c.resolveLostRuns(now, w, sighting{
+		incarnation: r.Incarnation, answered: w.reported && w.registered(), notCrashed: r.Leaving, renewedAfter: w.renewedAfter,
+	})
 }
 
 // Addr returns the address at which a worker takes calls.
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -22,6 +21,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/election"
 	"cicadabarrow.example/cicadabarrow/internal/host"
+	"cicadabarrow.example/cicadabarrow/internal/httplimit"
 	"cicadabarrow.example/cicadabarrow/internal/logging"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/metrics"
@@ -57,6 +57,10 @@
 	// memory limit, near which the garbage collector runs more often.
 	memoryLimitShare = 0.7
 	megabyte         = 1 << 20
+	// jobShare is the share of the host's memory for the jobs that it keeps while it owns
+	// the cell. The deployments submit about 30 jobs of 16 tasks, 5 of 34 and 0.3 of 20 a
+	// second and keep them for 2 minutes: 37 MB, which is a fifth of 184 MB.
+	jobShare = 0.35
 	// heapGrowth is by how many percent the heap may grow between two garbage
 	// collections, and ownerHeapGrowth the same while the host owns the cell: the heap
 	// of the owner is larger and gets garbage with each call, and its processor limits
@@ -76,7 +80,6 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownTimeout is the timeout of requests in progress after balancerDelay.
 	shutdownTimeout = 2 * time.Second
-	headerTimeout   = 5 * time.Second
 )
 
 // setHeapGrowth sets how often the garbage collector runs.
@@ -116,9 +119,9 @@
 	timers   timer.Service
 	peers    *peer.Transport
 	host     *host.Host
-	clients  *http.Server
-	health   *http.Server
-	metrics  *http.Server
+	clients  guardedServer
+	health   guardedServer
+	metrics  guardedServer
 }
 
 // deferredHandler passes the calls that a transport receives to a host that is
@@ -146,7 +149,7 @@
 	self := peer.Host{Name: s.Name, DataCentre: s.DataCentre, Incarnation: s.Name + "/" + uuid.NewString()}
 	handler := &deferredHandler{ready: make(chan struct{})}
 	scope := page.Scope
-	peers := peer.New(self, listen, &net.Dialer{}, handler, scope, log, peer.Immediate(message.KindHostPing))
+	peers := peer.New(self, listen, &net.Dialer{}, handler, scope, log, peer.Immediate(message.KindHostPing), peer.WithLimits(peerLimits(s)))
 	client := platform.NewClient(scope)
 	h := host.New(hostConfig(s, self), host.Platform{
 		Ports: owner.Ports{
@@ -160,9 +163,9 @@
 	close(handler.ready)
 	return &hostProcess{
 		settings: s, log: log.Named("process"), timers: timers, peers: peers, host: h,
-		clients: &http.Server{Handler: platform.NewIngress(h), ReadHeaderTimeout: headerTimeout},
-		health:  &http.Server{Handler: platform.NewReadiness(h.Ready), ReadHeaderTimeout: headerTimeout},
-		metrics: &http.Server{Handler: newOperatorHandler(page.Handler, h), ReadHeaderTimeout: headerTimeout},
+		clients: newClientServer(s, h, timers, scope, log),
+		health:  newPageServer("health", platform.NewReadiness(h.Ready), timers, scope, log),
+		metrics: newPageServer("operators", httplimit.AtOnce(pagesAtOnce, newOperatorHandler(page.Handler, h)), timers, scope, log),
 	}, nil
 }
 
@@ -176,7 +179,7 @@
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, OwnerTimeout: ownerTimeout, Capacity: capacity, OnTenure: setHeapGrowth,
 		RevokeWithin: revokeWithin,
 		Owner: owner.Config{
-			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(), Cores: s.Cores,
+			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(), Cores: s.Cores, JobBytes: int64(jobShare * float64(s.MemoryMB) * megabyte),
 			Cell: cell.Config{
 				Lease: min(workerLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease, ContactTimeout: contactTimeout,
 				StopRetryInterval: stopRetryInterval, KeepEnded: s.Bounds.KeepEnded, Unfenced: !s.Fenced, Interference: s.Interference,
@@ -195,10 +198,10 @@
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return p.stopWhenDone(ctx) }, func(error) { cancel() })
-	group.Add(httpActor(p.health, p.settings.HealthAddr))
-	group.Add(httpActor(p.clients, p.settings.ClientAddr))
+	group.Add(p.health.actor(p.settings.HealthAddr))
+	group.Add(p.clients.actor(p.settings.ClientAddr))
 	if p.settings.MetricsAddr.IsValid() {
-		group.Add(httpActor(p.metrics, p.settings.MetricsAddr))
+		group.Add(p.metrics.actor(p.settings.MetricsAddr))
 	}
 	// An actor that returns ends the whole group, so this one returns only when
 	// it is interrupted and does not end the graceful stop early.
@@ -246,10 +249,10 @@
 // httpActor returns an actor that runs a server. A server that shuts down accepts no more
 // connections but still finishes its requests, so the actor goes on until it is
 // interrupted: an actor that returns would have the whole group interrupted at once.
-func httpActor(server *http.Server, addr netip.AddrPort) (execute func() error, interrupt func(error)) {
+func httpActor(server *http.Server, open func() (net.Listener, error)) (execute func() error, interrupt func(error)) {
 	interrupted := make(chan struct{})
 	execute = func() error {
-		listen, err := net.Listen("tcp", addr.String())
+		listen, err := open()
 		if err != nil {
 			return err
 		}
--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -72,6 +72,8 @@
 	manifestReadTime time.Duration
 	rejectsRead      func(rowstore.Range) bool
 	revokeWithin     time.Duration
+	// network carries the calls between hosts if it is set, and the cluster otherwise.
+	network *pipeNetwork
 	// logs also receives what the hosts log, if it is set before they start.
 	logs zapcore.Core
 }
@@ -123,6 +125,8 @@
 	addr   netip.AddrPort
 	starts int
 	host   *Host
+	// closePeers closes the transport of the host, if it has one.
+	closePeers func()
 	// capacity is the capacity in the host's settings; the zero value is
 	// unknown.
 	capacity election.Capacity
@@ -136,6 +140,8 @@
 	peerLatency      = 2 * time.Millisecond
 	workersTable     = "workers"
 	fakeOwnerTimeout = 600 * time.Millisecond
+	// fakeJobBytes is the memory for jobs: that of one job of 1,000 tasks and others.
+	fakeJobBytes = 1 << 20
 )
 
 func newFakeCluster(hosts, workers int) *fakeCluster {
@@ -171,17 +177,25 @@
 	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, OwnerTimeout: fakeOwnerTimeout, Capacity: h.capacity}
 	config.OnTenure, config.RevokeWithin = h.owning.Store, w.revokeWithin
 	config.Owner = owner.Config{
-		RenewEvery: 400 * time.Millisecond, MaxReads: h.capacity.MaxReads(),
+		RenewEvery: 400 * time.Millisecond, MaxReads: h.capacity.MaxReads(), JobBytes: fakeJobBytes,
 		Cell: cell.Config{
 			Lease: 3200 * time.Millisecond, MaxLease: 6 * time.Second, ContactTimeout: 1500 * time.Millisecond,
 			StopRetryInterval: 800 * time.Millisecond, KeepEnded: time.Minute, Unfenced: w.unfenced,
 		},
 	}
 	port := &fakePort{cluster: w, host: h}
+	var peers Peers = port
+	if w.network != nil {
+		peers, h.closePeers = w.network.join(h, self, w.logger(h), func() *Host {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return h.host
+		})
+	}
 	started := New(config, Platform{
 		Ports:     owner.Ports{Store: port, Workers: port, Registrations: fakeListing{}, Advisor: port, Machines: port, WaveRows: port},
 		Manifests: w.decoder(),
-	}, port, &lateTimers{timer.NewSystem(), port}, tally.NoopScope, w.logger(h))
+	}, peers, &lateTimers{timer.NewSystem(), port}, tally.NoopScope, w.logger(h))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	h.host = started
@@ -197,6 +211,9 @@
 	w.mu.Unlock()
 	if running != nil {
 		running.Close()
+		if h.closePeers != nil {
+			h.closePeers()
+		}
 	}
 }
 
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -121,6 +121,8 @@
 		return fault.New(op, intake.KindTaken, "host %s found a job of another queue or account", from.Name)
 	case message.RelayNotDone:
 		return fault.New(op, intake.KindNotDone, "host %s did not write the request", from.Name)
+	case message.RelayNoRoom:
+		return fault.New(op, intake.KindNotDone, "host %s: %w", from.Name, errNoRoom)
 	case message.RelayUnknown:
 	}
 	return fault.New(op, intake.KindUnknown, "host %s does not know whether the request was written", from.Name)
@@ -140,7 +142,7 @@
 func (h *Host) probeStore() {
 	open := make(chan struct{}, maxOpenProbes)
 	for h.sleep(probeInterval/2 + rand.N(probeInterval)) {
-		if !h.intake.StoreUnavailable() {
+		if !h.intake.NeedsProbe() {
 			continue
 		}
 		select {
--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -19,9 +19,17 @@
 	// brokenWithin is how soon after the start of a call its connection has to break
 	// for the call to be worth repeating at once. Later the store counts as silent.
 	brokenWithin = 500 * time.Millisecond
+	// minSilence is how long a call has to be without an answer to count against the store
+	// although its client gives up. It is shorter than the time after which a host also
+	// asks the owner to make a write, so that a call which ends because the owner was
+	// faster counts.
+	minSilence = 300 * time.Millisecond
 	// latencyDecay is the part of the recent latency that is lost with each faster
 	// answer.
 	latencyDecay = 4
+	// latencyMemory is how long after the last answer the recent latency is known. A host
+	// with few requests would otherwise judge a store by an outage of long ago.
+	latencyMemory = 5 * time.Second
 )
 
 // storeHealth tracks whether the store answers the calls of this host, so that a
@@ -36,8 +44,9 @@
 	// tell nothing of the store's present state.
 	answeredCall int
 	// latency is how long calls have recently taken that were answered: the longest one,
-	// which decays with each answer.
-	latency time.Duration
+	// which decays with each answer. latencyAt is when the last one was answered.
+	latency   time.Duration
+	latencyAt time.Time
 	// unanswered is set when a call ended with noAnswer. failures counts the calls
 	// that were rejected or broken since the last call that ended with answered,
 	// which resets both.
@@ -69,6 +78,9 @@
 	broken
 	// noAnswer calls had no answer for longer. They may have been carried out.
 	noAnswer
+	// abandoned calls ended soon because their client gave up. They say nothing about the
+	// store, and may have been carried out if they were sent.
+	abandoned
 )
 
 func (h *storeHealth) end(now time.Time, call int, o outcome) {
@@ -78,20 +90,31 @@
 	delete(h.open, call)
 	switch o {
 	case answered:
-		h.latency = max(took, h.latency-h.latency/latencyDecay)
+		before := h.latencySeenBy(now)
+		h.latency, h.latencyAt = max(took, before-before/latencyDecay), now
 		h.answeredCall = max(h.answeredCall, call)
 		h.unanswered, h.failures = false, 0
 	case rejected, broken:
 		h.failures++
 	case noAnswer:
 		h.unanswered = h.unanswered || call > h.answeredCall
+	case abandoned:
 	}
 }
 
-// recentLatency returns how long answered calls have recently taken.
-func (h *storeHealth) recentLatency() time.Duration {
+// recentLatency returns how long answered calls have recently taken, or 0 if none was
+// answered recently.
+func (h *storeHealth) recentLatency(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.latencySeenBy(now)
+}
+
+// latencySeenBy returns the latency that still counts at a time. The caller holds the lock.
+func (h *storeHealth) latencySeenBy(now time.Time) time.Duration {
+	if now.Sub(h.latencyAt) > latencyMemory {
+		return 0
+	}
 	return h.latency
 }
 
@@ -104,10 +127,7 @@
 func (h *storeHealth) unavailable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	silent := h.unanswered
-	for call, since := range h.open {
-		silent = silent || call > h.answeredCall && now.Sub(since) > unavailableAfter
-	}
+	silent := h.silent(now)
 	if silent || h.failures < failureLimit {
 		return silent
 	}
@@ -117,3 +137,25 @@
 	}
 	return true
 }
+
+// failing reports whether the store should be probed: unavailable returns true, or would if
+// there were no trials.
+func (h *storeHealth) failing(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures >= failureLimit || h.silent(now)
+}
+
+// silent reports whether a call is overdue or has ended without an answer. The caller holds
+// the lock.
+func (h *storeHealth) silent(now time.Time) bool {
+	if h.unanswered {
+		return true
+	}
+	for call, since := range h.open {
+		if call > h.answeredCall && now.Sub(since) > unavailableAfter {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -260,8 +260,8 @@
 	}
 }
 
-// A call that was sent before the store came back, and gets its answer never, must not
-// make the store count as unavailable again.
+// A call that was sent before the store came back and never gets an answer must not make
+// the store count as unavailable again.
 func TestCallsOfAnOutageDoNotCountAfterIt(t *testing.T) {
 	now := time.Unix(0, 0)
 	h := newStoreHealth()
@@ -355,3 +355,105 @@
 		}
 	}
 }
+
+// hangingStore answers no commit before the caller gives up.
+type hangingStore struct {
+	Store
+	// kind is the kind of error of a commit that was given up.
+	kind rowstore.Kind
+}
+
+// Commit fails when ctx ends.
+func (s *hangingStore) Commit(ctx context.Context, _ rowstore.Transaction) (rowstore.Result, error) {
+	<-ctx.Done()
+	return rowstore.Result{}, fault.New("commit", s.kind, "%w", ctx.Err())
+}
+
+// A client that disconnects or whose deadline is short says nothing about the store. If its
+// call counted as unanswered, one such client could make its host refuse the requests of all
+// others. A call that the store has not answered for long counts, although it ends early
+// because the owner has made the write meanwhile.
+func TestClientThatGivesUpLeavesTheStoreAvailable(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		after       time.Duration
+		kind        rowstore.Kind
+		want        Kind
+		unavailable bool
+	}{
+		{"before the call is sent", 0, rowstore.KindNotDone, KindNotDone, false},
+		{"soon", 60 * time.Millisecond, rowstore.KindUnknown, KindUnknown, false},
+		{"late", 350 * time.Millisecond, rowstore.KindUnknown, KindUnknown, true},
+	} {
+		for _, deadline := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, deadline %v", c.name, deadline), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					in := New(&hangingStore{kind: c.kind}, timer.NewSystem())
+					for range failureLimit {
+						begin := context.WithCancel
+						if deadline {
+							begin = func(parent context.Context) (context.Context, context.CancelFunc) {
+								return context.WithTimeout(parent, c.after)
+							}
+						}
+						ctx, cancel := begin(t.Context())
+						time.AfterFunc(c.after, cancel)
+						if err := in.Submit(ctx, accepted()); !fault.Is(err, c.want) {
+							t.Errorf("a submission that is given up gives %v", err)
+						}
+						cancel()
+					}
+					_ = in.StoreUnavailable() // one request is sent as a trial
+					if got := in.StoreUnavailable(); got != c.unavailable {
+						t.Errorf("the store counts as unavailable: %v", got)
+					}
+				})
+			})
+		}
+	}
+}
+
+// The latency of a store that was slow long ago must not delay the request to the owner for
+// a write that the store does not answer now.
+func TestLatencyOfLongAgoIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := New(newScriptedStore(answer{applied: true, after: time.Second}), timer.NewSystem())
+		if err := in.Submit(t.Context(), accepted()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if slow := in.SlowAfter(); slow != 0 {
+			t.Errorf("slow after %v, one minute after the only call", slow)
+		}
+		if _, err := in.Find(t.Context(), jobID); err != nil {
+			t.Fatal(err)
+		}
+		if slow := in.SlowAfter(); slow != 0 {
+			t.Errorf("slow after %v, although the only recent call was answered at once", slow)
+		}
+	})
+}
+
+// The check of whether to probe the store must neither use up the trial of a request nor
+// leave out a probe: both would prolong an outage for the clients of a host.
+func TestProbingLeavesTheTrialToARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := New(newScriptedStore(slices.Repeat([]answer{{kind: rowstore.KindNotDone}}, maxAttempts)...), timer.NewSystem())
+		if err := in.Submit(t.Context(), accepted()); !fault.Is(err, KindNotDone) {
+			t.Fatalf("a rejected submission gives %v", err)
+		}
+		time.Sleep(trialInterval)
+		for range 2 {
+			if !in.NeedsProbe() {
+				t.Error("a store that rejects calls is not probed")
+			}
+		}
+		if in.StoreUnavailable() {
+			t.Error("no request is sent as a trial")
+		}
+		in.Probe(t.Context())
+		if in.NeedsProbe() {
+			t.Error("a store that has answered is probed")
+		}
+	})
+}
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -65,7 +65,7 @@
 	}
 	o.admission.decideAt = now.Add(admissionInterval)
 	load := o.cell.Load(now)
-	decision := o.admission.limiter.Observe(now, load)
+	decision := o.refuseIfFull(now, o.admission.limiter.Observe(now, load))
 	o.admission.current.Store(&admissionDecision{decision, now})
 	o.metrics.scope.Gauge("priorities_refused").Update(float64(len(decision.Services)))
 	o.metrics.scope.Gauge("accounts_in_excess").Update(float64(len(load.InExcess)))
--- a/internal/owner/reads.go
+++ b/internal/owner/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -28,8 +29,10 @@
 	minHedgeDelay   = 400 * time.Millisecond
 	largestReadTime = 2200 * time.Millisecond
 	// hedgeCheckInterval is the interval at which an open read is checked, and the
-	// longest delay before a failed one is retried.
+	// longest delay before one is retried whose connection broke. After a rejection the
+	// delay is rejectedDelay longer, as the store may be at its rate limit.
 	hedgeCheckInterval = 25 * time.Millisecond
+	rejectedDelay      = 75 * time.Millisecond
 	// maxOpenCalls limits the calls of one read that have no response, and
 	// maxRejectedCalls is the number of calls rejected by the store after which the
 	// read fails: another host may be served.
@@ -38,6 +41,11 @@
 	// maxBrokenCalls is the same number for calls that fail in another way. A store
 	// that breaks connections does so for all hosts, and seldom breaks all of them.
 	maxBrokenCalls = 24
+	// shortPage is the number of rows of a page after one was too long to be read, and
+	// shorterPages the factor by which it falls if that is too long again. A page of the
+	// store has 500 rows, and the row of a large job up to 0.5 MB in a response.
+	shortPage    = 64
+	shorterPages = 8
 )
 
 // readLimiter limits the concurrency of a group of reads, and derives their hedge
@@ -112,6 +120,13 @@
 	var out tableRows
 	for {
 		snapshot, err := o.hedgedRead(ctx, r, limiter)
+		if errors.Is(err, rowstore.ErrTooLong) && r.Limit != 1 {
+			if r.Limit /= shorterPages; r.Limit == 0 {
+				r.Limit = shortPage
+			}
+			o.log.Warn("a page of rows is too long", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Int("NextRows", r.Limit))
+			continue
+		}
 		if err != nil {
 			return tableRows{}, err
 		}
@@ -138,7 +153,7 @@
 	defer cancel()
 	outcomes := make(chan readOutcome, maxOpenCalls)
 	inFlight, rejected, broken := 0, 0, 0
-	var lastCall time.Time
+	var lastCall, retryAt time.Time
 	call := func() {
 		inFlight++
 		lastCall = o.timers.Now()
@@ -159,16 +174,19 @@
 			inFlight--
 			if fault.Is(outcome.err, rowstore.KindNotDone) {
 				rejected++
+				retryAt = o.timers.Now().Add(rejectedDelay)
 			} else {
 				broken++
 			}
-			if rejected == maxRejectedCalls || broken == maxBrokenCalls || ctx.Err() != nil {
+			tooLong := errors.Is(outcome.err, rowstore.ErrTooLong)
+			if rejected == maxRejectedCalls || broken == maxBrokenCalls || ctx.Err() != nil || tooLong {
 				return rowstore.Snapshot{}, outcome.err
 			}
 			o.log.Debug("a read of the store failed", zap.String("Table", r.Table), zap.String("Part", r.Partition), zap.Error(outcome.err))
 		case <-ticker.C:
-			late := o.timers.Now().Sub(lastCall) > limiter.hedgeDelay()
-			if inFlight == 0 || late && inFlight < maxOpenCalls {
+			now := o.timers.Now()
+			late := now.Sub(lastCall) > limiter.hedgeDelay()
+			if inFlight == 0 && !now.Before(retryAt) || late && inFlight < maxOpenCalls {
 				call()
 			}
 		}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -59,6 +59,8 @@
 	serving chan struct{}
 	// immediate holds the kinds of calls that are answered at once.
 	immediate  map[uint8]bool
+	limits     Limits
+	inbound    *inbound
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 	ctx        context.Context
@@ -77,6 +79,8 @@
 	conn *conn
 	// dialing is the dial in progress, or nil.
 	dialing *dialAttempt
+	// probing is set while a new connection is opened beside one that is silent.
+	probing bool
 }
 
 // dialAttempt is a dial in progress, for which all calls to the address wait. The
@@ -125,14 +129,17 @@
 		outgoing: make(map[netip.AddrPort]*outgoingConn),
 		conns:    make(map[*conn]struct{}),
 		bytes:    make(map[Flow]uint64), immediate: make(map[uint8]bool),
+		limits: unlimited,
 	}
 	for _, option := range options {
 		option(t)
 	}
+	t.inbound = newInbound(t.limits, t.scope, t.log)
 	go func() {
 		defer close(t.done)
 		t.accept()
 	}()
+	t.background.Go(t.sweepIdle)
 	return t
 }
 
@@ -151,13 +158,16 @@
 			t.sleep(acceptBackoff)
 			continue
 		}
+		entry := t.inbound.add(raw)
 		t.background.Go(func() {
+			defer t.inbound.remove(entry)
 			c, r, err := t.handshake(t.ctx, raw)
 			if err != nil {
-				t.log.Info("connection rejected", zap.Error(err))
+				t.inbound.rejected("connection rejected", raw, zap.Error(err))
 				_ = raw.Close()
 				return
 			}
+			c.inbound = entry
 			if t.addConn(c) {
 				c.run(t.ctx, r)
 			}
@@ -181,12 +191,17 @@
 
 // Ask is like Call, but also returns the host that answered.
 func (t *Transport) Ask(ctx context.Context, to netip.AddrPort, m Message) (Host, Message, error) {
-	c, err := t.connect(ctx, to)
-	if err != nil {
-		return Host{}, Message{}, fault.New("call", KindNotSent, "%v: %w", to, err)
+	for first := true; ; first = false {
+		c, err := t.connect(ctx, to)
+		if err != nil {
+			return Host{}, Message{}, fault.New("call", KindNotSent, "%v: %w", to, err)
+		}
+		reply, err := c.call(ctx, m)
+		if first && errors.Is(err, errClosed) {
+			continue // it was closed since it was found open
+		}
+		return c.remote, reply, err
 	}
-	reply, err := c.call(ctx, m)
-	return c.remote, reply, err
 }
 
 // Hello returns the host that currently answers at an address. It opens a new
@@ -211,21 +226,16 @@
 	c, r, err := t.handshake(ctx, raw)
 	if err != nil {
 		_ = raw.Close()
+		return nil, nil, err
 	}
-	return c, r, err
+	c.to = to
+	return c, r, nil
 }
 
 // connect returns the connection to an address, and opens one if necessary. It
 // stops waiting for a dial when ctx ends.
 func (t *Transport) connect(ctx context.Context, to netip.AddrPort) (*conn, error) {
-	t.mu.Lock()
-	outgoing, ok := t.outgoing[to]
-	if !ok {
-		outgoing = &outgoingConn{}
-		t.outgoing[to] = outgoing
-	}
-	t.mu.Unlock()
-
+	outgoing := t.outgoingTo(to)
 	open, dialing := t.connOrDial(outgoing, to)
 	if open != nil {
 		return open, nil
@@ -310,7 +320,10 @@
 func (t *Transport) count(remote Host, out bool, kind uint8, size int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.bytes[Flow{DataCentre: remote.DataCentre, Kind: kind, Out: out}] += uint64(size)
+	flow := Flow{DataCentre: remote.DataCentre, Kind: kind, Out: out}
+	if _, known := t.bytes[flow]; known || len(t.bytes) < maxFlows {
+		t.bytes[flow] += uint64(size)
+	}
 }
 
 // Bytes returns the number of bytes sent and received so far for each flow.
