--- a/internal/api/cell.go
+++ b/internal/api/cell.go
@@ -20,6 +20,8 @@
 	Relays []CellRelay
 	// Interference is nil if the owner does not learn it.
 	Interference *CellInterference `json:",omitempty"`
+	// Accounts are the client accounts. It is left out without any.
+	Accounts []CellAccount `json:",omitempty"`
 }
 
 // CellInterference is what the owner knows about interference between tasks.
--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -24,6 +24,8 @@
 	ends    map[cell.WorkerID]int64
 	// running has the runs that each worker reports.
 	running map[cell.WorkerID][]cell.Running
+	// account has the terms of the account of the jobs that are accepted next.
+	account manifest.Terms
 }
 
 // waitReason is why the steps of a backlog wait.
@@ -103,7 +105,9 @@
 }
 
 func (b *backlog) accept(id workload.JobID, queue string, step workload.Step) {
-	b.cell.Accept(b.now, cell.AcceptedJob{Job: workload.Job{ID: id, Queue: queue, Spec: "spec", Steps: []workload.Step{step}}})
+	b.cell.Accept(b.now, cell.AcceptedJob{
+		Job: workload.Job{ID: id, Queue: queue, Spec: "spec", Steps: []workload.Step{step}}, Account: b.account,
+	})
 }
 
 // acceptBacklog submits the waiting steps, and returns the questions asked for
@@ -124,8 +128,12 @@
 // runActions carries out the cell's actions until there are none left, and returns
 // the questions that it asked.
 func (b *backlog) runActions() []cell.AskAdvice {
+	const maxDecisions = 100_000
 	var asked []cell.AskAdvice
-	for {
+	for n := 0; ; n++ {
+		if n > maxDecisions {
+			b.t.Fatalf("decisions go on without end\n%s", b.cell.Describe())
+		}
 		actions := b.cell.TakeActions(b.now)
 		asked = append(asked, b.apply(actions)...)
 		records := b.cell.TakeRecords(1000)
--- a/internal/cell/dispatch.go
+++ b/internal/cell/dispatch.go
@@ -78,11 +78,11 @@
 
 // full reports whether no more tasks of a class should be placed, because too many
 // placed ones wait to be sent. Tasks do not wait for those of later classes, and
-// urgent tasks, however late, do not wait for startOther.
+// urgent tasks, however late, wait neither for startOther nor for startExcess.
 func (q *dispatchQueue) full(now time.Time, class startClass) bool {
 	waiting := 0
 	for earlier := range class + 1 {
-		if class == startExpiredUrgent && earlier == startOther {
+		if class == startExpiredUrgent && (earlier == startOther || earlier == startExcess) {
 			continue
 		}
 		part := &q.parts[earlier]
@@ -137,7 +137,7 @@
 		case !c.maySend(now, r):
 			// The record is being written and queues the run again once
 			// durable.
-		case r.task.step.job.state.Final() || !c.usable(now, r.worker) || !c.stillFits(r) || !c.renewTicket(now, r):
+		case r.task.step.job.state.Final() || !c.usable(now, r.worker) || !c.stillFits(r) || c.exceedsCap(r) || !c.renewTicket(now, r):
 			c.release(now, r, EndStopped)
 		default:
 			if c.dispatch.limit != unlimitedStarts {
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/job"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -68,7 +69,7 @@
 		usable.byService[service] = slices.DeleteFunc(workers, func(w *worker) bool { return !w.usableAtTick })
 	}
 	for _, s := range c.openSteps {
-		if s.spec.Gang || c.awaitingWorkers() && !s.spec.LongRunning || c.dispatch.full(now, s.class) {
+		if s.spec.Gang || c.awaitsOthers(now, s) || c.dispatch.full(now, s.class) {
 			continue
 		}
 		eligible := slices.DeleteFunc(c.eligible(now, s, c.queueOf(s.job), &usable), func(w *worker) bool { return !w.usableAtTick })
@@ -90,7 +91,7 @@
 // others take the capacity there, which the sweeps of later ticks detect.
 func (c *Cell) couldAsk(now time.Time, s *stepState, usable *usableWorkers) bool {
 	q := c.queueOf(s.job)
-	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || now.Before(s.advice.notBefore) || c.limiterFor(q).available() <= 0 {
+	if !q.Advice.Needed() || s.waiting == 0 || c.questionOpen(now, s, q) || now.Before(s.advice.notBefore) || c.limiterFor(s).available() <= 0 {
 		return false
 	}
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == phaseWaiting && t.avoidWorker != "" }) {
@@ -126,3 +127,13 @@
 	}
 	return b.String()
 }
+
+// AccountUse returns what an account has in use on all workers together.
+func (c *Cell) AccountUse(now time.Time, name string) job.Size {
+	for _, v := range c.books.Views(now) {
+		if v.Name == name {
+			return v.Use
+		}
+	}
+	return job.Size{}
+}
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/account"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -37,6 +38,10 @@
 	// cause tells why the job has failed.
 	cause      workload.Cause
 	acceptedAt time.Time
+	// member is the membership in the account; nil without one.
+	member *account.Member
+	// arrival is the virtual arrival time, which is acceptedAt without an account.
+	arrival time.Time
 	// bytes is about how much memory the job takes.
 	bytes int64
 	// leftPending is set once the job no longer counts as pending: a worker has
@@ -158,6 +163,8 @@
 	// acceptedOnRecord is set if a predecessor recorded that the worker had
 	// accepted the start.
 	acceptedOnRecord bool
+	// unsent is set until the start is sent.
+	unsent bool
 	// queued is set while the start is in the dispatch queue, and early if it
 	// need not wait for its record.
 	queued   bool
@@ -220,6 +227,7 @@
 		job: &a.Job, acceptedQueue: a.Queue, account: a.Account, state: workload.StateQueued, visibleState: workload.StateQueued, acceptedAt: now,
 		bytes: a.Bytes(),
 	}
+	c.joinAccount(j)
 	c.resolveQueue(j)
 	c.jobs[a.Job.ID] = j
 	c.hold(j)
--- a/internal/cell/overview.go
+++ b/internal/cell/overview.go
@@ -18,6 +18,8 @@
 	Waves    []WaveView
 	// Interference is the zero value if the mode is Off.
 	Interference InterferenceView
+	// Accounts has the client accounts; it is empty without any.
+	Accounts []AccountView
 }
 
 // WorkerState tells whether a worker gets starts, and if not, why.
@@ -103,7 +105,9 @@
 
 // Overview returns the state of the cell for an operator.
 func (c *Cell) Overview(now time.Time) Overview {
-	out := Overview{Backlog: c.Backlog(now), Settling: c.awaitingWorkers(), Interference: c.interferenceView(now)}
+	out := Overview{
+		Backlog: c.Backlog(now), Settling: c.awaitingWorkers(), Interference: c.interferenceView(now), Accounts: c.Accounts(now),
+	}
 	if c.manifest != nil {
 		out.Manifest = c.manifest.Version
 	}
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -29,7 +29,7 @@
 	if c.config.Policy.NoPreemption || s.class != startUrgent || s.spec.Gang || now.Sub(s.readyAt) < after {
 		return
 	}
-	wanted := s.waiting - s.preemptedFor
+	wanted := s.withinCap(job.Size{}) - s.preemptedFor
 	if suspects := s.waitingSuspects(); suspects > 0 && slices.ContainsFunc(eligible, s.hasRoom) {
 		wanted -= suspects // they wait for a worker that runs nothing
 	}
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -23,14 +23,21 @@
 	if err := job.Check(); err != nil {
 		return fault.New("submit", KindInvalid, "%w", err)
 	}
-	switch err := h.checkAdmission(ctx, queue, client, &job); {
+	err := h.checkCap(ctx, queue, client, &job)
+	if err == nil {
+		err = h.checkExcess(ctx, queue, client, &job)
+	}
+	if err == nil {
+		err = h.checkAdmission(ctx, queue, client, &job)
+	}
+	switch {
 	case errors.Is(err, errRepeated):
 		return nil
 	case err != nil:
 		return err
 	}
 	accepted := cell.AcceptedJob{Job: job, Queue: *queue, Account: client.Account}
-	err := h.writeJob(ctx, accepted)
+	err = h.writeJob(ctx, accepted)
 	if errors.Is(err, errNoRoom) {
 		return h.refuseForMemory(ctx, client, &accepted)
 	}
