--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -26,6 +26,8 @@
 	running map[cell.WorkerID][]cell.Running
 	// account has the terms of the account of the jobs that are accepted next.
 	account manifest.Terms
+	// manifests counts the manifests with accounts.
+	manifests uint64
 }
 
 // waitReason is why the steps of a backlog wait.
--- a/internal/cell/caps.go
+++ b/internal/cell/caps.go
@@ -109,10 +109,10 @@
 }
 
 // holdBack records that a step waits for the cap of its account, and reports whether it
-// need not be evaluated: there is no room under the cap, and no task of the step may have
-// to fail its job.
+// need not be evaluated: there is no room under the cap, no question of the step may have
+// timed out, and none of its tasks may have to fail its job.
 func (c *Cell) holdBack(s *stepState) bool {
-	if !s.blockedByCap() || slices.ContainsFunc(s.tasks, (*task).mayHaveCrashedWorkers) {
+	if !s.blockedByCap() || !s.advice.askedAt.IsZero() || slices.ContainsFunc(s.tasks, (*task).mayHaveCrashedWorkers) {
 		return false
 	}
 	c.urgentQuestions.waiting.remove(s)
@@ -122,6 +122,26 @@
 	return true
 }
 
+// firstUnblocked returns the first steps of a list, at most n, that are not blocked by a
+// cap. It examines at most maxCapOffers of them.
+func (c *Cell) firstUnblocked(l *stepList, n int) []*stepState {
+	if c.books.Unused() {
+		return l.first(n)
+	}
+	var out []*stepState
+	for _, s := range l.first(maxCapOffers) {
+		if len(out) == n {
+			break
+		}
+		if s.blockedByCap() {
+			c.waitForCap(s)
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 // logCapWaits logs the accounts with steps that wait for their cap.
 func (c *Cell) logCapWaits(now time.Time) {
 	if len(c.capWaits) == 0 || now.Sub(c.capWaitsLoggedAt) < capLogInterval {
--- a/internal/cell/caps_test.go
+++ b/internal/cell/caps_test.go
@@ -56,7 +56,8 @@
 // withCap installs a manifest with one account, of which the next jobs are.
 func (b *backlog) withCap(limit job.Size) {
 	m := backlogManifest
-	m.Version += 10
+	b.manifests++
+	m.Version += b.manifests
 	b.account = manifest.Terms{Name: "a", Weight: 1000, Cap: limit}
 	m.HasAccounts, m.Accounts = true, []manifest.Account{{Terms: b.account}}
 	b.cell.SetManifest(&m)
@@ -160,3 +161,58 @@
 		t.Errorf("%+v are in use", got)
 	}
 }
+
+// A question about a step that waits for its cap must not stay open for ever when it gets
+// no answer: it would take the turn of those of others.
+func TestQuestionsOfStepsThatWaitForACapTimeOut(t *testing.T) {
+	b := newBacklog(t, 8, 0, whyUnanswered)
+	b.cell.SetAdviceHosts(1)
+	b.withCap(job.Size{MilliCores: 1000})
+	step := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 1000}, Estimate: time.Hour}
+	b.accept("asks", "settle", step)
+	if asked := b.runActions(); len(asked) != 1 {
+		t.Fatalf("asked %+v", asked)
+	}
+	b.accept("takes", "free", step) // and leaves no room under the cap
+	b.runActions()
+	b.account = manifest.Terms{}
+	b.accept("other", "settle", step)
+	if asked := b.runActions(); len(asked) != 0 {
+		t.Fatalf("asked %+v", asked)
+	}
+	for range 60 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		for _, id := range b.workers {
+			b.cell.NextHold(b.now, id)
+			b.report(id)
+		}
+		b.cell.TickWithoutSweep(b.now)
+		if asked := b.runActions(); len(asked) > 0 {
+			return
+		}
+	}
+	t.Error("the question of another step is never asked")
+}
+
+// Workers with new free capacity must be offered to the steps behind many that found no
+// worker before, and for which the cap leaves no room any more.
+func TestFreedWorkersAreOfferedBehindACap(t *testing.T) {
+	b := newBacklog(t, 1, 0, whyUnanswered)
+	large := workload.Step{Tasks: 1, Size: job.Size{MilliCores: 15000}, Estimate: time.Hour}
+	b.accept("running", "free", large)
+	b.runActions()
+	b.accept("other", "free", large)
+	b.withCap(large.Size)
+	for i := range 100 {
+		b.accept(workload.JobID(fmt.Sprintf("%016x", i)), "first", large)
+	}
+	b.runActions()
+	b.accept("tiny", "first", workload.Step{Tasks: 1, Size: job.Size{MilliCores: 300}, Estimate: time.Hour})
+	b.runActions()
+	w := b.workers[0]
+	b.endRun(w, slices.IndexFunc(b.running[w], func(r cell.Running) bool { return r.Task.Job == "running" }), cell.EndDone)
+	b.runActions()
+	if !slices.ContainsFunc(b.running[w], func(r cell.Running) bool { return r.Task.Job == "other" }) {
+		t.Error("the freed capacity was not offered to the job of another")
+	}
+}
--- a/internal/cell/excess_test.go
+++ b/internal/cell/excess_test.go
@@ -12,7 +12,8 @@
 // withWeight installs a manifest with one account, of which the next jobs are.
 func (b *backlog) withWeight(weight float64) {
 	m := backlogManifest
-	m.Version += 10
+	b.manifests++
+	m.Version += b.manifests
 	b.account = manifest.Terms{Name: "a", Weight: weight}
 	m.HasAccounts, m.Accounts = true, []manifest.Account{{Terms: b.account}}
 	b.cell.SetManifest(&m)
--- a/internal/cell/offer.go
+++ b/internal/cell/offer.go
@@ -42,7 +42,7 @@
 // that would have capacity if the steps before it did not use theirs.
 func (c *Cell) offerSteps(now time.Time, w *worker) (passedOver bool) {
 	unclaimed := w.freeCapacity()
-	allowed, unplaceable := w.allowedSteps.first(maxOffers), c.evalQueue.unplaceable.first(maxOffers)
+	allowed, unplaceable := c.firstUnblocked(&w.allowedSteps, maxOffers), c.firstUnblocked(&c.evalQueue.unplaceable, maxOffers)
 	for len(allowed)+len(unplaceable) > 0 {
 		var s *stepState
 		if len(unplaceable) == 0 || len(allowed) > 0 && allowed[0].key.compare(unplaceable[0].key) <= 0 {
@@ -54,10 +54,6 @@
 		if s.evaluatedIn == c.evalQueue.round || !c.canHost(w, s) {
 			continue
 		}
-		if s.blockedByCap() {
-			c.waitForCap(s)
-			continue
-		}
 		tasks := min(s.capacityIn(w, unclaimed), int64(s.withinCap(job.Size{})))
 		if tasks == 0 {
 			passedOver = true
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -107,6 +107,7 @@
 	case c.dispatch.full(now, s.class):
 		c.markStep(s)
 	case s.blockedByCap():
+		c.questionOpen(now, s, q) // closes it if it has timed out
 		c.waitForCap(s)
 	default:
 		c.requestWorkers(now, s, q, usable)
