--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -219,7 +219,7 @@
 func (t *Transport) dial(ctx context.Context, to netip.AddrPort) (*conn, *bufio.Reader, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	raw, err := t.dialer.DialContext(dialCtx, "tcp", to.String())
+	raw, err := t.open(dialCtx, to)
 	if err != nil {
 		return nil, nil, err
 	}
