--- a/review/_bed2/main.go
+++ b/review/_bed2/main.go
@@ -26,6 +26,7 @@
 }{
 	"lasting": {3, 6, playLasting},
 	"cancel":  {3, 6, playCancel},
+	"reborn":  {3, 8, playReborn},
 }
 
 func main() {
--- a/review/_bed2/proxy.go
+++ b/review/_bed2/proxy.go
@@ -12,6 +12,7 @@
 	addr netip.AddrPort
 
 	mu    sync.Mutex
+	to    netip.AddrPort
 	isCut bool
 	conns map[*link]bool
 }
@@ -27,22 +28,23 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{addr: netip.MustParseAddrPort(listen.Addr().String()), conns: make(map[*link]bool)}
+	p := &proxy{addr: netip.MustParseAddrPort(listen.Addr().String()), to: to, conns: make(map[*link]bool)}
 	go func() {
 		for {
 			near, err := listen.Accept()
 			if err != nil {
 				return
 			}
-			go p.serve(near, to)
+			go p.serve(near)
 		}
 	}()
 	return p, nil
 }
 
-func (p *proxy) serve(near net.Conn, to netip.AddrPort) {
+func (p *proxy) serve(near net.Conn) {
 	l := &link{near: near}
 	p.mu.Lock()
+	to := p.to
 	l.dead = p.isCut
 	p.conns[l] = true
 	p.mu.Unlock()
@@ -88,6 +90,13 @@
 	}
 }
 
+// leadTo has later connections passed on to another address.
+func (p *proxy) leadTo(to netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.to = to
+}
+
 // cut begins a partition, and heal ends it. The connections that lost bytes are reset then.
 func (p *proxy) cut() {
 	p.mu.Lock()
--- a/review/_bed2/worker.go
+++ b/review/_bed2/worker.go
@@ -23,6 +23,7 @@
 	addr        netip.AddrPort
 	bed         *bed
 	born        time.Time
+	server      *http.Server
 
 	mu       sync.Mutex
 	fence    uint64
@@ -33,6 +34,7 @@
 	endCount int64
 	endAdded chan struct{}
 	seq      int
+	crashed  bool
 }
 
 type taskRun struct {
@@ -76,7 +78,8 @@
 	mux.HandleFunc("POST /v1/run-stop", w.stop)
 	mux.HandleFunc("POST /v1/hold", w.hold)
 	mux.HandleFunc("POST /v1/pace", w.pace)
-	go func() { _ = http.Serve(listen, mux) }()
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(listen) }()
 	w.addr = netip.MustParseAddrPort(listen.Addr().String())
 	return w, nil
 }
@@ -86,8 +89,11 @@
 	for {
 		w.mu.Lock()
 		w.seq++
-		seq := w.seq
+		seq, crashed := w.seq, w.crashed
 		w.mu.Unlock()
+		if crashed {
+			return
+		}
 		w.bed.store.put("servers", w.id, map[string]any{
 			"service": service, "addr": at.String(), "zone": zone, "version": "v1", "slots": 8, "state": "ready",
 			"cold_left_ms": 0, "seq": seq, "born": w.born.UnixMilli(), "machine": w.machine,
@@ -98,6 +104,15 @@
 	}
 }
 
+// crash ends the worker: it neither answers nor registers any more.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.crashed = true
+	w.bed.note("%s crashes, with %d runs", w.id, len(w.runs))
+	w.mu.Unlock()
+	_ = w.server.Close()
+}
+
 func (w *worker) machineNumber() int {
 	n := 0
 	_, _ = fmt.Sscanf(w.machine, "m-%d", &n)
