--- a/review/_bed2/cancel.go
+++ b/review/_bed2/cancel.go
@@ -2,17 +2,21 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// lossTime is how long answers of the store are lost, and lateBy how much later such a
-	// write is done. Of the writes at most maxShare may be lost.
-	lossTime = 4500 * time.Millisecond
-	lateBy   = 5900 * time.Millisecond
-	maxShare = 0.35
+	// lossTime is how long answers of the store are lost, lossShare the share of the writes
+	// that is drawn for it, and maxShare the largest that may come of that. Such a write is
+	// done between earliest and latest after it was sent.
+	lossTime  = 4500 * time.Millisecond
+	lossShare = 0.35
+	maxShare  = 0.35
+	earliest  = 1 * time.Second
+	latest    = 6 * time.Second
 	// patience is after what time a client leaves.
 	patience = 900 * time.Millisecond
 	// cancelTime and stopTimeout are cancel_ms and stop_timeout_ms.
@@ -20,7 +24,11 @@
 	stopTimeout = 200 * time.Millisecond
 	// ordinary and impatient are the numbers of clients.
 	ordinary  = 30
-	impatient = 3
+	impatient = 18
+	// firstLeaves is when the first client that leaves hands in its job, and nextLeaves
+	// how much later the next.
+	firstLeaves = 1 * time.Second
+	nextLeaves  = 180 * time.Millisecond
 	// lookAt is when it is looked what runs, with no impairment for much longer than contact.
 	lookAt = 20 * time.Second
 )
@@ -54,11 +62,9 @@
 				return fate{}
 			}
 			writes++
-			for _, w := range t.Writes {
-				if strings.HasPrefix(w.Key, "bad0") {
-					lost++
-					return fate{after: lateBy, lost: true}
-				}
+			if rand.Float64() < lossShare && float64(lost+1) <= maxShare*float64(writes) {
+				lost++
+				return fate{after: earliest + time.Duration(rand.Int64N(int64(latest-earliest))), lost: true}
 			}
 			return fate{}
 		})
@@ -73,9 +79,9 @@
 	acked := make([]time.Time, impatient)
 	for n := range impatient {
 		clients.Go(func() {
-			time.Sleep(3*time.Second + time.Duration(n)*50*time.Millisecond)
+			time.Sleep(firstLeaves + time.Duration(n)*nextLeaves)
 			b.callWithin(patience, b.hosts[n%len(b.hosts)], "POST", impatientJob(n), lasting)
-			time.Sleep(time.Until(begin.Add(3*time.Second + time.Duration(n)*50*time.Millisecond + patience)))
+			time.Sleep(time.Until(begin.Add(firstLeaves + time.Duration(n)*nextLeaves + patience)))
 			acked[n] = b.cancel(n)
 		})
 	}
