Start a long-running task again whose end is heard of late

A job with one such task is shown as completed although nobody has cancelled it.

Order of events: a worker is cut off, and a run ends `done` there. The owner hears nothing, ends the run with the lease and starts the task elsewhere as run 2. The worker is back and lists the end of run 1. The owner stops run 2 and counts the task as done.

Cause: two places decide what the end of a run means for its task. `release`, for the run that is tracked, asked whether the step is long-running; `handleUnknownEnd`, for any other run, did not. Both ask `completedBy` now.

Ruled out: that the lease ends too late or the record of run 2 is missing (the script has both); that the end is read as one of run 2 (its number is 1 in the record).

--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -180,6 +180,9 @@
 			open = append(open, fmt.Sprintf("%s %s", id, state))
 		}
 	}
+	for _, id := range w.lastingAway() {
+		open = append(open, fmt.Sprintf("long-running task %s has no run", id))
+	}
 	for _, wave := range w.waves {
 		if !w.wavesDone[wave.wave.Number] && len(wave.wave.Machines) > 0 {
 			open = append(open, fmt.Sprintf("wave %d", wave.wave.Number))
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -194,7 +194,8 @@
 }
 
 // handleUnknownEnd handles the end of a run that is not known on this worker.
-// Whichever run it was, success completes the task, and a failure counts.
+// Whichever run it was, success completes the task unless it is long-running, and a
+// failure counts.
 func (c *Cell) handleUnknownEnd(now time.Time, w *worker, e Ended) pendingEnd {
 	t := c.task(e.Task)
 	if t == nil {
@@ -215,7 +216,7 @@
 		end.revision = t.step.job.revision
 		return end
 	}
-	if e.Kind != EndDone {
+	if !t.step.completedBy(e.Kind) {
 		return end
 	}
 	c.log.Info("task was completed by an unknown run",
@@ -268,7 +269,7 @@
 		return
 	}
 	c.recordChanged(s.job)
-	if how == EndDone && !s.spec.LongRunning {
+	if s.completedBy(how) {
 		c.completeTask(now, t)
 		return
 	}
@@ -319,6 +320,12 @@
 	c.fail(now, s.job, workload.CauseAttempts)
 }
 
+// completedBy reports whether the end of a run completes its task. A long-running task
+// is started again however its runs end.
+func (s *stepState) completedBy(how EndKind) bool {
+	return how == EndDone && !s.spec.LongRunning
+}
+
 // completeTask marks a task as done; for a gang, all of its tasks.
 func (c *Cell) completeTask(now time.Time, t *task) {
 	s := t.step
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -87,6 +87,8 @@
 	accounts *simAccounts
 	// sent holds what was known when each start was sent.
 	sent map[*cell.SendStart]sentStart
+	// lastingRunsEnd is set if long-running runs end by themselves.
+	lastingRunsEnd bool
 	// missed describes the last steps that a decision missed.
 	missed string
 	// violation is the first violation of an invariant.
@@ -138,7 +140,9 @@
 }
 
 type simRun struct {
-	number      int
+	number int
+	// ends is set if the run ends by itself at the time until.
+	ends        bool
 	until       time.Time
 	fails       bool
 	size        job.Size
