Start long-running tasks again that earlier releases recorded as done

Callers would see (no run; by reading, and by a script): after an update to the release that starts long-running tasks again after a late end, the tasks that the earlier release has counted as done stay away, since a new owner believes the record. A job that such an end has made `completed` stays so.

Cause: the record of a task has `Done`, and that of a job a final state, which `Restore` took whatever the step is. They are ignored now, and the next record replaces them. A job that its client has cancelled meanwhile stays cancelled, by its own row.

What was weighed: a client that was shown `completed` may not expect the job to go on. Rows of ended jobs are deleted after KeepEnded (120 s), so that only jobs that ended within that time come back.

Evidence: the script lasting-task-recorded-as-done starts nothing and shows b and c as completed without this change; with it, a.0.0.0 and b.0.0.0 start as run 2, and c is cancelled.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -163,7 +163,7 @@
 	if !known {
 		return
 	}
-	if rec.State.Final() {
+	if rec.ended(j.job) {
 		c.restoreEnded(now, j, rec)
 		return
 	}
@@ -184,6 +184,12 @@
 	}
 }
 
+// ended reports whether the record is that of a job that has ended. Earlier releases could
+// record a job with long-running tasks as completed, which only a cancel or a failure ends.
+func (rec *Record) ended(j *workload.Job) bool {
+	return rec.State.Final() && (rec.State != workload.StateCompleted || !j.LongRunning())
+}
+
 // fits reports whether a job has all occurrences, steps and tasks of a record.
 func (rec *Record) fits(j *workload.Job) bool {
 	for _, steps := range rec.Occurrences {
@@ -239,7 +245,8 @@
 	if rec.Worker != "" {
 		c.inherit(t, rec)
 	}
-	if rec.Done {
+	// Earlier releases could record a long-running task as done.
+	if rec.Done && t.step.completedBy(EndDone) {
 		t.step.markDone(t)
 	}
 	if c.awaitingWorkers() {
