Leave jobs that earlier releases recorded as completed as they are

That was wrong: EncodeRecord keeps no occurrences in the record of a job in a final state, so a new owner knows neither the numbers of its runs nor where one may still be at work, for example run 2 whose stop was lost. It would have started run 1 again beside it. The script did not show it, as the store of the scripts keeps whole records.

What callers see now: a job that ended `completed` this way within KeepEnded (120 s) before an update stays completed, and has to be submitted again.

Evidence: by reading internal/ledger/recordencoder.go; the script lasting-task-recorded-as-done still starts a.0.0.0 as run 2, and did not before.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -163,7 +163,7 @@
 	if !known {
 		return
 	}
-	if rec.ended(j.job) {
+	if rec.State.Final() {
 		c.restoreEnded(now, j, rec)
 		return
 	}
@@ -184,12 +184,6 @@
 	}
 }
 
-// ended reports whether the record is that of a job that has ended. Earlier releases could
-// record a job with long-running tasks as completed, which only a cancel or a failure ends.
-func (rec *Record) ended(j *workload.Job) bool {
-	return rec.State.Final() && (rec.State != workload.StateCompleted || !j.LongRunning())
-}
-
 // fits reports whether a job has all occurrences, steps and tasks of a record.
 func (rec *Record) fits(j *workload.Job) bool {
 	for _, steps := range rec.Occurrences {
