Start no member of a gang that has succeeded in an older run

Callers would see (no run of hosts; by a script): a member of a gang is started after the gang's success has been taken note of, which breaks TWICE, and it then waits for members that do not come (GANG). Found while looking for further places that take an end for the task's last word.

Order of events: a gang's workers are cut off and it succeeds there; the owner starts the gang again as run 2, and one of three starts has been sent when the end of run 1 is heard. The owner stopped the run of that one member, counted all members as done, and sent the two starts that were still queued.

Cause: `handleUnknownEnd` completes the whole gang but stopped the run of the one task that the end names. Members that were at work end with it, as the workers end a broken gang; starts that wait for their record or in the dispatch queue do not. All runs of the step are stopped now.

Ruled out: the same for a run that is tracked (`release`): its members were all present, so that no start of theirs is queued. Copies of a speculative step: the owner starts none, and a late success stops the one run. An early start that is first heard of by its end: it is dropped from the unrecorded runs by the same report.

--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -95,19 +95,35 @@
 func (w *simulation) acknowledged(o *simOwner, s *simWorker, e cell.Ended) {
 	switch e.Kind {
 	case cell.EndDone:
-		switch lapsed := s.lapses > s.lapsesAtEnd[e.Number]; {
-		case !lapsed:
-			delete(w.doneBeforeLapse, e.Task)
-		case !w.done[e.Task]:
-			w.doneBeforeLapse[e.Task] = o.epoch
+		for _, id := range w.represented(e.Task) {
+			switch lapsed := s.lapses > s.lapsesAtEnd[e.Number]; {
+			case !lapsed:
+				delete(w.doneBeforeLapse, id)
+			case !w.done[id]:
+				w.doneBeforeLapse[id] = o.epoch
+			}
+			w.done[id] = true
 		}
-		w.done[e.Task] = true
 	case cell.EndFailed:
 		w.failedRuns[failureKey(w.step(e.Task), e.Task)]++
 	case cell.EndStopped, cell.EndLeaseExpired, cell.EndGangBroken, cell.EndGangIncomplete:
 	}
 }
 
+// represented returns the tasks that are done once a run of the given one has succeeded:
+// all members of its gang.
+func (w *simulation) represented(id workload.TaskID) []workload.TaskID {
+	step := w.step(id)
+	if !step.Gang {
+		return []workload.TaskID{id}
+	}
+	members := make([]workload.TaskID, step.Tasks)
+	for i := range members {
+		members[i] = workload.TaskID{StepID: id.StepID, Index: i}
+	}
+	return members
+}
+
 // checkShown checks the state that a client would see against what has
 // happened.
 func (w *simulation) checkShown(o *simOwner, id workload.JobID) {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -221,10 +221,12 @@
 	}
 	c.log.Info("task was completed by an unknown run",
 		zap.String("Job", string(e.Task.Job)), zap.String("Task", e.Task.String()), zap.Int("Run", e.Run))
-	if t.current != nil {
+	c.completeTask(now, t)
+	if t.step.spec.Gang {
+		c.stopStep(now, t.step)
+	} else if t.current != nil {
 		c.stop(now, t.current)
 	}
-	c.completeTask(now, t)
 	end.revision = t.step.job.revision
 	return end
 }
