Learn no run time from long-running tasks

Callers would see (by a script, no run of hosts): after a long-running run that was at work for 20 s has ended `done`, its sound worker is avoided for some 40 s, although it has room, since its step's earlier runs ended after 1 s. The estimates of the queue are corrected by such runs too.

Cause: `handleEnd` took the end `done` of any run for a sample of the step's run time. How long a long-running run lasts tells nothing of the speed of its worker. It asks `completedBy` now, as `release` and `handleUnknownEnd` do.

Evidence: in the script lasting-run-tells-no-run-time the next task went to the larger w2 before, and goes to w1 now, which is left with the least free capacity.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -184,7 +184,7 @@
 	if timed {
 		c.observe(StageRun, t.step.job, took)
 	}
-	if e.Kind == EndDone && timed {
+	if timed && t.step.completedBy(e.Kind) {
 		c.learnRunTime(now, r, took)
 		t.step.timedTasks++
 		t.step.runTime += took
