Accept no submission in flight of a job whose cancel was answered

The cancel is answered 410 at once. Seconds later the store carries the submission out; the job runs, and nobody will cancel it again, as it was said not to exist.

Cause: the 410 came from one read of the store. A submission in flight, in the store, at the host that the client has left, or relayed to the owner, is not in that read, and its one condition, that the job has no row, still held afterwards.

Change: the cancel of a job that has no row writes a tombstone in its place, under the condition that nothing has changed since the read, and is answered 410 only when that is durable. A submission finds the tombstone by the condition that it has always had, so that submissions of the release before are stopped too. If the job was accepted in between, the cancel finds that and cancels it. - A tombstone has the scopes of its cancels (queue, account). A submission out of these replaces it, so that no client can keep another's job out, or learn of it. - A host writes at most its share of a tenth of the store's writes as tombstones (new setting StoreWrites, from the platform), the cancels of one account at most half of that. Beyond it they get 503.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -177,7 +177,7 @@
 	}
 	return host.Config{
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, OwnerTimeout: ownerTimeout, Capacity: capacity, OnTenure: setHeapGrowth,
-		RevokeWithin: revokeWithin,
+		RevokeWithin: revokeWithin, StoreWrites: s.StoreWrites,
 		Owner: owner.Config{
 			RenewEvery: renewInterval, MaxReads: capacity.MaxReads(), Cores: s.Cores, JobBytes: int64(jobShare * float64(s.MemoryMB) * megabyte),
 			Cell: cell.Config{
--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -94,8 +94,8 @@
 		return false, nil
 	case found.In(scope):
 		return false, errRepeated
-	case found.Known:
-		return false, nil // Submit tells that the ID is taken
+	case found.Known, found.Tombstone.Covers(scope.Queue, scope.Account):
+		return false, nil // Submit tells that the ID is taken, or the job cancelled
 	}
 	return true, nil
 }
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -180,9 +180,11 @@
 	case err == nil:
 		return message.RelayDone
 	case fault.Is(err, intake.KindNoJob):
-		return message.RelayMissing
+		return message.RelayNoJob
 	case fault.Is(err, intake.KindTaken):
 		return message.RelayTaken
+	case fault.Is(err, intake.KindCancelled):
+		return message.RelayCancelled
 	case fault.Is(err, intake.KindNotDone):
 		return message.RelayNotDone
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,6 +80,8 @@
 	// OwnerTimeout is how long the owner's row may remain unchanged before the
 	// host takes the cell over.
 	OwnerTimeout time.Duration
+	// StoreWrites is how many writes a second the store takes from all hosts together.
+	StoreWrites float64
 	// RevokeWithin is for how long the host serves calls that need a key by a manifest
 	// that the store has not confirmed since. 0 means for any time.
 	RevokeWithin time.Duration
@@ -192,7 +194,6 @@
 ) *Host {
 	h := &Host{
 		config: config, platform: platform, peers: peers, timers: timers, scope: scope, log: log.Named("host"),
-		intake:    intake.New(platform.Store, timers),
 		manifests: manifest.NewHolder(), detector: election.NewFailureDetector(config.OwnerTimeout),
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
 		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope), pinger: newPinger(),
@@ -201,6 +202,7 @@
 		recency:     recency{begin: timers.Now()}, keyMetrics: newKeyMetrics(scope),
 		accountRefusals: newAccountRefusals(scope),
 	}
+	h.intake = intake.New(platform.Store, timers, h.tombstoneRate, scope)
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.background.Go(h.followManifest)
--- a/internal/host/jobmemory.go
+++ b/internal/host/jobmemory.go
@@ -33,7 +33,7 @@
 	// The owner writes the job itself. If it cannot be asked, the job is written here, as
 	// hosts that hear of no owner refuse nothing for its load.
 	err := h.askOwnerToWrite(ctx, a)
-	if err == nil || errors.Is(err, errNoRoom) || fault.Is(err, intake.KindTaken) || h.intake.StoreUnavailable() {
+	if err == nil || errors.Is(err, errNoRoom) || isFinal(err) || h.intake.StoreUnavailable() {
 		return err
 	}
 	written := h.intake.Submit(ctx, a)
@@ -93,6 +93,8 @@
 		return nil
 	case found.Known:
 		return fault.New("submit", KindInvalid, "job %s belongs to another queue or account", a.Job.ID)
+	case found.Tombstone.Covers(a.Queue.Name, a.Account.Name):
+		return fault.New("submit", KindNoJob, "job %s was cancelled before it was accepted", a.Job.ID)
 	}
 	h.scope.Counter("jobs_refused_for_memory").Inc(1)
 	h.log.Info("job refused, since the owner has too little memory for it", zap.String("Job", string(a.Job.ID)),
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -53,7 +53,7 @@
 			startSecond()
 		case err := <-results:
 			pending--
-			if err == nil || fault.Is(err, intake.KindNoJob) || fault.Is(err, intake.KindTaken) {
+			if err == nil || isFinal(err) {
 				return err
 			}
 			if worst == nil || fault.Is(err, intake.KindUnknown) {
@@ -65,6 +65,12 @@
 	return worst
 }
 
+// isFinal reports whether a write has failed because of what is durable, so that the same
+// write fails anywhere else too, also one that is still in flight.
+func isFinal(err error) bool {
+	return fault.Is(err, intake.KindNoJob) || fault.Is(err, intake.KindTaken) || fault.Is(err, intake.KindCancelled)
+}
+
 // relaySubmit asks the owner to make an accepted job durable.
 func (h *Host) relaySubmit(ctx context.Context, job cell.AcceptedJob) error {
 	value, err := ledger.EncodeJob(job)
@@ -115,8 +121,12 @@
 	switch answer.Outcome {
 	case message.RelayDone:
 		return nil
-	case message.RelayMissing:
+	case message.RelayNoJob:
 		return fault.New(op, intake.KindNoJob, "host %s does not know the job", from.Name)
+	case message.RelayMissing:
+		return fault.New(op, intake.KindNotDone, "host %s of an earlier release has not found the job", from.Name)
+	case message.RelayCancelled:
+		return fault.New(op, intake.KindCancelled, "host %s found that the job was cancelled before", from.Name)
 	case message.RelayTaken:
 		return fault.New(op, intake.KindTaken, "host %s found a job of another queue or account", from.Name)
 	case message.RelayNotDone:
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -18,7 +18,8 @@
 )
 
 // Submit accepts a job of a client on a queue. The job is durable when Submit returns
-// nil. While the cell cannot keep up, it gives KindOverloaded.
+// nil. While the cell cannot keep up, it gives KindOverloaded, and KindNoJob if the client
+// has cancelled the job before.
 func (h *Host) Submit(ctx context.Context, queue *manifest.Queue, client manifest.Client, job workload.Job) error {
 	if err := job.Check(); err != nil {
 		return fault.New("submit", KindInvalid, "%w", err)
@@ -52,7 +53,8 @@
 }
 
 // Cancel cancels a job on a queue. The cancel is durable when Cancel returns nil.
-// A job of another queue or account gives KindNoJob.
+// A job that does not exist, or one of another queue or account, gives KindNoJob. A
+// submission of it by the client that is still in flight will not take effect.
 func (h *Host) Cancel(ctx context.Context, queue string, client manifest.Client, id workload.JobID) error {
 	scope := client.Scope(queue)
 	err := h.hedge(ctx,
@@ -67,9 +69,18 @@
 	return nil
 }
 
+// tombstoneShare is the share of the store's writes that the tombstones of all hosts may
+// take together. They are written for cancels of jobs that do not exist.
+const tombstoneShare = 0.1
+
+// tombstoneRate returns how many tombstones a second this host may write.
+func (h *Host) tombstoneRate() float64 {
+	return tombstoneShare * h.config.StoreWrites / float64(1+h.otherHosts())
+}
+
 func requestError(op string, err error) error {
 	switch {
-	case fault.Is(err, intake.KindNoJob):
+	case fault.Is(err, intake.KindNoJob), fault.Is(err, intake.KindCancelled):
 		return fault.New(op, KindNoJob, "%w", err)
 	case fault.Is(err, intake.KindTaken):
 		return fault.New(op, KindInvalid, "%w", err)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,7 +1,9 @@
 // Package intake makes accepted jobs and cancels durable. It works on any host.
 //
 // A job is accepted by a single conditional write of its row. A repeated
-// submission therefore finds the row, no matter which host it reaches.
+// submission therefore finds the row, no matter which host it reaches. The cancel of a job
+// that has no row writes a tombstone in its place, so that a submission that is still in
+// flight, here, at another host or in the store, finds that and accepts nothing.
 package intake
 
 import (
@@ -10,6 +12,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
@@ -27,11 +31,15 @@
 	KindNotDone Kind = "not done"
 	// KindUnknown means that the row may have been written or may still be.
 	KindUnknown Kind = "unknown"
-	// KindNoJob means that the job does not exist.
+	// KindNoJob means that the job does not exist. After a cancel, a submission of it that
+	// is still in flight will not take effect.
 	KindNoJob Kind = "no such job"
 	// KindTaken means that a job of another queue or account has the ID. Nothing
 	// was written.
 	KindTaken Kind = "ID in use"
+	// KindCancelled means that the job was cancelled before it was accepted. Nothing was
+	// written and nothing will be.
+	KindCancelled Kind = "cancelled before"
 )
 
 // Error is the error type of this package.
@@ -60,14 +68,20 @@
 
 // Intake writes the jobs and cancels of clients to the store.
 type Intake struct {
-	store  Store
-	timers timer.Service
-	health *storeHealth
+	store   Store
+	timers  timer.Service
+	health  *storeHealth
+	limiter *tombstoneLimiter
+	metrics metrics
 }
 
-// New returns an Intake that writes to the given store.
-func New(store Store, timers timer.Service) *Intake {
-	return &Intake{store: store, timers: timers, health: newStoreHealth()}
+// New returns an Intake that writes to the given store, and at most tombstoneRate
+// tombstones a second.
+func New(store Store, timers timer.Service, tombstoneRate func() float64, scope tally.Scope) *Intake {
+	return &Intake{
+		store: store, timers: timers, health: newStoreHealth(),
+		limiter: newTombstoneLimiter(tombstoneRate), metrics: newMetrics(scope),
+	}
 }
 
 // StoreUnavailable reports whether the caller should send no request to the store,
@@ -125,105 +139,74 @@
 }
 
 // Submit makes an accepted job durable. If the store already holds a job of the
-// same queue and account with the same ID, that counts as success.
+// same queue and account with the same ID, that counts as success. A job that was
+// cancelled before gives KindCancelled.
 func (i *Intake) Submit(ctx context.Context, accepted cell.AcceptedJob) error {
+	const op = "submit"
+	id, queue, account := accepted.Job.ID, accepted.Queue.Name, accepted.Account.Name
 	value, err := ledger.EncodeJob(accepted)
 	if err != nil {
-		return fault.New("submit", KindNotDone, "%w", err)
-	}
-	key := ledger.JobKey(accepted.Job.ID)
-	err = i.commit(ctx, "submit", rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Key: key}},
-		Writes:     []rowstore.Write{{Key: key, Value: value}},
-	})
-	var conflict *rowstore.ConflictError
-	if !errors.As(err, &conflict) {
-		return err
-	}
-	found, err := findJob(conflict.Rows, accepted.Job.ID)
-	scope := manifest.JobScope{Queue: accepted.Queue.Name, Account: accepted.Account.Name, HasAccounts: true}
-	if err == nil && !found.In(scope) {
-		err = fault.New("submit", KindTaken, "job %s belongs to another queue or account", accepted.Job.ID)
-	}
-	return err
-}
-
-// Cancel makes the cancel of a job durable. A job out of scope counts as missing.
-func (i *Intake) Cancel(ctx context.Context, scope manifest.JobScope, id workload.JobID) error {
-	found, err := i.Find(ctx, id)
-	if err != nil {
-		return err
-	}
-	switch {
-	case !found.In(scope):
-		return fault.New("cancel", KindNoJob, "job %s", id)
-	case found.Cancelled:
-		return nil
+		return fault.New(op, KindNotDone, "%w", err)
 	}
-	return i.commit(ctx, "cancel", rowstore.Transaction{
-		Writes: []rowstore.Write{{Key: ledger.CancelKey(id), Value: []byte{1}}},
+	return i.write(op, jobRows{}, func(current jobRows) (jobRows, error) {
+		switch {
+		case current.In(manifest.JobScope{Queue: queue, Account: account, HasAccounts: true}):
+			return current, nil
+		case current.Known:
+			return current, fault.New(op, KindTaken, "job %s belongs to another queue or account", id)
+		case current.Tombstone.Covers(queue, account):
+			i.metrics.cancelledBefore.Inc(1)
+			return current, fault.New(op, KindCancelled, "job %s was cancelled before it was accepted", id)
+		}
+		return i.commitIf(ctx, op, id, current.version, rowstore.Write{Key: ledger.JobKey(id), Value: value})
 	})
 }
 
-// FindResult tells whether the store holds a job and a cancel of it.
-type FindResult struct {
-	Known     bool
-	Cancelled bool
-	// Queue is the name of the job's queue.
-	Queue string
-	// Account is the name of the job's account, or empty if it has none.
-	Account string
-}
-
-// In reports whether the job is in scope. The clients of a queue must learn nothing of
-// the jobs of other queues, nor those of an account of the jobs of others.
-func (f FindResult) In(scope manifest.JobScope) bool {
-	return f.Known && scope.Contains(f.Queue, f.Account)
-}
-
-// rowsOfJob is the number of rows whose names start with the ID of a job.
-const rowsOfJob = 2
+// maxConflicts bounds how often a write is made again because the row of its job has
+// changed. It changes only with the requests of clients for the same ID.
+const maxConflicts = 4
 
-// Find looks up a job in the store.
-func (i *Intake) Find(ctx context.Context, id workload.JobID) (FindResult, error) {
-	key := ledger.JobKey(id)
-	var snapshot rowstore.Snapshot
-	err := i.retry(ctx, "find", func(ctx context.Context) error {
-		var err error
-		snapshot, err = i.store.Read(ctx, rowstore.Range{
-			Table: key.Table, Partition: key.Partition, From: key.Name, Limit: rowsOfJob,
-		})
+// write makes a conditional write under the ID of a job. attempt makes it, given the rows
+// as they are known; if they have changed, it returns the current ones with an error of
+// rowstore.KindConflict, and is called again.
+func (i *Intake) write(op string, current jobRows, attempt func(current jobRows) (jobRows, error)) error {
+	for conflicts := range maxConflicts {
+		next, err := attempt(current)
+		switch {
+		case fault.Is(err, rowstore.KindConflict):
+			current = next
+			continue
+		case conflicts > 0 && fault.Is(err, KindNotDone):
+			// A call before the conflict may have had no answer.
+			return fault.New(op, KindUnknown, "%w", err)
+		}
 		return err
-	})
-	if err != nil {
-		return FindResult{}, err
 	}
-	return findJob(snapshot.Rows, id)
+	return fault.New(op, KindUnknown, "the row changed %d times", maxConflicts)
 }
 
-// findJob looks up a job among rows.
-func findJob(rows []rowstore.Row, id workload.JobID) (FindResult, error) {
-	var found FindResult
-	for _, row := range rows {
-		switch row.Key {
-		case ledger.CancelKey(id):
-			found.Cancelled = true
-		case ledger.JobKey(id):
-			accepted, err := ledger.DecodeJob(row.Value)
-			if err != nil {
-				return FindResult{}, fault.New("find", KindUnknown, "job %s: %w", id, err)
-			}
-			found.Known, found.Queue, found.Account = true, accepted.Queue.Name, accepted.Account.Name
-		}
+// commitIf makes a write if the row of a job still has a version; 0 means that there is
+// none. In a conflict, it returns the current rows.
+func (i *Intake) commitIf(
+	ctx context.Context, op string, id workload.JobID, version uint64, w rowstore.Write,
+) (jobRows, error) {
+	t := rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: ledger.JobKey(id), Version: version}},
+		Writes:     []rowstore.Write{w},
 	}
-	return found, nil
-}
-
-func (i *Intake) commit(ctx context.Context, op string, t rowstore.Transaction) error {
-	return i.retry(ctx, op, func(ctx context.Context) error {
+	err := i.retry(ctx, op, func(ctx context.Context) error {
 		_, err := i.store.Commit(ctx, t)
 		return err
 	})
+	var conflict *rowstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return jobRows{}, err
+	}
+	current, decodeErr := decodeRows(conflict.Rows, id)
+	if decodeErr != nil {
+		return jobRows{}, decodeErr
+	}
+	return current, err
 }
 
 // retry makes a call until it succeeds or cannot succeed in time. A call that may have
--- a/internal/message/cellintake.go
+++ b/internal/message/cellintake.go
@@ -40,13 +40,20 @@
 	RelayNotDone
 	// RelayUnknown means that the row may have been written or may still be.
 	RelayUnknown
-	// RelayMissing means that the job does not exist.
+	// RelayMissing means that the job did not exist when an owner of an earlier release
+	// looked it up. A submission of it may have been in flight.
 	RelayMissing
 	// RelayTaken means that the ID belongs to a job of another queue or account.
 	RelayTaken
 	// RelayNoRoom means that nothing was written, since the owner has too little memory
 	// for the job. Hosts of earlier releases take it for RelayUnknown.
 	RelayNoRoom
+	// RelayNoJob means that the job does not exist, and that a submission of it that is
+	// still in flight will not take effect. Hosts of earlier releases take this and
+	// RelayCancelled for RelayUnknown.
+	RelayNoJob
+	// RelayCancelled means that nothing was written, since the job was cancelled before.
+	RelayCancelled
 )
 
 // IntakeNotice notifies the owner of a row that has just become durable, so that
--- a/internal/owner/eventloop.go
+++ b/internal/owner/eventloop.go
@@ -86,6 +86,7 @@
 		o.reportLoad(now)
 		o.forgetWorkers()
 		o.expire(now)
+		o.deleteTombstones(now)
 	}
 }
 
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -60,6 +60,7 @@
 		l := o.rowLoader(o.cell)
 		l.loadJobs(now, changed.rows)
 		l.loadCancels(now, changed.rows)
+		o.tombstones.note(now, changed.rows)
 	}
 	return rowsChanged{changes: changed, handle: take}
 }
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -67,6 +67,7 @@
 	o.logTakeover(now, &e)
 	o.cell = e.cell
 	o.recordParts = e.recordParts
+	o.tombstones.note(now, e.rows.intake.rows)
 	// The commits during the recovery shared the link with the reads, so their
 	// durations do not tell whether the store is slow.
 	o.slowStore = slowStore{}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -120,7 +120,7 @@
 
 func (l rowLoader) loadJobs(now time.Time, rows []rowstore.Row) {
 	for _, row := range rows {
-		if _, cancel := ledger.ParseCancelName(row.Name); cancel || row.Deleted {
+		if _, cancel := ledger.ParseCancelName(row.Name); cancel || row.Deleted || ledger.IsTombstone(row.Value) {
 			continue
 		}
 		a, err := ledger.DecodeJob(row.Value)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -36,6 +36,8 @@
 	StoreAddr    netip.AddrPort
 	AdviceAddr   netip.AddrPort
 	MachinesAddr netip.AddrPort
+	// StoreWrites is how many writes a second the store takes from all hosts together.
+	StoreWrites float64
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int
 	// MaxFiles is the number of descriptors that the process may have open, of which
@@ -86,6 +88,7 @@
 	StoreAddr      string   `validate:"address"`
 	AdviceAddr     string   `validate:"omitempty,address"`
 	MachinesAddr   string   `validate:"omitempty,address"`
+	StoreWrites    *float64 `validate:"omitempty,number=1:1000000"`
 	MemoryMB       int      `validate:"number=32:1048576"`
 	MaxFiles       *int     `validate:"omitempty,number=256:1048576"`
 	ProcessorShare *float64 `validate:"omitempty,number=0.001:1024"`
@@ -105,6 +108,10 @@
 	RevokeWithin     *string `validate:"omitempty,duration=0s:24h"`
 }
 
+// defaultStoreWrites applies if the settings do not tell how many writes a second the store
+// takes.
+const defaultStoreWrites = 200
+
 // LoadHost reads and validates the settings file of a host at a path.
 func LoadHost(path string) (Host, error) {
 	file, err := os.Open(path)
@@ -141,7 +148,7 @@
 		Name: w.Name, Region: w.Region, DataCentre: w.DataCentre,
 		PeerAddr: parseAddress(w.PeerAddr), ClientAddr: parseAddress(w.ClientAddr), HealthAddr: parseAddress(w.HealthAddr),
 		MetricsAddr: parseAddress(w.MetricsAddr), StoreAddr: parseAddress(w.StoreAddr), AdviceAddr: parseAddress(w.AdviceAddr),
-		MachinesAddr: parseAddress(w.MachinesAddr), MemoryMB: w.MemoryMB, Fenced: w.Fenced, LogLevel: parseLogLevel(w.LogLevel),
+		MachinesAddr: parseAddress(w.MachinesAddr), StoreWrites: numberOr(w.StoreWrites, defaultStoreWrites), MemoryMB: w.MemoryMB, Fenced: w.Fenced, LogLevel: parseLogLevel(w.LogLevel),
 		Cores: numberOr(w.ProcessorShare, 0), LinkMbps: numberOr(w.LinkMbps, 0),
 		Bounds: HostBounds{
 			MaxLease: durationOr(w.Bounds.MaxLease, 0), StopGrace: durationOr(w.Bounds.StopGrace, 0), KeepEnded: durationOr(w.Bounds.KeepEnded, 0),
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// A host whose settings do not tell how many writes the store takes must be able to write
+// tombstones, or it could not answer the cancel of a job that does not exist.
+func TestStoreWritesAreOptional(t *testing.T) {
+	base, err := os.ReadFile("../../examples/platform/centro-a-1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for field, want := range map[string]float64{`  "StoreWrites": 800,` + "\n": 800, "": defaultStoreWrites} {
+		text := strings.Replace(string(base), `  "StoreWrites": 800,`+"\n", field, 1)
+		if s, err := ReadHost(strings.NewReader(text)); err != nil || s.StoreWrites != want {
+			t.Errorf("%q: %v, %v", field, s.StoreWrites, err)
+		}
+	}
+}
+
 // An unset or unknown mode must not turn the avoidance of interference on.
 func TestInterferenceIsOffByDefault(t *testing.T) {
 	base, err := os.ReadFile("../../examples/platform/centro-a-1.json")
