Make the cancel of a job conditional on the job's row

Callers would see (by a test, no run of hosts): a cancel gets no answer, and the store carries it out seconds later, when the row of the ended job has been deleted. Its row stays for ever, and a later job of the same ID is shown as cancelled without anybody having cancelled it (LOST).

Cause: the write of a cancel had no condition, so that it held at any time. It requires the version of the job's row now that the cancel has found. A conflict is looked at again, as for a submission.

Evidence: TestLateCancelDoesNotCancelALaterJob found {Known:true Cancelled:true} before.

Ruled out as in need of the same: the owner's commits (they require the version of its row), takeovers and releases (the same), and the row of the hosts, which is written with them.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -28,11 +28,8 @@
 		case current.Cancelled:
 			return current, nil
 		}
-		t := rowstore.Transaction{Writes: []rowstore.Write{{Key: ledger.CancelKey(id), Value: []byte{1}}}}
-		return current, i.retry(ctx, op, func(ctx context.Context) error {
-			_, err := i.store.Commit(ctx, t)
-			return err
-		})
+		// Under this condition, a write that the store carries out late cancels no later job.
+		return i.commitIf(ctx, op, id, current.version, rowstore.Write{Key: ledger.CancelKey(id), Value: []byte{1}})
 	})
 }
 
--- a/internal/intake/cancel_test.go
+++ b/internal/intake/cancel_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -192,6 +193,32 @@
 	}
 }
 
+// A cancel that the store carries out after the job has gone must not cancel a later job
+// of that ID.
+func TestLateCancelDoesNotCancelALaterJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newScriptedStore(answered1, answered1, lateWrite)
+		in := newIntake(store)
+		if err := in.Submit(t.Context(), accepted()); err != nil {
+			t.Fatal(err)
+		}
+		if err := in.Cancel(t.Context(), ownScope, jobID); !fault.Is(err, KindUnknown) {
+			t.Fatalf("the cancel gives %v", err)
+		}
+		if err := store.apply(rowstore.Transaction{Deletes: []rowstore.Key{ledger.JobKey(jobID), ledger.CancelKey(jobID)}}); err != nil {
+			t.Fatal(err)
+		}
+		again := newIntake(store)
+		if err := again.Submit(t.Context(), accepted()); err != nil {
+			t.Fatal(err)
+		}
+		store.commitLate()
+		if found, err := again.Find(t.Context(), jobID); err != nil || found.Cancelled {
+			t.Errorf("found %+v, %v", found, err)
+		}
+	})
+}
+
 // interleavingStore does something else before its first commit.
 type interleavingStore struct {
 	*scriptedStore
