Keep the end of a maintenance wave published

An operator would see (by a test, no run of hosts): a wave that was said to be completed is shown as running again. Either for good, when the store carries out the write of the begin after that of the end, or when an owner that was replaced writes it; or until the new owner has gone through the wave once more, after each takeover.

That a wave has begun is written only if it has no state yet; a conflict means that there is a later one.

--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
 )
 
@@ -67,20 +68,25 @@
 	})
 }
 
-// publishWave writes the state of a wave to the store, with retries until it
-// succeeds.
+// publishWave writes the state of a wave to the store, with retries until it succeeds.
+// That a wave has begun is written only if there is no state yet: the write may be carried
+// out after that of the end, or come from an owner that was replaced meanwhile.
 func (o *Owner) publishWave(s cell.WaveStatus) {
 	write, err := o.ports.WaveRows.WaveRow(s)
 	if err != nil {
 		o.log.Error("the state of a wave cannot be encoded", zap.Int("Wave", s.Wave), zap.Error(err))
 		return
 	}
+	t := rowstore.Transaction{Writes: []rowstore.Write{write}}
+	if !s.Done {
+		t.Conditions = []rowstore.Condition{{Key: write.Key}}
+	}
 	o.calls.Go(func() {
 		for o.ctx.Err() == nil {
 			ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
-			_, err := o.store.Commit(ctx, rowstore.Transaction{Writes: []rowstore.Write{write}})
+			_, err := o.store.Commit(ctx, t)
 			cancel()
-			if err == nil {
+			if err == nil || fault.Is(err, rowstore.KindConflict) {
 				return
 			}
 			o.log.Warn("the state of a wave could not be written", zap.Int("Wave", s.Wave), zap.Error(err))
