Say of no job in flight that it does not exist, also in serve

Callers of `serve` would see (by a test, no run of hosts): a submission gets no answer, the cancel by its ID reaches no job ("Jobs": 0), and the job begins afterwards.

Change: the owner of the pool keeps the submissions in flight by ID. A query for a certain job waits up to 1 s for them, and gives KindUnavailable then, so that a cancel by ID is `not run` and comes again. An acceptance needs no tombstone: it requires the version of the unit's row, so that none takes effect after a takeover, and all of them are in one process. A cancel by selector concerns the jobs that are open, as before.

Evidence: TestJobInFlightIsNotSaidToBeMissing got 0 jobs and no error before.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -64,13 +64,65 @@
 		return refuse(fault.New("submit", KindUnavailable, "%d submissions wait for the table service", maxPendingAccepts), false)
 	}
 	outcome := make(chan message.Submitted, 1)
+	settled := o.beginAccept(s.ID)
 	o.work.Go(func() {
 		defer func() { <-o.pendingAccepts }()
 		outcome <- o.accept(s)
+		o.post(settled)
 	})
 	return submission{outcome: outcome}
 }
 
+// acceptsInFlight are the submissions of one job whose commit has no known outcome yet.
+type acceptsInFlight struct {
+	n int
+	// settled is closed once all of them have an outcome, and the pool has the job if it
+	// was accepted.
+	settled chan struct{}
+}
+
+// beginAccept records that a submission of a job is in flight, and returns the event by
+// which it has an outcome. Only the event loop calls it.
+func (o *PoolOwner) beginAccept(id string) poolEvent {
+	a, known := o.accepts[id]
+	if !known {
+		a = &acceptsInFlight{settled: make(chan struct{})}
+		o.accepts[id] = a
+	}
+	a.n++
+	return func(*pool.Pool, time.Time) []pool.Action {
+		if a.n--; a.n == 0 {
+			delete(o.accepts, id)
+			close(a.settled)
+		}
+		return nil
+	}
+}
+
+// awaitAccepts waits until no submission of a job is in flight. Otherwise the job could
+// begin after a caller was told that it does not exist.
+func (o *PoolOwner) awaitAccepts(ctx context.Context, id string) error {
+	settled, err := queryPool(ctx, o, func(*pool.Pool, time.Time) <-chan struct{} {
+		if a, known := o.accepts[id]; known {
+			return a.settled
+		}
+		return nil
+	})
+	if err != nil || settled == nil {
+		return err
+	}
+	limit := o.timers.After(maxAcceptWait)
+	defer limit.Stop()
+	select {
+	case <-settled:
+		return nil
+	case <-limit.C:
+	case <-ctx.Done():
+	case <-o.done:
+	}
+	return fault.New("ask", KindUnavailable, "a submission of job %q has no outcome yet", id)
+}
+
 // addToPool adds a job to the pool after its acceptance has become durable.
 func (o *PoolOwner) addToPool(s job.Spec) poolEvent {
 	return func(p *pool.Pool, now time.Time) []pool.Action {
@@ -81,6 +133,8 @@
 }
 
 const (
+	// maxAcceptWait limits how long a query about a job waits for a submission of it.
+	maxAcceptWait = 1 * time.Second
 	// maxPendingAccepts limits the submissions whose commit has no known outcome
 	// yet.
 	maxPendingAccepts = 1024
--- a/internal/entry/cancel_test.go
+++ b/internal/entry/cancel_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"cicadabarrow.example/cicadabarrow/internal/entry"
+	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/lease"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 )
@@ -61,3 +63,30 @@
 		}
 	})
 }
+
+// A submission without an answer may still be in flight when its job is cancelled. The
+// caller must not be told that there is no job, which would then run.
+func TestJobInFlightIsNotSaidToBeMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t)
+		o := fx.startOwner(lease.Gained{First: true, Clean: true})
+		time.Sleep(2 * time.Second)
+		fx.d.Table.SetSilent(true)
+		leave, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if out := o.Submit(leave, batch("build", 1, time.Hour)); out.Outcome != message.OutcomeUnknown {
+			t.Fatalf("the submission gives %+v", out)
+		}
+		if jobs, err := o.Jobs(t.Context(), message.JobQuery{ID: "build"}); !fault.Is(err, entry.KindUnavailable) {
+			t.Errorf("%d jobs, %v while the submission is in flight", len(jobs), err)
+		}
+		if jobs, err := o.Jobs(t.Context(), message.JobQuery{ID: "other"}); err != nil || len(jobs) > 0 {
+			t.Errorf("%d jobs, %v of another ID", len(jobs), err)
+		}
+		fx.d.Table.SetSilent(false)
+		time.Sleep(10 * time.Second)
+		if names, err := o.Cancel(t.Context(), message.Cancel{ID: "build"}); err != nil || len(names) != 1 {
+			t.Errorf("cancelled %v, %v after the submission was accepted", names, err)
+		}
+	})
+}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -76,6 +76,8 @@
 	// acceptKeys holds the keys of the rows with the records of accepted jobs that
 	// the pool has and that no snapshot replaces yet.
 	acceptKeys map[string]struct{}
+	// accepts holds the submissions in flight by the ID of their job.
+	accepts map[string]*acceptsInFlight
 	// recoverErr is the error of the last attempt to recover the pool; nil if
 	// none has failed.
 	recoverErr atomic.Pointer[error]
@@ -118,8 +120,8 @@
 		timers: timers,
 		log:    log.Named("pool"), events: ring.New[poolEvent](poolEventBuffer), workerCalls: make(chan struct{}, maxWorkerCalls),
 		pendingAccepts: make(chan struct{}, maxPendingAccepts),
-		acceptKeys:     make(map[string]struct{}),
-		ctx:            ctx, cancel: cancel, done: make(chan struct{}), ready: make(chan struct{}),
+		acceptKeys:     make(map[string]struct{}), accepts: make(map[string]*acceptsInFlight),
+		ctx: ctx, cancel: cancel, done: make(chan struct{}), ready: make(chan struct{}),
 	}
 	go func() {
 		defer close(o.done)
@@ -318,8 +320,14 @@
 	}
 }
 
-// Jobs returns the open jobs that match a query.
+// Jobs returns the open jobs that match a query. One for a certain job gives
+// KindUnavailable while a submission of it is in flight.
 func (o *PoolOwner) Jobs(ctx context.Context, q message.JobQuery) ([]message.JobStatus, error) {
+	if q.ID != "" {
+		if err := o.awaitAccepts(ctx, q.ID); err != nil {
+			return nil, err
+		}
+	}
 	return queryPool(ctx, o, func(p *pool.Pool, _ time.Time) []message.JobStatus {
 		var out []message.JobStatus
 		for _, v := range p.Jobs() {
