Wait for the requests before the property test of intake reads them

Cause: the test read the requests after a time in virtual time, which orders nothing for the detector. It waits for them now, and reads the store under its lock. The product has no part in it.

--- a/internal/intake/cancel_test.go
+++ b/internal/intake/cancel_test.go
@@ -16,7 +16,7 @@
 
 var (
 	lateWrite = answer{kind: rowstore.KindUnknown, late: true, after: callTimeout}
-	answered1 = answer{applied: true}
+	carriedOut = answer{applied: true}
 )
 
 // A submission that has got no answer may be in flight in the store when its job is
@@ -56,9 +56,9 @@
 		// cancelled and known are what is found at the end.
 		cancelled, known bool
 	}{
-		{"the tombstone is late", []answer{answered1, lateWrite, lateWrite}, false, KindUnknown, false, false},
-		{"the tombstone is late, the job is accepted before", []answer{answered1, lateWrite, lateWrite}, true, KindUnknown, false, true},
-		{"the answer about the tombstone is lost", []answer{answered1, {kind: rowstore.KindUnknown, applied: true}}, false, KindNoJob, false, false},
+		{"the tombstone is late", []answer{carriedOut, lateWrite, lateWrite}, false, KindUnknown, false, false},
+		{"the tombstone is late, the job is accepted before", []answer{carriedOut, lateWrite, lateWrite}, true, KindUnknown, false, true},
+		{"the answer about the tombstone is lost", []answer{carriedOut, {kind: rowstore.KindUnknown, applied: true}}, false, KindNoJob, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -197,7 +197,7 @@
 // of that ID.
 func TestLateCancelDoesNotCancelALaterJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newScriptedStore(answered1, answered1, lateWrite)
+		store := newScriptedStore(carriedOut, carriedOut, lateWrite)
 		in := newIntake(store)
 		if err := in.Submit(t.Context(), accepted()); err != nil {
 			t.Fatal(err)
--- a/internal/intake/property_test.go
+++ b/internal/intake/property_test.go
@@ -28,6 +28,24 @@
 	calm   bool
 }
 
+// longestDelay is the longest time after which a commit is carried out.
+const longestDelay = 6 * time.Second
+
+// setCalm has the store answer all calls from now on.
+func (s *faultyStore) setCalm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calm = true
+}
+
+// spec returns that of the job with an ID; empty if there is none.
+func (s *faultyStore) spec(id workload.JobID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, _ := ledger.DecodeJob(s.rows.rows[ledger.JobKey(id)].Value)
+	return a.Job.Spec
+}
+
 // fate is what becomes of a call.
 type fate struct {
 	takes, late time.Duration
@@ -48,7 +66,7 @@
 	case 1:
 		f.kind, f.lost = rowstore.KindUnknown, true
 	case 2:
-		f.kind, f.late = rowstore.KindUnknown, time.Duration(s.random.IntN(6_000_000))*time.Microsecond
+		f.kind, f.late = rowstore.KindUnknown, time.Duration(s.random.Int64N(int64(longestDelay)))
 	}
 	return f
 }
@@ -126,7 +144,7 @@
 		return "a job that was cancelled does not exist"
 	case !r.cancel && r.err == nil && !mine:
 		return "a job that was accepted does not exist"
-	case !r.cancel && r.err != nil && !r.is(KindUnknown) && spec == r.spec:
+	case !r.cancel && r.err != nil && !r.is(KindUnknown) && found.Known && spec == r.spec:
 		return "a job exists that was refused"
 	}
 	return ""
@@ -149,7 +167,8 @@
 	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 	store := &faultyStore{rows: newScriptedStore(), random: random}
 	var requests []*request
-	make1 := func(t *rapid.T, cancel bool) {
+	var running sync.WaitGroup
+	add := func(t *rapid.T, cancel bool) {
 		r := &request{
 			id: workload.JobID(fmt.Sprintf("%016x", rapid.IntRange(1, 3).Draw(t, "job"))), cancel: cancel, spec: fmt.Sprint(len(requests)),
 			client: manifest.JobScope{
@@ -159,26 +178,22 @@
 		}
 		requests = append(requests, r)
 		// Each request has a host of its own, whose earlier calls say nothing of the store.
-		go r.run(newIntake(store))
+		running.Go(func() { r.run(newIntake(store)) })
 	}
 	t.Repeat(map[string]func(*rapid.T){
-		"submit": func(t *rapid.T) { make1(t, false) },
-		"cancel": func(t *rapid.T) { make1(t, true) },
+		"submit": func(t *rapid.T) { add(t, false) },
+		"cancel": func(t *rapid.T) { add(t, true) },
 		"wait":   func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond) },
 	})
-	time.Sleep(maxRetryTime + 10*time.Second)
-	store.calm = true
+	running.Wait()
+	time.Sleep(longestDelay)
+	store.setCalm()
 	for _, r := range requests {
 		found, err := newIntake(store).lookUp(context.Background(), r.id)
 		if err != nil {
 			return err.Error()
 		}
-		spec := ""
-		if found.Known {
-			a, _ := ledger.DecodeJob(store.rows.rows[ledger.JobKey(r.id)].Value)
-			spec = a.Job.Spec
-		}
-		broken := r.violation(found, spec)
+		broken := r.violation(found, store.spec(r.id))
 		mayBeCancelled := slices.ContainsFunc(requests, func(o *request) bool { return o.cancel && o.id == r.id && o.client == r.client })
 		if !mayBeCancelled && (r.is(KindCancelled) || found.In(r.client) && found.Cancelled) {
 			broken = "another client has cancelled the job"
