--- a/internal/intake/cancel_test.go
+++ b/internal/intake/cancel_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	lateWrite = answer{kind: rowstore.KindUnknown, late: true, after: callTimeout}
+	lateWrite  = answer{kind: rowstore.KindUnknown, late: true, after: callTimeout}
 	carriedOut = answer{applied: true}
 )
 
