--- a/internal/intake/property_test.go
+++ b/internal/intake/property_test.go
@@ -20,32 +20,31 @@
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
-// faultyStore loses calls and answers, and carries out some commits seconds later.
+// faultyStore is the store as one host reaches it. It loses calls and answers, and carries
+// out some commits seconds later.
 type faultyStore struct {
-	mu     sync.Mutex
-	rows   *scriptedStore
+	*sharedRows
+	// random draws what becomes of calls; nil if all are answered.
 	random *rand.Rand
-	calm   bool
 }
 
-// longestDelay is the longest time after which a commit is carried out.
-const longestDelay = 6 * time.Second
-
-// setCalm has the store answer all calls from now on.
-func (s *faultyStore) setCalm() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calm = true
+// sharedRows are the rows of the store.
+type sharedRows struct {
+	mu   sync.Mutex
+	rows *scriptedStore
 }
 
 // spec returns that of the job with an ID; empty if there is none.
-func (s *faultyStore) spec(id workload.JobID) string {
+func (s *sharedRows) spec(id workload.JobID) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, _ := ledger.DecodeJob(s.rows.rows[ledger.JobKey(id)].Value)
 	return a.Job.Spec
 }
 
+// longestDelay is the longest time after which a commit is carried out.
+const longestDelay = 6 * time.Second
+
 // fate is what becomes of a call.
 type fate struct {
 	takes, late time.Duration
@@ -54,12 +53,10 @@
 }
 
 func (s *faultyStore) fate() fate {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := fate{takes: time.Duration(s.random.IntN(60_000)) * time.Microsecond}
-	if s.calm {
-		return f
+	if s.random == nil {
+		return fate{}
 	}
+	f := fate{takes: time.Duration(s.random.IntN(60_000)) * time.Microsecond}
 	switch s.random.IntN(6) {
 	case 0:
 		f.kind = rowstore.KindNotDone
@@ -164,8 +161,7 @@
 }
 
 func playRequests(t *rapid.T) string {
-	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-	store := &faultyStore{rows: newScriptedStore(), random: random}
+	store := &sharedRows{rows: newScriptedStore()}
 	var requests []*request
 	var running sync.WaitGroup
 	add := func(t *rapid.T, cancel bool) {
@@ -178,7 +174,8 @@
 		}
 		requests = append(requests, r)
 		// Each request has a host of its own, whose earlier calls say nothing of the store.
-		running.Go(func() { r.run(newIntake(store)) })
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "fates"), 0))
+		running.Go(func() { r.run(newIntake(&faultyStore{store, random})) })
 	}
 	t.Repeat(map[string]func(*rapid.T){
 		"submit": func(t *rapid.T) { add(t, false) },
@@ -187,9 +184,8 @@
 	})
 	running.Wait()
 	time.Sleep(longestDelay)
-	store.setCalm()
 	for _, r := range requests {
-		found, err := newIntake(store).lookUp(context.Background(), r.id)
+		found, err := newIntake(&faultyStore{sharedRows: store}).lookUp(context.Background(), r.id)
 		if err != nil {
 			return err.Error()
 		}
