Name the file in the finding on a manifest that cannot be read

An operator saw "error field Rejected ... not JSON at line 1": a field without a name, and not which file. The subject is the file now.

--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -120,15 +120,18 @@
 func inspectManifest(name string, file []byte, inForce *manifest.Manifest) manifestChecked {
 	next, rejected := platform.Manifests{}.Inspect(file)
 	var findings []check.Finding
-	addField := func(severity check.Severity, kind check.Kind, field, text string) {
+	add := func(severity check.Severity, kind check.Kind, field, text string) {
 		subject := check.Subject{Type: check.SubjectField, Name: field}
+		if field == "" {
+			subject = check.Subject{Type: check.SubjectFile, Name: name}
+		}
 		findings = append(findings, check.Finding{Severity: severity, Kind: kind, Subject: subject, Text: text})
 	}
 	for _, r := range rejected {
-		addField(check.SeverityError, check.KindRejected, r.Field, r.Text)
+		add(check.SeverityError, check.KindRejected, r.Field, r.Text)
 	}
 	for _, m := range (platform.Manifests{}).Misspellings(file) {
-		addField(check.SeverityWarning, check.KindMisspelled, m.Field, fmt.Sprintf("hosts do not read this field; they read %s, which is missing", m.Known))
+		add(check.SeverityWarning, check.KindMisspelled, m.Field, fmt.Sprintf("hosts do not read this field; they read %s, which is missing", m.Known))
 	}
 	out := manifestChecked{File: name, Findings: []manifestFinding{}}
 	if inForce != nil {
--- a/internal/manifest/check/check.go
+++ b/internal/manifest/check/check.go
@@ -33,10 +33,11 @@
 type SubjectType string
 
 // The types of subjects. SubjectManifest is the manifest as a whole, without a name;
-// SubjectField is a field of the operator's file; SubjectLimit is a limit on the requests of
-// clients.
+// SubjectFile is the operator's file, of which nothing could be read, and SubjectField a field
+// of it; SubjectLimit is a limit on the requests of clients.
 const (
 	SubjectManifest SubjectType = "manifest"
+	SubjectFile     SubjectType = "file"
 	SubjectField    SubjectType = "field"
 	SubjectQueue    SubjectType = "queue"
 	SubjectService  SubjectType = "service"
@@ -47,7 +48,7 @@
 // Subject is the entry that a finding is about.
 type Subject struct {
 	Type SubjectType
-	// Name is what the manifest calls the entry, or the name of the limit.
+	// Name is what the manifest calls the entry, or the name of the limit or of the file.
 	Name string
 }
 
