Choose the form of a scoped request in one place

JobLookup and RelayedCancel each chose among three forms by the same rules, and the reply to a lookup wrote and read its second value by itself, for which appendExtension and decodeExtension exist. The encoded messages are the same (the tests of the forms and of earlier releases pass unchanged).

--- a/internal/message/cellintake.go
+++ b/internal/message/cellintake.go
@@ -156,29 +156,18 @@
 	},
 }
 
+var scopedCancelCodec = scopedCodec[RelayedCancel]{
+	scope:    func(m RelayedCancel) manifest.JobScope { return m.Scope },
+	anyQueue: relayedCancelCodec, queue: queueCancelCodec, account: accountCancelCodec,
+}
+
 // EncodeRelayedCancel returns the encoded message: a KindAccountCancel, or, without
 // accounts, a KindQueueCancel, or a KindRelayedCancel if the cancel names no queue.
-func EncodeRelayedCancel(m RelayedCancel) peer.Message {
-	switch {
-	case m.Scope.HasAccounts:
-		return accountCancelCodec.encode(m)
-	case m.Scope.Queue == "":
-		return relayedCancelCodec.encode(m)
-	}
-	return queueCancelCodec.encode(m)
-}
+func EncodeRelayedCancel(m RelayedCancel) peer.Message { return scopedCancelCodec.encode(m) }
 
 // DecodeRelayedCancel decodes a message of any of these kinds. It fails if p is of
 // another kind or its body is malformed.
-func DecodeRelayedCancel(p peer.Message) (RelayedCancel, error) {
-	switch p.Kind {
-	case KindRelayedCancel:
-		return relayedCancelCodec.decode(p)
-	case KindAccountCancel:
-		return accountCancelCodec.decode(p)
-	}
-	return queueCancelCodec.decode(p)
-}
+func DecodeRelayedCancel(p peer.Message) (RelayedCancel, error) { return scopedCancelCodec.decode(p) }
 
 type relayReplyWire struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/message/celllookup.go
+++ b/internal/message/celllookup.go
@@ -1,12 +1,8 @@
 package message
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
-	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
-	"cicadabarrow.example/cicadabarrow/internal/wire"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
 
@@ -63,29 +59,18 @@
 	},
 }
 
+var scopedLookupCodec = scopedCodec[JobLookup]{
+	scope:    func(m JobLookup) manifest.JobScope { return m.Scope },
+	anyQueue: jobLookupCodec, queue: queueJobLookupCodec, account: accountJobLookupCodec,
+}
+
 // EncodeJobLookup returns the encoded message: a KindAccountJobLookup, or, without
 // accounts, a KindQueueJobLookup, or a KindJobLookup if the lookup names no queue.
-func EncodeJobLookup(m JobLookup) peer.Message {
-	switch {
-	case m.Scope.HasAccounts:
-		return accountJobLookupCodec.encode(m)
-	case m.Scope.Queue == "":
-		return jobLookupCodec.encode(m)
-	}
-	return queueJobLookupCodec.encode(m)
-}
+func EncodeJobLookup(m JobLookup) peer.Message { return scopedLookupCodec.encode(m) }
 
 // DecodeJobLookup decodes a message of any of these kinds. It fails if p is of another
 // kind or its body is malformed.
-func DecodeJobLookup(p peer.Message) (JobLookup, error) {
-	switch p.Kind {
-	case KindJobLookup:
-		return jobLookupCodec.decode(p)
-	case KindAccountJobLookup:
-		return accountJobLookupCodec.decode(p)
-	}
-	return queueJobLookupCodec.decode(p)
-}
+func DecodeJobLookup(p peer.Message) (JobLookup, error) { return scopedLookupCodec.decode(p) }
 
 type jobLookupReplyWire struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -110,12 +95,7 @@
 	if m.Cause == workload.CauseNone {
 		return p
 	}
-	cause, err := msgpack.Marshal(string(m.Cause))
-	if err != nil {
-		panic(err) // a string can always be encoded
-	}
-	p.Body = append(p.Body, cause...)
-	return p
+	return appendExtension(p, string(m.Cause))
 }
 
 // DecodeJobLookupReply decodes the message. It fails if p is of another kind or
@@ -125,16 +105,9 @@
 	if err != nil {
 		return JobLookupReply{}, err
 	}
-	size, err := wire.MeasureWithin(limits, p.Body)
-	if err != nil {
-		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: %w", p.Kind, err)
-	}
-	if size == len(p.Body) {
-		return m, nil
-	}
 	var cause string
-	if err := wire.UnmarshalWithin(limits, p.Body[size:], &cause); err != nil {
-		return JobLookupReply{}, fault.New("decode", KindMalformed, "kind %d: cause: %w", p.Kind, err)
+	if err := decodeExtension(p, &cause); err != nil {
+		return JobLookupReply{}, err
 	}
 	m.Cause = workload.Cause(cause)
 	return m, nil
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -30,6 +30,8 @@
 	fromWire func(W) M
 }
 
+func (c codec[M, W]) messageKind() uint8 { return c.kind }
+
 func (c codec[M, W]) encode(m M) peer.Message {
 	var body bytes.Buffer
 	encoder := msgpack.GetEncoder()
