Share how tests run a program as a process

The soak of serve and the hosts on the platform's stand-in each started, killed and watched processes, with a log file each. processtest.Process does it for both; the checks are the same.

A restart could reset the mark that the test had ended it in between. Process.OnExit is called before Exited is closed, as the code was before.

--- a/cmd/cicadabarrow/fleet_test.go
+++ b/cmd/cicadabarrow/fleet_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -45,12 +44,10 @@
 
 // entryProcess is an entry host that runs as a child process of the test.
 type entryProcess struct {
+	processtest.Process
 	host     platform.Host
 	url      string
 	settings string
-	logFile  string
-	cmd      *exec.Cmd
-	exited   chan struct{}
 	healthy  bool
 	// stopping is set before the test ends the process.
 	stopping atomic.Bool
@@ -104,8 +101,7 @@
 		watch.Wait()
 		for _, p := range f.processes {
 			p.stopping.Store(true)
-			_ = p.cmd.Process.Kill()
-			<-p.exited
+			p.Kill()
 		}
 	})
 	f.await("all hosts are healthy", func() bool { return len(f.Up("")) == len(hosts) })
@@ -126,7 +122,13 @@
 
 func (f *fleet) add(h platform.Host, base string) {
 	at := processtest.FreeAddr(f.t).String()
-	p := &entryProcess{host: h, url: "http://" + at, logFile: filepath.Join(f.dir, h.Name+".log")}
+	p := &entryProcess{host: h, url: "http://" + at}
+	p.Name, p.LogFile = h.Name, filepath.Join(f.dir, h.Name+".log")
+	p.OnExit = func(state *os.ProcessState) {
+		if !p.stopping.Load() {
+			f.t.Errorf("%s ended by itself, %v; its log ends with:\n%s", p.Name, state, p.LogTail())
+		}
+	}
 	p.settings = f.write(h.Name+".json", map[string]any{
 		"Name": h.Name, "Region": h.Region, "DataCentre": h.DataCentre,
 		"PeerAddr": h.Addr.String(), "HTTPAddr": at,
@@ -146,70 +148,35 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer log.Close()
-	cmd := exec.Command(binary, "serve", "--settings", p.settings)
-	cmd.Env = append(os.Environ(), runVariable+"=1")
-	cmd.Stderr = log
-	if err := cmd.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	exited := make(chan struct{})
-	f.mu.Lock()
-	p.cmd, p.exited = cmd, exited
-	f.mu.Unlock()
 	p.stopping.Store(false)
-	go func() {
-		defer close(exited)
-		_ = cmd.Wait()
-		if !p.stopping.Load() {
-			f.t.Errorf("%s ended by itself, %v; its log ends with:\n%s", p.host.Name, cmd.ProcessState, f.logTail(p))
-		}
-	}()
-}
-
-func (f *fleet) signal(p *entryProcess, s syscall.Signal) {
-	if err := p.cmd.Process.Signal(s); err != nil {
-		f.t.Errorf("signal %v to %s: %v", s, p.host.Name, err)
-	}
+	p.Start(f.t, binary, []string{"serve", "--settings", p.settings}, runVariable+"=1")
 }
 
 // killAndRestart kills a process and restarts it, as a supervisor does.
 func (f *fleet) killAndRestart(p *entryProcess) {
 	p.stopping.Store(true)
-	f.signal(p, syscall.SIGKILL)
-	<-p.exited
+	p.Signal(f.t, syscall.SIGKILL)
+	<-p.Exited
 	f.start(p)
 }
 
 // terminate stops a process gracefully and checks its exit status.
 func (f *fleet) terminate(p *entryProcess) {
 	p.stopping.Store(true)
-	f.signal(p, syscall.SIGTERM)
+	p.Signal(f.t, syscall.SIGTERM)
 	select {
-	case <-p.exited:
+	case <-p.Exited:
 	case <-time.After(processtest.ConditionTimeout):
 		f.t.Errorf("%s still runs %v after SIGTERM", p.host.Name, processtest.ConditionTimeout)
 		return
 	}
-	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
-		f.t.Errorf("%s ended with status %d after SIGTERM: %s", p.host.Name, code, f.logTail(p))
+	if code := p.Cmd.ProcessState.ExitCode(); code != 0 {
+		f.t.Errorf("%s ended with status %d after SIGTERM: %s", p.host.Name, code, p.LogTail())
 	}
 }
 
-func (f *fleet) logTail(p *entryProcess) string {
-	data, _ := os.ReadFile(p.logFile)
-	return string(data[max(0, len(data)-1500):])
-}
-
 // countLogged returns how often a text occurs in the log of a process.
-func (f *fleet) countLogged(p *entryProcess, text string) int {
-	data, _ := os.ReadFile(p.logFile)
-	return strings.Count(string(data), text)
-}
+func (p *entryProcess) countLogged(text string) int { return strings.Count(p.Log(), text) }
 
 // watchHealth polls the health pages, as the platform's balancer does, until the
 // context ends.
@@ -253,7 +220,7 @@
 	for end := time.Now().Add(processtest.ConditionTimeout); !reached(); wait(f.t.Context(), healthInterval) {
 		if time.Now().After(end) {
 			for _, p := range f.processes {
-				f.t.Logf("the log of %s ends with:\n%s", p.host.Name, f.logTail(p))
+				f.t.Logf("the log of %s ends with:\n%s", p.host.Name, p.LogTail())
 			}
 			f.t.Fatalf("timed out after %v waiting until %s", processtest.ConditionTimeout, what)
 		}
--- a/cmd/cicadabarrow/hostsoak_test.go
+++ b/cmd/cicadabarrow/hostsoak_test.go
@@ -292,7 +292,7 @@
 		terminate := func() {
 			s.signal(h, syscall.SIGTERM)
 			<-h.Exited
-			if code := h.Process.ProcessState.ExitCode(); code != 0 {
+			if code := h.Cmd.ProcessState.ExitCode(); code != 0 {
 				s.t.Errorf("%s exited with status %d", h.Name, code)
 			}
 		}
--- a/cmd/cicadabarrow/onplatform_test.go
+++ b/cmd/cicadabarrow/onplatform_test.go
@@ -310,7 +310,7 @@
 }
 
 func (f *hostFleet) signal(h *processtest.Host, s syscall.Signal) {
-	if err := h.Process.Process.Signal(s); err != nil {
+	if err := h.Cmd.Process.Signal(s); err != nil {
 		f.t.Fatal(err)
 	}
 }
@@ -368,7 +368,7 @@
 	ids := []string{f.submit(plainQueue, "300ms", step(3), step(3, 0))}
 	f.await("there is an owner", func() bool { return f.owner() != nil })
 	leaving := f.owner()
-	if err := leaving.Process.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := leaving.Cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	f.await("the host is not ready", func() bool { return !leaving.Ready() })
@@ -382,7 +382,7 @@
 	f.await("another host owns the cell", func() bool { return f.owner() != leaving })
 	ids = append(ids, f.submit(plainQueue, "100ms", step(2)))
 	<-leaving.Exited
-	if code := leaving.Process.ProcessState.ExitCode(); code != 0 {
+	if code := leaving.Cmd.ProcessState.ExitCode(); code != 0 {
 		t.Errorf("the host that left exited with status %d", code)
 	}
 	f.awaitState(plainQueue, "completed", ids...)
--- a/cmd/cicadabarrow/soak_test.go
+++ b/cmd/cicadabarrow/soak_test.go
@@ -99,9 +99,9 @@
 		f.killAndRestart(p)
 	case 1:
 		f.t.Logf("%s is suspended beyond its lease", p.host.Name)
-		f.signal(p, syscall.SIGSTOP)
+		p.Signal(f.t, syscall.SIGSTOP)
 		wait(context.Background(), beyondLease)
-		f.signal(p, syscall.SIGCONT)
+		p.Signal(f.t, syscall.SIGCONT)
 	case 2:
 		f.t.Logf("%s is terminated", p.host.Name)
 		f.terminate(p)
@@ -116,20 +116,20 @@
 	f := newFleet(t, newDeployment(t, 1, 0, 0), perCentre)
 	stopped, other := f.processes[0], f.processes[1]
 	f.await("one of two hosts owns the workers", func() bool {
-		return f.countLogged(stopped, `"rebuilt the pool"`)+f.countLogged(other, `"rebuilt the pool"`) > 0
+		return stopped.countLogged(`"rebuilt the pool"`)+other.countLogged(`"rebuilt the pool"`) > 0
 	})
-	if f.countLogged(stopped, `"rebuilt the pool"`) == 0 {
+	if stopped.countLogged(`"rebuilt the pool"`) == 0 {
 		stopped, other = other, stopped
 	}
-	before := f.countLogged(other, `"rebuilt the pool"`)
-	f.signal(stopped, syscall.SIGSTOP)
+	before := other.countLogged(`"rebuilt the pool"`)
+	stopped.Signal(f.t, syscall.SIGSTOP)
 	f.await("the other host has taken the workers over", func() bool {
-		return f.countLogged(other, `"rebuilt the pool"`) > before
+		return other.countLogged(`"rebuilt the pool"`) > before
 	})
-	f.signal(stopped, syscall.SIGCONT)
+	stopped.Signal(f.t, syscall.SIGCONT)
 	f.await("the stopped host starts again", func() bool {
-		return f.countLogged(stopped, "it starts again as a new incarnation") == 1 &&
-			f.countLogged(stopped, `"entry host started"`) == 2
+		return stopped.countLogged("it starts again as a new incarnation") == 1 &&
+			stopped.countLogged(`"entry host started"`) == 2
 	})
 	f.await("both hosts are healthy", func() bool { return len(f.Up(stopped.host.DataCentre)) == perCentre })
 }
--- a/internal/processtest/host.go
+++ b/internal/processtest/host.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -14,19 +13,16 @@
 
 // Host is an entry host that runs the command host as a process.
 type Host struct {
-	Name string
+	Process
+
 	// Client, Health, Metrics and Peer are the addresses at which the host listens.
 	Client  netip.AddrPort
 	Health  netip.AddrPort
 	Metrics netip.AddrPort
 	Peer    netip.AddrPort
-	// Process is the process, and Exited is closed once it has ended. Both are set by Start.
-	Process *exec.Cmd
-	Exited  chan struct{}
 
 	settings     map[string]any
 	settingsFile string
-	logFile      string
 }
 
 // NewHost returns a host that is not started. Its files are in a folder of the test; its
@@ -34,8 +30,9 @@
 func NewHost(t *testing.T, dir, name string, settings map[string]any) *Host {
 	t.Helper()
 	h := &Host{
-		Name: name, Client: FreeAddr(t), Health: FreeAddr(t), Metrics: FreeAddr(t), Peer: FreeAddr(t),
-		settingsFile: filepath.Join(dir, name+".json"), logFile: filepath.Join(dir, name+".log"),
+		Process: Process{Name: name, LogFile: filepath.Join(dir, name+".log")},
+		Client:  FreeAddr(t), Health: FreeAddr(t), Metrics: FreeAddr(t), Peer: FreeAddr(t),
+		settingsFile: filepath.Join(dir, name+".json"),
 	}
 	h.settings = maps.Clone(settings)
 	h.settings["Name"], h.settings["Region"], h.settings["DataCentre"] = name, "r", "dc-1"
@@ -67,29 +64,7 @@
 // the form NAME=VALUE. A host that has ended may be started again.
 func (h *Host) Start(t *testing.T, binary string, variables ...string) {
 	t.Helper()
-	log, err := os.OpenFile(h.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		t.Fatal(err)
-	}
-	process := exec.Command(binary, "host", "--settings", h.settingsFile)
-	process.Env = append(os.Environ(), variables...)
-	process.Stdout, process.Stderr = log, log
-	if err := process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	exited := make(chan struct{})
-	h.Process, h.Exited = process, exited
-	go func() {
-		defer close(exited)
-		defer log.Close()
-		_ = process.Wait()
-	}()
-}
-
-// Kill kills the process and waits for its end.
-func (h *Host) Kill() {
-	_ = h.Process.Process.Kill()
-	<-h.Exited
+	h.Process.Start(t, binary, []string{"host", "--settings", h.settingsFile}, variables...)
 }
 
 // Ready reports whether the host reports that it is ready.
@@ -102,12 +77,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Log returns the log of the host so far.
-func (h *Host) Log() string {
-	log, _ := os.ReadFile(h.logFile)
-	return string(log)
-}
-
 // Owner returns the host whose log reports the latest epoch of ownership of the cell, or
 // nil if none does.
 func Owner(hosts []*Host) *Host {
--- a/internal/untrustedtest/process_test.go
+++ b/internal/untrustedtest/process_test.go
@@ -117,10 +117,8 @@
 	if !s.t.Failed() {
 		return
 	}
-	const shown = 4000
 	for _, h := range s.hosts {
-		log := h.Log()
-		s.t.Logf("%s:\n%s", h.Name, log[max(0, len(log)-shown):])
+		s.t.Logf("%s:\n%s", h.Name, h.LogTail())
 	}
 }
 
@@ -164,7 +162,7 @@
 	for _, h := range s.hosts {
 		select {
 		case <-h.Exited:
-			s.t.Errorf("%s has exited: %v", h.Name, h.Process.ProcessState)
+			s.t.Errorf("%s has exited: %v", h.Name, h.Cmd.ProcessState)
 			continue
 		default:
 		}
@@ -184,7 +182,7 @@
 
 // statusKB returns a field of the status of the process in kilobytes, or 0 if it has ended.
 func (h *hostProcess) statusKB(field string) int {
-	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.Process.Process.Pid))
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.Cmd.Process.Pid))
 	for _, line := range strings.Split(string(status), "\n") {
 		if value, ok := strings.CutPrefix(line, field+":"); ok {
 			kb, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(value, "kB")))
@@ -222,7 +220,7 @@
 
 // openFiles returns the number of open descriptors, and records the largest one.
 func (h *hostProcess) openFiles() int {
-	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.Process.Process.Pid))
+	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.Cmd.Process.Pid))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.maxFiles = max(h.maxFiles, len(files))
--- a/internal/untrustedtest/untrusted_test.go
+++ b/internal/untrustedtest/untrusted_test.go
@@ -52,7 +52,7 @@
 		}
 		select {
 		case <-h.Exited:
-			s.t.Fatalf("%s has exited: %v", h.Name, h.Process.ProcessState)
+			s.t.Fatalf("%s has exited: %v", h.Name, h.Cmd.ProcessState)
 		default:
 		}
 	}
