Soak cancels of submissions in flight, and long-running tasks that end

New are a fault of the store (every third call is carried out up to 4 s later, without an answer), a client that leaves after up to 0.9 s and cancels, and a job whose runs end every 1.5 s. It checks that nothing runs of a job whose cancel was answered, and that each task of the standing job is started again.

--- a/cmd/cicadabarrow/hostsoak_test.go
+++ b/cmd/cicadabarrow/hostsoak_test.go
@@ -48,27 +48,49 @@
 // random by a seed: they are killed, suspended, terminated and started again, their links to
 // the store and those to the workers are slow, silent, cut one way or reset, and the store
 // and the workers fail. It checks the promises to clients and of the platform meanwhile.
-func TestHostSoak(t *testing.T) {
-	t.Logf("-hostsoak.seed %d -hostsoak.duration %v", *hostSoakSeed, *hostSoakDuration)
+func TestHostSoak(t *testing.T) { soakHostFleet(t, *hostSoakSeed, *hostSoakDuration) }
+
+// TestHostSoakOfKnownSeeds plays the seeds that have failed.
+func TestHostSoakOfKnownSeeds(t *testing.T) {
+	const duration = 20 * time.Second
+	for _, known := range []struct {
+		failure string
+		seed    uint64
+	}{
+		{"a long-running task was not started again after a late end", 12},
+		{"a job ran after its cancel was answered", 13},
+	} {
+		t.Run(known.failure, func(t *testing.T) { soakHostFleet(t, known.seed, duration) })
+	}
+}
+
+func soakHostFleet(t *testing.T, seed uint64, duration time.Duration) {
+	t.Helper()
+	t.Logf("-hostsoak.seed %d -hostsoak.duration %v", seed, duration)
 	f := startHostFleet(&hostFleet{
 		t: t, platform: standin.New(soakWorkers), keepEnded: keepEnded, storeLinks: make(map[string]*processtest.Proxy),
 	}, soakHosts)
-	s := newHostSoak(f)
-	ctx, cancel := context.WithTimeout(t.Context(), *hostSoakDuration)
+	s := newHostSoak(f, seed)
+	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
+	standing := s.submit(http.DefaultClient, s.randomOf(standingClient), standingJob())
 	var clients sync.WaitGroup
 	for n := range soakClients {
 		clients.Go(func() { s.runClient(ctx, n) })
 	}
+	clients.Go(func() { s.runImpatientClient(ctx) })
 	s.injectFaults(ctx)
 	clients.Wait()
 	s.checkEnds()
+	s.checkCancels()
+	s.checkStanding(standing)
 	f.checkViolations()
 }
 
 // hostSoak is the load of a soak and what its clients were told.
 type hostSoak struct {
 	*hostFleet
+	seed        uint64
 	workerLinks []*processtest.Proxy
 
 	mu   sync.Mutex
@@ -83,16 +105,22 @@
 type soakJob struct {
 	id        string
 	queue     string
+	body      map[string]any
 	cancelled bool
+	// cancelAnswered is set once a cancel was answered that the job is cancelled, or that
+	// it does not exist.
+	cancelAnswered bool
 	// accepted is when a host accepted the job; zero if none did.
 	accepted time.Time
 	// refused is set while all answers so far say that the job never runs.
 	refused bool
 	ended   bool
+	// lasts is set if the tasks run until the job is cancelled.
+	lasts bool
 }
 
-func newHostSoak(f *hostFleet) *hostSoak {
-	s := &hostSoak{hostFleet: f, faulty: make(map[string]bool), sound: make(map[string]time.Time)}
+func newHostSoak(f *hostFleet, seed uint64) *hostSoak {
+	s := &hostSoak{hostFleet: f, seed: seed, faulty: make(map[string]bool), sound: make(map[string]time.Time)}
 	for _, w := range f.platform.Workers {
 		link := processtest.NewProxy(f.t, w.Addr())
 		s.workerLinks = append(s.workerLinks, link)
@@ -101,17 +129,20 @@
 	return s
 }
 
+// randomOf returns the source of one part of the soak; that of number 0 draws the faults.
+func (s *hostSoak) randomOf(number uint64) *rand.Rand { return rand.New(rand.NewPCG(s.seed, number)) }
+
 // runClient submits jobs, asks for their state and cancels some, one request at a time. Its
 // connections stay open until their host has ended.
 func (s *hostSoak) runClient(ctx context.Context, number int) {
-	random := rand.New(rand.NewPCG(*hostSoakSeed, uint64(number)+1))
+	random := s.randomOf(uint64(number) + 1)
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	var own []*soakJob
 	for n := 0; ctx.Err() == nil; n++ {
 		if len(own) == 0 || random.IntN(2) == 0 {
-			own = append(own, s.submit(client, random, fmt.Sprintf("%08x%08x", number+1, n)))
+			own = append(own, s.submit(client, random, drawJob(random, fmt.Sprintf("%08x%08x", number+1, n))))
 		}
 		s.ask(client, random, own[random.IntN(len(own))])
 		wait(ctx, rand.N(soakThink))
@@ -122,21 +153,24 @@
 	return s.hosts[random.IntN(len(s.hosts))]
 }
 
-// submit sends a job, and again if it is not known whether it was accepted.
-func (s *hostSoak) submit(client *http.Client, random *rand.Rand, id string) *soakJob {
-	j := &soakJob{id: id, queue: plainQueue, refused: true}
+// drawJob draws a job of two steps.
+func drawJob(random *rand.Rand, id string) *soakJob {
+	j := &soakJob{id: id, queue: plainQueue}
 	if random.IntN(2) == 0 {
 		j.queue = adviceQueue
 	}
-	s.mu.Lock()
-	s.jobs = append(s.jobs, j)
-	s.mu.Unlock()
-	body := map[string]any{
+	j.body = map[string]any{
 		"spec":  (shortestTask + time.Duration(random.Int64N(int64(longestTask)))).String(),
 		"steps": []any{step(1 + random.IntN(3)), step(1+random.IntN(2), 0)},
 	}
+	return j
+}
+
+// submit sends a job, and again if it is not known whether it was accepted.
+func (s *hostSoak) submit(client *http.Client, random *rand.Rand, j *soakJob) *soakJob {
+	s.add(j)
 	for range soakTries {
-		status, _ := s.callBy(client, s.anyHost(random), http.MethodPost, j.queue+id, body)
+		status, _ := s.callBy(client, s.anyHost(random), http.MethodPost, j.queue+j.id, j.body)
 		switch status {
 		case http.StatusOK:
 			j.accepted, j.refused = time.Now(), false
@@ -149,12 +183,19 @@
 	return j
 }
 
+// add records a job that is about to be sent.
+func (s *hostSoak) add(j *soakJob) {
+	j.refused = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs = append(s.jobs, j)
+}
+
 // ask asks for the state of a job, or cancels it.
 func (s *hostSoak) ask(client *http.Client, random *rand.Rand, j *soakJob) {
 	const cancelled = 10 // one in so many requests
 	if random.IntN(cancelled) == 0 && !j.ended {
-		j.cancelled = true
-		s.callBy(client, s.anyHost(random), http.MethodDelete, j.queue+j.id, nil)
+		s.cancel(client, random, j)
 		return
 	}
 	h := s.anyHost(random)
@@ -177,7 +218,7 @@
 
 // injectFaults injects faults until the context ends, and then ends them all.
 func (s *hostSoak) injectFaults(ctx context.Context) {
-	random := rand.New(rand.NewPCG(*hostSoakSeed, 0))
+	random := s.randomOf(0)
 	var faults sync.WaitGroup
 	for wait(ctx, soakFaultsEvery); ctx.Err() == nil; wait(ctx, soakFaultsEvery) {
 		f := s.drawFault(random)
@@ -235,14 +276,14 @@
 	accepted, refused := 0, 0
 	for _, j := range s.jobs {
 		switch {
-		case !j.accepted.IsZero() && !j.cancelled:
-			accepted++
-			s.awaitState(j.queue, "completed", j.id)
 		case j.refused:
 			refused++
 			if n := s.platform.Starts(j.id + ".0.0.0"); n > 0 {
 				s.t.Errorf("job %s was refused, and its first task was started %d times", j.id, n)
 			}
+		case !j.accepted.IsZero() && !j.cancelled && !j.lasts:
+			accepted++
+			s.awaitState(j.queue, "completed", j.id)
 		}
 	}
 	s.t.Logf("%d jobs: %d accepted and not cancelled, %d refused", len(s.jobs), accepted, refused)
@@ -335,8 +376,12 @@
 	store := s.platform.Store
 	set := func(faults standin.StoreFaults) func() { return func() { store.SetFaults(faults) } }
 	const of = "store"
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
+		const every, latest = 3, 4 * time.Second
+		late := standin.StoreFaults{LateEvery: every, LateBy: time.Duration(random.Int64N(int64(latest)))}
+		return soakFault{of, "carrying out calls late", set(late), set(standin.StoreFaults{})}
+	case 4:
 		return soakFault{of, "unavailable", set(standin.StoreFaults{Down: true}), set(standin.StoreFaults{})}
 	case 1:
 		const every = 4
