Keep the runs of an ended job on record while they count under a cap

An operator would see (by a script, no run of hosts): an account above its cap after a takeover. Jobs are cancelled and their runs are being stopped when the owner is lost; the new owner counts none of them until their workers have reported, and starts others meanwhile (QUOTA).

Cause: `inheritEnded` counts the runs that the record of an ended job names, but EncodeRecord wrote none for a job in a final state. The script account-cap-takeover passed because the store of the scripts kept what the cell gave, and not what the store has. Scripts read records as they are encoded now, and it shows use=1000m in place of 2000m without this change. Found while looking at what a record says about long-running tasks.

Change: the record of an ended job has its runs as long as it has any, if an account is charged for them. Once the last one has ended the record is written again without them, so that later owners do not count runs that are long gone. Jobs without an account have the same records as before.

--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -258,7 +258,7 @@
 	}
 	t.lastRun = max(t.lastRun, r.number)
 	t.phase = phaseActive
-	t.current = r
+	t.setCurrent(r)
 	step.waiting--
 	if step.waiting == 0 {
 		c.closeStep(step)
--- a/internal/cell/jobstate.go
+++ b/internal/cell/jobstate.go
@@ -60,6 +60,8 @@
 	retryRecord bool
 	// planned holds the runs whose start waits for a durable record.
 	planned []*run
+	// runs is the number of tasks that have a run.
+	runs int
 }
 
 // Accept adds a job from the store. A job that is already known is left
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -315,7 +315,7 @@
 	c.observe(StagePlace, s.job, now.Sub(t.waitingSince))
 	t.lastRun = number
 	t.phase = phaseActive
-	t.current = r
+	t.setCurrent(r)
 	s.waiting--
 	s.preemptedFor = min(s.preemptedFor, s.waiting)
 	w.runs.add(r)
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -16,7 +16,8 @@
 	State    workload.State
 	// Cause tells why the job has failed.
 	Cause workload.Cause
-	// Occurrences holds the steps of each occurrence created so far.
+	// Occurrences holds the steps of each occurrence created so far. It is empty for a job
+	// that has ended, unless an account is charged for runs that have not.
 	Occurrences [][]StepRecord
 }
 
@@ -127,6 +128,9 @@
 
 func (j *jobState) record(buffer *recordBuffer) Record {
 	rec := Record{Job: j.job.ID, Revision: j.revision, State: j.state, Cause: j.cause}
+	if j.state.Final() && (j.member == nil || j.runs == 0) {
+		return rec
+	}
 	rec.Occurrences = make([][]StepRecord, len(j.occurrences))
 	for k, steps := range j.occurrences {
 		rec.Occurrences[k] = make([]StepRecord, len(steps))
@@ -262,7 +266,7 @@
 		acceptedOnRecord: rec.Accepted,
 	}
 	t.phase = phaseActive
-	t.current = r
+	t.setCurrent(r)
 	t.step.waiting--
 	w.runs.add(r)
 	w.reserved = w.reserved.Add(t.step.spec.Reserved())
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -266,7 +266,10 @@
 	if t.current != r {
 		return
 	}
-	t.current = nil
+	t.setCurrent(nil)
+	if j := s.job; j.state.Final() && j.member != nil && j.runs == 0 {
+		c.finalRecordChanged(j) // a successor need not count the runs any more
+	}
 	if t.phase == phaseDone {
 		return
 	}
--- a/internal/cell/script_test.go
+++ b/internal/cell/script_test.go
@@ -14,6 +14,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/job"
+	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -155,14 +156,14 @@
 		s.now = s.now.Add(parseDuration(t, first(0)))
 		s.cell.SetUnconfirmed(true)
 	case "commit":
-		return s.commit()
+		return s.commit(t)
 	case "records":
 		s.waiting = append(s.waiting, s.cell.TakeRecords(100)...)
 	case "commit-failed":
 		s.cell.NotCommitted(s.waiting)
 		s.waiting = nil
 	case "stored":
-		s.stored(t, workload.JobID(first(0)), d.Input)
+		s.recordDone(t, workload.JobID(first(0)), d.Input)
 	case "takeover":
 		s.takeover(flag("ended"))
 	case "hold-failed":
@@ -275,15 +276,15 @@
 	s.cell.Started(s.now, cell.WorkerID(worker), parseTaskID(t, task), parseInt(t, run), outcome)
 }
 
-// commit makes all records durable.
-func (s *script) commit() string {
+// commit makes all records durable, as they are encoded in the store.
+func (s *script) commit(t *testing.T) string {
 	s.actions()
 	records := slices.Concat(s.waiting, s.cell.TakeRecords(100))
 	s.waiting = nil
 	var out strings.Builder
 	slices.SortFunc(records, func(a, b cell.Record) int { return strings.Compare(string(a.Job), string(b.Job)) })
 	for _, r := range records {
-		s.store[r.Job] = r
+		s.store[r.Job] = stored(t, r)
 		fmt.Fprintf(&out, "record %s %s\n", r.Job, r.State)
 	}
 	s.cell.Committed(s.now, records)
@@ -301,8 +302,20 @@
 	return out.String() + s.actions()
 }
 
-// stored records the given tasks of a job as done, as another release may have.
-func (s *script) stored(t *testing.T, id workload.JobID, done string) {
+// stored returns a record as it is read from the store.
+func stored(t *testing.T, r cell.Record) cell.Record {
+	value, err := ledger.EncodeRecord(r)
+	if err == nil {
+		r, err = ledger.DecodeRecord(value)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// recordDone records the given tasks of a job as done, as another release may have.
+func (s *script) recordDone(t *testing.T, id workload.JobID, done string) {
 	for _, name := range strings.Fields(done) {
 		task := parseTaskID(t, name)
 		r := &s.store[id].Occurrences[task.Occurrence][task.Step].Tasks[task.Index]
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -46,3 +46,15 @@
 	waitingSince time.Time
 	loggedWait   loggedWait
 }
+
+// setCurrent replaces the current run; nil for none.
+func (t *task) setCurrent(r *run) {
+	j := t.step.job
+	if t.current != nil {
+		j.runs--
+	}
+	if r != nil {
+		j.runs++
+	}
+	t.current = r
+}
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -33,8 +33,7 @@
 	Run        int
 }
 
-// EncodeRecord encodes the progress record of a job. The record of a job in a
-// final state holds no occurrences.
+// EncodeRecord encodes the progress record of a job.
 //
 // What earlier releases do not know follows in a second value, which they ignore, and
 // what releases with two values do not know in a third.
--- a/internal/ledger/recordencoder.go
+++ b/internal/ledger/recordencoder.go
@@ -16,12 +16,8 @@
 	e.Text(string(r.Job))
 	e.Unsigned(r.Revision)
 	e.Text(string(r.State))
-	occurrences := r.Occurrences
-	if r.State.Final() {
-		occurrences = nil
-	}
-	e.Optional(len(occurrences))
-	for _, steps := range occurrences {
+	e.Optional(len(r.Occurrences))
+	for _, steps := range r.Occurrences {
 		e.Optional(len(steps))
 		for i := range steps {
 			e.step(&steps[i])
