--- a/review/_bed3/crash.go
+++ b/review/_bed3/crash.go
@@ -10,13 +10,13 @@
 	crashHosts   = 3
 	// crashes is how often the one minion crashes, downFor how long it is away, and
 	// crashEvery the time from one crash to the next.
-	crashes    = 5
+	crashes    = 3
 	downFor    = 2 * time.Second
-	crashEvery = 9 * time.Second
+	crashEvery = 15 * time.Second
 	// settleFor is how long the tasks are at work before the first crash.
 	settleFor = 3 * time.Second
 	// watchFor is how long the job is asked for.
-	watchFor = 60 * time.Second
+	watchFor = 50 * time.Second
 )
 
 // lastingJob is a job with one step of tasks that last, one on each minion.
--- a/review/_bed3/host.go
+++ b/review/_bed3/host.go
@@ -48,7 +48,7 @@
 var smallBounds = bounds{maxLease: "6s", stopGrace: "6s", keepEnded: "120s"}
 
 // newEntryHosts returns hosts with settings like those of a small deployment.
-func newEntryHosts(dir string, n int, store, machines netip.AddrPort, b bounds) ([]*entryHost, error) {
+func newEntryHosts(dir string, n int, store netip.AddrPort, b bounds) ([]*entryHost, error) {
 	hosts := make([]*entryHost, n)
 	var seeds []netip.AddrPort
 	for i := range hosts {
@@ -65,16 +65,12 @@
 		hosts[i] = h
 	}
 	for _, h := range hosts {
-		settings := map[string]any{
+		body, err := json.Marshal(map[string]any{
 			"Name": h.name, "Region": "kita", "DataCentre": "dc-1", "PeerAddr": h.peer, "Seeds": seeds, "ClientAddr": h.client,
 			"HealthAddr": h.health, "StoreAddr": store, "StoreWrites": 600, "MemoryMB": 284, "MaxFiles": 4100,
 			"ProcessorShare": 0.4, "LinkMbps": 1000, "Fenced": true,
 			"Bounds": map[string]any{"MaxLease": b.maxLease, "StopGrace": b.stopGrace, "KeepEnded": b.keepEnded},
-		}
-		if machines.IsValid() {
-			settings["MachinesAddr"] = machines
-		}
-		body, err := json.Marshal(settings)
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -101,9 +97,6 @@
 	return h.process.Start()
 }
 
-// signal sends a signal to the process.
-func (h *entryHost) signal(s syscall.Signal) { _ = h.process.Process.Signal(s) }
-
 // kill ends the process and waits for it.
 func (h *entryHost) kill() {
 	if h.process == nil || h.process.Process == nil {
--- a/review/_bed3/main.go
+++ b/review/_bed3/main.go
@@ -4,10 +4,7 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -22,21 +19,18 @@
 // cases has the cases by name.
 var cases = map[string]func(*bed) (int, error){
 	"crash": runCrash,
-	"wave":  runWave,
 }
 
 // bed holds the processes and stand-ins of one case.
 type bed struct {
-	dir      string
-	trouble  bool
-	record   *record
-	ends     *ledgerOfEnds
-	store    *rowStore
-	machines netip.AddrPort
-	tracker  *tracker
-	minions  []*minion
-	hosts    []*entryHost
-	asked    int
+	dir     string
+	trouble bool
+	record  *record
+	ends    *ledgerOfEnds
+	store   *rowStore
+	minions []*minion
+	hosts   []*entryHost
+	asked   int
 }
 
 func main() {
@@ -88,13 +82,12 @@
 		if err != nil {
 			return err
 		}
-		m.tracker = b.tracker
 		if err := m.start(); err != nil {
 			return err
 		}
 		b.minions = append(b.minions, m)
 	}
-	b.hosts, err = newEntryHosts(b.dir, hosts, store, b.machines, smallBounds)
+	b.hosts, err = newEntryHosts(b.dir, hosts, store, smallBounds)
 	if err != nil {
 		return err
 	}
@@ -154,25 +147,6 @@
 	return state
 }
 
-// owner returns the host that has said last that it becomes the owner, or nil.
-func (b *bed) owner() *entryHost {
-	var latest *entryHost
-	var epoch int
-	for _, h := range b.hosts {
-		log, _ := os.ReadFile(h.logFile)
-		for _, line := range bytes.Split(log, []byte("\n")) {
-			var entry struct {
-				Msg   string `json:"msg"`
-				Epoch int
-			}
-			if bytes.Contains(line, []byte("becoming the owner")) && json.Unmarshal(line, &entry) == nil && entry.Epoch > epoch {
-				latest, epoch = h, entry.Epoch
-			}
-		}
-	}
-	return latest
-}
-
 // running returns the number of tasks that run on all minions.
 func (b *bed) running() int {
 	n := 0
--- a/review/_bed3/minion.go
+++ b/review/_bed3/minion.go
@@ -32,8 +32,6 @@
 	store   *rowStore
 	record  *record
 	ends    *ledgerOfEnds
-	// tracker follows the tasks that last; it may be nil.
-	tracker *tracker
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -127,10 +125,7 @@
 }
 
 // crash ends the minion's process and all that runs on it. It sends nothing.
-func (m *minion) crash() { m.down("crash") }
-
-// down is crash for a cause.
-func (m *minion) down(cause string) {
+func (m *minion) crash() {
 	m.mu.Lock()
 	m.up = false
 	server := m.server
@@ -138,12 +133,11 @@
 	for task, r := range m.runs {
 		r.timer.Stop()
 		tasks = append(tasks, fmt.Sprintf("%s run %d", task, r.number))
-		m.track(task, cause == "order")
 	}
 	m.runs = make(map[string]*minionRun)
 	m.mu.Unlock()
 	_ = server.Close()
-	m.record.add("%s ends (%s); with it end %s", m.id, cause, strings.Join(tasks, ", "))
+	m.record.add("%s crashes; with it end %s", m.id, strings.Join(tasks, ", "))
 }
 
 // beat registers the minion at its start and with each heartbeat of this life.
@@ -253,9 +247,6 @@
 // begin starts a run. The caller holds the lock.
 func (m *minion) begin(in minionRequest) {
 	m.ends.started(in.Task)
-	if m.tracker != nil {
-		m.tracker.started(in.Task)
-	}
 	m.record.add("%s starts %s run %d", m.id, in.Task, in.Run)
 	duration, err := time.ParseDuration(in.Spec)
 	run := &minionRun{number: in.Run, begin: time.Now(), duration: duration, lasts: err != nil}
@@ -282,19 +273,11 @@
 	m.finished = append(m.finished, minionEnd{number: m.endCount, task: task, run: run.number, how: how})
 	job, _, _ := strings.Cut(task, ".")
 	m.ends.ended(job, how)
-	m.track(task, how == "stopped")
 	m.record.add("%s lists %s run %d as %s", m.id, task, run.number, how)
 	close(m.endAdded)
 	m.endAdded = make(chan struct{})
 }
 
-// track tells the tracker that a run has ended.
-func (m *minion) track(task string, byOrder bool) {
-	if m.tracker != nil {
-		m.tracker.ended(task, byOrder)
-	}
-}
-
 func (m *minion) handleStop(w http.ResponseWriter, r *http.Request) {
 	in, ok := m.admit(w, r)
 	if !ok {
--- a/review/_bed3/store.go
+++ b/review/_bed3/store.go
@@ -77,26 +77,6 @@
 	s.notify()
 }
 
-// remove removes a row, as the platform does with the entry of a minion that has gone.
-func (s *rowStore) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	name := rowName{table, "", key}
-	if _, there := s.rows[name]; !there {
-		return
-	}
-	s.version++
-	s.apply(storedRow{rowName: name, version: s.version, deleted: true})
-	s.notify()
-}
-
-// read returns the value of a row, or nil.
-func (s *rowStore) read(table, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rows[rowName{table, "", key}].value
-}
-
 // apply applies one change. The caller holds the lock.
 func (s *rowStore) apply(r storedRow) {
 	if r.deleted {
