cell: log what is out when the success of an unknown run is heard and acknowledged

The log could not tell apart a worker that was silent from one whose answers were lost or late, nor a start that was in flight from a run at work when an older run's success was heard, and had no time of the acknowledgement.

--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -96,6 +96,7 @@
 func (c *Cell) HoldFailed(id WorkerID) {
 	if w, known := c.workers[id]; known {
 		w.incarnationUnsure = true
+		w.failedHolds++
 	}
 }
 
@@ -108,6 +109,10 @@
 	// commit is the first commit that begins after the end of an unknown job
 	// was reported.
 	commit uint64
+	// completed is the task that the end of an unknown run completes; nil for all other
+	// ends.
+	completed *task
+	run       int
 }
 
 // acknowledged returns the number of the last end that the worker may forget.
@@ -119,6 +124,7 @@
 		if c.commitsDone < first.commit || first.job != nil && first.job.durable < first.revision {
 			return first.number - 1
 		}
+		c.logAcknowledged(w, first)
 		w.pendingEnds = w.pendingEnds[1:]
 	}
 	return w.endsSeen
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -32,7 +32,7 @@
 	w.usableAtTick = w.usableAtTick && c.inContact(now, w)
 	w.reported = true
 	w.incarnation = report.Incarnation
-	w.lastReport = now
+	w.lastReport, w.failedHolds = now, 0
 	c.answered(w)
 	if w.incarnationUnsure {
 		w.incarnationUnsure = false
@@ -219,8 +219,8 @@
 	if !t.step.completedBy(e.Kind) {
 		return end
 	}
-	c.log.Info("task was completed by an unknown run",
-		zap.String("Job", string(e.Task.Job)), zap.String("Task", e.Task.String()), zap.Int("Run", e.Run))
+	c.logCompletedByUnknown(w, t, e.Run)
+	end.completed, end.run = t, e.Run
 	c.completeTask(now, t)
 	if t.step.spec.Gang {
 		c.stopStep(now, t.step)
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -19,6 +19,23 @@
 	runInherited
 )
 
+// String returns the name of the phase for the log.
+func (p runPhase) String() string {
+	switch p {
+	case runPlanned:
+		return "Planned"
+	case runSent:
+		return "Sent"
+	case runStarted:
+		return "Started"
+	case runUncertain:
+		return "Uncertain"
+	case runInherited:
+		return "Inherited"
+	}
+	return "Unknown"
+}
+
 type run struct {
 	task   *task
 	number int
--- a/internal/cell/unknownrun.go
+++ b/internal/cell/unknownrun.go
@@ -77,3 +77,29 @@
 	w.unsizedRuns++
 	c.setUnsizedTasks(w, append(w.unsizedTasks, id))
 }
+
+// logCompletedByUnknown writes that an unknown run has completed its task, and which later
+// run may be at work or in flight.
+func (c *Cell) logCompletedByUnknown(w *worker, t *task, number int) {
+	c.log.Info("task was completed by an unknown run", unknownRunFields(w, t, number,
+		zap.Bool("LeaseExpired", w.clock >= w.deadline), zap.Int("LastRun", t.lastRun))...)
+}
+
+// logAcknowledged writes that the success of an unknown run is acknowledged.
+func (c *Cell) logAcknowledged(w *worker, e pendingEnd) {
+	if e.completed != nil {
+		c.log.Info("acknowledging the success of an unknown run", unknownRunFields(w, e.completed, e.run, zap.Int64("End", e.number))...)
+	}
+}
+
+// unknownRunFields returns the fields of an unknown run of a task, and those of the
+// current run, if there is one.
+func unknownRunFields(w *worker, t *task, number int, more ...zap.Field) []zap.Field {
+	out := append([]zap.Field{
+		zap.String("Job", string(t.id.Job)), zap.String("Task", t.id.String()), zap.Int("Run", number), workerField(w),
+	}, more...)
+	if r := t.current; r != nil {
+		out = append(out, zap.Int("CurrentRun", r.number), zap.String("CurrentWorker", string(r.worker.id)), zap.Stringer("CurrentPhase", r.phase))
+	}
+	return out
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -38,6 +38,9 @@
 	// reported is set once the worker has answered this owner.
 	reported   bool
 	lastReport time.Time
+	// failedHolds counts the hold calls without an answer since the last report. The
+	// worker may have listed ends in answers that were lost.
+	failedHolds int
 	// clock is the worker's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Time
