cell: end the cordon of a worker that a later one follows on its machine

Cause: a worker that is drained for a wave ends, a later one answers on its machine, and the wave goes on with the next machine. When the later worker registers as yet another incarnation before it answers as that, it no longer shows that the first has ended, so the cordon of the first counted again and its machine went down beside the next one. What operators see: more machines of a wave down than its limit (rule LIMIT).

The cordon now ends with the worker. Not caused by the change of the leases: the script fails without that too.

--- a/internal/cell/machine.go
+++ b/internal/cell/machine.go
@@ -21,6 +21,7 @@
 		at := slices.IndexFunc(c.onMachine[machine], func(later *worker) bool { return later.follows(w) })
 		w.laterOnMachine = at >= 0
 		if w.laterOnMachine && !known {
+			w.cordonedBy = nil
 			later := c.onMachine[machine][at]
 			w.maintenanceBeforeLater = c.maintenanceOrdered(machine)
 			if later.registeredAt.After(w.registeredAt) {
