cell: complete a task by an earlier run only once no start of it is in flight

Cause: when the end of a run that is not tracked said done, the task was done at once, the start of its later run was stopped, and the record and the acknowledgement went ahead of the answer to that start. Nothing waited for starts that are out: sent and not answered, in doubt, or inherited from a predecessor whose worker has not reported.

The success now waits for the outcome of such a start: refused, accepted, or expired with the lease. Until then the task is neither done nor placed again, the job is not shown as completed, and the end stays unacknowledged, so that a successor hears of it again.

Ruled out as another cause of the same: a planned run that was not sent is given up as before, and a run that was accepted can start no second time.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -126,6 +126,9 @@
 	onMachine map[string][]*worker
 	// lostRuns holds the tasks with lost runs on each machine.
 	lostRuns map[string][]*task
+	// unsettled holds the tasks that have succeeded in an earlier run while a start of
+	// them was in flight.
+	unsettled []*task
 	// isolatedWorkers counts the workers that are kept for suspects, and
 	// awaitingIsolation holds the steps with suspects that wait until there are
 	// fewer, or more workers in total.
--- /dev/null
+++ b/internal/cell/earlierrun.go
@@ -0,0 +1,61 @@
+package cell
+
+import "time"
+
+// succeededEarlier handles the success of a run of a task other than its current one, if
+// it has one. The current run is stopped. The task is done once no start of it can be
+// accepted any more: nobody may be told before that it is done, and the success is not
+// acknowledged.
+func (c *Cell) succeededEarlier(now time.Time, t *task) {
+	for _, member := range t.completedTogether() {
+		member.succeeded = true
+		if member.current != nil {
+			c.stop(now, member.current)
+		}
+	}
+	if !c.settleSuccess(now, t) {
+		c.unsettled = append(c.unsettled, t)
+	}
+}
+
+// completedTogether returns the tasks that a success completes: all members of a gang.
+func (t *task) completedTogether() []*task {
+	if t.step.spec.Gang {
+		return t.step.tasks
+	}
+	return []*task{t}
+}
+
+// settleSuccess completes a task that has succeeded in an earlier run, and reports
+// whether nothing is left to do.
+func (c *Cell) settleSuccess(now time.Time, t *task) bool {
+	if t.phase == phaseDone || t.step.job.state.Final() {
+		return true
+	}
+	for _, member := range t.completedTogether() {
+		if member.current != nil && member.current.startInFlight() {
+			return false
+		}
+	}
+	c.completeTask(now, t)
+	return true
+}
+
+// settleSuccesses completes the tasks that have succeeded in an earlier run and of which
+// no start is in flight any more.
+func (c *Cell) settleSuccesses(now time.Time) {
+	unsettled := c.unsettled
+	c.unsettled = nil
+	for _, t := range unsettled {
+		if !c.settleSuccess(now, t) {
+			c.unsettled = append(c.unsettled, t)
+		}
+	}
+}
+
+// startInFlight reports whether a worker may accept the start of a run later. Once a worker
+// has reported to this owner, its fence refuses the starts of predecessors, and an inherited
+// run is found started or is released.
+func (r *run) startInFlight() bool {
+	return r.phase == runSent || r.phase == runUncertain || r.phase == runInherited
+}
--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -113,6 +113,8 @@
 	// ends.
 	completed *task
 	run       int
+	// settled is set once that task is done, as of revision.
+	settled bool
 }
 
 // acknowledged returns the number of the last end that the worker may forget.
@@ -120,11 +122,17 @@
 // so it acknowledges no end that its successor needs.
 func (c *Cell) acknowledged(w *worker) int64 {
 	for len(w.pendingEnds) > 0 {
-		first := w.pendingEnds[0]
+		first := &w.pendingEnds[0]
+		if t := first.completed; t != nil && !first.settled {
+			if t.phase != phaseDone && !t.step.job.state.Final() {
+				return first.number - 1
+			}
+			first.settled, first.revision = true, t.step.job.revision
+		}
 		if c.commitsDone < first.commit || first.job != nil && first.job.durable < first.revision {
 			return first.number - 1
 		}
-		c.logAcknowledged(w, first)
+		c.logAcknowledged(w, *first)
 		w.pendingEnds = w.pendingEnds[1:]
 	}
 	return w.endsSeen
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -211,6 +211,10 @@
 	if t.phase == phaseDone || t.step.job.state.Final() {
 		return end
 	}
+	if t.succeeded {
+		end.completed, end.run = t, e.Run
+		return end
+	}
 	if e.Kind == EndFailed {
 		c.countFailure(now, t, e.Run, w.id)
 		end.revision = t.step.job.revision
@@ -221,12 +225,7 @@
 	}
 	c.logCompletedByUnknown(w, t, e.Run)
 	end.completed, end.run = t, e.Run
-	c.completeTask(now, t)
-	if t.step.spec.Gang {
-		c.stopStep(now, t.step)
-	} else if t.current != nil {
-		c.stop(now, t.current)
-	}
+	c.succeededEarlier(now, t)
 	end.revision = t.step.job.revision
 	return end
 }
@@ -274,6 +273,10 @@
 		return
 	}
 	c.recordChanged(s.job)
+	if t.succeeded {
+		c.settleSuccesses(now)
+		return
+	}
 	if s.completedBy(how) {
 		c.completeTask(now, t)
 		return
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -86,6 +86,7 @@
 		c.markAccepted(r)
 		r.startedClock = outcome.Clock
 		r.progressAt = now
+		c.settleSuccesses(now)
 	}
 }
 
@@ -191,6 +192,7 @@
 	for _, w := range c.sortedWorkers {
 		c.tickWorker(now, w)
 	}
+	c.settleSuccesses(now)
 	for _, id := range sortedKeys(c.scheduled) {
 		if j := c.scheduled[id]; !j.state.Final() {
 			c.createDueOccurrences(now, j)
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -37,6 +37,9 @@
 	notStarted []RunRange
 	checkpoint string
 	current    *run
+	// succeeded is set once a run other than the current one has succeeded. The task is
+	// done when no start of it is in flight any more.
+	succeeded bool
 	// avoidWorker is the worker to avoid: that of the last run that failed or was
 	// rescheduled because it made too little progress.
 	avoidWorker WorkerID
