cell: hear a registered worker out before its tasks are started again

Cause: the end of a lease was taken for the end of all doubt. It shows that nothing of the worker runs any more, so no two runs overlap; it does not show how the runs have ended. A worker that has listed a success in an answer that was lost, or that still waits in this host, counts as having told it: with no impairment near, 100 ms after it was listed. The owner released the run about 3.5 s after the last answer and started the task again, although the worker was registered and answered soon after.

After the lease of a registered worker, the runs of tasks that can be done are now kept for 2.3 s, not counting the time in which this owner was late. What the worker tells by then decides. Runs that cannot decide anything are released as before: those of long-running tasks, of jobs that have ended, of gangs that are known to be broken. So are all runs once the entry of the worker is gone or a later incarnation is known; the lease ended them then, not the crash.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -48,6 +48,7 @@
 	}
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
+	c.endExpiredRuns(now, w)
 	for _, r := range w.runs.all() {
 		crash, counts := r.crash(alone), r.phase != runPlanned && !c.endedAsOrdered(r.worker, r.incarnation)
 		c.release(now, r, EndLeaseExpired)
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -32,7 +32,7 @@
 	w.usableAtTick = w.usableAtTick && c.inContact(now, w)
 	w.reported = true
 	w.incarnation = report.Incarnation
-	w.lastReport, w.failedHolds = now, 0
+	w.lastReport, w.failedHolds, w.expired = now, 0, false
 	c.answered(w)
 	if w.incarnationUnsure {
 		w.incarnationUnsure = false
@@ -174,6 +174,9 @@
 		return
 	}
 	t := r.task
+	if t.step.spec.Gang && !t.step.completedBy(e.Kind) {
+		t.step.brokenRun = max(t.step.brokenRun, r.number)
+	}
 	took, timed := r.elapsed(now)
 	c.markStarted(t.step.job)
 	c.log.Info("run ended", runFields(r, zap.String("How", string(e.Kind)), zap.Duration("Took", took))...)
--- a/internal/cell/startstop.go
+++ b/internal/cell/startstop.go
@@ -212,18 +212,11 @@
 		c.workerCrashed(now, w)
 		return
 	}
-	if len(c.earlyStarts.unrecorded) > 0 && c.leaseExpired(now, w) {
+	if len(c.earlyStarts.unrecorded) > 0 && c.leaseExpired(now, w) && !c.mayBeHeard(now, w) {
 		c.dropUnrecorded(w, nil)
 	}
 	if w.runs.len() > 0 && c.leaseExpired(now, w) {
-		c.log.Warn("worker lease expired", workerField(w), zap.Int("Runs", w.runs.len()),
-			zap.Duration("Silent", now.Sub(c.silentSince(w))), zap.Duration("Delay", c.delay), zap.Int("FailedHolds", w.failedHolds),
-			zap.Bool("Registered", w.listed), zap.Time("RenewedAfter", w.renewedAfter))
-		alone := c.alone(w)
-		for _, r := range w.runs.all() {
-			c.noteLostRun(r, alone)
-			c.release(now, r, EndLeaseExpired)
-		}
+		c.handleExpiredLease(now, w)
 		return
 	}
 	if !c.inContact(now, w) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -41,6 +41,8 @@
 	// failedHolds counts the hold calls without an answer since the last report. The
 	// worker may have listed ends in answers that were lost.
 	failedHolds int
+	// expired is set once the lease was found to have expired, until the worker answers.
+	expired bool
 	// clock is the worker's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Time
