--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -17,6 +17,11 @@
 	apply(o *Owner, now time.Time)
 }
 
+// noEvent changes nothing.
+type noEvent struct{}
+
+func (noEvent) apply(*Owner, time.Time) {}
+
 // queuedEvent is an event in the queue of the event loop since a time.
 type queuedEvent struct {
 	event event
@@ -91,6 +96,10 @@
 }
 
 func (e jobAccepted) apply(o *Owner, now time.Time) {
+	if id := e.accepted.Job.ID; o.deletedJobs.has(id) {
+		o.log.Info("notice of a job whose rows were deleted; only a later row makes it known again", zap.String("Job", string(id)))
+		return
+	}
 	o.cell.Accept(now, e.accepted)
 	o.updateJobMemory(now)
 }
