relay: give a relay time although the owner was late

Cause: the call clock lets the calls of a late owner take longer by its delay, but the time at which a call is due is fixed when it begins, and the router divides what is left of it among the relays. After a delay that is longer than that, the rest was negative: both relays were asked with a context that had ended, so that nothing was sent to them, and the owner called the worker itself.

What callers saw: an owner that was late by some 0.7 s, and more so with 1,100 workers, made the hold calls whose answers had not been read all at once itself, over new connections, which makes it later still. Calls that then time out leave the ends unread that their workers have listed.

Change: a call has at least 0.3 s, less if its context ends before.

Evidence: TestHoldOfALateOwnerIsMadeThroughARelay failed before ("the owner called the worker itself 1 times").

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -24,6 +24,9 @@
 	orderShare = 0.85
 	// defaultTimeout is the time for a call whose context has no deadline.
 	defaultTimeout = 1 * time.Second
+	// minTimeLeft is the least time for a call. This process may have been late, and the
+	// context of the call lets it take longer by that delay.
+	minTimeLeft = 300 * time.Millisecond
 	// deadlineTolerance is by how much this process may notice the end of a timeout late.
 	// Beyond that it lacks processor time itself, and the answer may wait unread.
 	deadlineTolerance = 50 * time.Millisecond
@@ -32,10 +35,11 @@
 	maxHoldRelays = 2
 )
 
-// timeLeft returns the time until a call is due to end.
-func (r *Router) timeLeft(ctx context.Context) time.Duration {
+// timeLeft returns the time until a call that waits at its worker is due to end, without
+// that wait.
+func (r *Router) timeLeft(ctx context.Context, wait time.Duration) time.Duration {
 	if deadline, ok := timer.SoftDeadline(ctx); ok {
-		return time.Until(deadline)
+		return max(time.Until(deadline)-wait, minTimeLeft)
 	}
 	return defaultTimeout
 }
@@ -75,7 +79,7 @@
 func (r *Router) relayedHold(
 	ctx context.Context, relay *relayState, request cell.HoldRequest, epoch uint64,
 ) (cell.Report, error) {
-	margin := r.timeLeft(ctx) - request.Wait
+	margin := r.timeLeft(ctx, request.Wait)
 	outstanding := r.outstanding(relay)
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+share(margin, relayShare))
 	defer cancel()
@@ -200,7 +204,7 @@
 
 // workerCall returns the common part of an order that is passed to a relay.
 func (r *Router) workerCall(ctx context.Context, to netip.AddrPort, epoch uint64) message.WorkerCall {
-	return message.WorkerCall{Epoch: epoch, Timeout: share(r.timeLeft(ctx), orderShare), Addr: to}
+	return message.WorkerCall{Epoch: epoch, Timeout: share(r.timeLeft(ctx, 0), orderShare), Addr: to}
 }
 
 // order makes an order through the relay of a worker, and in one other way if the
