peer, relay, owner: use a report that arrives after its call was given up

Cause: an answer that arrived after its call had been given up was dropped, at the owner's connection to the relay. A hold call is given up there when the share of its relay is over (1.63 s of 1.9 s for a wait of 1 s; this goes by the clock, also if the owner itself was late), when the relay counts as lost or is suspected, and when the call has timed out. The worker has then listed the ends, which counts as taking note of them 100 ms later. If it answers no call before its lease has expired, its tasks are started again.

What callers saw: TWICE, a task that is run again although its end was listed.

Change: a call may name a function that takes a late answer (package lateanswer). The owner applies a late report like another one, as the cell ignores reports that are older than one it has handled, or of an earlier incarnation. The worker may have restarted since it answered, so that it counts as unsure again: the next call only reads, and grants no lease and acknowledges no end. A late report is dropped if a later call of the loop has been answered.

Considered: waiting on in the router while the second way is tried, and taking the first answer. It covers less (nothing after the timeout of the call), and a call that was not sent could not be told apart in time from one in doubt, so that its lease would not be renewed.

What remains: the answer of a worker that is late for the relay itself is dropped with its connection. After a late report the lease of a worker counts from when it was handled, as for any report, so a worker that dies right then is given up later, by as much as the report was late.

Evidence, each failing without its part: TestLateAnswerIsTakenOnce (0 answers were taken), TestLateReportOfARelayIsPassedOn (0 late reports), TestLateAnswerThatListsAnEndIsUsed (the task was started 2 times), TestCallAfterALateAnswerOnlyReads (without HoldFailed the next call had a deadline; without the check, an overtaken answer was used). With -race the tests of peer, relay, owner and platform passed once.

--- a/internal/owner/eventloop.go
+++ b/internal/owner/eventloop.go
@@ -197,7 +197,7 @@
 func (o *Owner) put(e event) {
 	queue := o.events
 	switch e.(type) {
-	case reported, holdFailed, reportReceived:
+	case reported, holdFailed, reportReceived, lateReport:
 		queue = o.reports
 	}
 	if err := queue.Put(o.ctx, queuedEvent{e, o.timers.Now()}); err != nil {
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/lateanswer"
 )
 
 const (
@@ -101,6 +102,29 @@
 	}
 }
 
+// lateReport is the answer to a call of a holdLoop that had been given up. The ends in it
+// may never be heard otherwise: the worker has listed them, and it may fall silent.
+type lateReport struct {
+	loop   *holdLoop
+	report cell.Report
+	// sentAt is when the call was made.
+	sentAt time.Time
+}
+
+func (e lateReport) apply(o *Owner, now time.Time) {
+	h := e.loop
+	answeredSince := h.failures == 0 && (h.position != notIdle || !h.sentAt.Equal(e.sentAt))
+	if o.holdLoops[h.id] != h || answeredSince {
+		return
+	}
+	o.log.Info("late answer to a hold call", zap.String("Worker", string(h.id)), zap.Duration("Took", now.Sub(e.sentAt)))
+	e.report.Age = now.Sub(e.sentAt)
+	o.cell.Reported(now, h.id, e.report)
+	// The worker may have restarted since it answered.
+	o.cell.HoldFailed(h.id)
+	o.idleHolds.advance(h, now)
+}
+
 type holdFailed struct {
 	loop *holdLoop
 	err  error
@@ -173,6 +197,8 @@
 func (o *Owner) callHold(h *holdLoop, request cell.HoldRequest) event {
 	ctx, end := o.beginHold(request.Wait)
 	defer end()
+	sentAt := h.sentAt
+	ctx = lateanswer.With(ctx, func(r cell.Report) { o.put(lateReport{h, r, sentAt}) })
 	report, err := o.workers.Hold(ctx, request, o.Epoch())
 	if errors.Is(err, cell.ErrFenced) {
 		o.endFenced("hold", h.id)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -34,7 +34,7 @@
 // activityOf returns the kind of work that an event causes.
 func activityOf(e event) activity {
 	switch e.(type) {
-	case reported, reportReceived, holdFailed:
+	case reported, reportReceived, lateReport, holdFailed:
 		return activityReports
 	case startReturned, stopReturned, paceReturned, maintained:
 		return activityOrders
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/lateanswer"
 )
 
 // conn is a connection on which both sides have exchanged hellos. Either side
@@ -40,6 +41,7 @@
 	mu       sync.Mutex
 	lastCall uint64
 	calls    map[uint64]*pendingCall
+	late     lateCalls
 	closed   bool
 	// queue holds the frames that wait to be written, queuedBytes their size.
 	queue       []outFrame
@@ -206,11 +208,11 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		c.withdraw(call)
+		c.giveUp(call, nil)
 		return Message{}, fault.New("call", KindNotSent, "%w", err)
 	}
 	if !c.enqueue(outFrame{kind: m.Kind, data: frame, call: call}) {
-		c.withdraw(call)
+		c.giveUp(call, nil)
 		return Message{}, fault.New("call", KindNotSent, "connection to %s is closed or has too many calls waiting", c.remote.Name)
 	}
 	select {
@@ -220,7 +222,7 @@
 		}
 		return c.reply(e)
 	case <-ctx.Done():
-		if c.withdraw(call) {
+		if c.giveUp(call, lateanswer.From[Message](ctx)) {
 			return Message{}, fault.New("call", KindNotSent, "%s reads no calls: %w", c.remote.Name, ctx.Err())
 		}
 		return Message{}, fault.New("call", KindUnknown, "no answer from %s: %w", c.remote.Name, ctx.Err())
@@ -254,14 +256,20 @@
 	return call, true
 }
 
-// deliver passes an answer to the call that waits for it. An answer whose call
-// has already given up is dropped.
+// deliver passes an answer to the call that waits for it. An answer whose call has already
+// given up is dropped, unless the call takes late answers.
 func (c *conn) deliver(e envelope) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if call, ok := c.calls[e.Call]; ok {
 		delete(c.calls, e.Call)
 		call.answer <- e
+		return
+	}
+	if take := c.late.remove(e.Call); take != nil {
+		if m, err := c.reply(e); err == nil {
+			c.transport.background.Go(func() { take(m) })
+		}
 	}
 }
 
@@ -281,6 +289,7 @@
 		close(call.answer)
 		delete(c.calls, number)
 	}
+	c.late = lateCalls{}
 	c.transport.inbound.answered(answerBytes(c.queue))
 	c.queue, c.queuedBytes = nil, 0
 	c.wakeWriter()
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -69,13 +69,16 @@
 	}
 }
 
-// withdraw ends a call that no longer waits for its answer. It returns true if no part
-// of the call was sent, in which case its frame is not sent either.
-func (c *conn) withdraw(call *pendingCall) bool {
+// giveUp ends a call that no longer waits for its answer. It returns true if no part of the
+// call was sent, in which case its frame is not sent either. Otherwise take gets the answer
+// once it arrives, unless it is nil.
+func (c *conn) giveUp(call *pendingCall, take func(Message)) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	_, waiting := c.calls[call.number]
 	delete(c.calls, call.number)
 	if call.sent {
+		c.takeLate(call, waiting, take)
 		return false
 	}
 	for i, f := range c.queue {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -8,6 +8,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/lateanswer"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
@@ -85,7 +86,8 @@
 	defer cancel()
 	defer context.AfterFunc(outstanding, cancel)()
 	common := message.WorkerCall{Epoch: epoch, Timeout: request.Wait + share(margin, workerShare), Addr: request.Addr}
-	reply, err := r.ask(ctx, relay, message.EncodeWorkerHold(message.WorkerHold{WorkerCall: common, Request: request}))
+	hold := message.EncodeWorkerHold(message.WorkerHold{WorkerCall: common, Request: request})
+	reply, err := r.ask(r.withLateReport(ctx), relay, hold)
 	if err != nil {
 		return cell.Report{}, err
 	}
@@ -96,6 +98,23 @@
 	return m.Report, r.result("hold", m.WorkerResult)
 }
 
+// withLateReport returns a context for a hold call. A report that a relay gives after the call
+// has been given up goes to the function of the context that takes late reports, if there is
+// one.
+func (r *Router) withLateReport(ctx context.Context) context.Context {
+	take := lateanswer.From[cell.Report](ctx)
+	if take == nil {
+		return ctx
+	}
+	return lateanswer.With(ctx, func(reply peer.Message) {
+		m, err := message.DecodeWorkerReport(reply)
+		if err == nil && m.Failure == message.WorkerAnswered {
+			r.metrics.late.Inc(1)
+			take(m.Report)
+		}
+	})
+}
+
 // outstanding returns the context that ends when the relay fails.
 func (r *Router) outstanding(relay *relayState) context.Context {
 	r.mu.Lock()
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -16,6 +16,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/lateanswer"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/permit"
@@ -47,6 +48,8 @@
 	silent bool
 	holds  []cell.HoldRequest
 	starts []int
+	// ended holds the ends that the worker lists.
+	ended []cell.Ended
 	// specBytes is the length of all specs that arrived, and lastSpec the last one.
 	specBytes int
 	lastSpec  string
@@ -86,7 +89,7 @@
 	if err := w.call(ctx, func() { w.holds = append(w.holds, request) }); err != nil {
 		return cell.Report{}, err
 	}
-	return cell.Report{Incarnation: 1}, pause(ctx, request.Wait)
+	return cell.Report{Incarnation: 1, Ended: w.ended}, pause(ctx, request.Wait)
 }
 
 func (w *fakeWorkers) Start(ctx context.Context, _ netip.AddrPort, s cell.SendStart, _ uint64) (cell.StartOutcome, error) {
@@ -124,6 +127,8 @@
 	// its answers are lost.
 	takes time.Duration
 	mute  bool
+	// answerTakes is how long an answer is on its way.
+	answerTakes time.Duration
 	// down is set while the host refuses connections.
 	down bool
 	// answer replaces the answers of the host.
@@ -210,6 +215,13 @@
 	if now.mute {
 		<-ctx.Done()
 	}
+	if now.answerTakes > 0 {
+		answered := time.Now().Add(now.answerTakes)
+		take := lateanswer.From[peer.Message](ctx)
+		if pause(ctx, now.answerTakes) != nil && take != nil && err == nil {
+			time.AfterFunc(time.Until(answered), func() { take(reply) })
+		}
+	}
 	switch {
 	case ctx.Err() != nil:
 		return peer.Host{}, peer.Message{}, fault.New(op, peer.KindUnknown, "%w", ctx.Err())
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -122,6 +122,8 @@
 type routerMetrics struct {
 	direct  tally.Counter
 	retried tally.Counter
+	// late counts the reports that came after their calls were given up.
+	late tally.Counter
 	// outcomes is indexed by the kind of the error; "" is an answered call.
 	outcomes map[Kind]tally.Counter
 	suspects tally.Counter
@@ -134,7 +136,7 @@
 		return scope.Tagged(map[string]string{"outcome": name}).Counter("calls")
 	}
 	return routerMetrics{
-		direct: outcome("direct"), retried: scope.Counter("retries"), suspects: scope.Counter("suspicions"), usable: scope.Gauge("usable"),
+		direct: outcome("direct"), retried: scope.Counter("retries"), late: scope.Counter("late_reports"), suspects: scope.Counter("suspicions"), usable: scope.Gauge("usable"),
 		outcomes: map[Kind]tally.Counter{
 			"": outcome("answered"), KindRefused: outcome("refused"), KindRelaySilent: outcome("relay_silent"),
 			KindNotSent: outcome("not_sent"), KindWorkerSilent: outcome("worker_silent"), KindFenced: outcome("fenced"),
