--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -8,6 +8,7 @@
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/fault"
+	"cicadabarrow.example/cicadabarrow/internal/lateanswer"
 	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/timer"
@@ -24,6 +25,9 @@
 	orderShare = 0.85
 	// defaultTimeout is the time for a call whose context has no deadline.
 	defaultTimeout = 1 * time.Second
+	// minTimeLeft is the least time for a call. This process may have been late, and the
+	// context of the call lets it take longer by that delay.
+	minTimeLeft = 300 * time.Millisecond
 	// deadlineTolerance is by how much this process may notice the end of a timeout late.
 	// Beyond that it lacks processor time itself, and the answer may wait unread.
 	deadlineTolerance = 50 * time.Millisecond
@@ -32,10 +36,11 @@
 	maxHoldRelays = 2
 )
 
-// timeLeft returns the time until a call is due to end.
-func (r *Router) timeLeft(ctx context.Context) time.Duration {
+// timeLeft returns the time until a call that waits at its worker is due to end, without
+// that wait.
+func (r *Router) timeLeft(ctx context.Context, wait time.Duration) time.Duration {
 	if deadline, ok := timer.SoftDeadline(ctx); ok {
-		return time.Until(deadline)
+		return max(time.Until(deadline)-wait, minTimeLeft)
 	}
 	return defaultTimeout
 }
@@ -75,13 +80,14 @@
 func (r *Router) relayedHold(
 	ctx context.Context, relay *relayState, request cell.HoldRequest, epoch uint64,
 ) (cell.Report, error) {
-	margin := r.timeLeft(ctx) - request.Wait
+	margin := r.timeLeft(ctx, request.Wait)
 	outstanding := r.outstanding(relay)
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+share(margin, relayShare))
 	defer cancel()
 	defer context.AfterFunc(outstanding, cancel)()
 	common := message.WorkerCall{Epoch: epoch, Timeout: request.Wait + share(margin, workerShare), Addr: request.Addr}
-	reply, err := r.ask(ctx, relay, message.EncodeWorkerHold(message.WorkerHold{WorkerCall: common, Request: request}))
+	hold := message.EncodeWorkerHold(message.WorkerHold{WorkerCall: common, Request: request})
+	reply, err := r.ask(r.withLateReport(ctx), relay, hold)
 	if err != nil {
 		return cell.Report{}, err
 	}
@@ -92,6 +98,23 @@
 	return m.Report, r.result("hold", m.WorkerResult)
 }
 
+// withLateReport returns a context for a hold call. A report that a relay gives after the call
+// has been given up goes to the function of the context that takes late reports, if there is
+// one.
+func (r *Router) withLateReport(ctx context.Context) context.Context {
+	take := lateanswer.From[cell.Report](ctx)
+	if take == nil {
+		return ctx
+	}
+	return lateanswer.With(ctx, func(reply peer.Message) {
+		m, err := message.DecodeWorkerReport(reply)
+		if err == nil && m.Failure == message.WorkerAnswered {
+			r.metrics.late.Inc(1)
+			take(m.Report)
+		}
+	})
+}
+
 // outstanding returns the context that ends when the relay fails.
 func (r *Router) outstanding(relay *relayState) context.Context {
 	r.mu.Lock()
@@ -200,7 +223,7 @@
 
 // workerCall returns the common part of an order that is passed to a relay.
 func (r *Router) workerCall(ctx context.Context, to netip.AddrPort, epoch uint64) message.WorkerCall {
-	return message.WorkerCall{Epoch: epoch, Timeout: share(r.timeLeft(ctx), orderShare), Addr: to}
+	return message.WorkerCall{Epoch: epoch, Timeout: share(r.timeLeft(ctx, 0), orderShare), Addr: to}
 }
 
 // order makes an order through the relay of a worker, and in one other way if the
