cell: count the predecessor's authority from when a first report was answered

If a first report was handled later than it was answered by more than 0.2 s, the worker was no longer awaited before the last early start had expired there, and its task could run twice. Only without fencing tokens. doubtInherited counted in the same way and had the longest lease as slack; it counts from the answer now too.

TestEarlyStartsAreAwaitedAfterALateReport failed for 500 ms and 900 ms before, and passes.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -63,7 +63,7 @@
 // worker has answered a stop of the run, it refuses that start.
 func (c *Cell) doubtInherited(now time.Time, r *run, clock time.Duration) {
 	r.phase = runUncertain
-	r.deadline = clock + c.predecessorAuthority(now, AuthorityTimeout) + c.config.MaxLease + leaseSlack
+	r.deadline = clock + c.predecessorAuthority(now.Add(-r.worker.clockAge), AuthorityTimeout) + c.config.MaxLease + leaseSlack
 	c.stop(now, r)
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -44,7 +44,7 @@
 		// owner took over.
 		w.deadline = max(w.deadline, report.Clock+c.config.Lease)
 		c.capacityFreed(w)
-		w.earlyStartsUntil = c.lastEarlyStart(now, report.Clock)
+		w.earlyStartsUntil = c.lastEarlyStart(now.Add(-report.Age), report.Clock)
 		c.noteLaterWorkers(w.registration.Machine)
 	}
 	c.trackEarlyStarts(w, report)
