owner: tests that reproduce a task started after its listed success

The check is the rule itself: no start later than 100 ms after a listed success, unless the worker's lease lapsed in between.

Two causes, with no impairment of the network, the workers or the store: the answers of one worker to hold calls are lost or late for 3.5, 4 or 5 s, while it renews its entry; and the owner's process gets no processor time for as long, so that the tick comes before the answers that have arrived.

--- /dev/null
+++ b/internal/owner/liststart_test.go
@@ -0,0 +1,166 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+const (
+	// notedAfter is how long after a worker has listed the end of a run, with no
+	// impairment near, no run of its task may be started any more.
+	notedAfter = 100 * time.Millisecond
+	// burstJobs is the number of jobs that are submitted together, so that their runs end
+	// together and one answer lists them.
+	burstJobs = 44
+	// settleTime is enough for all jobs to end: a lease, and what may follow it, has
+	// expired, and a run of the longest task.
+	settleTime = 12 * time.Second
+)
+
+// withLeasedPlatform runs a test against a leasedPlatform with an owner that has run jobs
+// for a while, and checks afterwards what has been started.
+func withLeasedPlatform(t *testing.T, p func() *leasedPlatform, test func(t *testing.T, p *leasedPlatform, o *Owner) *Owner) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := p()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.renewEntries(ctx)
+		o := p.startOwner(1)
+		defer func() { o.Close() }()
+		time.Sleep(2 * time.Second)
+		p.submitFor(t, o, 2*time.Second)
+		time.Sleep(tickInterval / 4) // no fault ends with a tick
+		o = test(t, p, o)
+		time.Sleep(settleTime)
+		p.checkCompleted(t, o)
+		p.checkStarts(t)
+	})
+}
+
+// submitBurst submits jobs whose runs end together, half of their time after it returns. No
+// other run ends before that.
+func (p *leasedPlatform) submitBurst(t *testing.T, o *Owner) {
+	t.Helper()
+	time.Sleep(shortRun + 50*time.Millisecond)
+	for range burstJobs {
+		p.submit(t, o, shortRun)
+	}
+	time.Sleep(shortRun / 2)
+}
+
+// checkStarts checks that no task was started later than notedAfter after a worker had
+// listed its success, and that no task had two runs at the same time.
+func (p *leasedPlatform) checkStarts(t *testing.T) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	again, first := 0, ""
+	overlapping := 0
+	for i := range leasedWorkers {
+		w := p.machines[workerID(i)]
+		w.advance(p.clock())
+		for _, e := range w.ends {
+			for _, r := range p.starts {
+				if r.task != e.Task || r.number == e.Run {
+					continue
+				}
+				if begun := e.startOf(p.starts); begun.start < r.start && r.start < e.at {
+					overlapping++
+				}
+				noted := e.listedAt + notedAfter
+				if e.Kind != cell.EndDone || !e.listed || r.start <= noted || w.lapsedWithin(e.at, noted) {
+					continue
+				}
+				if again++; first == "" {
+					first = fmt.Sprintf("run %d of %s ended on %s at %v and was listed at %v, run %d began on %s at %v",
+						e.Run, e.Task, w.id, e.at, e.listedAt, r.number, r.worker, r.start)
+				}
+			}
+		}
+	}
+	if again > 0 {
+		t.Errorf("%d runs of tasks began although a worker had listed the success of an earlier run; the first: %s", again, first)
+	}
+	if overlapping > 0 {
+		t.Errorf("%d runs began while an earlier run of their task was running", overlapping)
+	}
+}
+
+// startOf returns the run that has ended.
+func (e *leasedEnd) startOf(starts []*leasedRun) *leasedRun {
+	for _, r := range starts {
+		if r.task == e.Task && r.number == e.Run {
+			return r
+		}
+	}
+	return nil
+}
+
+// checkCompleted checks that all jobs are shown as completed.
+func (p *leasedPlatform) checkCompleted(t *testing.T, o *Owner) {
+	t.Helper()
+	missing := 0
+	for _, id := range p.jobs {
+		if state, err := o.Job(t.Context(), id); err != nil || state.State != workload.StateCompleted {
+			missing++
+		}
+	}
+	if missing > 0 {
+		t.Errorf("%d of %d jobs are not shown as completed", missing, len(p.jobs))
+	}
+}
+
+// checkUnread checks that successes were listed in answers that were lost or late, as the
+// test shows nothing otherwise.
+func (p *leasedPlatform) checkUnread(t *testing.T) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unread == 0 {
+		t.Error("no success was listed in an answer that was lost or late")
+	}
+}
+
+// Guards against a task that is run again after its success was listed (TWICE), since the
+// answers of one worker, which renews its entry all the time, were lost or late for longer
+// than its lease.
+func TestLostAnswersOfOneWorkerStartNoDoneTask(t *testing.T) {
+	for _, f := range []answerFault{answerReset, answerLate} {
+		for _, lasts := range []time.Duration{3500 * time.Millisecond, 4 * time.Second, 5 * time.Second} {
+			t.Run(fmt.Sprintf("%v for %v", f, lasts), func(t *testing.T) {
+				withLeasedPlatform(t, newLeasedPlatform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+					p.breakAnswers(p.busiest(), f, lasts)
+					p.submitFor(t, o, lasts+time.Second)
+					p.checkUnread(t)
+					return o
+				})
+			})
+		}
+	}
+}
+
+// Guards against a task that is run again after its success was listed (TWICE), since the
+// owner's process got no processor time for longer than a lease: the tick that counts the
+// leases as expired is handled before the answers that have arrived meanwhile.
+func TestOwnerWithoutProcessorStartsNoDoneTask(t *testing.T) {
+	for _, lasts := range []time.Duration{3500 * time.Millisecond, 4 * time.Second, 5 * time.Second} {
+		for _, last := range []time.Duration{time.Millisecond, 250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("stalled for %v and last answers read %v later", lasts, last), func(t *testing.T) {
+				withLeasedPlatform(t, newLeasedPlatform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+					p.submitBurst(t, o)
+					p.stallOwner(o, lasts, p.busiest(), time.Millisecond, last)
+					time.Sleep(lasts)
+					p.submitFor(t, o, time.Second)
+					return o
+				})
+			})
+		}
+	}
+}
