peer: keep a connection whose answers wait in its socket

Cause: a connection on which a peer sends nothing, not even the answer to a heartbeat, is closed if the peer answers on a new one. What the peer sends counts when it is read. On a host that is short of processor time the answers, and that to the heartbeat, waited in the socket of the old connection while the hello on the new one was read, and 0.1 s later the old one was closed, unread.

What callers saw: all calls between the owner and a relay failed together. The reports of its workers, with the ends that they list, were dropped, and starts became doubtful, so that their runs were stopped.

Change: a connection is not silent if its socket holds unread bytes.

--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -224,7 +224,9 @@
 	if err == nil {
 		t.sleep(probeGrace)
 	}
-	silent := c.isClosed() || !c.activity.lastRead().After(heard)
+	// What waits in the socket was sent by the peer, and not read, since this host had no
+	// processor time.
+	silent := c.isClosed() || !c.activity.lastRead().After(heard) && unreadBytes(c.raw) == 0
 	if err == nil {
 		opened.silence.usedAt = c.lastUsed()
 	}
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -40,14 +40,21 @@
 
 // unacknowledgedBytes returns how many sent bytes the other end's system has not
 // acknowledged, or 0 if that is not known.
-func unacknowledgedBytes(raw net.Conn) int {
+func unacknowledgedBytes(raw net.Conn) int { return queuedInSystem(raw, unix.SIOCOUTQ) }
+
+// unreadBytes returns how many bytes have arrived and were not read, or 0 if that is not
+// known.
+func unreadBytes(raw net.Conn) int { return queuedInSystem(raw, unix.SIOCINQ) }
+
+// queuedInSystem returns the size of a queue of a socket in bytes, or 0 if it is not known.
+func queuedInSystem(raw net.Conn, queue uint) int {
 	socket, ok := raw.(syscall.Conn)
 	if !ok {
 		return 0
 	}
 	n := 0
 	err := control(socket, func(fd int) (err error) {
-		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		n, err = unix.IoctlGetInt(fd, queue)
 		return err
 	})
 	if err != nil {
