owner: tests of listed successes with a full queue and after a takeover

Reports that wait in the owner's queue for longer than a lease, and a new owner that hears late of a worker that its record names, may start a task again in the same way as a lost answer.

The case of the queue fills it behind an event that takes 3.3 s. A single event that takes 4 s with few reports behind it passes, since reports that are queued go before the tick.

Outages of 3.5 s pass, since a new owner waits for 4.3 s.

--- a/internal/owner/liststart_test.go
+++ b/internal/owner/liststart_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
 )
@@ -164,3 +167,114 @@
 		}
 	}
 }
+
+// slowCore is a log that discards all entries and takes a time for those with a message.
+type slowCore struct {
+	zapcore.Core
+	message string
+	takes   time.Duration
+}
+
+func (c slowCore) Enabled(zapcore.Level) bool        { return true }
+func (c slowCore) With([]zapcore.Field) zapcore.Core { return c }
+
+func (c slowCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.Message == c.message {
+		time.Sleep(c.takes)
+	}
+	return checked
+}
+
+// fillReports takes a time in the event loop of an owner, while its queue of reports fills
+// with failures of hold calls, as if thousands of workers had failed at once.
+func fillReports(o *Owner, takes time.Duration) {
+	o.put(loopFunc(func(o *Owner) {
+		for {
+			h := &holdLoop{id: "unknown", requests: make(chan cell.HoldRequest, 1), position: notIdle}
+			if !o.reports.Offer(queuedEvent{holdFailed{h, errCallTimeout}, o.timers.Now()}) {
+				break
+			}
+		}
+		time.Sleep(takes)
+	}))
+}
+
+// Guards against a task that is run again after its success was listed (TWICE), since
+// reports have waited in the owner's queue for longer than a lease.
+func TestReportsWaitingForALeaseStartNoDoneTask(t *testing.T) {
+	t.Run("the queue of reports is full", func(t *testing.T) {
+		const slowEvent, reportTakes = 3300 * time.Millisecond, 100 * time.Microsecond
+		platform := func() *leasedPlatform {
+			p := newLeasedPlatform()
+			p.log = zap.New(slowCore{zapcore.NewNopCore(), "worker does not answer", reportTakes})
+			return p
+		}
+		withLeasedPlatform(t, platform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+			// A tick and reports that wait are handled in any order, so that one trial
+			// may show nothing.
+			for range 3 {
+				p.submitBurst(t, o)
+				fillReports(o, slowEvent)
+				time.Sleep(slowEvent + eventQueueSize*reportTakes)
+				p.submitFor(t, o, 2*time.Second)
+				time.Sleep(longRun)
+			}
+			return o
+		})
+	})
+	t.Run("one event takes longer than a lease", func(t *testing.T) {
+		withLeasedPlatform(t, newLeasedPlatform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+			p.submitBurst(t, o)
+			o.put(loopFunc(func(*Owner) { time.Sleep(4 * time.Second) }))
+			time.Sleep(4 * time.Second)
+			p.submitFor(t, o, time.Second)
+			return o
+		})
+	})
+}
+
+// breakAnswersNow is breakAnswers from now on.
+func (p *leasedPlatform) breakAnswersNow(id cell.WorkerID, f answerFault, lasts time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outages[id] = &answerOutage{fault: f, lasts: lasts, begun: true, begin: p.clock()}
+}
+
+// takeOver ends an owner and starts its successor after a time, in which runs end that the
+// successor's record names.
+func (p *leasedPlatform) takeOver(o *Owner, after time.Duration) *Owner {
+	o.Close()
+	time.Sleep(after)
+	return p.startOwner(2)
+}
+
+// Guards against a task that is run again after its success was listed (TWICE), since a
+// new owner hears late of a worker that runs what its record names.
+func TestTakeoverHearingLateStartsNoDoneTask(t *testing.T) {
+	for _, f := range []answerFault{answerReset, answerLate} {
+		for _, lasts := range []time.Duration{3500 * time.Millisecond, 5 * time.Second} {
+			t.Run(fmt.Sprintf("%v for %v", f, lasts), func(t *testing.T) {
+				withLeasedPlatform(t, newLeasedPlatform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+					p.breakAnswersNow(p.busiest(), f, lasts)
+					o = p.takeOver(o, shortRun/4)
+					time.Sleep(lasts + time.Second)
+					p.checkUnread(t)
+					return o
+				})
+			})
+		}
+	}
+	t.Run("stalled for 5s and last answers read 250ms later", func(t *testing.T) {
+		withLeasedPlatform(t, newLeasedPlatform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+			p.submitBurst(t, o)
+			id := p.busiest()
+			o = p.takeOver(o, shortRun)
+			for !o.Ready() {
+				time.Sleep(time.Millisecond)
+			}
+			p.stallOwner(o, 5*time.Second, id, time.Millisecond, 250*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			return o
+		})
+	})
+}
