owner: tests of a start in flight while an earlier success is heard

The worker of the first run is silent past its lease and is heard again just after the next start has been sent, which arrives 1, 2 or 3 s late. If stops are as late, the start is accepted 0.89, 1.89 and 2.89 s after the success was acknowledged, and as long after the job was shown as completed. If stops are prompt, the worker refuses the start as old; these cases pass and stay as guards.

The worker is reconnected by the start and not at a fixed time, so that the cases also test an owner that waits longer before it starts the task again.

--- a/internal/owner/liststart_test.go
+++ b/internal/owner/liststart_test.go
@@ -278,3 +278,128 @@
 		})
 	})
 }
+
+// Guards against a start that a worker accepts after the success of an earlier run of the
+// task was acknowledged, or after its job was shown as completed: the worker of that run
+// was silent until its lease had expired, and is heard again while the start is in flight.
+func TestStartInFlightEndsBeforeSuccessCounts(t *testing.T) {
+	for _, late := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		for _, stopsPrompt := range []bool{false, true} {
+			name := fmt.Sprintf("start and stops %v late", late)
+			if stopsPrompt {
+				name = fmt.Sprintf("only the start %v late", late)
+			}
+			t.Run(name, func(t *testing.T) {
+				withLeasedPlatform(t, newLeasedPlatform, func(t *testing.T, p *leasedPlatform, o *Owner) *Owner {
+					p.testStartInFlight(t, o, late, stopsPrompt)
+					return o
+				})
+			})
+		}
+	}
+}
+
+// testStartInFlight cuts off the worker of a task before its run ends, until the next
+// start of the task is sent, which arrives late.
+func (p *leasedPlatform) testStartInFlight(t *testing.T, o *Owner, late time.Duration, stopsPrompt bool) {
+	t.Helper()
+	p.submit(t, o, shortRun)
+	task := workload.TaskID{StepID: workload.StepID{Job: p.jobs[len(p.jobs)-1]}}
+	time.Sleep(shortRun / 2)
+	first := p.firstRun(task)
+	if first == nil {
+		t.Fatal("the task was not started")
+	}
+	reconnect := p.cutOff(first.worker)
+	p.mu.Lock()
+	p.stopsPrompt = stopsPrompt
+	for id := range p.machines {
+		if id != first.worker {
+			p.orderDelay[id] = late
+		}
+	}
+	again := make(chan struct{}, 1)
+	p.startSent = func(s cell.SendStart) {
+		if s.Task == task && s.Run > first.number && len(again) == 0 {
+			again <- struct{}{}
+		}
+	}
+	p.mu.Unlock()
+	select {
+	case <-again:
+	case <-time.After(settleTime):
+		t.Fatal("the task was not started again, although its worker was silent")
+	}
+	time.Sleep(fakeLatency)
+	reconnect()
+	completedAt := p.awaitCompleted(t, o, task.Job)
+	time.Sleep(late + fakeConfig().Cell.MaxLease)
+	p.mu.Lock()
+	p.startSent = nil
+	clear(p.orderDelay)
+	p.mu.Unlock()
+	p.checkAccepted(t, first, completedAt)
+}
+
+// cutOff makes a worker silent until the returned function is called.
+func (p *leasedPlatform) cutOff(id cell.WorkerID) (reconnect func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outages[id] = &answerOutage{fault: requestLost, lasts: time.Hour, begun: true, begin: p.clock()}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.outages, id)
+	}
+}
+
+// firstRun returns the first run of a task, or nil if there is none.
+func (p *leasedPlatform) firstRun(task workload.TaskID) *leasedRun {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.starts {
+		if r.task == task {
+			return r
+		}
+	}
+	return nil
+}
+
+// awaitCompleted waits until a job is shown as completed, and returns when that was.
+func (p *leasedPlatform) awaitCompleted(t *testing.T, o *Owner, id workload.JobID) time.Duration {
+	t.Helper()
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(fakeLatency) {
+		if state, err := o.Job(t.Context(), id); err == nil && state.State == workload.StateCompleted {
+			return p.clock()
+		}
+	}
+	t.Fatal("the job is not shown as completed")
+	return 0
+}
+
+// checkAccepted checks that no later run of a task began after the success of its first
+// run was acknowledged, or after its job was shown as completed.
+func (p *leasedPlatform) checkAccepted(t *testing.T, first *leasedRun, completedAt time.Duration) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.machines[first.worker].ends {
+		if e.Task != first.task || e.Run != first.number {
+			continue
+		}
+		if e.Kind != cell.EndDone || !e.acknowledged {
+			t.Errorf("the first run ended as %q, acknowledged: %v; want a success that is acknowledged", e.Kind, e.acknowledged)
+		}
+		for _, r := range p.starts {
+			if r.task != first.task || r == first {
+				continue
+			}
+			if e.acknowledged && r.start > e.acknowledgedAt {
+				t.Errorf("a start was accepted %v after the success of an earlier run was acknowledged", r.start-e.acknowledgedAt)
+			}
+			if r.start > completedAt {
+				t.Errorf("a start was accepted %v after the job was shown as completed", r.start-completedAt)
+			}
+		}
+	}
+}
