cell: know early starts of an occurrence that is not due here yet

Callers would see a task run a second time: while the store is slow, an owner whose clock is ahead starts a task of an occurrence early, before any record names it; the next owner's clock says that the occurrence is not due. It took the end of the run for one of an unknown task, acknowledged it, and started the task when it was due.

The first report of a worker that may have had early starts now creates the occurrences whose tasks it lists. Their other tasks may start up to the difference of the two clocks early, as they would have under the predecessor.

TestEarlyStartsOfAnOccurrenceThatIsNotDueYetAreKnown failed before ("task a.0.0.0 was started as run 1 after its success") and passes.

--- a/internal/cell/earlystart.go
+++ b/internal/cell/earlystart.go
@@ -178,6 +178,26 @@
 	}
 }
 
+// createStartedOccurrences creates the occurrences whose tasks a report lists. A
+// predecessor whose clock was ahead may have started them early before they are due here.
+func (c *Cell) createStartedOccurrences(now time.Time, report *Report) {
+	create := func(id workload.TaskID) {
+		j, known := c.jobs[id.Job]
+		if !known || j.state.Final() || id.Occurrence >= j.job.Occurrences() {
+			return
+		}
+		for len(j.occurrences) <= id.Occurrence {
+			c.createOccurrence(now, j, len(j.occurrences))
+		}
+	}
+	for i := range report.Running {
+		create(report.Running[i].Task)
+	}
+	for i := range report.Ended {
+		create(report.Ended[i].Task)
+	}
+}
+
 // noteUnrecorded records an unknown run from the report of a worker that is
 // awaited. A predecessor may have started it early.
 func (c *Cell) noteUnrecorded(w *worker, e *Running) {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -47,7 +47,10 @@
 		w.earlyStartsUntil = c.lastEarlyStart(now.Add(-report.Age), report.Clock)
 		c.noteLaterWorkers(w.registration.Machine)
 	}
-	c.trackEarlyStarts(w, report)
+	if c.earlyStarts.awaited[id] {
+		c.createStartedOccurrences(now, &report)
+		c.trackEarlyStarts(w, report)
+	}
 	for _, e := range report.Ended {
 		if e.Number > w.endsSeen {
 			w.endsSeen = e.Number
@@ -64,9 +67,6 @@
 // runs. Once the worker takes no more early starts of the predecessor, the
 // placement of tasks no longer waits for it.
 func (c *Cell) trackEarlyStarts(w *worker, report Report) {
-	if !c.earlyStarts.awaited[w.id] {
-		return
-	}
 	for i := range report.Running {
 		e := &report.Running[i]
 		if r, known := w.runs.get(e.Task); !known || r.number != e.Run {
