Do not run a job again whose rows were deleted

Callers would see (by a test, no run of hosts): a job that ended KeepEnded ago (two minutes on the users' sites) runs a second time, with all of its tasks (TWICE), shortly after the store has compacted its history. Nothing stops it, and a status shows it as queued or running again.

Cause: once the rows of an ended job are deleted, the owner forgets it. Rows that were read while they were there may be handled after that: rereading the table after a 410 reads 32 partitions and takes up to 15 s, beside which the deletion goes on. The job was then taken for a new one. The deletion that the change feed tells next has no effect, since rows of jobs are only added. The same holds for a change that a lagging feed tells late, and for a notice of another host that is late.

Change: the owner remembers the jobs that it has deleted, with the version of the deletion. Rows of an earlier version are ignored, and notices are: they have no version, and a job that was accepted again is known by its row. A deletion is forgotten after a minute, the time that tombstones are kept at least, and once the change feed has passed its version, however far it lags.

Not covered: a notice that reaches another owner than the one that has deleted the rows, or that is more than a minute late. A host has to be suspended between the write and the notice for the whole time in which the job runs and is kept.

The fake store of these tests now applies deletes as well, after the writes.

--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -91,6 +91,10 @@
 }
 
 func (e jobAccepted) apply(o *Owner, now time.Time) {
+	if id := e.accepted.Job.ID; o.deletedJobs.has(id) {
+		o.log.Info("notice of a job whose rows were deleted; only a later row makes it known again", zap.String("Job", string(id)))
+		return
+	}
 	o.cell.Accept(now, e.accepted)
 	o.updateJobMemory(now)
 }
--- a/internal/owner/expire.go
+++ b/internal/owner/expire.go
@@ -27,31 +27,35 @@
 	}
 	o.expiring = true
 	o.calls.Go(func() {
-		err := o.deleteJobs(ids)
+		deleted, err := o.deleteJobs(ids)
 		if err != nil && o.ctx.Err() == nil {
 			o.log.Warn("rows of ended jobs could not be deleted", zap.Int("Jobs", len(ids)), zap.Error(err))
 		}
-		o.put(expired{ids: ids, failed: err != nil})
+		o.put(expired{ids: ids, deleted: deleted, failed: err != nil})
 	})
 }
 
-func (o *Owner) deleteJobs(ids []workload.JobID) error {
+// deleteJobs deletes the rows of jobs, and returns those that were deleted.
+func (o *Owner) deleteJobs(ids []workload.JobID) ([]deletedJob, error) {
+	var deleted []deletedJob
 	for _, id := range ids {
 		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
-		_, err := o.store.Commit(ctx, rowstore.Transaction{
+		result, err := o.store.Commit(ctx, rowstore.Transaction{
 			Deletes: []rowstore.Key{ledger.JobKey(id), ledger.CancelKey(id)},
 		})
 		cancel()
 		if err != nil {
-			return err
+			return deleted, err
 		}
+		deleted = append(deleted, deletedJob{id: id, version: result.Version})
 	}
-	return nil
+	return deleted, nil
 }
 
 type expired struct {
-	ids    []workload.JobID
-	failed bool
+	ids     []workload.JobID
+	deleted []deletedJob
+	failed  bool
 }
 
 func (e expired) apply(o *Owner, now time.Time) {
@@ -61,5 +65,6 @@
 		return
 	}
 	o.cell.Forget(e.ids)
+	o.deletedJobs.add(now, e.deleted)
 	o.pendingDeletes = append(o.pendingDeletes, e.ids...)
 }
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -213,8 +213,8 @@
 	}
 }
 
-// Commit applies the writes of a transaction. It ignores conditions and deletes, and
-// rejects values above maxRowBytes and calls above maxCallBytes.
+// Commit applies the writes and then the deletes of a transaction. It ignores conditions,
+// and rejects values above maxRowBytes and calls above maxCallBytes.
 func (p *fakePlatform) Commit(ctx context.Context, t rowstore.Transaction) (rowstore.Result, error) {
 	p.mu.Lock()
 	p.commits++
@@ -249,6 +249,9 @@
 	for _, w := range t.Writes {
 		p.rows[w.Key] = rowstore.Row{Key: w.Key, Value: w.Value, Version: p.version}
 	}
+	for _, key := range t.Deletes {
+		delete(p.rows, key)
+	}
 	return rowstore.Result{Version: p.version, Clock: p.clock()}, nil
 }
 
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -43,6 +43,8 @@
 	rows []rowstore.Row
 	// complete is set when they are all rows of the table.
 	complete bool
+	// version is that up to which the rows tell the changes of the table.
+	version uint64
 	// after is when the store last answered without these changes; zero if that is not
 	// known.
 	after time.Time
@@ -58,9 +60,14 @@
 func intakeChanged(changed changes) event {
 	take := func(o *Owner, now time.Time, changed changes) {
 		l := o.rowLoader(o.cell)
-		l.loadJobs(now, changed.rows)
-		l.loadCancels(now, changed.rows)
+		rows := o.deletedJobs.withoutDeleted(changed.rows)
+		if outdated := len(changed.rows) - len(rows); outdated > 0 {
+			o.log.Info("rows of jobs were read before they were deleted", zap.Int("Rows", outdated))
+		}
+		l.loadJobs(now, rows)
+		l.loadCancels(now, rows)
 		o.tombstones.note(now, changed.rows)
+		o.deletedJobs.forget(now, changed.version)
 	}
 	return rowsChanged{changes: changed, handle: take}
 }
@@ -127,7 +134,7 @@
 	after := f.answeredAt
 	f.answeredAt = o.timers.Now()
 	if len(snapshot.Rows) > 0 {
-		o.put(f.newEvent(changes{rows: snapshot.Rows, after: after}))
+		o.put(f.newEvent(changes{rows: snapshot.Rows, version: f.version, after: after}))
 	}
 	return nil
 }
@@ -141,7 +148,7 @@
 		return err
 	}
 	f.version, f.answeredAt = all.version, begun
-	o.put(f.newEvent(changes{rows: all.rows, complete: true}))
+	o.put(f.newEvent(changes{rows: all.rows, version: all.version, complete: true}))
 	return nil
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -166,8 +166,10 @@
 	// holds the jobs whose progress records the next commits delete.
 	expiring       bool
 	pendingDeletes []workload.JobID
-	// tombstones has those of jobs that were cancelled while there was none.
-	tombstones *tombstones
+	// tombstones has those of jobs that were cancelled while there was none, and
+	// deletedJobs the jobs whose rows were deleted.
+	tombstones  *tombstones
+	deletedJobs *deletedJobs
 	// recordParts has the number of rows of each progress record that is, or was,
 	// split over several rows.
 	recordParts map[workload.JobID]int
@@ -235,7 +237,7 @@
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, renewedVersion: tenure.Version, isolation: isolation{otherHosts: tenure.OtherHosts},
 		activeAt: timers.Latest(), processor: newProcessorMeter(), admission: newJobAdmission(now, tenure.Row.Admission),
-		jobMemory: newJobMemory(config.JobBytes), tombstones: newTombstones(config.Cell.KeepEnded),
+		jobMemory: newJobMemory(config.JobBytes), tombstones: newTombstones(config.Cell.KeepEnded), deletedJobs: newDeletedJobs(),
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
