Do not delete the new record of a job with its old one

Callers would see (by a test, no run of hosts): after a takeover, a job runs again whose tasks have run, or run at the time (TWICE), if it was accepted again just after the rows of an earlier job of that ID were deleted. If the store takes no transaction with a write and a deletion of one row, no commit of the owner succeeds any more, and nothing more is started.

Cause: the row of an ended job is deleted first, and its progress record with the next commit. A job of that ID that is accepted in between, at most half a second, gets a new record. The commit then has both the write and the deletion of the record's row. The platform's pages do not say which of them holds; with the project's stand-in it is the deletion. If more than 60 rows wait for deletion, the record is written in one commit and deleted in a later one. Either way the owner takes the record for durable, and a successor does not find it.

Change: the records of jobs whose old record is still to be deleted wait for a later commit. The starts of their runs wait for it as well.

Evidence: TestNewRecordIsNotDeletedWithTheOldOne failed in both cases without it, and passes.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,7 +57,7 @@
 	b := batch{deletes: o.deletesForCommit(), hosts: o.hostsRow.next(now, o.successors())}
 	b.waves = o.cell.WaveRecords()
 	b.waves = b.waves[:min(len(b.waves), maxWavesPerCommit)]
-	b.records = o.cell.TakeRecords(maxEntriesPerCommit - len(b.deletes) - len(b.waves))
+	b.records = o.withoutPendingDeletes(o.cell.TakeRecords(maxEntriesPerCommit - len(b.deletes) - len(b.waves)))
 	writes, err := o.encodeRecords(&b)
 	o.cell.RecordsEncoded(b.records)
 	// The row names the workers of early runs whose record is not in this commit,
@@ -105,6 +106,22 @@
 	return o.pendingDeletes
 }
 
+// withoutPendingDeletes returns records without those of jobs that were accepted again
+// before their old record was deleted. They are marked for writing again: the deletion
+// would remove them.
+func (o *Owner) withoutPendingDeletes(records []cell.Record) []cell.Record {
+	if len(o.pendingDeletes) == 0 {
+		return records
+	}
+	return slices.DeleteFunc(records, func(r cell.Record) bool {
+		pending := slices.Contains(o.pendingDeletes, r.Job)
+		if pending {
+			o.cell.NotCommitted([]cell.Record{r})
+		}
+		return pending
+	})
+}
+
 // encodeRecords returns the writes of a batch's records, as far as the limits of a
 // transaction allow. The other records are marked for writing again and removed from
 // the batch.
