Look up the jobs of early starts that a new owner does not know

Callers would see (by tests, no run of hosts): around a takeover while the store is slow, a task of a job that was just accepted runs twice at the same time, or again after its success was acknowledged (TWICE).

Order of events: the store is slow, so that starts are sent before their record is durable. Another host takes over and reads the jobs. The replaced owner does not know it yet. A host accepts a job and notifies the replaced owner, which starts a task early, on a worker that its row names and that has not heard of the successor. The first answer of that worker to the successor lists the run, which the successor has not read and the change feed has not told yet.

Cause: the end of a run of an unknown job is taken for that of a job that was deleted. With fencing tokens it is acknowledged with the next hold call, and a run at work is stopped without being waited for. When the job becomes known, no worker is awaited any more, and its task is placed as if it had never been started. What the design says of early starts ("a new owner starts nothing until each of these workers has reported") holds for known jobs only.

Change: if the report of a worker that the predecessor's row names lists a task of a job that the owner neither knows nor has deleted, the rows of the job are read first, and the report is handled after them. The row of a job is durable before any start of it, so it is found unless it was deleted. Each job is looked up once. If the rows cannot be read, the report counts as a hold call that has failed; the worker is called again. The price is a read for each such job. Reports of other workers are handled as before: what a predecessor started there is in a record that was durable before the takeover.

--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -17,6 +17,11 @@
 	apply(o *Owner, now time.Time)
 }
 
+// noEvent changes nothing.
+type noEvent struct{}
+
+func (noEvent) apply(*Owner, time.Time) {}
+
 // queuedEvent is an event in the queue of the event loop since a time.
 type queuedEvent struct {
 	event event
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -53,6 +53,9 @@
 }
 
 func (e reported) apply(o *Owner, now time.Time) {
+	if o.lookUpJobs(e.loop.id, &e.report, e, holdFailed{e.loop, errJobsUnread}) {
+		return
+	}
 	if e.loop.failures > 0 {
 		o.log.Info("worker responds again", zap.String("Worker", string(e.loop.id)), zap.Int("Failures", e.loop.failures))
 	}
@@ -94,6 +97,9 @@
 }
 
 func (e reportReceived) apply(o *Owner, now time.Time) {
+	if o.lookUpJobs(e.id, &e.report, e, noEvent{}) {
+		return
+	}
 	e.report.Age = now.Sub(e.sentAt)
 	o.cell.Reported(now, e.id, e.report)
 	if h, ok := o.holdLoops[e.id]; ok {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -170,6 +170,7 @@
 	// deletedJobs the jobs whose rows were deleted.
 	tombstones  *tombstones
 	deletedJobs *deletedJobs
+	jobLookups  jobLookups
 	// recordParts has the number of rows of each progress record that is, or was,
 	// split over several rows.
 	recordParts map[workload.JobID]int
@@ -237,7 +238,7 @@
 		callClock: newCallClock(timers), callStats: newCallStats(metrics),
 		recordParts: make(map[workload.JobID]int), done: make(chan struct{}), renewedAt: now, renewedVersion: tenure.Version, isolation: isolation{otherHosts: tenure.OtherHosts},
 		activeAt: timers.Latest(), processor: newProcessorMeter(), admission: newJobAdmission(now, tenure.Row.Admission),
-		jobMemory: newJobMemory(config.JobBytes), tombstones: newTombstones(config.Cell.KeepEnded), deletedJobs: newDeletedJobs(),
+		jobMemory: newJobMemory(config.JobBytes), tombstones: newTombstones(config.Cell.KeepEnded), deletedJobs: newDeletedJobs(), jobLookups: newJobLookups(tenure.Row.EarlyStartWorkers),
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.advice = newAdviceBalancer(ports.Advisor, remote, timers, o.log)
