Test that the late write of an ended job does not run it again

Two hosts have sent the write of one job, and the store carries it out 55 s later; the job was accepted by another host, cancelled and has ended meanwhile, and the owner has changed. It passes on the code as it is: no fault was found here.

--- a/internal/host/cancel_test.go
+++ b/internal/host/cancel_test.go
@@ -91,3 +91,44 @@
 		}
 	})
 }
+
+// Several hosts may have sent the write of one job, and the store may carry one of them out
+// long after the job has ended. While the job's row is kept, which a takeover prolongs, the
+// write must fail: the job would run again, and nobody would cancel it.
+func TestLateWriteOfAnEndedJobDoesNotRun(t *testing.T) {
+	withCluster(t, func(t *testing.T, w *fakeCluster, owner *fakeHost) {
+		const late = 55 * time.Second // nearly as long as ended jobs are kept
+		first, second := w.others(owner)
+		for _, h := range []*fakeHost{first, owner} {
+			w.lateCommits[h.name] = late
+		}
+		queue, job := &manifest.Queue{Name: "free"}, testJob("00000000000000a1", false)
+		job.Queue = queue.Name
+		ctx, leave := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer leave()
+		if err := first.host.Submit(ctx, queue, manifest.Client{}, job); !fault.Is(err, KindUnknown) {
+			t.Fatalf("the submission gives %v", err)
+		}
+		if err := second.host.Submit(t.Context(), queue, manifest.Client{}, job); err != nil {
+			t.Fatalf("the repeat gives %v", err)
+		}
+		if err := second.host.Cancel(t.Context(), queue.Name, manifest.Client{}, job.ID); err != nil {
+			t.Fatalf("the cancel gives %v", err)
+		}
+		time.Sleep(late / 2)
+		clear(w.lateCommits)
+		w.stop(owner)
+		time.Sleep(late)
+		for _, h := range []*fakeHost{first, second} {
+			status, err := h.host.Status(t.Context(), queue.Name, manifest.Client{}, job.ID)
+			if err != nil || status.State != workload.StateCancelled {
+				t.Errorf("%s: the job is %+v, %v", h.name, status, err)
+			}
+		}
+		const keepEnded = time.Minute
+		time.Sleep(2 * keepEnded)
+		if w.written(string(job.ID)) {
+			t.Error("the row of the job is kept for ever")
+		}
+	})
+}
