cell: await early starts until a worker has listed all ends

Callers would see a task run again after its success (TWICE): a worker lists 500 ends at a time, and a new owner stopped awaiting the worker after its first report, although an early start of the predecessor may have ended beyond the listed ends. Such a start counted as never made, and its task was started again.

The worker stays awaited while its list is truncated. TestEarlyStartThatHasEndedBeyondTheListIsNotRepeated failed before ("1 starts, and the job is Completed; its only task had ended as done") and passes.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -73,7 +73,7 @@
 			c.noteUnrecorded(w, e)
 		}
 	}
-	if report.Clock >= w.earlyStartsUntil {
+	if report.Clock >= w.earlyStartsUntil && !report.EndsTruncated {
 		c.stopAwaiting(w.id)
 	}
 }
