cell: count crashes that are found while runs are kept after a lease

And a worker that returned as a later incarnation had its kept runs released although its report lists them.

The kept runs are released first, as they were before they were kept, and those that the later incarnation lists are left to its report. crash-known-while-runs-are-kept failed (run 4 was started) and passes.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -38,6 +38,7 @@
 // workerCrashed ends the runs of a worker that a later worker has superseded.
 // They need not wait for the lease to expire.
 func (c *Cell) workerCrashed(now time.Time, w *worker) {
+	c.endExpiredRuns(now, w, func(*run) bool { return false })
 	ordered, alone := c.endedAsOrdered(w, w.incarnation), c.alone(w)
 	c.log.Warn("worker has ended, a later one runs on its machine", workerField(w),
 		zap.String("Machine", w.registration.Machine), zap.Int64("Incarnation", int64(w.registration.Incarnation)),
@@ -48,7 +49,6 @@
 	}
 	c.dropUnrecorded(w, nil)
 	c.stopAwaiting(w.id)
-	c.endExpiredRuns(now, w)
 	for _, r := range w.runs.all() {
 		crash, counts := r.crash(alone), r.phase != runPlanned && !c.endedAsOrdered(r.worker, r.incarnation)
 		c.release(now, r, EndLeaseExpired)
--- a/internal/cell/leaseexpiry.go
+++ b/internal/cell/leaseexpiry.go
@@ -35,9 +35,10 @@
 
 // endExpiredRuns releases the runs that were kept after the lease of their worker had
 // expired, when its process is found to have ended. The lease ended them, not a crash.
-func (c *Cell) endExpiredRuns(now time.Time, w *worker) {
+// Those that the next process lists are left to its report.
+func (c *Cell) endExpiredRuns(now time.Time, w *worker, listed func(*run) bool) {
 	if w.expired {
-		c.releaseLapsed(now, w, func(*run) bool { return false })
+		c.releaseLapsed(now, w, listed)
 	}
 }
 
--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -16,7 +16,7 @@
 func (c *Cell) restarted(now time.Time, w *worker, report Report) {
 	ordered, alone := c.endedAsOrdered(w, w.incarnation), c.alone(w)
 	c.log.Info("worker restarted", workerField(w), zap.Int("Runs", w.runs.len()), zap.Bool("Ordered", ordered))
-	c.endExpiredRuns(now, w)
+	c.endExpiredRuns(now, w, report.lists)
 	w.reported = false
 	// A late call to the earlier incarnation may grant this one the longest
 	// lease.
