cell: hear out the failures of gangs, and the runs of speculative steps

Two kinds of runs were released with the lease although their end may have been listed in an answer that was lost. Of a gang, once any member was known to have ended: but broken means that another member ended, perhaps by the last failure that the gang may have (BUDGET). Of a speculative step: the rule exempts them only from the first of its two sentences (TWICE, BUDGET), and no copies are started here that the exclusion would help.

--- a/internal/cell/leaseexpiry.go
+++ b/internal/cell/leaseexpiry.go
@@ -19,11 +19,11 @@
 }
 
 // handleExpiredLease releases the runs of a worker whose lease has expired. While the
-// worker may still be heard, it keeps those whose success the worker may have listed in
-// an answer that was lost: such a task must not be started again.
+// worker may still be heard, it keeps those whose success, or last failure, the worker may
+// have listed in an answer that was lost: such a task must not be started again.
 func (c *Cell) handleExpiredLease(now time.Time, w *worker) {
 	heard := c.mayBeHeard(now, w)
-	released, kept := c.releaseLapsed(now, w, func(r *run) bool { return heard && r.mayBeDone() })
+	released, kept := c.releaseLapsed(now, w, func(r *run) bool { return heard && r.mayHaveDecided() })
 	if released == 0 && w.expired {
 		return
 	}
@@ -58,16 +58,16 @@
 	return released, kept
 }
 
-// mayBeDone reports whether a run may have ended in a way that decides about its task, so
-// that the next run has to wait for it. The members of a gang end together: once one of
-// them is known to have ended otherwise, no other one is done.
-func (r *run) mayBeDone() bool {
+// mayHaveDecided reports whether a run may have ended in a way that decides about its task,
+// so that the next run has to wait for it: by success, or by a failure that counts. A failure
+// of a gang counts once, whichever member is known to have failed.
+func (r *run) mayHaveDecided() bool {
 	t, s := r.task, r.task.step
 	switch {
 	case r.phase == runPlanned, t.current != r, t.succeeded, t.phase == phaseDone, s.job.state.Final():
 		return false
-	case s.spec.LongRunning, s.spec.Speculative:
+	case s.spec.LongRunning:
 		return false
 	}
-	return !s.spec.Gang || r.number > s.brokenRun
+	return !s.spec.Gang || r.number > s.failedRun
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -174,8 +174,8 @@
 		return
 	}
 	t := r.task
-	if t.step.spec.Gang && !t.step.completedBy(e.Kind) {
-		t.step.brokenRun = max(t.step.brokenRun, r.number)
+	if t.step.spec.Gang && e.Kind == EndFailed {
+		t.step.failedRun = max(t.step.failedRun, r.number)
 	}
 	took, timed := r.elapsed(now)
 	c.markStarted(t.step.job)
--- a/internal/cell/step.go
+++ b/internal/cell/step.go
@@ -19,9 +19,9 @@
 	done    int
 	// failedRuns has the numbers of the failed runs of a gang.
 	failedRuns []int
-	// brokenRun is the highest number of a gang's runs of which a member is known to have
-	// ended without success.
-	brokenRun int
+	// failedRun is the highest number of a gang's runs of which a member is known to have
+	// failed.
+	failedRun int
 	// runTime is the total run time of the timedTasks: the done tasks whose run
 	// time is known.
 	runTime    time.Duration
