cell: complete no task while an early start of a predecessor may be in flight

Only the current run was looked at. After a takeover, an early start of the predecessor is in no record; until its worker has reported, the worker may accept it. A success heard meanwhile was shown and acknowledged, and the start could follow (TWICE).

A success of an earlier run now also waits until no worker is awaited, and until an unrecorded run of the task is gone; its task is not placed meanwhile. early-start-in-flight-delays-an-older-success failed (Completed, and acknowledged=1) and passes. A success of a run that the record names does not wait: that would delay all of them after a takeover, for a case that needs an early start after the lease of that run's worker.

--- a/internal/cell/earlierrun.go
+++ b/internal/cell/earlierrun.go
@@ -13,8 +13,22 @@
 			c.stop(now, member.current)
 		}
 	}
-	if !c.settleSuccess(now, t) {
-		c.unsettled = append(c.unsettled, t)
+	c.recordChanged(t.step.job)
+	if c.settleSuccess(now, t) {
+		return
+	}
+	c.unsettled = append(c.unsettled, t)
+	if t.phase == phaseWaiting {
+		c.withhold(t)
+	}
+}
+
+// withhold keeps a waiting task from being placed.
+func (c *Cell) withhold(t *task) {
+	t.phase = phaseActive
+	t.step.waiting--
+	if t.step.waiting == 0 {
+		c.closeStep(t.step)
 	}
 }
 
@@ -33,7 +47,7 @@
 		return true
 	}
 	for _, member := range t.completedTogether() {
-		if member.current != nil && member.current.startInFlight() {
+		if c.startInFlight(member) {
 			return false
 		}
 	}
@@ -53,9 +67,13 @@
 	}
 }
 
-// startInFlight reports whether a worker may accept the start of a run later. Once a worker
-// has reported to this owner, its fence refuses the starts of predecessors, and an inherited
-// run is found started or is released.
-func (r *run) startInFlight() bool {
-	return r.phase == runSent || r.phase == runUncertain || r.phase == runInherited
+// startInFlight reports whether a worker may accept a start of a task later. Once a worker
+// has reported to this owner, its fence refuses the starts of predecessors: an inherited
+// run is found started or is released, and an early start is found or was not made.
+func (c *Cell) startInFlight(t *task) bool {
+	if r := t.current; r != nil {
+		return r.phase == runSent || r.phase == runUncertain || r.phase == runInherited
+	}
+	early := c.awaitingWorkers() && !t.step.spec.Gang || c.earlyStarts.unrecorded[t.id] != nil
+	return t.step.completedBy(EndDone) && early
 }
