cell: have a success that is not settled outlive the owner

While a start of the task was in flight, the success of an earlier run was only in memory: a successor that heard of the current run first started the task a third time. A planned handover was enough.

The record names the task as done from when its success is heard, with the current run beside it. A new owner takes such a task for done once that run is settled, as this one does, unless a later step has already relied on it; it then stops the run, which no owner did after a takeover.

--- a/internal/cell/earlierrun.go
+++ b/internal/cell/earlierrun.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // succeededEarlier handles the success of a run of a task other than its current one, if
 // it has one. The current run is stopped. The task is done once no start of it can be
@@ -51,6 +54,11 @@
 			return false
 		}
 	}
+	for _, member := range t.completedTogether() {
+		if member.current != nil {
+			c.stop(now, member.current)
+		}
+	}
 	c.completeTask(now, t)
 	return true
 }
@@ -67,6 +75,32 @@
 	}
 }
 
+// restoreSuccesses has the tasks of an occurrence that have succeeded while a later run of
+// them is on record completed once that run is settled. Those that a later step has
+// already relied on are done.
+func (c *Cell) restoreSuccesses(steps []*stepState) {
+	for _, s := range steps {
+		relied := reliedOn(s, steps)
+		for _, t := range s.tasks {
+			switch {
+			case !t.succeeded:
+			case relied:
+				s.markDone(t)
+			default:
+				c.unsettled = append(c.unsettled, t)
+			}
+		}
+	}
+}
+
+// reliedOn reports whether a task of a step that depends on the given one has been started.
+func reliedOn(s *stepState, steps []*stepState) bool {
+	return slices.ContainsFunc(steps, func(later *stepState) bool {
+		return slices.Contains(later.spec.After, s.id.Step) &&
+			slices.ContainsFunc(later.tasks, func(t *task) bool { return t.lastRun > 0 })
+	})
+}
+
 // startInFlight reports whether a worker may accept a start of a task later. Once a worker
 // has reported to this owner, its fence refuses the starts of predecessors: an inherited
 // run is found started or is released, and an early start is found or was not made.
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -30,6 +30,8 @@
 
 // TaskRecord is the durable progress of a task.
 type TaskRecord struct {
+	// Done is set once the task has succeeded. With a Worker, a later run may still be
+	// there, or its start in flight.
 	Done bool
 	// LastRun is the highest run number used.
 	LastRun int
@@ -145,7 +147,7 @@
 	rec := StepRecord{FailedRuns: slices.Clone(s.failedRuns), Tasks: buffer.take(len(s.tasks))}
 	for i, t := range s.tasks {
 		rec.Tasks[i] = TaskRecord{
-			Done: t.phase == phaseDone, LastRun: t.lastRun, FailedRuns: slices.Clone(t.failedRuns),
+			Done: t.phase == phaseDone || t.succeeded, LastRun: t.lastRun, FailedRuns: slices.Clone(t.failedRuns),
 			Checkpoint: t.checkpoint, Crashes: slices.Clone(t.crashes), Lost: slices.Clone(t.lost),
 			NotStarted: slices.Clone(t.notStarted),
 		}
@@ -181,6 +183,7 @@
 		for i := range min(len(rec.Occurrences[k]), len(j.occurrences[k])) {
 			c.restoreStep(j.occurrences[k][i], rec.Occurrences[k][i])
 		}
+		c.restoreSuccesses(j.occurrences[k])
 		c.openReadySteps(now, j.occurrences[k])
 	}
 	if rec.State != workload.StateQueued {
@@ -245,7 +248,10 @@
 	}
 	// Earlier releases could record a long-running task as done.
 	if rec.Done && t.step.completedBy(EndDone) {
-		t.step.markDone(t)
+		t.succeeded = t.current != nil
+		if !t.succeeded {
+			t.step.markDone(t)
+		}
 	}
 	if c.awaitingWorkers() {
 		c.skipRunNumber(t)
