cell: have the oracle judge a success also when it is acknowledged after the start

The oracle compared a start with the successes that had been acknowledged before it. The platform forbids a start after a run has ended as done if that end is acknowledged "then or later", so a success that was acknowledged after its task had been started again was reported by no simulation.

Each accepted start is now noted for every successful end of its task that a worker still lists. When such an end is acknowledged, that is a violation unless the lease of the worker has lapsed between the end and the acknowledgement. One successful end of a gang represents all its members.

A start is also a violation once this owner or a predecessor has shown the job as completed.

The exemption of replaced owners (doneBeforeLapse) stays. It is what the platform's rules say: an end whose worker's lease had lapsed does not count, for good, and the rule about completed jobs holds only for hosts in contact, and not for calls that a worker carries out late.

--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -24,10 +24,7 @@
 			w.fail("task %s starts at %s as run %d while run %d is at %s", a.Task, s.id, a.Run, r.number, other.id)
 		}
 	}
-	by, lapsed := w.doneBeforeLapse[a.Task]
-	if replaced := lapsed && o.epoch < by; w.done[a.Task] && !replaced && !step.LongRunning {
-		w.fail("task %s starts although its success was acknowledged", a.Task)
-	}
+	w.checkSuccess(o, s, a)
 	w.checkConstraints(s, step, a)
 	w.checkCap(a)
 	for _, dep := range step.After {
@@ -89,41 +86,17 @@
 	}
 }
 
-// acknowledged records an end that a worker may forget. If the lease has lapsed since the
-// end, that does not count as taken note of, so that an owner that was replaced before may
-// start the task.
+// acknowledged records an end that a worker may forget.
 func (w *simulation) acknowledged(o *simOwner, s *simWorker, e cell.Ended) {
 	switch e.Kind {
 	case cell.EndDone:
-		for _, id := range w.represented(e.Task) {
-			switch lapsed := s.lapses > s.lapsesAtEnd[e.Number]; {
-			case !lapsed:
-				delete(w.doneBeforeLapse, id)
-			case !w.done[id]:
-				w.doneBeforeLapse[id] = o.epoch
-			}
-			w.done[id] = true
-		}
+		w.acknowledgedSuccess(o, s, e)
 	case cell.EndFailed:
 		w.failedRuns[failureKey(w.step(e.Task), e.Task)]++
 	case cell.EndStopped, cell.EndLeaseExpired, cell.EndGangBroken, cell.EndGangIncomplete:
 	}
 }
 
-// represented returns the tasks that are done once a run of the given one has succeeded:
-// all members of its gang.
-func (w *simulation) represented(id workload.TaskID) []workload.TaskID {
-	step := w.step(id)
-	if !step.Gang {
-		return []workload.TaskID{id}
-	}
-	members := make([]workload.TaskID, step.Tasks)
-	for i := range members {
-		members[i] = workload.TaskID{StepID: id.StepID, Index: i}
-	}
-	return members
-}
-
 // checkShown checks the state that a client would see against what has
 // happened.
 func (w *simulation) checkShown(o *simOwner, id workload.JobID) {
@@ -135,6 +108,7 @@
 		w.fail("job %s was shown as completed and is %s now", id, state)
 	}
 	if state == workload.StateCompleted {
+		w.noteShownAsCompleted(o, id)
 		w.completed[id] = true
 		if w.job(id).LongRunning() {
 			w.fail("job %s is shown as completed, and its tasks last", id)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -59,14 +59,19 @@
 	// doneBeforeLapse has, for those of them whose worker's lease had lapsed since the end,
 	// the epoch of the owner that acknowledged it.
 	doneBeforeLapse map[workload.TaskID]uint64
+	// startsAfterEnd has the last start that a worker accepted after a successful run of
+	// the task had ended, by the end of that run, while the end is not acknowledged.
+	startsAfterEnd map[endKey]acceptedStart
 	// everDone holds the tasks that have succeeded, acknowledged or not.
 	everDone map[workload.TaskID]bool
 	// failedRuns counts acknowledged failures.
 	failedRuns map[workload.TaskID]int
 	completed  map[workload.JobID]bool
-	gangs      map[gangKey]*simGang
-	machines   []*simMachine
-	waves      []*simWave
+	// completedBy has the first epoch whose owner showed the job as completed.
+	completedBy map[workload.JobID]uint64
+	gangs       map[gangKey]*simGang
+	machines    []*simMachine
+	waves       []*simWave
 	// wavesDone holds the waves that were reported as complete.
 	wavesDone map[int]bool
 	// down holds the tasks that were ended by an order and are not running
@@ -254,6 +259,7 @@
 		storeWaves: make(map[int]cell.WaveRecord), startLimit: math.MaxInt, replacedOwnerLifetime: replacedOwnerLifetime,
 		cancelled: make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool),
 		doneBeforeLapse: make(map[workload.TaskID]uint64), everDone: make(map[workload.TaskID]bool),
+		startsAfterEnd: make(map[endKey]acceptedStart), completedBy: make(map[workload.JobID]uint64),
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
 		wavesDone: make(map[int]bool), down: make(map[workload.TaskID]bool),
 		gangs: make(map[gangKey]*simGang), checkpoints: make(map[string]workload.TaskID),
--- /dev/null
+++ b/internal/cell/successoracle_test.go
@@ -0,0 +1,111 @@
+package cell_test
+
+import (
+	"time"
+
+	"cicadabarrow.example/cicadabarrow/internal/cell"
+	"cicadabarrow.example/cicadabarrow/internal/workload"
+)
+
+// The oracle judges starts beside a successful run of their task. The platform forbids a
+// start after the run has ended if that end is acknowledged before the start or later,
+// unless the lease of the run's worker has lapsed between the end and the acknowledgement.
+// It also forbids a host in contact to start a task once its job is shown as completed.
+//
+// This project promises more: a start after an acknowledged success is a violation although
+// the lease had lapsed, unless an owner sent it that the acknowledging one has replaced.
+
+// endKey identifies an end: workers number them anew in each incarnation.
+type endKey struct {
+	worker      *simWorker
+	incarnation cell.Incarnation
+	number      int64
+}
+
+// acceptedStart is a start that a worker has accepted.
+type acceptedStart struct {
+	task   workload.TaskID
+	run    int
+	worker cell.WorkerID
+}
+
+func (s *simWorker) keyOf(e cell.Ended) endKey { return endKey{s, s.incarnation, e.Number} }
+
+// lapsedSince reports whether the lease of a worker has lapsed since the end with a number.
+// A lease lapses by its deadline, whether anything runs on the worker or not.
+func (s *simWorker) lapsedSince(number int64, clock time.Duration) bool {
+	return s.lapses > s.lapsesAtEnd[number] || clock >= s.deadline
+}
+
+// checkSuccess checks a start that its worker accepts against the successful runs of its
+// task, and notes it for the ends that are acknowledged later. A long-running task is
+// started again however its runs end.
+func (w *simulation) checkSuccess(o *simOwner, s *simWorker, a *cell.SendStart) {
+	if w.step(a.Task).LongRunning {
+		return
+	}
+	if by, shown := w.completedBy[a.Task.Job]; shown && o.epoch >= by {
+		w.fail("task %s starts although its job was shown as completed", a.Task)
+	}
+	by, lapsed := w.doneBeforeLapse[a.Task]
+	if replaced := lapsed && o.epoch < by; w.done[a.Task] && !replaced {
+		w.fail("task %s starts although its success was acknowledged", a.Task)
+	}
+	for _, other := range w.workers {
+		for _, e := range other.ends {
+			if e.Kind == cell.EndDone && w.represents(e.Task, a.Task) {
+				w.startsAfterEnd[other.keyOf(e)] = acceptedStart{task: a.Task, run: a.Run, worker: s.id}
+			}
+		}
+	}
+}
+
+// acknowledgedSuccess checks and records the end of a successful run that its worker may
+// forget. If the lease has lapsed since the end, an owner that was replaced before the
+// acknowledgement may start the task.
+func (w *simulation) acknowledgedSuccess(o *simOwner, s *simWorker, e cell.Ended) {
+	lapsed := s.lapsedSince(e.Number, s.clock(w.now))
+	key := s.keyOf(e)
+	if start, ok := w.startsAfterEnd[key]; ok && !lapsed {
+		w.fail("task %s was started as run %d at %s after run %d of %s had ended as done at %s, whose end is acknowledged",
+			start.task, start.run, start.worker, e.Run, e.Task, s.id)
+	}
+	delete(w.startsAfterEnd, key)
+	tasks := w.represented(e.Task)
+	for _, id := range tasks {
+		switch {
+		case !lapsed:
+			delete(w.doneBeforeLapse, id)
+		case !w.done[id]:
+			w.doneBeforeLapse[id] = o.epoch
+		}
+		w.done[id] = true
+	}
+}
+
+// noteShownAsCompleted records that an owner shows a job as completed.
+func (w *simulation) noteShownAsCompleted(o *simOwner, id workload.JobID) {
+	if _, shown := w.completedBy[id]; !shown {
+		w.completedBy[id] = o.epoch
+	}
+}
+
+// represents reports whether a successful run of one task completes another: itself, or a
+// member of its gang.
+func (w *simulation) represents(ended, id workload.TaskID) bool {
+	return ended == id || ended.StepID == id.StepID && w.step(id).Gang
+}
+
+// represented returns the tasks that are done once a run of the given one has succeeded:
+// all members of its gang.
+func (w *simulation) represented(id workload.TaskID) []workload.TaskID {
+	step := w.step(id)
+	if !step.Gang {
+		return []workload.TaskID{id}
+	}
+	members := make([]workload.TaskID, step.Tasks)
+	for i := range members {
+		members[i] = workload.TaskID{StepID: id.StepID, Index: i}
+	}
+	return members
+}
