cmd/cicadabarrow: run hosts short of processor time, without faults

TestHostSoak injects faults all the time, so that its audit can't count ends as taken note of once they were listed. The users saw a task started again after its end without any injected fault, on a machine with more processes than it could serve.

With -artifacts the logs of all hosts are kept.

--- a/cmd/cicadabarrow/fleet_test.go
+++ b/cmd/cicadabarrow/fleet_test.go
@@ -39,6 +39,7 @@
 	if os.Getenv(runVariable) != "" {
 		main()
 	}
+	processtest.RunSpinner()
 	os.Exit(m.Run())
 }
 
--- a/cmd/cicadabarrow/hostsoak_test.go
+++ b/cmd/cicadabarrow/hostsoak_test.go
@@ -71,6 +71,7 @@
 		t: t, platform: standin.New(soakWorkers), keepEnded: keepEnded, storeLinks: make(map[string]*processtest.Proxy),
 	}, soakHosts)
 	s := newHostSoak(f, seed)
+	s.linkWorkers()
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	standing := s.submit(http.DefaultClient, s.randomOf(standingClient), standingJob())
@@ -120,13 +121,16 @@
 }
 
 func newHostSoak(f *hostFleet, seed uint64) *hostSoak {
-	s := &hostSoak{hostFleet: f, seed: seed, faulty: make(map[string]bool), sound: make(map[string]time.Time)}
-	for _, w := range f.platform.Workers {
-		link := processtest.NewProxy(f.t, w.Addr())
+	return &hostSoak{hostFleet: f, seed: seed, faulty: make(map[string]bool), sound: make(map[string]time.Time)}
+}
+
+// linkWorkers puts a proxy before each worker.
+func (s *hostSoak) linkWorkers() {
+	for _, w := range s.platform.Workers {
+		link := processtest.NewProxy(s.t, w.Addr())
 		s.workerLinks = append(s.workerLinks, link)
-		f.platform.RegisterAt(w, link.Addr())
+		s.platform.RegisterAt(w, link.Addr())
 	}
-	return s
 }
 
 // randomOf returns the source of one part of the soak; that of number 0 draws the faults.
--- a/cmd/cicadabarrow/onplatform_test.go
+++ b/cmd/cicadabarrow/onplatform_test.go
@@ -65,7 +65,8 @@
 	t.Helper()
 	t.Cleanup(f.platform.Close)
 	f.platform.SetManifest(1, queueHost)
-	dir := t.TempDir()
+	// The logs of the hosts stay there if the test runs with -artifacts.
+	dir := t.ArtifactDir()
 	for i := range hosts {
 		f.hosts = append(f.hosts, f.newHost(dir, fmt.Sprintf("host-%d", i+1)))
 	}
