--- a/cmd/cicadabarrow/hostcrowd_test.go
+++ b/cmd/cicadabarrow/hostcrowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,30 +19,27 @@
 	hostCrowdWorkers  = flag.Int("hostcrowd.workers", 32, "number of workers of TestHostCrowd")
 	hostCrowdClients  = flag.Int("hostcrowd.clients", 12, "number of clients of TestHostCrowd")
 	hostCrowdSpinners = flag.Int("hostcrowd.spinners", 8, "number of processes that take processor time from the hosts of TestHostCrowd, in bursts")
+	hostCrowdThreads  = flag.Int("hostcrowd.threads", 4, "number of threads of each of these processes")
+	hostCrowdBurst    = flag.Duration("hostcrowd.burst", 4500*time.Millisecond, "longest burst of these processes")
+	hostCrowdPause    = flag.Duration("hostcrowd.pause", time.Second, "longest pause between two bursts")
 )
 
-const (
-	// The longest burst of busy processes is longer than the lease of a worker.
-	shortestBurst = 500 * time.Millisecond
-	longestBurst  = 4500 * time.Millisecond
-	longestPause  = time.Second
-	// spinnerThreads is the number of threads of a busy process.
-	spinnerThreads = 4
-)
+// shortestBurst is the shortest burst of busy processes. By default the longest one is longer
+// than the lease of a worker.
+const shortestBurst = 500 * time.Millisecond
 
 // TestHostCrowd runs more hosts and workers than the processors can serve at ease, beside
 // bursts of busy processes, and injects no fault: calls, answers and ticks are late.
 // It guards against a task that is started again although its worker has listed its end,
 // because the answer was read too late.
 func TestHostCrowd(t *testing.T) {
-	t.Logf("-hostcrowd.seed %d -hostcrowd.duration %v -hostcrowd.hosts %d -hostcrowd.workers %d -hostcrowd.clients %d -hostcrowd.spinners %d",
-		*hostCrowdSeed, *hostCrowdDuration, *hostCrowdHosts, *hostCrowdWorkers, *hostCrowdClients, *hostCrowdSpinners)
+	logFlags(t, "hostcrowd.")
 	p := standin.New(*hostCrowdWorkers)
 	p.CountListedEnds()
 	f := startHostFleet(&hostFleet{t: t, platform: p, keepEnded: keepEnded}, *hostCrowdHosts)
 	processtest.StartSpinners(t, *hostCrowdSpinners, processtest.Bursts{
 		Begin: time.Now(), Lasting: *hostCrowdDuration, Seed: *hostCrowdSeed,
-		Shortest: shortestBurst, Longest: longestBurst, LongestPause: longestPause, Threads: spinnerThreads,
+		Shortest: shortestBurst, Longest: *hostCrowdBurst, LongestPause: *hostCrowdPause, Threads: *hostCrowdThreads,
 	})
 	s := newHostSoak(f, *hostCrowdSeed)
 	ctx, cancel := context.WithTimeout(t.Context(), *hostCrowdDuration)
@@ -56,10 +54,26 @@
 	s.checkCancels()
 	longest, meanWait := delays.Stop()
 	t.Logf("the test's own process was late by up to %v; a host waited %v for a processor on average", longest, meanWait)
+	repeats := p.Repeats()
+	t.Logf("%d starts of completed tasks", len(repeats))
+	for _, r := range repeats {
+		t.Log(r)
+	}
 	f.checkRunning()
 	f.checkViolations()
 }
 
+// logFlags logs the flags whose names begin with a prefix, so that a run can be repeated.
+func logFlags(t *testing.T, prefix string) {
+	var line []string
+	flag.VisitAll(func(f *flag.Flag) {
+		if strings.HasPrefix(f.Name, prefix) {
+			line = append(line, "-"+f.Name+" "+f.Value.String())
+		}
+	})
+	t.Log(strings.Join(line, " "))
+}
+
 func (f *hostFleet) processIDs() map[string]int {
 	ids := make(map[string]int)
 	for _, h := range f.hosts {
