--- a/internal/cell/earlierrun.go
+++ b/internal/cell/earlierrun.go
@@ -103,11 +103,11 @@
 
 // startInFlight reports whether a worker may accept a start of a task later. Once a worker
 // has reported to this owner, its fence refuses the starts of predecessors: an inherited
-// run is found started or is released, and an early start is found or was not made.
+// run is found started or is released, and an early start is found or was not made. Gangs
+// are not started early.
 func (c *Cell) startInFlight(t *task) bool {
 	if r := t.current; r != nil {
 		return r.phase == runSent || r.phase == runUncertain || r.phase == runInherited
 	}
-	early := c.awaitingWorkers() && !t.step.spec.Gang || c.earlyStarts.unrecorded[t.id] != nil
-	return t.step.completedBy(EndDone) && early
+	return c.awaitingWorkers() && !t.step.spec.Gang || c.earlyStarts.unrecorded[t.id] != nil
 }
--- a/internal/cell/leaseexpiry.go
+++ b/internal/cell/leaseexpiry.go
@@ -7,8 +7,8 @@
 )
 
 // lateAnswerTime is how long after a lease, counted from the last answer of its worker, a
-// worker that is registered may still be heard. It leaves the tasks of a worker that is
-// cut off without a run for less than 3 s.
+// worker that is registered may still be heard. The tasks of a worker that is cut off are
+// then without a run for less than 3 s, unless this owner was late.
 const lateAnswerTime = 2300 * time.Millisecond
 
 // mayBeHeard reports whether a worker whose lease has expired may still tell how its runs
