--- a/internal/owner/benchplatform_test.go
+++ b/internal/owner/benchplatform_test.go
@@ -79,7 +79,7 @@
 	}
 	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1}
 	initial := InitialState{Row: me, PredecessorsEnded: true, OtherHosts: benchHosts}
-	ports := Ports{Store: p, Workers: p, Registrations: benchRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
+	ports := portsOf(p, benchRegistrations{})
 	log, stop := logging.New(zapcore.InfoLevel, io.Discard)
 	b.Cleanup(stop)
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: tally.NullStatsReporter}, time.Second)
--- a/internal/owner/busyhost_test.go
+++ b/internal/owner/busyhost_test.go
@@ -77,7 +77,7 @@
 
 func (h *busyHost) startOwner(m *manifest.Manifest) *Owner {
 	me := ledger.Owner{Host: "host", Incarnation: "host/1", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: 1}
-	ports := Ports{Store: h, Workers: h, Registrations: fakeRegistrations{}, Advisor: h, Machines: h, WaveRows: h}
+	ports := portsOf(h, fakeRegistrations{})
 	initial := InitialState{Row: me, PredecessorsEnded: true}
 	o := New(fakeConfig(), initial, m, ports, noHosts{h.otherHostsHeard}, timer.NewSystem(), tally.NoopScope, zap.NewNop())
 	h.owner.Store(o)
--- a/internal/owner/deletedjobs_test.go
+++ b/internal/owner/deletedjobs_test.go
@@ -121,7 +121,7 @@
 				f.runTakes = 100 * time.Millisecond
 				config := fakeConfig()
 				config.Cell.KeepEnded = keepEnded
-				o := f.startOwnerOn(config, Ports{Store: f, Workers: f, Registrations: fakeRegistrations{}, Advisor: f, Machines: f, WaveRows: f}, timer.NewSystem())
+				o := f.startOwnerOn(config, portsOf(f, fakeRegistrations{}), timer.NewSystem())
 				defer o.Close()
 				time.Sleep(time.Second)
 				a := firstPartitionJob()
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -142,8 +142,22 @@
 	}
 }
 
+// wholePlatform is a platform but for the entries of its workers.
+type wholePlatform interface {
+	Store
+	Workers
+	Advisor
+	Machines
+	WaveRows
+}
+
+// portsOf returns the ports of an owner on a platform.
+func portsOf(p wholePlatform, registrations Registrations) Ports {
+	return Ports{Store: p, Workers: p, Registrations: registrations, Advisor: p, Machines: p, WaveRows: p}
+}
+
 func (p *fakePlatform) startOwnerWith(config Config, timers timer.Service) *Owner {
-	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
+	ports := portsOf(p, fakeRegistrations{})
 	return p.startOwnerOn(config, ports, timers)
 }
 
--- a/internal/owner/feed_test.go
+++ b/internal/owner/feed_test.go
@@ -49,7 +49,7 @@
 		p := &unreadableFeed{fakePlatform: newFakePlatform(2)}
 		config := fakeConfig()
 		config.MaxReads = 64
-		o := p.startOwnerOn(config, Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}, timer.NewSystem())
+		o := p.startOwnerOn(config, portsOf(p, fakeRegistrations{}), timer.NewSystem())
 		defer o.Close()
 		p.mu.Lock()
 		p.version++
--- a/internal/owner/holdqueue_test.go
+++ b/internal/owner/holdqueue_test.go
@@ -115,7 +115,7 @@
 		key := rowstore.Key{Table: tableWorkers, Name: "w01"}
 		row := p.rows[key]
 		delete(p.rows, key)
-		ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
+		ports := portsOf(p, fakeRegistrations{})
 		o := p.startOwnerOn(fakeConfig(), ports, timer.NewSystem())
 		defer o.Close()
 		for range 3 {
--- a/internal/owner/joblookup_test.go
+++ b/internal/owner/joblookup_test.go
@@ -65,7 +65,7 @@
 					worker.ended = []cell.Ended{{Number: 1, Task: task, Run: number, Kind: cell.EndDone}}
 				}
 				p.inherited = []string{string(workerID(0))}
-				o := p.startOwnerOn(fakeConfig(), Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}, timer.NewSystem())
+				o := p.startOwnerOn(fakeConfig(), portsOf(p, fakeRegistrations{}), timer.NewSystem())
 				defer o.Close()
 				time.Sleep(time.Second)
 				o.JobAccepted(a) // or by the change feed
--- a/internal/owner/latereport_test.go
+++ b/internal/owner/latereport_test.go
@@ -57,7 +57,7 @@
 func startsWithLateHold(t *testing.T, late time.Duration, wrong cell.Incarnation) int32 {
 	h := &lateHolds{fakePlatform: newFakePlatform(2), late: late, wrong: wrong}
 	h.runTakes = time.Second
-	ports := Ports{Store: h, Workers: h, Registrations: fakeRegistrations{}, Advisor: h, Machines: h, WaveRows: h}
+	ports := portsOf(h, fakeRegistrations{})
 	o := h.startOwnerOn(fakeConfig(), ports, timer.NewSystem())
 	defer o.Close()
 	time.Sleep(2 * time.Second)
--- a/internal/owner/leasedplatform_test.go
+++ b/internal/owner/leasedplatform_test.go
@@ -112,7 +112,7 @@
 // startOwner starts the owner of an epoch. No earlier owner can grant a lease any longer.
 func (p *leasedPlatform) startOwner(epoch uint64) *Owner {
 	me := ledger.Owner{Host: "host", Incarnation: fmt.Sprintf("host/%d", epoch), Addr: netip.MustParseAddrPort("10.0.0.1:1"), Epoch: epoch}
-	ports := Ports{Store: p, Workers: p, Registrations: leasedRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
+	ports := portsOf(p, leasedRegistrations{})
 	log := p.log
 	if log == nil {
 		log = zap.NewNop()
--- a/internal/owner/overlap_test.go
+++ b/internal/owner/overlap_test.go
@@ -219,7 +219,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ports := Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}
+	ports := portsOf(p, fakeRegistrations{})
 	initial := InitialState{Row: next, Version: result.Version, OtherHosts: p.otherHosts}
 	return New(fakeConfig(), initial, fakeManifest, ports, noHosts{p.otherHostsHeard}, timer.NewSystem(), tally.NoopScope, zap.NewNop())
 }
--- a/internal/owner/resend_test.go
+++ b/internal/owner/resend_test.go
@@ -50,7 +50,7 @@
 func withSilentCommits(t *testing.T, test func(t *testing.T, p *silentCommits)) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &silentCommits{fakePlatform: newFakePlatform(1)}
-		o := p.startOwnerOn(fakeConfig(), Ports{Store: p, Workers: p, Registrations: fakeRegistrations{}, Advisor: p, Machines: p, WaveRows: p}, timer.NewSystem())
+		o := p.startOwnerOn(fakeConfig(), portsOf(p, fakeRegistrations{}), timer.NewSystem())
 		defer o.Close()
 		time.Sleep(2 * time.Second)
 		test(t, p)
