cmd/cicadabarrow: say how TestHostCrowd was made to fail, and what it showed

The comment names the command that has shown a start over a listed end.

In each of the 39 starts the same host owned the cell all the while and reported a local delay of 3.1 to 4.9 s, and a hold call to the first worker failed at the owner within 0.1 s before or after its lease was counted as expired: 36 with "hold: not sent: dial: i/o timeout", the owner's own call after the one through a relay, 3 with "the worker does not answer", a relay's answer.

--- a/cmd/cicadabarrow/hostcrowd_test.go
+++ b/cmd/cicadabarrow/hostcrowd_test.go
@@ -31,7 +31,18 @@
 // TestHostCrowd runs more hosts and workers than the processors can serve at ease, beside
 // bursts of busy processes, and injects no fault: calls, answers and ticks are late.
 // It guards against a task that is started again although its worker has listed its end,
-// because the answer was read too late.
+// because the answer was read too late or not at all.
+//
+// The default is short and delays calls by fractions of a second. A run by hand that has
+// shown the fault, with 2400 busy threads:
+//
+//	go test ./cmd/cicadabarrow -run 'TestHostCrowd$' -hostcrowd.seed 112 -hostcrowd.duration 40s
+//	  -hostcrowd.hosts 12 -hostcrowd.workers 300 -hostcrowd.clients 50 -hostcrowd.spinners 100
+//	  -hostcrowd.threads 24 -hostcrowd.burst 5s -hostcrowd.pause 3s
+//
+// With -artifacts it keeps the logs of the hosts, and delays.log tells which process waited
+// for a processor. The seed draws the load and the bursts, not the order in which the
+// processes run.
 func TestHostCrowd(t *testing.T) {
 	logFlags(t, "hostcrowd.")
 	p := standin.New(*hostCrowdWorkers)
