cell: complete a job whose record has all successes when it is taken over

Callers would see a job as running for ever though all of its tasks have succeeded (LOST). Cause: a record has a task as done from when its success is heard, while the job is completed once the success is settled.

Restoring a record now completes such a job. The script job-of-recorded-successes-is-completed showed Running for ever and passes.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -189,6 +189,8 @@
 	if rec.State != workload.StateQueued {
 		c.markStarted(j)
 	}
+	// A record may have the last success before it was settled.
+	c.completeIfDone(now, j)
 }
 
 // fits reports whether a job has all occurrences, steps and tasks of a record.
