--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -10,13 +10,9 @@
 	Worker WorkerID
 	Addr   netip.AddrPort
 	// Incarnation is the process whose clock and numbers of ends the call uses. To
-	// another one, it is sent without them; 0 if it has neither.
+	// another one, it is sent without them; 0 if it has neither, or if it follows a report
+	// within restartTime.
 	Incarnation Incarnation
-	// SureUntil is until when Incarnation cannot have been replaced. Until then, a call over
-	// a new connection needs no verification of the incarnation. It holds by the clock of
-	// this process and is not passed to relays, which always verify: a relay that was
-	// suspended sends its calls late.
-	SureUntil time.Time
 	// Deadline is the lease deadline on the worker's clock; with 0 the call
 	// only reads the clock.
 	Deadline time.Duration
@@ -48,8 +44,8 @@
 	// busy, shortens the lease that it renews, and so the wait.
 	leaseReserve = 4
 	// restartTime is less than a worker takes to be back after its process has ended. A
-	// hold call that is sent sooner after a report reaches the incarnation that has
-	// reported, or none, so that it need not cost a further call over a new connection.
+	// hold call that follows a report sooner reaches the incarnation that has reported, or
+	// none, so that it need not cost a further call over a new connection.
 	restartTime = 100 * time.Millisecond
 )
 
@@ -72,7 +68,9 @@
 		hold.Wait = 0
 		return hold, true
 	}
-	hold.Incarnation, hold.SureUntil = w.incarnation, w.lastReport.Add(restartTime-c.delay)
+	if now.Sub(w.lastReport)+c.delay >= restartTime {
+		hold.Incarnation = w.incarnation
+	}
 	if len(w.pendingEnds) > 0 {
 		hold.Wait = 0
 		hold.EndsPending = true
--- a/internal/cell/unnoticed_test.go
+++ b/internal/cell/unnoticed_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +11,7 @@
 
 // Workers that restart under their ID, which no owner notices before the worker is called
 // again or renews its entry. In these simulations, the calls that are meant for the earlier
-// incarnation may arrive at the later one, as those of a relay that was suspended.
+// incarnation may arrive at the later one.
 
 // TestTasksStartOnlyOnTheKindOfWorkerThatTheyRequire guards against starts by the labels of
 // an earlier incarnation: the worker is back as another kind (review case 5).
@@ -107,6 +108,8 @@
 	w.noteCrash(s, 0)
 	w.loseRuns(s)
 	s.dead = true
+	// A hold call that is meant for none follows a report closely: it ends with the process.
+	w.calls = slices.DeleteFunc(w.calls, func(c *simCall) bool { return c.worker == s && c.hold != nil && c.hold.Incarnation == 0 })
 	w.advance(restartTime)
 	s.dead = false
 	w.begin(s)
