--- a/internal/cell/earlierrun.go
+++ b/internal/cell/earlierrun.go
@@ -49,10 +49,8 @@
 	if t.phase == phaseDone || t.step.job.state.Final() {
 		return true
 	}
-	for _, member := range t.completedTogether() {
-		if c.startInFlight(member) {
-			return false
-		}
+	if slices.ContainsFunc(t.completedTogether(), c.startInFlight) {
+		return false
 	}
 	for _, member := range t.completedTogether() {
 		if member.current != nil {
@@ -63,6 +61,13 @@
 	return true
 }
 
+// settled reports whether a task that has succeeded in an earlier run is done, or its job
+// has ended, and no start of it is in flight.
+func (c *Cell) settled(t *task) bool {
+	decided := t.phase == phaseDone || t.step.job.state.Final()
+	return decided && !slices.ContainsFunc(t.completedTogether(), c.startInFlight)
+}
+
 // settleSuccesses completes the tasks that have succeeded in an earlier run and of which
 // no start is in flight any more.
 func (c *Cell) settleSuccesses(now time.Time) {
--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -113,7 +113,7 @@
 	// ends.
 	completed *task
 	run       int
-	// settled is set once that task is done, as of revision.
+	// settled is set once that task is settled, as of revision.
 	settled bool
 }
 
@@ -124,7 +124,7 @@
 	for len(w.pendingEnds) > 0 {
 		first := &w.pendingEnds[0]
 		if t := first.completed; t != nil && !first.settled {
-			if t.phase != phaseDone && !t.step.job.state.Final() {
+			if !c.settled(t) {
 				return first.number - 1
 			}
 			first.settled, first.revision = true, t.step.job.revision
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -211,13 +211,16 @@
 		t.numberRevision = t.step.job.revision
 	}
 	end := pendingEnd{number: e.Number, job: t.step.job, revision: t.step.job.revision}
-	if t.phase == phaseDone || t.step.job.state.Final() {
+	if t.phase == phaseDone {
 		return end
 	}
-	if t.succeeded {
+	if t.succeeded || t.step.job.state.Final() && t.step.completedBy(e.Kind) {
 		end.completed, end.run = t, e.Run
 		return end
 	}
+	if t.step.job.state.Final() {
+		return end
+	}
 	if e.Kind == EndFailed {
 		c.countFailure(now, t, e.Run, w.id)
 		end.revision = t.step.job.revision
