host: ask one host at a time for a manifest that was missed

Cause: pongs brought the manifest to hosts that did not have it. A host that reaches neither the owner nor the owner's row pings all others several times a second and gives each ping up after 0.3 s. With 146 others and a manifest of about 0.4 MB, the copies kept the link between the regions full, which is why the hosts asked.

Now pongs tell the version only, and a host asks one host at a time, one of its data centre first. Hosts of earlier releases get it with the pong as before.

--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -75,6 +75,8 @@
 	manifestReadTime time.Duration
 	rejectsRead      func(rowstore.Range) bool
 	revokeWithin     time.Duration
+	// passedManifests counts the manifests that each host got from other hosts.
+	passedManifests map[string]int
 	// network carries the calls between hosts if it is set, and the cluster otherwise.
 	network *pipeNetwork
 	// logs also receives what the hosts log, if it is set before they start.
@@ -147,6 +149,8 @@
 	fakeStoreWrites = 600
 	// fakeJobBytes is the memory for jobs: that of one job of 1,000 tasks and others.
 	fakeJobBytes = 1 << 20
+	// fakeDataCentre is where all hosts are.
+	fakeDataCentre = "dc"
 )
 
 func newFakeCluster(hosts, workers int) *fakeCluster {
@@ -154,6 +158,7 @@
 		hosts: make(map[netip.AddrPort]*fakeHost), rows: make(map[rowstore.Key]rowstore.Row), changed: make(chan struct{}),
 		began: time.Now(), cut: make(map[[2]string]bool), workers: make(map[cell.WorkerID]*fakeWorker),
 		busy: make(map[string]busyness), lateCommits: make(map[string]time.Duration),
+		passedManifests: make(map[string]int),
 	}
 	for i := range workers {
 		id := cell.WorkerID(fmt.Sprintf("w%d", i))
@@ -178,7 +183,7 @@
 	w.mu.Lock()
 	h.starts++
 	w.mu.Unlock()
-	self := peer.Host{Name: h.name, DataCentre: "dc", Incarnation: fmt.Sprintf("%s/%d", h.name, h.starts)}
+	self := peer.Host{Name: h.name, DataCentre: fakeDataCentre, Incarnation: fmt.Sprintf("%s/%d", h.name, h.starts)}
 	config := Config{Self: self, Addr: h.addr, Seeds: w.seeds, StoreWrites: fakeStoreWrites, OwnerTimeout: fakeOwnerTimeout, Capacity: h.capacity}
 	config.OnTenure, config.RevokeWithin = h.owning.Store, w.revokeWithin
 	config.Owner = owner.Config{
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -219,7 +219,8 @@
 		return peer.Host{}, peer.Message{}, errRefused
 	}
 	reply, err := called.Handle(ctx, peer.Host{Name: p.host.name}, m)
-	return peer.Host{Name: other.name, Incarnation: fmt.Sprintf("%s/%d", other.name, starts)}, reply, err
+	w.countManifest(p.host, reply)
+	return peer.Host{Name: other.name, DataCentre: fakeDataCentre, Incarnation: fmt.Sprintf("%s/%d", other.name, starts)}, reply, err
 }
 
 // Hold records the hold of a worker, unless the worker has seen a later epoch.
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -39,6 +39,9 @@
 		message.KindHostPing: decodeAndHandle(message.DecodeHostPing, func(_ context.Context, ping message.HostPing) (peer.Message, error) {
 			return message.EncodeOwnerPong(h.pong(ping)), nil
 		}),
+		message.KindManifestRequest: decodeAndHandle(message.DecodeManifestRequest, func(_ context.Context, q message.ManifestRequest) (peer.Message, error) {
+			return message.EncodeManifestContent(message.ManifestContent{Content: h.passManifest(q.Version)}), nil
+		}),
 		message.KindStepAdviceRequest: decodeAndHandle(message.DecodeStepAdviceRequest, func(ctx context.Context, q message.StepAdviceRequest) (peer.Message, error) {
 			return message.EncodeStepAdvice(h.handleStepAdviceRequest(ctx, q)), nil
 		}),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -118,10 +118,14 @@
 	rawManifest atomic.Pointer[rawManifest]
 	adopting    sync.Mutex
 	recency     recency
-	keyLog      keyLog
-	keyMetrics  keyMetrics
-	detector    *election.FailureDetector
-	advisors    *remoteAdvisors
+	// newer tells of a newer manifest than the one in force, and newerKnown holds an
+	// element after the first news of it.
+	newer      newerManifest
+	newerKnown chan struct{}
+	keyLog     keyLog
+	keyMetrics keyMetrics
+	detector   *election.FailureDetector
+	advisors   *remoteAdvisors
 	// relayHosts holds the hosts that make calls to workers for this host while it
 	// owns the cell, and relayServer makes such calls for the owner.
 	relayHosts  *relayHosts
@@ -197,7 +201,7 @@
 		manifests: manifest.NewHolder(), detector: election.NewFailureDetector(config.OwnerTimeout),
 		advisors: newRemoteAdvisors(peers, timers), members: make(map[netip.AddrPort]bool),
 		waves: make(map[int]cell.Wave), metrics: newHostMetrics(scope), pinger: newPinger(),
-		relayHosts: newRelayHosts(timers), pingSoon: make(chan struct{}, 1),
+		relayHosts: newRelayHosts(timers), pingSoon: make(chan struct{}, 1), newerKnown: make(chan struct{}, 1),
 		relayServer: relay.NewServer(platform.Workers, timers, scope),
 		recency:     recency{begin: timers.Now()}, keyMetrics: newKeyMetrics(scope),
 		accountRefusals: newAccountRefusals(scope),
@@ -206,6 +210,7 @@
 	h.handlers = h.callHandlers()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.background.Go(h.followManifest)
+	h.background.Go(h.fetchManifests)
 	h.background.Go(h.monitorOwner)
 	h.background.Go(h.probeStore)
 	return h
--- a/internal/host/manifest.go
+++ b/internal/host/manifest.go
@@ -125,16 +125,6 @@
 	return slices.SortedFunc(maps.Values(h.waves), func(a, b cell.Wave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
-const (
-	// manifestGrace is how long a manifest is in force on this host before it is passed
-	// on to hosts that do not have it. Those that reach the store read it from there
-	// meanwhile.
-	manifestGrace = 1500 * time.Millisecond
-	// manifestBytesPerSecond bounds what is passed on. A large manifest for all hosts
-	// would fill the link that the owner's calls need.
-	manifestBytesPerSecond = 512 << 10
-)
-
 // rawManifest is a manifest, encoded as the operator wrote it, and since when it has been
 // in force on this host.
 type rawManifest struct {
@@ -143,23 +133,6 @@
 	since   time.Time
 }
 
-// newerManifest returns the manifest in force if a host with an earlier version should
-// get it from this host, or nil.
-func (h *Host) newerManifest(version uint64) []byte {
-	now := h.timers.Now()
-	m := h.rawManifest.Load()
-	if m == nil || h.manifestVersion() <= version || now.Sub(m.since) < manifestGrace {
-		return nil
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now.Before(h.passManifestAt) {
-		return nil
-	}
-	h.passManifestAt = now.Add(time.Duration(len(m.content)) * time.Second / manifestBytesPerSecond)
-	return m.content
-}
-
 // adopt puts a manifest in force if it is newer than the current one. It returns the
 // decoded manifest, or nil if it cannot be used.
 func (h *Host) adopt(raw []byte, from string) *manifest.Manifest {
--- a/internal/host/monitor.go
+++ b/internal/host/monitor.go
@@ -204,7 +204,7 @@
 		pong.Hosts, pong.SameHosts = nil, true
 	}
 	h.pongManifest(&pong)
-	pong.NewerManifest = h.newerManifest(ping.Manifest)
+	pong.NewerManifest = h.manifestForEarlierRelease(ping)
 	if running != nil && running.Owns() && !h.stopping.Load() {
 		pong.Owning = true
 		pong.SinceRenewal, pong.RowVersion = running.LastRenewal()
--- a/internal/host/ping.go
+++ b/internal/host/ping.go
@@ -169,7 +169,7 @@
 		Addr: h.config.Addr, OwnEpoch: epoch, Incarnation: h.config.Self.Incarnation, Manifest: h.manifestVersion(),
 		KnownEpoch: max(epoch, h.knownOwner().epoch),
 		Relays:     h.mayRelay(), DataCentre: h.config.Self.DataCentre, Cores: h.config.Capacity.Cores,
-		HostsSum: h.knownHostsSum(), Refused: h.accountRefusals.list(),
+		HostsSum: h.knownHostsSum(), Refused: h.accountRefusals.list(), FetchesManifest: true,
 	})
 	sent := h.moment()
 	from, reply, err := h.peers.Ask(ctx, to, ping)
@@ -183,6 +183,7 @@
 	if len(pong.NewerManifest) > 0 {
 		h.adopt(pong.NewerManifest, from.Name)
 	}
+	h.noteManifest(pong.Manifest, to, from.DataCentre)
 	h.confirmPong(pong, sent)
 	h.applyPong(pong)
 	h.applyPermission(pong, sent.latest)
--- a/internal/message/cell_test.go
+++ b/internal/message/cell_test.go
@@ -21,7 +21,7 @@
 	const id = workload.JobID("00000000000000e1")
 	addr := netip.MustParseAddrPort("10.0.0.1:8166")
 	step := workload.StepID{Job: id, Occurrence: 1, Step: 2}
-	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2, HostsSum: 5, Refused: []AccountRefusals{{Account: "a", Jobs: 6}}}, EncodeHostPing, DecodeHostPing,
+	checkRoundTrip(t, HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3, Relays: true, DataCentre: "dc", Cores: 0.2, HostsSum: 5, Refused: []AccountRefusals{{Account: "a", Jobs: 6}}, FetchesManifest: true}, EncodeHostPing, DecodeHostPing,
 		hostPingCodec.encode(HostPing{Addr: addr, OwnEpoch: 1, Incarnation: "i", KnownEpoch: 2, Manifest: 3}))
 	pong := OwnerPong{
 		Owning: true, OwnerAddr: addr, OwnerIncarnation: "i", Epoch: 1, Hosts: []netip.AddrPort{addr}, SameHosts: true,
@@ -34,6 +34,8 @@
 		},
 	}
 	checkRoundTrip(t, pong, EncodeOwnerPong, DecodeOwnerPong, ownerPongCodec.encode(pong))
+	checkRoundTrip(t, ManifestRequest{Version: 7}, EncodeManifestRequest, DecodeManifestRequest)
+	checkRoundTrip(t, ManifestContent{Content: []byte("m")}, EncodeManifestContent, DecodeManifestContent)
 	checkRoundTrip(t, StepAdviceRequest{Step: step, Workers: []cell.WorkerID{"w"}, Timeout: time.Second}, EncodeStepAdviceRequest, DecodeStepAdviceRequest)
 	checkRoundTrip(t, StepAdvice{Failed: true, Valid: time.Second, Allowed: []cell.Ticket{{Worker: "w", Value: "v"}}}, EncodeStepAdvice, DecodeStepAdvice)
 	checkRoundTrip(t, IntakeNotice{Job: []byte("j"), Cancelled: id}, EncodeIntakeNotice, DecodeIntakeNotice)
--- a/internal/message/cellowner.go
+++ b/internal/message/cellowner.go
@@ -37,6 +37,9 @@
 	// Refused counts the jobs that the sender has refused for the limits of their
 	// account.
 	Refused []AccountRefusals
+	// FetchesManifest is set if the sender asks for newer manifests, so that pongs need
+	// not bring them.
+	FetchesManifest bool
 }
 
 // AccountRefusals counts the jobs of an account that a host has refused.
@@ -67,7 +70,7 @@
 	// force.
 	Manifest uint64
 	// NewerManifest is the manifest as the operator wrote it. It is set only if
-	// it is newer than that of the pinging host.
+	// it is newer than that of the pinging host, and that host does not ask for it.
 	NewerManifest []byte
 	// ManifestAge is for how long changes of the store may be missing in Manifest: it
 	// includes all that the store had so long ago. 0 means unknown, as from hosts of
@@ -101,6 +104,7 @@
 	HostsSum   uint64  `msgpack:"hosts"`
 	// Refused is left out by hosts that have refused none.
 	Refused []accountRefusalsWire `msgpack:"refused,omitempty"`
+	Fetches bool                  `msgpack:"fetches,omitempty"`
 }
 
 type accountRefusalsWire struct {
@@ -127,6 +131,7 @@
 	return appendExtension(hostPingCodec.encode(m), hostPingExtension{
 		Relays: m.Relays, DataCentre: m.DataCentre, Cores: m.Cores, HostsSum: m.HostsSum,
 		Refused: mapSlice(m.Refused, func(r AccountRefusals) accountRefusalsWire { return accountRefusalsWire(r) }),
+		Fetches: m.FetchesManifest,
 	})
 }
 
@@ -141,7 +146,7 @@
 	if err := decodeExtension(p, &e); err != nil {
 		return HostPing{}, err
 	}
-	m.Relays, m.DataCentre, m.Cores, m.HostsSum = e.Relays, e.DataCentre, e.Cores, e.HostsSum
+	m.Relays, m.DataCentre, m.Cores, m.HostsSum, m.FetchesManifest = e.Relays, e.DataCentre, e.Cores, e.HostsSum, e.Fetches
 	for _, r := range e.Refused {
 		m.Refused = append(m.Refused, AccountRefusals(r))
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -73,6 +73,8 @@
 	KindWorkerDone
 	KindAccountJobLookup
 	KindAccountCancel
+	KindManifestRequest
+	KindManifestContent
 )
 
 // PromiseRequest asks a peer, as a grantor of the sender's lease, to promise not
