host: ask for a missed manifest in the own data centre first, and use late copies

- Only one source was kept, and dropped after one answer without a manifest, which each host gives for 1.5 s after it got the manifest.
- What a pong tells of the age of a manifest was dropped if the host did not have the manifest yet: a restarted host without the store refused valid keys for 3.4 s instead of 1.5 s.
- News of a version that arrived while the one before was put in force woke nothing, for ever.
- A host of another data centre was asked as soon as one of the own had deferred, and of these the one with the longest way.
- A copy that took longer than 2 s was dropped and asked for again.
- A host that sent an old or unusable manifest was asked without end.

Now the host keeps all hosts that have told of a newer version, and prefers its own data centre, then the newest version, the fewest requests and the shortest ping time. It asks elsewhere after 1.5 s, or 3 s if one in its own data centre has the manifest. Late copies are used. A host answers requests like pings, however many other calls it serves.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -149,7 +149,7 @@
 	self := peer.Host{Name: s.Name, DataCentre: s.DataCentre, Incarnation: s.Name + "/" + uuid.NewString()}
 	handler := &deferredHandler{ready: make(chan struct{})}
 	scope := page.Scope
-	peers := peer.New(self, listen, &net.Dialer{}, handler, scope, log, peer.Immediate(message.KindHostPing), peer.WithLimits(peerLimits(s)))
+	peers := peer.New(self, listen, &net.Dialer{}, handler, scope, log, peer.Immediate(message.KindHostPing, message.KindManifestRequest), peer.WithLimits(peerLimits(s)))
 	client := platform.NewClient(scope)
 	h := host.New(hostConfig(s, self), host.Platform{
 		Ports: owner.Ports{
--- a/internal/host/fakecluster_test.go
+++ b/internal/host/fakecluster_test.go
@@ -77,6 +77,8 @@
 	revokeWithin     time.Duration
 	// passedManifests counts the manifests that each host got from other hosts.
 	passedManifests map[string]int
+	// keepsManifest is the name of a host that answers no request for its manifest.
+	keepsManifest string
 	// network carries the calls between hosts if it is set, and the cluster otherwise.
 	network *pipeNetwork
 	// logs also receives what the hosts log, if it is set before they start.
--- a/internal/host/fakeport_test.go
+++ b/internal/host/fakeport_test.go
@@ -13,6 +13,7 @@
 	"cicadabarrow.example/cicadabarrow/internal/fault"
 	"cicadabarrow.example/cicadabarrow/internal/ledger"
 	"cicadabarrow.example/cicadabarrow/internal/manifest"
+	"cicadabarrow.example/cicadabarrow/internal/message"
 	"cicadabarrow.example/cicadabarrow/internal/peer"
 	"cicadabarrow.example/cicadabarrow/internal/permit"
 	"cicadabarrow.example/cicadabarrow/internal/rowstore"
@@ -214,7 +215,12 @@
 	}
 	w.mu.Lock()
 	called, starts := other.host, other.starts
+	silent := m.Kind == message.KindManifestRequest && other.name == w.keepsManifest
 	w.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return peer.Host{}, peer.Message{}, fault.New("ask", KindNotDone, "%w", ctx.Err())
+	}
 	if called == nil {
 		return peer.Host{}, peer.Message{}, errRefused
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -118,9 +118,9 @@
 	rawManifest atomic.Pointer[rawManifest]
 	adopting    sync.Mutex
 	recency     recency
-	// newer tells of a newer manifest than the one in force, and newerKnown holds an
-	// element after the first news of it.
-	newer      newerManifest
+	// sources has the hosts with a newer manifest than the one in force, and newerKnown
+	// holds an element after news of one.
+	sources    manifestSources
 	newerKnown chan struct{}
 	keyLog     keyLog
 	keyMetrics keyMetrics
--- a/internal/host/manifest_test.go
+++ b/internal/host/manifest_test.go
@@ -1,7 +1,7 @@
 package host
 
 import (
-	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,58 +65,113 @@
 	}
 }
 
+// newManifestCluster starts hosts that know each other and have version 1, and returns the
+// owner too.
+func newManifestCluster(hosts int) (*fakeCluster, *fakeHost) {
+	w := newFakeCluster(hosts, 0)
+	w.manifests = accountManifests{}
+	w.putManifest(1, map[string][]string{"a": {"a1"}})
+	for _, h := range w.order {
+		w.seeds = append(w.seeds, h.addr)
+	}
+	for _, h := range w.order {
+		w.start(h)
+	}
+	time.Sleep(5 * time.Second)
+	return w, w.owners()[0]
+}
+
+// copies returns how many manifests a host got from other hosts.
+func (w *fakeCluster) copies(h *fakeHost) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.passedManifests[h.name]
+}
+
 // A host that reaches neither the store nor the owner pings all other hosts. Many copies of
 // a large manifest would fill its link, so that it gets none of them in time.
 func TestHostThatMissesTheManifestGetsOneCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newFakeCluster(12, 0)
-		w.manifests = accountManifests{}
-		w.putManifest(1, nil)
-		for _, h := range w.order {
-			w.seeds = append(w.seeds, h.addr)
-		}
-		for _, h := range w.order {
-			w.start(h)
-		}
+		w, owner := newManifestCluster(12)
 		defer w.stopAll()
-		time.Sleep(5 * time.Second)
-		owner := w.owners()[0]
 		h := w.lastOtherThan(owner)
 		w.setCut(h, true, storeName, owner.name)
 		time.Sleep(time.Second)
 		w.putManifest(2, nil)
-		time.Sleep(manifestGrace + 2*time.Second)
-		w.mu.Lock()
-		copies := w.passedManifests[h.name]
-		w.mu.Unlock()
-		if version := h.host.manifestVersion(); version != 2 || copies != 1 {
+		time.Sleep(5 * time.Second)
+		if version, copies := h.host.manifestVersion(), w.copies(h); version != 2 || copies != 1 {
 			t.Errorf("the host has version %d after %d copies, want version 2 after one", version, copies)
 		}
 	})
 }
 
-// A host prefers the manifest of a host in its data centre, and asks another host if that
-// one does not send it.
-func TestManifestIsFetchedFromTheOwnDataCentreFirst(t *testing.T) {
-	near, far := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
-	var n newerManifest
-	expect := func(when string, inForce uint64, want netip.AddrPort, known bool) {
-		t.Helper()
-		if from, ok := n.source(inForce); ok != known || ok && from != want {
-			t.Errorf("%s: source %v, known %v; want %v, %v", when, from, ok, want, known)
-		}
+// A large manifest must reach hosts in time that can get it only from other hosts, each of
+// which passes on one in 0.8 s.
+func TestManyHostsThatMissALargeManifestGetItInTime(t *testing.T) {
+	for phase := range 8 {
+		synctest.Test(t, func(t *testing.T) {
+			w, owner := newManifestCluster(12)
+			defer w.stopAll()
+			var cut []*fakeHost
+			for _, h := range w.order {
+				if h != owner && len(cut) < 6 {
+					cut = append(cut, h)
+					w.setCut(h, true, storeName, owner.name)
+				}
+			}
+			time.Sleep(3*time.Second + time.Duration(phase)*97*time.Millisecond)
+			w.putManifest(2, map[string][]string{"a": {strings.Repeat("x", 400<<10)}})
+			time.Sleep(5 * time.Second)
+			for _, h := range cut {
+				if version, copies := h.host.manifestVersion(), w.copies(h); version != 2 || copies != 1 {
+					t.Errorf("%s has version %d after %d copies, want version 2 after one", h.name, version, copies)
+				}
+			}
+		})
 	}
-	expect("at first", 1, netip.AddrPort{}, false)
-	if n.observe(2, 2, far, false) || !n.observe(1, 2, far, false) || n.observe(1, 2, near, true) {
-		t.Error("only the first news of a newer version must be reported")
+}
+
+// A host that answers pings but sends no manifest must not keep others from getting it in
+// time.
+func TestSilentHostDoesNotDelayTheManifest(t *testing.T) {
+	for phase := range 8 {
+		synctest.Test(t, func(t *testing.T) {
+			w, owner := newManifestCluster(12)
+			defer w.stopAll()
+			h := w.lastOtherThan(owner)
+			w.mu.Lock()
+			w.keepsManifest = w.lastOtherThan(h).name
+			if w.keepsManifest == owner.name {
+				w.keepsManifest = w.order[0].name
+			}
+			w.mu.Unlock()
+			w.setCut(h, true, storeName, owner.name)
+			time.Sleep(3*time.Second + time.Duration(phase)*97*time.Millisecond)
+			w.putManifest(2, nil)
+			time.Sleep(5 * time.Second)
+			if version := h.host.manifestVersion(); version != 2 {
+				t.Errorf("the host has version %d after 5 s, want 2", version)
+			}
+		})
+	}
+}
+
+// A restarted host that gets its manifest from another host must know as soon as that one
+// how recent it is: until then it serves no calls that need a key.
+func TestRestartedHostKnowsTheAgeOfAFetchedManifest(t *testing.T) {
+	for name, withOwner := range map[string]bool{"with the owner": true, "without the owner": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, owner := newManifestCluster(4)
+				defer w.stopAll()
+				h := w.lastOtherThan(owner)
+				w.stop(h)
+				w.setCut(h, true, storeName)
+				w.setCut(h, !withOwner, owner.name)
+				w.start(h)
+				time.Sleep(2 * time.Second)
+				expectKeys(t, "2 s after the restart", h, map[string]string{"a1": "a"})
+			})
+		})
 	}
-	n.observe(1, 2, far, false)
-	expect("with both", 1, near, true)
-	n.forget(far)
-	expect("with the other one forgotten", 1, near, true)
-	n.forget(near)
-	expect("with none", 1, netip.AddrPort{}, true)
-	n.observe(1, 2, far, false)
-	expect("with the far one", 1, far, true)
-	expect("once the version is in force", 2, netip.AddrPort{}, false)
 }
--- a/internal/host/manifestfetch.go
+++ b/internal/host/manifestfetch.go
@@ -4,12 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"cicadabarrow.example/cicadabarrow/internal/lateanswer"
 	"cicadabarrow.example/cicadabarrow/internal/message"
+	"cicadabarrow.example/cicadabarrow/internal/peer"
 )
 
 const (
@@ -19,65 +20,19 @@
 	// manifestBytesPerSecond bounds what a host passes on. A large manifest for all hosts
 	// would fill the link that the owner's calls need.
 	manifestBytesPerSecond = 512 << 10
-	// fetchTimeout bounds a call for a manifest.
-	fetchTimeout = 2 * time.Second
+	// fetchTimeout is how long a host waits for a manifest before it asks another host. A
+	// manifest that arrives later is used all the same.
+	fetchTimeout = 1500 * time.Millisecond
 )
 
-// newerManifest tracks which newer manifest other hosts have in force. The zero value
-// knows of none.
-type newerManifest struct {
-	mu      sync.Mutex
-	version uint64
-	// from is a host that has the version. near is set if it is in the data centre of
-	// this one.
-	from netip.AddrPort
-	near bool
-}
-
-// observe records that a host has a version. It returns whether that is the first news of
-// a newer manifest than the one in force.
-func (n *newerManifest) observe(inForce, version uint64, from netip.AddrPort, near bool) bool {
-	if version <= inForce {
-		return false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	first := n.version <= inForce
-	if first {
-		n.from, n.near = netip.AddrPort{}, false
-	}
-	n.version = max(n.version, version)
-	if near || !n.near {
-		n.from, n.near = from, near
-	}
-	return first
-}
-
-// source returns a host that has a newer manifest than the one in force. The address is
-// invalid if such a manifest is known, but no host to ask for it. ok is false if none is
-// known.
-func (n *newerManifest) source(inForce uint64) (from netip.AddrPort, ok bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.from, n.version > inForce
-}
-
-// forget drops a source that has not sent its manifest. Another one that tells of the
-// version takes its place.
-func (n *newerManifest) forget(from netip.AddrPort) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.from == from {
-		n.from, n.near = netip.AddrPort{}, false
-	}
-}
-
-// noteManifest records which version a host has in force.
-func (h *Host) noteManifest(version uint64, from netip.AddrPort, dataCentre string) {
-	near := dataCentre == h.config.Self.DataCentre
-	if !h.newer.observe(h.manifestVersion(), version, from, near) {
+// noteManifest records which version a host has in force, as a pong tells that took
+// pingTime.
+func (h *Host) noteManifest(version uint64, from netip.AddrPort, dataCentre string, pingTime time.Duration) {
+	if version <= h.manifestVersion() {
 		return
 	}
+	near := dataCentre == h.config.Self.DataCentre
+	h.sources.observe(h.timers.Now(), from, manifestSource{version: version, near: near, pingTime: pingTime})
 	select {
 	case h.newerKnown <- struct{}{}:
 	default:
@@ -100,31 +55,60 @@
 // fetchNewer returns once no newer manifest than the one in force is known.
 func (h *Host) fetchNewer() {
 	for h.ctx.Err() == nil {
-		from, ok := h.newer.source(h.manifestVersion())
+		from, ok := h.sources.next(h.timers.Now(), h.manifestVersion())
 		if !ok {
 			return
 		}
-		if from.IsValid() && h.fetchManifest(from) {
-			continue
+		if from.IsValid() {
+			h.sources.noteOutcome(from, h.fetchManifest(from))
 		}
-		h.newer.forget(from)
 		h.sleep(manifestRetryDelay/2 + rand.N(manifestRetryDelay))
 	}
 }
 
-// fetchManifest asks a host for its manifest and puts it in force. It reports whether
-// the host has sent one that is usable.
-func (h *Host) fetchManifest(from netip.AddrPort) bool {
+// fetchOutcome is what came of a call for a manifest.
+type fetchOutcome int
+
+const (
+	// fetchDeferred means that the host does not pass its manifest on yet.
+	fetchDeferred fetchOutcome = iota
+	// fetchUsed means that the manifest has been decoded.
+	fetchUsed
+	// fetchFailed means that there was no answer in time.
+	fetchFailed
+	// fetchUnusable means that the manifest cannot be decoded.
+	fetchUnusable
+)
+
+// fetchManifest asks a host for its manifest and puts it in force.
+func (h *Host) fetchManifest(from netip.AddrPort) fetchOutcome {
 	ctx, cancel := context.WithTimeout(h.ctx, fetchTimeout)
 	defer cancel()
+	ctx = lateanswer.With(ctx, func(reply peer.Message) {
+		h.sources.noteOutcome(from, h.adoptContent(reply, from.String()))
+	})
 	request := message.EncodeManifestRequest(message.ManifestRequest{Version: h.manifestVersion()})
 	host, reply, err := h.peers.Ask(ctx, from, request)
 	if err != nil {
 		h.log.Debug("a host does not pass its manifest on", zap.Stringer("Addr", from), zap.Error(err))
-		return false
+		return fetchFailed
 	}
+	return h.adoptContent(reply, host.Name)
+}
+
+// adoptContent puts the manifest of another host in force.
+func (h *Host) adoptContent(reply peer.Message, from string) fetchOutcome {
 	m, err := message.DecodeManifestContent(reply)
-	return err == nil && len(m.Content) > 0 && h.adopt(m.Content, host.Name) != nil
+	switch {
+	case err != nil:
+		return fetchUnusable
+	case len(m.Content) == 0:
+		return fetchDeferred
+	case h.adopt(m.Content, from) == nil:
+		return fetchUnusable
+	}
+	h.confirmAnnounced()
+	return fetchUsed
 }
 
 // passManifest returns the manifest in force for a host that has an earlier version, or
--- a/internal/host/ping.go
+++ b/internal/host/ping.go
@@ -183,8 +183,8 @@
 	if len(pong.NewerManifest) > 0 {
 		h.adopt(pong.NewerManifest, from.Name)
 	}
-	h.noteManifest(pong.Manifest, to, from.DataCentre)
 	h.confirmPong(pong, sent)
+	h.noteManifest(pong.Manifest, to, from.DataCentre, h.timers.Now().Sub(sent.monotonic))
 	h.applyPong(pong)
 	h.applyPermission(pong, sent.latest)
 	return from, pong, nil
--- a/internal/host/recency.go
+++ b/internal/host/recency.go
@@ -66,6 +66,12 @@
 	// force.
 	sinceBegin bool
 
+	// announced is what pongs have told of the newest version.
+	announced struct {
+		version uint64
+		at      moment
+	}
+
 	// reading is closed at the end of the current read for unknown keys; it is nil if there
 	// is none. lastRead is when the last one began.
 	reading  chan struct{}
@@ -148,8 +154,35 @@
 // confirmPong records what a pong to a ping sent at a time says of the manifest. The pong
 // was made after that time, so that its age counts from there at the earliest.
 func (h *Host) confirmPong(pong message.OwnerPong, sent moment) {
-	if pong.ManifestAge > 0 {
-		h.confirmed(pong.Manifest, sent.before(pong.ManifestAge))
+	if pong.ManifestAge <= 0 {
+		return
+	}
+	at := sent.before(pong.ManifestAge)
+	if h.manifestVersion() < pong.Manifest {
+		h.recency.announce(pong.Manifest, at)
+	}
+	h.confirmed(pong.Manifest, at)
+}
+
+// announce records that a version, which this host does not have yet, was the newest
+// usable one in the store at a time. What is known of an older version is dropped.
+func (r *recency) announce(version uint64, at moment) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := &r.announced
+	if version > a.version || version == a.version && at.latest.After(a.at.latest) {
+		a.version, a.at = version, at
+	}
+}
+
+// confirmAnnounced applies what was announced, once that version is in force.
+func (h *Host) confirmAnnounced() {
+	r := &h.recency
+	r.mu.Lock()
+	a := r.announced
+	r.mu.Unlock()
+	if a.version > 0 {
+		h.confirmed(a.version, a.at)
 	}
 }
 
