internal/cell: check starts against failures acknowledged after them

The oracle of the simulation counted only the failures that were acknowledged before a start. The rule forbids a start after the last attempt has failed also if the failures are acknowledged later, without a lapse of the worker's lease in between. Successes were checked in that way already; both are now one check, which replaces the one for successes and keeps all starts after an end, not only the last.

--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -88,7 +88,7 @@
 	case !w.now.Before(g.until) && g.fails:
 		g.ended = true
 		w.noteFailed(present[0].id, present[0].run)
-		present[0].worker.end(present[0].id, present[0].run, cell.EndFailed)
+		w.end(present[0].worker, present[0].id, present[0].run, cell.EndFailed)
 		w.endGang(present[1:], cell.EndGangBroken)
 	case !w.now.Before(g.until):
 		g.ended = true
@@ -105,14 +105,14 @@
 		if w.now.Sub(m.run.arrived) >= gangTimeout {
 			g.ended = true
 			w.incompleteGangMembers++
-			m.worker.end(m.id, m.run, cell.EndGangIncomplete)
+			w.end(m.worker, m.id, m.run, cell.EndGangIncomplete)
 		}
 	}
 }
 
 func (w *simulation) endGang(members []member, how cell.EndKind) {
 	for _, m := range members {
-		m.worker.end(m.id, m.run, how)
+		w.end(m.worker, m.id, m.run, how)
 	}
 }
 
@@ -132,4 +132,6 @@
 	return time.Duration(rapid.IntRange(100, 4000).Draw(w.t, "took")) * time.Millisecond
 }
 
-func (w *simulation) drawFailure() bool { return rapid.IntRange(0, 9).Draw(w.t, "fails") == 0 }
+func (w *simulation) drawFailure() bool {
+	return rapid.IntRange(0, 9).Draw(w.t, "fails") < w.failingTenths
+}
--- a/internal/cell/latesuccess_test.go
+++ b/internal/cell/latesuccess_test.go
@@ -33,7 +33,8 @@
 		message string
 		omit    omittedGuard
 	}{
-		{"whose end is acknowledged", omitUncertainStart},
+		{"had ended as done", omitUncertainStart},
+		{"had ended as failed", omitUncertainStart},
 		{"is acknowledged while the start of", omitUncertainStart},
 		{"is shown as completed while the start of", omitUncertainStart},
 		{"although its success was acknowledged", omitAckDurable},
@@ -41,7 +42,7 @@
 	} {
 		t.Run(strings.ReplaceAll(detects.message, " ", "-"), func(t *testing.T) {
 			t.Parallel()
-			if !detectedAs(t, detects.message, detects.omit, (*simulation).overtakeActions) {
+			if !detectedAs(t, detects.message, detects.omit, (*simulation).overtakeActions, frequentFailures) {
 				t.Fatalf("no simulation reported %q", detects.message)
 			}
 		})
--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -24,7 +24,8 @@
 			w.fail("task %s starts at %s as run %d while run %d is at %s", a.Task, s.id, a.Run, r.number, other.id)
 		}
 	}
-	w.checkSuccess(o, s, a)
+	w.checkSuccess(o, a)
+	w.checkDecisions(s, a)
 	w.checkConstraints(s, step, a)
 	w.checkCap(a)
 	for _, dep := range step.After {
@@ -88,6 +89,7 @@
 
 // acknowledged records an end that a worker may forget.
 func (w *simulation) acknowledged(o *simOwner, s *simWorker, e cell.Ended) {
+	w.takeNote(s, e)
 	switch e.Kind {
 	case cell.EndDone:
 		w.acknowledgedSuccess(o, s, e)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -59,9 +59,9 @@
 	// doneBeforeLapse has, for those of them whose worker's lease had lapsed since the end,
 	// the epoch of the owner that acknowledged it.
 	doneBeforeLapse map[workload.TaskID]uint64
-	// startsAfterEnd has the last start that a worker accepted after a successful run of
-	// the task had ended, by the end of that run, while the end is not acknowledged.
-	startsAfterEnd map[endKey]acceptedStart
+	// decisions holds the ends that may decide about tasks, and the starts of the tasks.
+	decisions    map[decisionKey]*decision
+	decidingEnds map[endKey]*decidingEnd
 	// everDone holds the tasks that have succeeded, acknowledged or not.
 	everDone map[workload.TaskID]bool
 	// failedRuns counts acknowledged failures.
@@ -92,6 +92,8 @@
 	accounts *simAccounts
 	// sent holds what was known when each start was sent.
 	sent map[*cell.SendStart]sentStart
+	// failingTenths is how many tenths of the runs fail.
+	failingTenths int
 	// lastingRunsEnd is set if long-running runs end by themselves.
 	lastingRunsEnd bool
 	// missed describes the last steps that a decision missed.
@@ -256,10 +258,10 @@
 func newSimulation(t *rapid.T, omit omittedGuard, unfenced bool) *simulation {
 	w := &simulation{
 		t: t, unfenced: unfenced, now: time.Unix(1_700_000_000, 0), store: make(map[workload.JobID]cell.Record), omit: omit,
-		storeWaves: make(map[int]cell.WaveRecord), startLimit: math.MaxInt, replacedOwnerLifetime: replacedOwnerLifetime,
+		storeWaves: make(map[int]cell.WaveRecord), startLimit: math.MaxInt, failingTenths: 1, replacedOwnerLifetime: replacedOwnerLifetime,
 		cancelled: make(map[workload.JobID]bool), done: make(map[workload.TaskID]bool),
 		doneBeforeLapse: make(map[workload.TaskID]uint64), everDone: make(map[workload.TaskID]bool),
-		startsAfterEnd: make(map[endKey]acceptedStart), completedBy: make(map[workload.JobID]uint64),
+		decisions: make(map[decisionKey]*decision), decidingEnds: make(map[endKey]*decidingEnd), completedBy: make(map[workload.JobID]uint64),
 		failedRuns: make(map[workload.TaskID]int), completed: make(map[workload.JobID]bool),
 		wavesDone: make(map[int]bool), down: make(map[workload.TaskID]bool),
 		gangs: make(map[gangKey]*simGang), checkpoints: make(map[string]workload.TaskID),
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -96,17 +96,19 @@
 		if !s.toldToLeave && w.atWork(r) {
 			w.checkDisruption(a.Task)
 		}
-		s.end(a.Task, r, cell.EndStopped)
+		w.end(s, a.Task, r, cell.EndStopped)
 		s.ends[len(s.ends)-1].Checkpoint = w.checkpoint(a.Task, r)
 	}
 }
 
-func (s *simWorker) end(id workload.TaskID, r *simRun, how cell.EndKind) {
+func (w *simulation) end(s *simWorker, id workload.TaskID, r *simRun, how cell.EndKind) {
 	delete(s.runs, id)
 	s.ended++
 	s.highest[id] = max(s.highest[id], r.number)
 	s.lapsesAtEnd[s.ended] = s.lapses
-	s.ends = append(s.ends, cell.Ended{Number: s.ended, Task: id, Run: r.number, Kind: how})
+	e := cell.Ended{Number: s.ended, Task: id, Run: r.number, Kind: how}
+	s.ends = append(s.ends, e)
+	w.noteEnd(s, e)
 }
 
 // report answers a hold call. The oracle records the ends that the call
@@ -161,17 +163,17 @@
 		case r.gang && expired:
 			w.expiredLeases++
 			w.breakGang(id, r)
-			s.end(id, r, cell.EndLeaseExpired)
+			w.end(s, id, r, cell.EndLeaseExpired)
 		case r.gang:
 		case r.ends && !w.now.Before(r.until) && r.fails:
 			w.noteFailed(id, r)
-			s.end(id, r, cell.EndFailed)
+			w.end(s, id, r, cell.EndFailed)
 		case r.ends && !w.now.Before(r.until):
 			w.everDone[id] = true
-			s.end(id, r, cell.EndDone)
+			w.end(s, id, r, cell.EndDone)
 		case expired:
 			w.expiredLeases++
-			s.end(id, r, cell.EndLeaseExpired)
+			w.end(s, id, r, cell.EndLeaseExpired)
 		}
 	}
 }
--- a/internal/cell/successoracle_test.go
+++ b/internal/cell/successoracle_test.go
@@ -8,14 +8,12 @@
 )
 
 // The oracle judges starts beside a successful run of their task. The platform forbids a
-// start after the run has ended if that end is acknowledged before the start or later,
-// unless the lease of the run's worker has lapsed between the end and the acknowledgement.
-// It also forbids a host in contact to start a task once its job is shown as completed.
+// host in contact to start a task once its job is shown as completed.
 //
-// This project promises more: a start after an acknowledged success is a violation although
-// the lease had lapsed, unless an owner sent it that the acknowledging one has replaced; and
-// an owner acknowledges no success, and shows no job as completed, while a start that it has
-// sent may still be accepted.
+// This project promises more than the platform asks for ends that it takes note of: a start
+// after an acknowledged success is a violation although the lease had lapsed, unless an owner
+// sent it that the acknowledging one has replaced; and an owner acknowledges no success, and
+// shows no job as completed, while a start that it has sent may still be accepted.
 
 // endKey identifies an end: workers number them anew in each incarnation.
 type endKey struct {
@@ -24,13 +22,6 @@
 	number      int64
 }
 
-// acceptedStart is a start that a worker has accepted.
-type acceptedStart struct {
-	task   workload.TaskID
-	run    int
-	worker cell.WorkerID
-}
-
 func (s *simWorker) keyOf(e cell.Ended) endKey { return endKey{s, s.incarnation, e.Number} }
 
 // lapsedSince reports whether the lease of a worker has lapsed since the end with a number.
@@ -39,10 +30,9 @@
 	return s.lapses > s.lapsesAtEnd[number] || clock >= s.deadline
 }
 
-// checkSuccess checks a start that its worker accepts against the successful runs of its
-// task, and notes it for the ends that are acknowledged later. A long-running task is
-// started again however its runs end.
-func (w *simulation) checkSuccess(o *simOwner, s *simWorker, a *cell.SendStart) {
+// checkSuccess checks a start that its worker accepts against the acknowledged successes of
+// its task. A long-running task is started again however its runs end.
+func (w *simulation) checkSuccess(o *simOwner, a *cell.SendStart) {
 	if w.step(a.Task).LongRunning {
 		return
 	}
@@ -53,13 +43,6 @@
 	if replaced := lapsed && o.epoch < by; w.done[a.Task] && !replaced {
 		w.fail("task %s starts although its success was acknowledged", a.Task)
 	}
-	for _, other := range w.workers {
-		for _, e := range other.ends {
-			if e.Kind == cell.EndDone && w.represents(e.Task, a.Task) {
-				w.startsAfterEnd[other.keyOf(e)] = acceptedStart{task: a.Task, run: a.Run, worker: s.id}
-			}
-		}
-	}
 }
 
 // acknowledgedSuccess checks and records the end of a successful run that its worker may
@@ -67,12 +50,6 @@
 // acknowledgement may start the task.
 func (w *simulation) acknowledgedSuccess(o *simOwner, s *simWorker, e cell.Ended) {
 	lapsed := s.lapsedSince(e.Number, s.clock(w.now))
-	key := s.keyOf(e)
-	if start, ok := w.startsAfterEnd[key]; ok && !lapsed {
-		w.fail("task %s was started as run %d at %s after run %d of %s had ended as done at %s, whose end is acknowledged",
-			start.task, start.run, start.worker, e.Run, e.Task, s.id)
-	}
-	delete(w.startsAfterEnd, key)
 	tasks := w.represented(e.Task)
 	for _, id := range tasks {
 		switch {
