internal/cell: count listed ends where only answers are lost

The simulation counted only acknowledged ends, and scripts alone guarded the rest.

In other simulations listed ends do not count, since their faults are impairments, and silence beyond that wait is a known limit.

--- a/internal/cell/actions_test.go
+++ b/internal/cell/actions_test.go
@@ -147,6 +147,10 @@
 		return
 	}
 	outcome, report, fenced := w.execute(c)
+	if c.worker.unread {
+		w.unanswered(c)
+		return
+	}
 	if c.answered || c.owner.stopped {
 		return
 	}
--- a/internal/cell/decisionoracle_test.go
+++ b/internal/cell/decisionoracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"cicadabarrow.example/cicadabarrow/internal/cell"
 	"cicadabarrow.example/cicadabarrow/internal/workload"
@@ -13,6 +14,13 @@
 // platform forbids each start after these ends, whether they are taken note of before the
 // start or later. An end is taken note of when it is acknowledged, unless the lease of its
 // worker has lapsed between the two; an end that is not taken note of does not count.
+//
+// Where no fault is near, an end is also taken note of soon after its worker has listed it,
+// whether that answer was read or not. So owners have to wait for a worker whose answers are
+// lost, as long as they promise to: for 2.3 s after its lease.
+
+// listedNotice is how long after an end was listed it is taken note of.
+const listedNotice = 100 * time.Millisecond
 
 // decisionKey identifies the ends that decide about a task together. All ends of a gang have
 // one key.
@@ -34,6 +42,8 @@
 	decision *decision
 	worker   *simWorker
 	ended    cell.Ended
+	// listed is when the worker first listed the end in an answer; zero until then.
+	listed time.Time
 	// noted is set once the platform has taken note of the end.
 	noted bool
 }
@@ -95,6 +105,30 @@
 	w.checkDecision(end.decision)
 }
 
+// noteListed records that a worker lists its ends in an answer.
+func (w *simulation) noteListed(s *simWorker) {
+	for _, e := range s.ends {
+		if end, decides := w.decidingEnds[s.keyOf(e)]; decides && end.listed.IsZero() {
+			end.listed = w.now
+		}
+	}
+}
+
+// takeNoteOfListed takes note of the ends that were listed listedNotice ago.
+func (w *simulation) takeNoteOfListed() {
+	if !w.listedEndsCount {
+		return
+	}
+	for _, s := range w.workers {
+		for _, e := range s.ends {
+			end, decides := w.decidingEnds[s.keyOf(e)]
+			if decides && !end.listed.IsZero() && w.now.Sub(end.listed) >= listedNotice {
+				w.takeNote(s, e)
+			}
+		}
+	}
+}
+
 // checkDecision checks that no start has followed the ends that decide about its task.
 func (w *simulation) checkDecision(d *decision) {
 	for _, start := range d.starts {
--- a/internal/cell/lifecycle_test.go
+++ b/internal/cell/lifecycle_test.go
@@ -72,8 +72,12 @@
 // detectedAs runs simulations until the oracle finds a violation whose message contains a
 // text.
 func detectedAs(t *testing.T, message string, omit omittedGuard, further ...simActions) bool {
+	return detectedIn(t, message, rapid.Custom(func(t *rapid.T) string { return runSimulation(t, omit, false, further...) }))
+}
+
+// detectedIn plays simulations until the violation that one returns contains a text.
+func detectedIn(t *testing.T, message string, play *rapid.Generator[string]) bool {
 	const plays = 20000
-	play := rapid.Custom(func(t *rapid.T) string { return runSimulation(t, omit, false, further...) })
 	for seed := range plays {
 		if violation := play.Example(seed); violation != "" && strings.Contains(violation, message) {
 			t.Logf("seen in play %d: %.200s", seed+1, violation)
@@ -94,9 +98,13 @@
 	return w.play(t, further...)
 }
 
-// play plays random actions and returns the first violation of an invariant.
+// play plays random actions with faults and returns the first violation of an invariant.
 func (w *simulation) play(t *rapid.T, further ...simActions) string {
-	actions := w.faultActions()
+	return w.playActions(t, w.faultActions(), further...)
+}
+
+// playActions plays some random actions and returns the first violation of an invariant.
+func (w *simulation) playActions(t *rapid.T, actions map[string]func(*rapid.T), further ...simActions) string {
 	for _, f := range further {
 		maps.Copy(actions, f(w))
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -62,6 +62,8 @@
 	// decisions holds the ends that may decide about tasks, and the starts of the tasks.
 	decisions    map[decisionKey]*decision
 	decidingEnds map[endKey]*decidingEnd
+	// listedEndsCount is set if the platform also takes note of ends that were listed.
+	listedEndsCount bool
 	// everDone holds the tasks that have succeeded, acknowledged or not.
 	everDone map[workload.TaskID]bool
 	// failedRuns counts acknowledged failures.
@@ -194,6 +196,8 @@
 	// reportedEnds is the number of the last end that a report has listed.
 	reportedEnds int64
 	cut          bool
+	// unread is set while the worker executes calls and its answers are lost.
+	unread bool
 	// cutFromEpoch is the first epoch whose owner cannot reach the worker, and none
 	// after it can; 0 if all can.
 	cutFromEpoch uint64
@@ -444,6 +448,7 @@
 			w.expire(s)
 		}
 		w.advanceGangs()
+		w.takeNoteOfListed()
 		w.renewEntries(tick)
 		w.crashDeadly()
 		w.returnMachines()
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -122,6 +122,7 @@
 		w.acknowledged(o, s, s.ends[0])
 		s.ends = s.ends[1:]
 	}
+	w.noteListed(s)
 	out := cell.Report{Incarnation: s.incarnation, Clock: clock, Ended: slices.Clone(s.ends)}
 	for _, id := range sortedTasks(s.runs) {
 		percent := 50
