internal/cell: failing test of ends lost in maintenance after a takeover

It is TestNoTaskStartsAfterItsListedEnds with waves and takeovers in one play. Trace: unfenced workers, starts ahead of their records, a wave with a limit of 4 s. The first owner starts run 1 of a gang on w2.2 early, the second takes over at 6.0 s and hears w2.2 before that start arrives. From 6.1 s the answers of w2.2 are lost, the run fails and is listed from 6.2 s. At 9.6 s the second owner orders the maintenance of w2: it knows of no run there, although w2.2 is still awaited for early starts. The worker ends with its list. Run 2 starts at 11.7 s and fails, run 3 starts at 12.8 s, after two listed failures.

mayStartMaintenance (wave.go) does not look at earlyStarts.awaited. No product code is changed here.

--- a/internal/cell/attempts_test.go
+++ b/internal/cell/attempts_test.go
@@ -98,3 +98,15 @@
 	s.unread = false
 	w.stepWithoutFaults()
 }
+
+// TestNoTaskStartsAfterEndsLostInMaintenance guards against a task that is started after
+// listed ends of its runs were lost with their worker: a new owner orders the maintenance of
+// a machine while early starts of its predecessor on the worker there may still be unknown.
+func TestNoTaskStartsAfterEndsLostInMaintenance(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		if violation := playLostAnswers(t, longestHeardSilence, waves, takeovers); violation != "" {
+			t.Fatal(violation)
+		}
+	})
+}
