cell: order no maintenance of a machine while early starts there may be unknown

A new owner awaits the workers on which its predecessor may have started runs early. It ordered the maintenance of a machine whose worker is awaited, since it knew of no run there.

Now the machine is not ordered, nor taken as the next one, while its worker is awaited, which ends with its report or with the time of its starts.

--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -187,9 +187,9 @@
 func (c *Cell) mayStartMaintenance(now time.Time, w *waveState, machine string) bool {
 	if worker := c.workerOn(machine); worker != nil {
 		delete(w.missingSince, machine)
-		return worker.cordonedBy == nil && (worker.reported || !c.hasRunsOn(machine))
+		return worker.cordonedBy == nil && (worker.reported || !c.mayHaveRunsOn(machine))
 	}
-	if c.hasRunsOn(machine) {
+	if c.mayHaveRunsOn(machine) {
 		delete(w.missingSince, machine)
 		return false
 	}
@@ -200,10 +200,10 @@
 	return missing && now.Sub(since) > maxMaintenance
 }
 
-// hasRunsOn reports whether something may be running on a machine, also by a worker
+// mayHaveRunsOn reports whether something may be running on a machine, also by a worker
 // whose entry in the list has lapsed or is malformed.
-func (c *Cell) hasRunsOn(machine string) bool {
-	return slices.ContainsFunc(c.onMachine[machine], func(w *worker) bool { return !w.idle() })
+func (c *Cell) mayHaveRunsOn(machine string) bool {
+	return slices.ContainsFunc(c.onMachine[machine], func(w *worker) bool { return !w.idle() || c.earlyStarts.awaited[w.id] })
 }
 
 // advanceMachine drains a machine, and orders its maintenance once it is empty
@@ -212,7 +212,9 @@
 	if worker := c.workerOn(machine); worker != nil {
 		worker.cordonedBy = w
 		c.drainForWave(now, w, worker)
-		if worker.runs.len() > 0 {
+		// The maintenance ends the worker, and with it the list of the ends of runs that
+		// a predecessor has started early.
+		if worker.runs.len() > 0 || c.earlyStarts.awaited[worker.id] {
 			return
 		}
 	}
