--- a/internal/host/malformedrows_test.go
+++ b/internal/host/malformedrows_test.go
@@ -28,8 +28,8 @@
 	return cell.Wave{Number: int(row.Version)}, err == nil, err
 }
 
-// The operator's rows are read again after each failed call, and a newer manifest comes
-// with each ping of a host that has it.
+// The operator's rows are read again after each failed call, and a newer manifest may come
+// from several hosts.
 func TestMalformedRowsOfTheOperatorAreLoggedOnce(t *testing.T) {
 	core, logged := observer.New(zap.WarnLevel)
 	h := &Host{
