--- a/cmd/cicadabarrow/hostcrowd_test.go
+++ b/cmd/cicadabarrow/hostcrowd_test.go
@@ -28,10 +28,14 @@
 // than the lease of a worker.
 const shortestBurst = 500 * time.Millisecond
 
+// crowdFailing is one in how many jobs fails. Workers get no starts for a while after two
+// failures in a row: with one job in four, most of the others were refused.
+const crowdFailing = 20
+
 // TestHostCrowd runs more hosts and workers than the processors can serve at ease, beside
 // bursts of busy processes, and injects no fault: calls, answers and ticks are late.
-// It guards against a task that is started again although its worker has listed its end,
-// because the answer was read too late or not at all.
+// It guards against a task that is started again although its worker has listed its end, or
+// its last failure, because the answer was read too late or not at all.
 //
 // The default is short and delays calls by fractions of a second. A run by hand that has
 // shown the fault, with 2400 busy threads:
@@ -53,6 +57,7 @@
 		Shortest: shortestBurst, Longest: *hostCrowdBurst, LongestPause: *hostCrowdPause, Threads: *hostCrowdThreads,
 	})
 	s := newHostSoak(f, *hostCrowdSeed)
+	s.failing = crowdFailing
 	ctx, cancel := context.WithTimeout(t.Context(), *hostCrowdDuration)
 	defer cancel()
 	delays := processtest.WatchDelays(t, f.processIDs())
--- a/cmd/cicadabarrow/hostsoak_test.go
+++ b/cmd/cicadabarrow/hostsoak_test.go
@@ -93,6 +93,8 @@
 	*hostFleet
 	seed        uint64
 	workerLinks []*processtest.Proxy
+	// failing is one in how many jobs has only runs that fail; 0 means none.
+	failing int
 
 	mu   sync.Mutex
 	jobs []*soakJob
@@ -118,6 +120,8 @@
 	ended   bool
 	// lasts is set if the tasks run until the job is cancelled.
 	lasts bool
+	// fails is set if all runs fail.
+	fails bool
 }
 
 func newHostSoak(f *hostFleet, seed uint64) *hostSoak {
@@ -146,7 +150,7 @@
 	var own []*soakJob
 	for n := 0; ctx.Err() == nil; n++ {
 		if len(own) == 0 || random.IntN(2) == 0 {
-			own = append(own, s.submit(client, random, drawJob(random, fmt.Sprintf("%08x%08x", number+1, n))))
+			own = append(own, s.submit(client, random, s.drawJob(random, fmt.Sprintf("%08x%08x", number+1, n))))
 		}
 		s.ask(client, random, own[random.IntN(len(own))])
 		wait(ctx, rand.N(soakThink))
@@ -158,7 +162,7 @@
 }
 
 // drawJob draws a job of two steps.
-func drawJob(random *rand.Rand, id string) *soakJob {
+func (s *hostSoak) drawJob(random *rand.Rand, id string) *soakJob {
 	j := &soakJob{id: id, queue: plainQueue}
 	if random.IntN(2) == 0 {
 		j.queue = adviceQueue
@@ -167,9 +171,20 @@
 		"spec":  (shortestTask + time.Duration(random.Int64N(int64(longestTask)))).String(),
 		"steps": []any{step(1 + random.IntN(3)), step(1+random.IntN(2), 0)},
 	}
+	if s.failing > 0 && random.IntN(s.failing) == 0 {
+		j.fails, j.body["spec"] = true, "fail"
+	}
 	return j
 }
 
+// finalState returns the state in which the job ends unless it is cancelled.
+func (j *soakJob) finalState() string {
+	if j.fails {
+		return "failed"
+	}
+	return "completed"
+}
+
 // submit sends a job, and again if it is not known whether it was accepted.
 func (s *hostSoak) submit(client *http.Client, random *rand.Rand, j *soakJob) *soakJob {
 	s.add(j)
@@ -212,12 +227,17 @@
 	switch {
 	case known && status == http.StatusGone && time.Since(j.accepted) > visibleAfter:
 		s.t.Errorf("job %s is unknown %v after it was accepted", j.id, time.Since(j.accepted))
-	case known && status == http.StatusOK && (state == "failed" || state == "cancelled"):
+	case known && status == http.StatusOK && ended(state) && state != j.finalState():
 		s.t.Errorf("job %s is shown as %s without a cause", j.id, state)
-	case j.ended && status == http.StatusOK && state != "completed" && !j.cancelled:
-		s.t.Errorf("job %s was shown as completed and is %s", j.id, state)
+	case j.ended && status == http.StatusOK && state != j.finalState() && !j.cancelled:
+		s.t.Errorf("job %s was shown as %s and is %s", j.id, j.finalState(), state)
 	}
-	j.ended = j.ended || status == http.StatusOK && state == "completed"
+	j.ended = j.ended || status == http.StatusOK && state == j.finalState()
+}
+
+// ended reports whether a job in a state has ended.
+func ended(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
 }
 
 // injectFaults injects faults until the context ends, and then ends them all.
@@ -287,7 +307,7 @@
 			}
 		case !j.accepted.IsZero() && !j.cancelled && !j.lasts:
 			accepted++
-			s.awaitState(j.queue, "completed", j.id)
+			s.awaitState(j.queue, j.finalState(), j.id)
 		}
 	}
 	s.t.Logf("%d jobs: %d accepted and not cancelled, %d refused", len(s.jobs), accepted, refused)
