--- a/internal/host/manifestfetch_test.go
+++ b/internal/host/manifestfetch_test.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// requests returns how many requests there were.
+func (p *manifestPeers) requests() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
 // withFetchingHost runs a test on the part of a host that fetches manifests. The host has
 // version 1, and each call of tell tells it that a host has version 2.
 func withFetchingHost(t *testing.T, peers *manifestPeers, test func(h *Host, tell func())) {
@@ -78,8 +85,8 @@
 			tell()
 			time.Sleep(250 * time.Millisecond)
 		}
-		if h.manifestVersion() != 2 || peers.asked > 2 {
-			t.Errorf("after 5 s and %d copies version %d is in force", peers.asked, h.manifestVersion())
+		if copies := peers.requests(); h.manifestVersion() != 2 || copies > 2 {
+			t.Errorf("after 5 s and %d copies version %d is in force", copies, h.manifestVersion())
 		}
 	})
 }
@@ -101,8 +108,8 @@
 					tell()
 					time.Sleep(100 * time.Millisecond)
 				}
-				if peers.asked > c.most {
-					t.Errorf("%d requests in 1 s, want at most %d", peers.asked, c.most)
+				if asked := peers.requests(); asked > c.most {
+					t.Errorf("%d requests in 1 s, want at most %d", asked, c.most)
 				}
 			})
 		})
