--- a/cmd/cicadabarrow/hostsoak_test.go
+++ b/cmd/cicadabarrow/hostsoak_test.go
@@ -227,7 +227,7 @@
 	switch {
 	case known && status == http.StatusGone && time.Since(j.accepted) > visibleAfter:
 		s.t.Errorf("job %s is unknown %v after it was accepted", j.id, time.Since(j.accepted))
-	case known && status == http.StatusOK && ended(state) && state != j.finalState():
+	case known && status == http.StatusOK && isFinal(state) && state != j.finalState():
 		s.t.Errorf("job %s is shown as %s without a cause", j.id, state)
 	case j.ended && status == http.StatusOK && state != j.finalState() && !j.cancelled:
 		s.t.Errorf("job %s was shown as %s and is %s", j.id, j.finalState(), state)
@@ -235,8 +235,8 @@
 	j.ended = j.ended || status == http.StatusOK && state == j.finalState()
 }
 
-// ended reports whether a job in a state has ended.
-func ended(state string) bool {
+// isFinal reports whether a job in a state has ended.
+func isFinal(state string) bool {
 	return state == "completed" || state == "failed" || state == "cancelled"
 }
 
