--- a/internal/cell/earlierrun.go
+++ b/internal/cell/earlierrun.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// restoreSuccesses has the tasks of an occurrence that have succeeded while a later run of
-// them is on record completed once that run is settled. Those that a later step has
-// already relied on are done.
+// restoreSuccesses restores the tasks of an occurrence that have succeeded in an earlier run
+// while a later run of them is on record. They are done once the outcome of the later run is
+// known, or at once if a task of a dependent step has already been started.
 func (c *Cell) restoreSuccesses(steps []*stepState) {
 	for _, s := range steps {
 		relied := reliedOn(s, steps)
--- a/internal/cell/unknownrun.go
+++ b/internal/cell/unknownrun.go
@@ -78,8 +78,8 @@
 	c.setUnsizedTasks(w, append(w.unsizedTasks, id))
 }
 
-// logCompletedByUnknown writes that an unknown run has completed its task, and which later
-// run may be at work or in flight.
+// logCompletedByUnknown logs that a run which this owner does not track has completed its
+// task, together with the current run of the task, if there is one.
 func (c *Cell) logCompletedByUnknown(w *worker, t *task, number int) {
 	c.log.Info("task was completed by an unknown run", unknownRunFields(w, t, number,
 		zap.Bool("LeaseExpired", w.clock >= w.deadline), zap.Int("LastRun", t.lastRun))...)
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -92,7 +92,7 @@
 }
 
 func runHost(ctx context.Context, hangups <-chan os.Signal, file string) error {
-	// A SIGHUP that is already there announces settings that are read now.
+	// A SIGHUP that arrived before the settings are read needs no second read.
 	select {
 	case <-hangups:
 	default:
--- a/internal/host/manifest_test.go
+++ b/internal/host/manifest_test.go
@@ -169,8 +169,8 @@
 				w.setCut(h, true, storeName)
 				w.setCut(h, !withOwner, owner.name)
 				w.start(h)
-				time.Sleep(2 * time.Second)
-				expectKeys(t, "2 s after the restart", h, map[string]string{"a1": "a"})
+				time.Sleep(manifestGrace + 2*pingInterval)
+				expectKeys(t, "after the grace and two pings", h, map[string]string{"a1": "a"})
 			})
 		})
 	}
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -17,7 +17,7 @@
 	apply(o *Owner, now time.Time)
 }
 
-// noEvent changes nothing.
+// noEvent is an event without an effect.
 type noEvent struct{}
 
 func (noEvent) apply(*Owner, time.Time) {}
--- a/internal/owner/leasedplatform_test.go
+++ b/internal/owner/leasedplatform_test.go
@@ -67,12 +67,13 @@
 type answerFault int
 
 const (
-	// answerReset answers are lost with their connection, which the owner notices.
+	// answerReset loses each answer: its connection is reset, so that the call fails at
+	// once.
 	answerReset answerFault = iota
-	// answerLate answers arrive at the end of the outage, unless their calls have timed
-	// out.
+	// answerLate delays each answer to the end of the outage; its call may have timed out
+	// by then.
 	answerLate
-	// requestLost requests do not arrive, and the owner notices it.
+	// requestLost loses each request, and its call fails at once.
 	requestLost
 )
 
--- a/internal/owner/overlap_test.go
+++ b/internal/owner/overlap_test.go
@@ -129,8 +129,8 @@
 	p.revisions[w.Key] = next
 }
 
-// countDone returns how many tasks a record has as done; a record of a completed job has no
-// tasks.
+// countDone returns the number of tasks that are done in a record. A record of a job that
+// has ended lists no tasks, so that it counts as having all of them done.
 func countDone(r cell.Record) int {
 	if r.State.Final() {
 		return 1 << 30
--- a/internal/processtest/spinner.go
+++ b/internal/processtest/spinner.go
@@ -66,7 +66,8 @@
 }
 
 // StartSpinners starts processes of the test's own binary that take processor time from all
-// others in bursts. They end by themselves, and at the end of the test at the latest.
+// others in bursts. They exit when their bursts are over, and are killed at the
+// end of the test if they still run.
 func StartSpinners(t *testing.T, processes int, b Bursts) {
 	t.Helper()
 	binary, err := os.Executable()
